--- a/brain/example_test.go
+++ b/brain/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"marblejunction/brain"
+	"brassdale/brain"
 )
 
 // From settings through list, request, report and outcome to the actions.
--- a/cmd/benchlink/link.go
+++ b/cmd/benchlink/link.go
@@ -9,7 +9,7 @@
 	"io"
 	"time"
 
-	"marblejunction/brain"
+	"brassdale/brain"
 )
 
 // entry is one line of a list.
--- a/cmd/benchlink/settings.go
+++ b/cmd/benchlink/settings.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"marblejunction/brain"
+	"brassdale/brain"
 )
 
 // micros is a time or a span on the wire.
