Build the real dispatcher: wire-free core, endpoint actors, the platform's front

Layers: routing (module's actor, request table, destination set), protocol, transport, program. The settings' decoding moved from cmd/benchlink to internal/protocol, so both programs share it.

--- a/cmd/benchlink/link.go
+++ b/cmd/benchlink/link.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"brassdale/brain"
+	"brassdale/internal/protocol"
 )
 
 // entry is one line of a list.
@@ -20,22 +21,22 @@
 	Worker      string
 	Status      string
 	Weight      float64
-	OnlineSince micros
+	OnlineSince protocol.Micros
 }
 
 // message holds the fields of every event; each event uses a few.
 type message struct {
-	Time         micros
+	Time         protocol.Micros
 	DispatcherID *int `json:"dispatcherId"`
 	InitSeed     uint64
-	Params       params
+	Params       protocol.Params
 	Ref          uint64
 	NodesList    []entry
 	Form         string
 	Handle       uint64
 	Qos          int
-	Expires      micros
-	Effort       micros
+	Expires      protocol.Micros
+	Effort       protocol.Micros
 	Width        float64
 	Bitmap       int
 	Worker       string
@@ -65,7 +66,7 @@
 
 // instance is one dispatcher of this process.
 type instance struct {
-	params params
+	params protocol.Params
 	brain  *brain.Dispatcher
 }
 
@@ -109,7 +110,7 @@
 	}
 	switch name {
 	case "SYNC":
-		l.now = m.Time.span()
+		l.now = m.Time.Span()
 	case "YOUR_TURN":
 		l.out.WriteString("{\"FINISHED\":{}}\n")
 		return l.out.Flush()
@@ -162,7 +163,7 @@
 func (l *link) event(name string, id int, m *message) error {
 	switch name {
 	case "ENLIST":
-		l.instances[id] = &instance{params: m.Params, brain: brain.New(m.Params.settings(), m.InitSeed)}
+		l.instances[id] = &instance{params: m.Params, brain: brain.New(m.Params.Module(), m.InitSeed)}
 		return nil
 	case "SHUTDOWN":
 		delete(l.instances, id)
@@ -191,9 +192,9 @@
 	case "BACKENDS_CHANGED":
 		return l.listed(m)
 	case "ARRIVAL":
-		a := brain.Arrived{ID: req, Class: m.Qos, Slots: m.Width, Expires: m.Expires.span()}
+		a := brain.Arrived{ID: req, Class: m.Qos, Slots: m.Width, Expires: m.Expires.Span()}
 		if m.Bitmap&hintValid != 0 {
-			a.Work = m.Effort.span()
+			a.Work = m.Effort.Span()
 		}
 		return a, nil
 	case "STARTED":
@@ -208,7 +209,7 @@
 		if !ok {
 			return nil, fmt.Errorf("unknown verdict %q", m.Verdict)
 		}
-		report := in.params.report(m.Stats)
+		report := in.params.Report(m.Stats)
 		if name == "ECHO" {
 			return brain.Probed{Worker: worker, Outcome: outcome, Report: report}, nil
 		}
@@ -244,7 +245,7 @@
 		}
 		ev.Workers = append(ev.Workers, brain.WorkerInfo{
 			ID: brain.WorkerID(e.Worker), State: state, Zone: e.RegionPart, Cell: e.Pod, Kind: e.Machine,
-			Weight: e.Weight, Since: e.OnlineSince.span(),
+			Weight: e.Weight, Since: e.OnlineSince.Span(),
 		})
 	}
 	return ev, nil
--- /dev/null
+++ b/cmd/brassdale/main.go
@@ -0,0 +1,20 @@
+// Brassdale is the dispatcher on real sockets. The platform's variables tell it all that it needs.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"brassdale/internal/program"
+)
+
+func main() {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	if err := program.Run(os.Getenv, os.Stderr, signals); err != nil {
+		fmt.Fprintln(os.Stderr, "brassdale:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/protocol/discovery.go
@@ -0,0 +1,75 @@
+package protocol
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/routing"
+)
+
+// List is what discovery answers: the whole destination set, or what changed in it.
+type List struct {
+	Revision int64    `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []Member `json:"members"`
+}
+
+// Member is a line of a list.
+type Member struct {
+	ID        string  `json:"id"`
+	HostPort  string  `json:"host_port"`
+	Locality  string  `json:"locality"`
+	Flavor    string  `json:"flavor"`
+	Cell      int     `json:"cell"`
+	Phase     string  `json:"phase"`
+	Size      float64 `json:"size"`
+	UpSinceMS int64   `json:"up_since_ms"`
+}
+
+var phases = map[string]brain.WorkerState{"active": brain.Ready, "leaving": brain.Draining, "left": brain.Gone}
+
+// ParseList decodes an answer of discovery.
+func ParseList(text []byte) (*List, error) {
+	l := &List{}
+	if err := json.Unmarshal(text, l); err != nil {
+		return nil, err
+	}
+	return l, l.check()
+}
+
+// check refuses a list as a whole: of one that is half understood nobody could say what was told.
+func (l *List) check() error {
+	for i, m := range l.Members {
+		if _, ok := phases[m.Phase]; !ok {
+			return fmt.Errorf("members[%d].phase: unknown %q", i, m.Phase)
+		}
+		if m.ID == "" {
+			return fmt.Errorf("members[%d].id: absent", i)
+		}
+		// One that is gone needs no address; any other without one could never be reached.
+		if err := CheckAddr(m.HostPort); err != nil && m.Phase != "left" {
+			return fmt.Errorf("members[%d].host_port: %w", i, err)
+		}
+	}
+	return nil
+}
+
+// Destinations gives the list in the core's terms. Zones and kinds are numbered as in the settings;
+// one that they do not name is -1.
+func (l *List) Destinations(p *Params) []routing.Destination {
+	ds := make([]routing.Destination, 0, len(l.Members))
+	for _, m := range l.Members {
+		d := routing.Destination{Address: m.HostPort, WorkerInfo: brain.WorkerInfo{
+			ID: brain.WorkerID(m.ID), State: phases[m.Phase], Cell: m.Cell, Weight: m.Size,
+			Zone: slices.Index(p.Zones, m.Locality), Kind: slices.Index(p.Flavors, m.Flavor),
+		}}
+		if m.UpSinceMS > 0 {
+			d.Since = time.Duration(m.UpSinceMS) * time.Millisecond
+		}
+		ds = append(ds, d)
+	}
+	return ds
+}
--- /dev/null
+++ b/internal/protocol/inbound.go
@@ -0,0 +1,150 @@
+package protocol
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// MaxBody is the most that a body of the platform's protocol holds.
+const MaxBody = 64 << 10
+
+// Job is an inbound request, decoded. It passes through the core unread, to whichever endpoint gets it.
+type Job struct {
+	ID       string
+	Class    int
+	Key      string // Idempotency-Key
+	Method   string
+	Target   string // path and query, as the client wrote them
+	Body     []byte
+	Slots    float64
+	Deadline time.Time
+	Events   bool        // endpoints are asked to answer in server-sent events
+	Pass     http.Header // further headers that go on to the endpoint
+}
+
+// Reject says why an inbound request is no job, as the HTTP status to answer with.
+type Reject struct {
+	Status int
+	Why    string
+}
+
+func (r *Reject) Error() string { return r.Why }
+
+func reject(status int, format string, a ...any) error {
+	return &Reject{status, fmt.Sprintf(format, a...)}
+}
+
+// passed are the headers that go on to endpoints beside those that the protocol names.
+var passed = []string{"Req-Kind", "Req-Owner", "Req-Retry", "Req-Extra", "Req-Cost", "Cookie", "Content-Type"}
+
+// DecodeInbound reads a whole request. Until its body is read to the end net/http does not look for the
+// client's leaving, so nothing may be handed on before.
+func DecodeInbound(r *http.Request, p *Params, arrived time.Time) (*Job, error) {
+	if r.Method != http.MethodPost {
+		return nil, reject(http.StatusMethodNotAllowed, "jobs come by POST")
+	}
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	class, ok := p.Class(name)
+	if !ok {
+		return nil, reject(http.StatusNotFound, "no class %q", name)
+	}
+	j := &Job{ID: r.Header.Get("Req-Id"), Class: class, Key: r.Header.Get("Idempotency-Key"),
+		Method: r.Method, Target: r.URL.RequestURI(), Slots: 1, Pass: http.Header{}}
+	if kind := r.Header.Get("Req-Kind"); kind != "" && kind != name {
+		if _, ok := p.Class(kind); !ok {
+			return nil, reject(http.StatusNotFound, "no class %q", kind)
+		}
+		return nil, reject(http.StatusBadRequest, "Req-Kind %q, path %q", kind, name)
+	}
+	if j.ID == "" {
+		return nil, reject(http.StatusBadRequest, "Req-Id is absent")
+	}
+	if j.Key == "" && p.Classes[class].Effect == "keyed" {
+		return nil, reject(http.StatusBadRequest, "Idempotency-Key is absent")
+	}
+	wait := p.ClassDeadline(class)
+	if text := r.Header.Get("Req-Deadline-Ms"); text != "" {
+		ms, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || ms < 0 {
+			return nil, reject(http.StatusBadRequest, "Req-Deadline-Ms is not a number of milliseconds")
+		}
+		if ms < wait.Milliseconds() { // no class waits for longer than its own deadline
+			wait = time.Duration(ms) * time.Millisecond
+		}
+	}
+	j.Deadline = arrived.Add(wait)
+	if err := j.extras(r.Header.Get("Req-Extra")); err != nil {
+		return nil, err
+	}
+	for _, h := range passed {
+		if v := r.Header.Values(h); len(v) > 0 {
+			j.Pass[h] = v
+		}
+	}
+	if r.ContentLength > MaxBody {
+		return nil, reject(http.StatusRequestEntityTooLarge, "the body is over %d bytes", MaxBody)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, MaxBody))
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		return nil, reject(http.StatusRequestEntityTooLarge, "the body is over %d bytes", MaxBody)
+	} else if err != nil {
+		return nil, reject(http.StatusBadRequest, "the body cannot be read: %v", err)
+	}
+	j.Body = body
+	return j, nil
+}
+
+// extras reads name=value,name=value. The module asks for the slots only.
+func (j *Job) extras(text string) error {
+	for part := range strings.SplitSeq(text, ",") {
+		if strings.TrimSpace(part) == "" {
+			continue
+		}
+		name, value, ok := strings.Cut(part, "=")
+		x, err := strconv.ParseFloat(strings.TrimSpace(value), 64)
+		if !ok || err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+			return reject(http.StatusBadRequest, "Req-Extra: %q is not name=value", part)
+		}
+		switch strings.TrimSpace(name) {
+		case "slots", "width":
+			if x > 0 {
+				j.Slots = x
+			}
+		}
+	}
+	return nil
+}
+
+// Encode writes the request for an endpoint, in one piece: it counts from its last byte, so how much of
+// it went out must be known.
+func (j *Job) Encode(host string, now time.Time) []byte {
+	var b bytes.Buffer
+	b.Grow(512 + len(j.Body))
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nReq-Id: %s\r\n", j.Method, j.Target, host, j.ID)
+	if j.Key != "" {
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", j.Key)
+	}
+	if j.Events {
+		b.WriteString("Accept: text/event-stream\r\n")
+	}
+	_ = j.Pass.Write(&b) // a bytes.Buffer takes all
+	fmt.Fprintf(&b, "Req-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n", max(j.Deadline.Sub(now).Milliseconds(), 1), len(j.Body))
+	b.Write(j.Body)
+	return b.Bytes()
+}
+
+// EncodeProbe writes a probe. Its answer carries a load report where the deployment has any.
+func EncodeProbe(host string, p *Params) []byte {
+	path := "/stats"
+	if p.LoadReport.Via == "silent" || p.LoadReport.Via == "" {
+		path = "/health/live"
+	}
+	return fmt.Appendf(nil, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", path, host)
+}
--- a/cmd/benchlink/settings.go
+++ b/internal/protocol/settings.go
@@ -1,4 +1,4 @@
-package main
+package protocol
 
 import (
 	"time"
@@ -6,39 +6,45 @@
 	"brassdale/brain"
 )
 
-// micros is a time or a span on the wire.
-type micros int64
+// Micros is a time or a span on the wire.
+type Micros int64
 
-func (m micros) span() time.Duration { return time.Duration(m) * time.Microsecond }
+// Span gives it as a duration.
+func (m Micros) Span() time.Duration { return time.Duration(m) * time.Microsecond }
 
-// params are the settings on the wire; unknown keys are skipped.
-type params struct {
+// Params are the settings on the wire; unknown keys are skipped.
+type Params struct {
 	Classes []struct {
-		Aim        micros
+		Name       string
+		Aim        Micros
 		Credit     float64
-		Deadline   micros
+		Deadline   Micros
 		DedupScope string
 		Effect     string
 		LateWorth  float64
 		Stream     bool
-		Window     micros
+		Window     Micros
 		AimStretch float64
 	}
 	CountedBy  string
 	Discovery  string
+	Flavors    []string
+	Zones      []string
 	FamilyInfo struct {
 		ClassKind    []int
 		ClassStretch []float64
-		Progress     micros
+		Progress     Micros
 		TellsStart   bool
 	}
 	Limits struct {
-		Cancel        bool
-		MaxAttempts   int
-		MaxRetryAfter micros
-		MayDuplicate  bool
-		Probing       bool
-		RetryAfter    bool
+		Cancel         bool
+		ConnIdle       Micros
+		ConnectTimeout Micros
+		MaxAttempts    int
+		MaxRetryAfter  Micros
+		MayDuplicate   bool
+		Probing        bool
+		RetryAfter     bool
 	}
 	LoadReport struct {
 		Columns []string
@@ -49,42 +55,44 @@
 	Prices       struct{ CrossZone float64 }
 	ReplicasOfMe int
 	Rules        struct {
-		AnswerSlack   micros
-		AskWithin     micros
-		Cold          micros
-		Fall          micros
+		AnswerSlack   Micros
+		AskWithin     Micros
+		Cold          Micros
+		DrainGrace    Micros
+		Fall          Micros
 		StartCapacity float64
 		TipMultiple   float64
 	}
 }
 
-func (p *params) settings() brain.Settings {
+// Module gives the settings in the module's terms.
+func (p *Params) Module() brain.Settings {
 	s := brain.Settings{
 		Me: p.Ordinal, Dispatchers: p.ReplicasOfMe, Zone: p.Locality,
 		Ask:           p.Discovery == "ask",
 		ReportsPulled: p.LoadReport.Via == "pull",
 		TellsStart:    p.FamilyInfo.TellsStart,
-		Progress:      p.FamilyInfo.Progress.span(),
+		Progress:      p.FamilyInfo.Progress.Span(),
 		MayProbe:      p.Limits.Probing,
 		MayCancel:     p.Limits.Cancel,
 		MayCopy:       p.Limits.MayDuplicate,
 		AdviseRetry:   p.Limits.RetryAfter,
 		MaxAttempts:   p.Limits.MaxAttempts,
-		MaxRetryAfter: p.Limits.MaxRetryAfter.span(),
-		AnswerSlack:   p.Rules.AnswerSlack.span(),
-		AskWithin:     p.Rules.AskWithin.span(),
-		Cold:          p.Rules.Cold.span(),
+		MaxRetryAfter: p.Limits.MaxRetryAfter.Span(),
+		AnswerSlack:   p.Rules.AnswerSlack.Span(),
+		AskWithin:     p.Rules.AskWithin.Span(),
+		Cold:          p.Rules.Cold.Span(),
 		StartCapacity: p.Rules.StartCapacity,
 		TipMultiple:   p.Rules.TipMultiple,
-		Fall:          p.Rules.Fall.span(),
+		Fall:          p.Rules.Fall.Span(),
 
 		CrossZonePrice: p.Prices.CrossZone,
 		WorthByWork:    p.CountedBy == "work",
 	}
 	for i, c := range p.Classes {
 		class := brain.Class{
-			Aim: c.Aim.span(), Stretch: c.AimStretch, Deadline: c.Deadline.span(),
-			Worth: c.Credit, LateWorth: c.LateWorth, Window: c.Window.span(), Streamed: c.Stream,
+			Aim: c.Aim.Span(), Stretch: c.AimStretch, Deadline: c.Deadline.Span(),
+			Worth: c.Credit, LateWorth: c.LateWorth, Window: c.Window.Span(), Streamed: c.Stream,
 			Effect: brain.Unsafe, Scope: brain.ScopeAll, Kind: -1,
 		}
 		switch c.Effect {
@@ -110,24 +118,31 @@
 	return s
 }
 
-// report names the values of a load report by the columns of the settings.
-func (p *params) report(row []float64) *brain.Report {
+// Report names the values of a load report by the columns of the settings.
+func (p *Params) Report(row []float64) *brain.Report {
 	if row == nil {
 		return nil
 	}
-	r := &brain.Report{Busy: -1, Requests: -1, FreeSlots: -1}
+	r := noReport()
 	for i, name := range p.LoadReport.Columns {
-		if i >= len(row) {
-			break
-		}
-		switch name {
-		case "cpu_share":
-			r.Busy = row[i]
-		case "busy_reqs":
-			r.Requests = row[i]
-		case "x0":
-			r.FreeSlots = row[i]
+		if i < len(row) {
+			setColumn(r, name, row[i])
 		}
 	}
 	return r
 }
+
+func noReport() *brain.Report { return &brain.Report{Busy: -1, Requests: -1, FreeSlots: -1} }
+
+// setColumn puts one figure into a report. Settings and simulator use other names than the sockets;
+// names that the module has no use for are skipped.
+func setColumn(r *brain.Report, name string, x float64) {
+	switch name {
+	case "cpu_share", "util":
+		r.Busy = x
+	case "busy_reqs", "inflight":
+		r.Requests = x
+	case "x0":
+		r.FreeSlots = x
+	}
+}
--- /dev/null
+++ b/internal/routing/core.go
@@ -0,0 +1,383 @@
+package routing
+
+import (
+	"container/heap"
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"brassdale/brain"
+)
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+const (
+	Served Verdict = iota
+	Refused
+	Failed
+)
+
+// Answer is the one final answer to an inbound request.
+type Answer struct {
+	Verdict    Verdict
+	Result     []byte        // Served: what the endpoint gave
+	RetryAfter time.Duration // Refused: when to come back; 0 for no advice
+	Expired    bool          // the deadline had come
+}
+
+// Client is whoever waits for an inbound request. The module's actor calls it: it must not block.
+type Client interface {
+	Began(attempt int)
+	Progressed(attempt int, share float64)
+	Answered(Answer)
+}
+
+// Inbound is a request as a front hands it in.
+type Inbound struct {
+	Class    int
+	Slots    float64
+	Deadline time.Time
+	Job      any // what endpoints need to know; not read here
+	Client   Client
+}
+
+// CallID names an outbound call.
+type CallID struct {
+	Request brain.RequestID
+	Attempt int
+}
+
+// Call is an outbound call: one attempt at one endpoint, until its deadline.
+type Call struct {
+	ID       CallID
+	Endpoint brain.WorkerID
+	Deadline time.Time
+	Job      any
+}
+
+// End is how a call ended.
+type End struct {
+	Outcome brain.Outcome
+	Result  []byte // where Served
+	Report  *brain.Report
+}
+
+// Destination is an endpoint as the destination set lists it.
+type Destination struct {
+	brain.WorkerInfo
+	Address string
+	Told    time.Time // when it was told to be draining or gone; zero while it is neither
+}
+
+// Endpoints carries out what goes to endpoints. No method blocks. Each Send is answered by one
+// Core.Finished, each Probe by one Core.Probed.
+type Endpoints interface {
+	Update(Destination)
+	Send(Call)
+	Cancel(brain.WorkerID, CallID)
+	Drop(brain.WorkerID)
+	Probe(brain.WorkerID)
+}
+
+// Options are the limits that the core itself must know.
+type Options struct {
+	MaxAttempts int           // calls past it are not sent; 0 for no limit
+	AnswerSlack time.Duration // how long after its deadline an answer still counts
+}
+
+// guardAfter is how long past its slack a request stays with the module before the core fails it. What
+// tells the module of the deadline may itself be late on a busy machine.
+const guardAfter = 20 * time.Millisecond
+
+// Core is the module's actor. It alone calls the module, carries out its actions in their order and
+// keeps its timers, and it owns the table of requests and calls.
+type Core struct {
+	module    *brain.Dispatcher
+	clock     Clock
+	options   Options
+	endpoints Endpoints
+	subscribe func()
+	log       *slog.Logger
+	box       *Mailbox[any]
+	lastID    atomic.Uint64
+	open      atomic.Int64
+
+	// Owned by Run.
+	now      brain.Clock
+	requests map[brain.RequestID]*request
+	timers   timers
+}
+
+type request struct {
+	Inbound
+	expires  brain.Clock
+	answered bool // final answer given, or the client left: nothing is owed
+	timedOut bool
+	calls    []call
+	out      int // calls without an outcome
+}
+
+type call struct {
+	endpoint brain.WorkerID
+	out      bool
+}
+
+// The messages of the module's actor, beside the module's own events Listed and Probed.
+type (
+	arrived struct {
+		id brain.RequestID
+		in Inbound
+	}
+	left       struct{ id brain.RequestID }
+	began      struct{ id CallID }
+	progressed struct {
+		id    CallID
+		share float64
+	}
+	finished struct {
+		id  CallID
+		end End
+	}
+)
+
+// NewCore makes the actor. Attach must be called before Run.
+func NewCore(module *brain.Dispatcher, clock Clock, o Options, log *slog.Logger) *Core {
+	return &Core{module: module, clock: clock, options: o, log: log, box: NewMailbox[any](),
+		requests: map[brain.RequestID]*request{}}
+}
+
+// Attach names those who carry actions out. subscribe asks for the destination set's changes; it must
+// not block.
+func (c *Core) Attach(e Endpoints, subscribe func()) { c.endpoints, c.subscribe = e, subscribe }
+
+// Submit hands in a request and gives it an id of this dispatcher's own counting. Its client gets
+// exactly one answer, unless it leaves before.
+func (c *Core) Submit(in Inbound) brain.RequestID {
+	id := brain.RequestID(c.lastID.Add(1))
+	c.open.Add(1)
+	c.box.Post(arrived{id, in})
+	return id
+}
+
+// Leave tells that a request's client has gone.
+func (c *Core) Leave(id brain.RequestID) { c.box.Post(left{id}) }
+
+// Listed brings news of the destination set.
+func (c *Core) Listed(l brain.Listed) { c.box.Post(l) }
+
+// Began tells that a call's job has started.
+func (c *Core) Began(id CallID) { c.box.Post(began{id}) }
+
+// Progressed tells how far a call's job is.
+func (c *Core) Progressed(id CallID, share float64) { c.box.Post(progressed{id, share}) }
+
+// Finished ends a call.
+func (c *Core) Finished(id CallID, end End) { c.box.Post(finished{id, end}) }
+
+// Probed answers a probe.
+func (c *Core) Probed(id brain.WorkerID, o brain.Outcome, r *brain.Report) {
+	c.box.Post(brain.Probed{Worker: id, Outcome: o, Report: r})
+}
+
+// Open is how many requests wait for their answers.
+func (c *Core) Open() int64 { return c.open.Load() }
+
+// Run is the actor's life.
+func (c *Core) Run(ctx context.Context) {
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		if len(c.timers) > 0 {
+			alarm.Reset(time.Until(c.clock.Time(c.timers[0].at)))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.box.Signal():
+		case <-alarm.C:
+		}
+		// One reading of the clock for all that has come: the module takes what is found together after
+		// a standstill of this process as one turn.
+		c.now = c.clock.Now()
+		for _, m := range c.box.Take() {
+			c.take(m)
+		}
+		for len(c.timers) > 0 && c.timers[0].at <= c.now {
+			t := heap.Pop(&c.timers).(timer)
+			if t.guard == 0 {
+				c.feed(brain.Woke{Token: t.token})
+			} else {
+				c.overdue(t.guard)
+			}
+		}
+	}
+}
+
+func (c *Core) take(m any) {
+	switch m := m.(type) {
+	case arrived:
+		r := &request{Inbound: m.in, expires: c.clock.At(m.in.Deadline)}
+		c.requests[m.id] = r
+		heap.Push(&c.timers, timer{at: r.expires + c.options.AnswerSlack + guardAfter, guard: m.id})
+		c.feed(brain.Arrived{ID: m.id, Class: r.Class, Slots: r.Slots, Expires: r.expires})
+	case left:
+		if r := c.requests[m.id]; r != nil && !r.answered {
+			c.close(r)
+			c.feed(brain.Left{ID: m.id})
+			c.forget(m.id, r)
+		}
+	case began:
+		if r, a := c.call(m.id); a != nil {
+			if !r.answered {
+				r.Client.Began(m.id.Attempt)
+			}
+			c.feed(brain.Began{ID: m.id.Request, Attempt: m.id.Attempt, Worker: a.endpoint})
+		}
+	case progressed:
+		if r, a := c.call(m.id); a != nil {
+			if !r.answered {
+				r.Client.Progressed(m.id.Attempt, m.share)
+			}
+			c.feed(brain.Progressed{ID: m.id.Request, Attempt: m.id.Attempt, Worker: a.endpoint, Done: m.share})
+		}
+	case finished:
+		c.finish(m.id, m.end)
+	case brain.Event:
+		c.feed(m)
+	}
+}
+
+// call finds a call that has no outcome yet.
+func (c *Core) call(id CallID) (*request, *call) {
+	r := c.requests[id.Request]
+	if r == nil || id.Attempt < 0 || id.Attempt >= len(r.calls) || !r.calls[id.Attempt].out {
+		return nil, nil
+	}
+	return r, &r.calls[id.Attempt]
+}
+
+// finish ends a call, once: a second outcome of the same call finds it closed. The first that was served
+// is the client's answer.
+func (c *Core) finish(id CallID, end End) {
+	r, a := c.call(id)
+	if a == nil {
+		return
+	}
+	a.out = false
+	r.out--
+	r.timedOut = r.timedOut || end.Outcome == brain.TimedOut
+	if end.Outcome == brain.Served {
+		c.answer(r, Answer{Verdict: Served, Result: end.Result})
+	}
+	c.feed(brain.Finished{ID: id.Request, Attempt: id.Attempt, Worker: a.endpoint, Outcome: end.Outcome,
+		Final: r.answered, Report: end.Report})
+	c.forget(id.Request, r)
+}
+
+// overdue guards the promise to answer in time against a module that has not: it can only find a
+// request here that would else stay open for ever.
+func (c *Core) overdue(id brain.RequestID) {
+	if r := c.requests[id]; r != nil && !r.answered {
+		c.log.Error("request overdue: failed by the core", "request", id)
+		c.answer(r, Answer{Verdict: Failed})
+		c.feed(brain.Left{ID: id})
+		c.forget(id, r)
+	}
+}
+
+// answer gives the final answer; a second one is dropped.
+func (c *Core) answer(r *request, a Answer) {
+	if r.answered {
+		return
+	}
+	a.Expired = a.Verdict != Served && (r.timedOut || c.now >= r.expires-c.options.AnswerSlack)
+	c.close(r)
+	r.Client.Answered(a)
+}
+
+func (c *Core) close(r *request) {
+	r.answered = true
+	c.open.Add(-1)
+}
+
+func (c *Core) forget(id brain.RequestID, r *request) {
+	if r.answered && r.out == 0 {
+		delete(c.requests, id)
+	}
+}
+
+// feed tells the module an event and carries its actions out. Nothing in here feeds again: what an action
+// brings about comes by the mailbox.
+func (c *Core) feed(ev brain.Event) {
+	for _, a := range c.module.Handle(c.now, ev) {
+		switch a := a.(type) {
+		case brain.Send:
+			c.send(a)
+		case brain.Cancel:
+			if r, call := c.call(CallID{a.ID, a.Attempt}); r != nil {
+				c.endpoints.Cancel(call.endpoint, CallID{a.ID, a.Attempt})
+			}
+		case brain.Refuse:
+			c.final(a.ID, Answer{Verdict: Refused, RetryAfter: a.RetryAfter})
+		case brain.Fail:
+			c.final(a.ID, Answer{Verdict: Failed})
+		case brain.Drop:
+			c.endpoints.Drop(a.Worker)
+		case brain.Probe:
+			c.endpoints.Probe(a.Worker)
+		case brain.Subscribe:
+			c.subscribe()
+		case brain.Wake:
+			heap.Push(&c.timers, timer{at: c.now + a.After, token: a.Token})
+		case brain.Log:
+			c.log.Info(a.Text)
+		}
+	}
+}
+
+func (c *Core) final(id brain.RequestID, a Answer) {
+	if r := c.requests[id]; r != nil {
+		c.answer(r, a)
+		c.forget(id, r)
+	}
+}
+
+// send starts a call, unless the request is over, its time has come or it has had all its calls.
+func (c *Core) send(a brain.Send) {
+	id := CallID{a.ID, 0}
+	r := c.requests[a.ID]
+	if r == nil {
+		c.log.Error("module sent an unknown request", "request", a.ID)
+		return
+	}
+	id.Attempt = len(r.calls)
+	r.calls = append(r.calls, call{endpoint: a.Worker, out: true})
+	r.out++
+	if r.answered || c.now >= r.expires || c.options.MaxAttempts > 0 && id.Attempt >= c.options.MaxAttempts {
+		c.Finished(id, End{Outcome: brain.NeverSent})
+		return
+	}
+	c.endpoints.Send(Call{ID: id, Endpoint: a.Worker, Deadline: r.Deadline, Job: r.Job})
+}
+
+// timer is a Wake of the module, or the guard of a request's deadline.
+type timer struct {
+	at    brain.Clock
+	token uint64
+	guard brain.RequestID // 0 for a Wake
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/internal/routing/destinations.go
@@ -0,0 +1,156 @@
+package routing
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"brassdale/brain"
+)
+
+// Update is an answer of discovery.
+type Update struct {
+	Revision     int64
+	Complete     bool // the whole set; who is absent is gone
+	Destinations []Destination
+}
+
+// Discovery is whoever knows the destination set. Watch waits until there is something newer than the
+// revision, or for a while, and returns by the deadline that it keeps itself, whatever discovery does.
+type Discovery interface {
+	Watch(ctx context.Context, revision int64) (Update, error)
+}
+
+// Destinations is the destination set's actor. While subscribed it watches without a gap; each answer
+// goes to the endpoints first and then to the module, so the module never sends to one unknown here.
+type Destinations struct {
+	core      *Core
+	endpoints Endpoints
+	discovery Discovery
+	log       *slog.Logger
+	box       *Mailbox[any]
+
+	// Owned by Run.
+	revision int64
+	known    map[brain.WorkerID]Destination
+	watching bool
+}
+
+type (
+	subscribe struct{}
+	watched   struct {
+		update Update
+		err    error
+	}
+)
+
+// NewDestinations makes the actor with the set as it was known last, and tells the module of that.
+func NewDestinations(c *Core, e Endpoints, d Discovery, saved Update, log *slog.Logger) *Destinations {
+	s := &Destinations{core: c, endpoints: e, discovery: d, log: log, box: NewMailbox[any](),
+		known: map[brain.WorkerID]Destination{}}
+	s.apply(saved, brain.ListSaved)
+	return s
+}
+
+// Subscribe asks for all changes from now on. It does not block.
+func (s *Destinations) Subscribe() { s.box.Post(subscribe{}) }
+
+// watchPause keeps a discovery that answers at once with nothing new from being asked in a tight loop; it
+// is well inside the 200 ms after which a watch would have a gap.
+const watchPause = 20 * time.Millisecond
+
+// Run is the actor's life.
+func (s *Destinations) Run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.box.Signal():
+		}
+		for _, m := range s.box.Take() {
+			switch m := m.(type) {
+			case subscribe:
+				if !s.watching {
+					s.watching = true
+					s.watch(ctx, time.Now())
+				}
+			case watched:
+				s.take(ctx, m)
+			}
+		}
+	}
+}
+
+// watch calls discovery beside the actor, whose mailbox gets the answer.
+func (s *Destinations) watch(ctx context.Context, from time.Time) {
+	revision := s.revision
+	go func() {
+		time.Sleep(time.Until(from))
+		u, err := s.discovery.Watch(ctx, revision)
+		s.box.Post(watched{u, err})
+	}()
+}
+
+func (s *Destinations) take(ctx context.Context, m watched) {
+	if m.err != nil {
+		if ctx.Err() == nil {
+			s.log.Warn("discovery failed, the old list holds", "revision", s.revision, "err", m.err)
+		}
+		s.watching = false // until the module asks again
+		s.core.Listed(brain.Listed{Kind: brain.ListFailed})
+		return
+	}
+	fresh := m.update.Revision != s.revision || len(m.update.Destinations) > 0
+	kind := brain.ListChange
+	if m.update.Complete {
+		kind = brain.ListFull
+	}
+	s.apply(m.update, kind)
+	next := time.Now()
+	if !fresh {
+		next = next.Add(watchPause)
+	}
+	s.watch(ctx, next)
+}
+
+func (s *Destinations) apply(u Update, kind brain.ListKind) {
+	s.revision = u.Revision
+	now := time.Now()
+	listed := brain.Listed{Kind: kind}
+	present := map[brain.WorkerID]bool{}
+	for _, d := range u.Destinations {
+		present[d.ID] = true
+		old := s.known[d.ID]
+		if d.State != brain.Ready { // told once: a repeat of the news does not start the grace anew
+			if d.Told = old.Told; d.Told.IsZero() {
+				d.Told = now
+			}
+		}
+		if d.Address == "" {
+			d.Address = old.Address
+		}
+		s.update(d)
+		listed.Workers = append(listed.Workers, d.WorkerInfo)
+	}
+	if u.Complete || kind == brain.ListSaved {
+		for id, d := range s.known {
+			if !present[id] {
+				d.State, d.Told = brain.Gone, now
+				s.update(d)
+			}
+		}
+	}
+	s.core.Listed(listed)
+	if len(u.Destinations) > 0 {
+		s.log.Info("destination set", "revision", u.Revision, "complete", u.Complete, "lines", len(u.Destinations), "known", len(s.known))
+	}
+}
+
+func (s *Destinations) update(d Destination) {
+	if d.State == brain.Gone {
+		delete(s.known, d.ID)
+	} else {
+		s.known[d.ID] = d
+	}
+	s.endpoints.Update(d)
+}
--- /dev/null
+++ b/internal/transport/discovery.go
@@ -0,0 +1,64 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"brassdale/internal/protocol"
+	"brassdale/internal/routing"
+)
+
+const (
+	watchFor    = 10 * time.Second        // how long a watch waits for news
+	watchWithin = 1500 * time.Millisecond // and how much later its answer must be here
+	mostList    = 4 << 20
+)
+
+// Discovery asks for the destination set. It is the core's routing.Discovery.
+type Discovery struct {
+	Address string
+	Params  *protocol.Params
+	client  http.Client
+}
+
+// NewDiscovery makes a client of its own: no proxy of the environment may come between.
+func NewDiscovery(address string, p *protocol.Params) *Discovery {
+	return &Discovery{Address: address, Params: p, client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}}
+}
+
+// Watch is one call. Its end is set beforehand: a discovery that was cut off keeps a connection open and
+// silent, and what it had to tell counts as told 2 s after the wait.
+func (d *Discovery) Watch(ctx context.Context, revision int64) (routing.Update, error) {
+	ctx, stop := context.WithDeadline(ctx, time.Now().Add(watchFor+watchWithin))
+	defer stop()
+	url := fmt.Sprintf("http://%s/registry/instances?index=%d&wait=%d", d.Address, revision, watchFor.Milliseconds())
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return routing.Update{}, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return routing.Update{}, err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(resp.Body, mostList))
+	if err != nil {
+		return routing.Update{}, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return routing.Update{}, fmt.Errorf("discovery answered %d", resp.StatusCode)
+	}
+	l, err := protocol.ParseList(text)
+	if err != nil {
+		return routing.Update{}, err
+	}
+	return Update(l, d.Params), nil
+}
+
+// Update gives a list in the core's terms.
+func Update(l *protocol.List, p *protocol.Params) routing.Update {
+	return routing.Update{Revision: l.Revision, Complete: l.Complete, Destinations: l.Destinations(p)}
+}
--- /dev/null
+++ b/internal/transport/endpoint.go
@@ -0,0 +1,362 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/protocol"
+	"brassdale/internal/routing"
+)
+
+const (
+	// probeWithin is how long an endpoint has for a probe, and drainWithin how long for the rest of an
+	// answer whose last message has come.
+	probeWithin = 300 * time.Millisecond
+	drainWithin = time.Second
+
+	// A call may still be written this much before the grace for a drain ends: its first byte counts
+	// when it leaves, which on a busy core is later than the look at the clock.
+	drainMargin = 50 * time.Millisecond
+)
+
+// endpoint is the actor of one endpoint. It alone owns the endpoint's connections: a connection is idle
+// here, or lent to the one exchange that runs on it.
+type endpoint struct {
+	fleet *Fleet
+	id    brain.WorkerID
+	box   *routing.Mailbox[any]
+
+	// Owned by run.
+	dest    routing.Destination
+	idle    []*wire // the longest idle first
+	waiting []*exchange
+	calls   map[routing.CallID]*exchange // calls without an outcome
+}
+
+// wire is a connection with what was read ahead of it.
+type wire struct {
+	conn  net.Conn
+	in    *bufio.Reader
+	since time.Time // idle since
+}
+
+// exchange is a call or a probe, from its start here to its outcome.
+type exchange struct {
+	call     routing.Call
+	probe    bool
+	deadline time.Time
+	cut      atomic.Bool // called off
+	wire     *wire       // once one carries it
+}
+
+// The messages of the actor, beside routing.Destination and routing.Call.
+type (
+	cancel struct{ id routing.CallID }
+	drop   struct{}
+	probe  struct{}
+	dialed struct {
+		owner *exchange
+		wire  *wire
+		err   error
+	}
+	ended struct {
+		x     *exchange
+		reuse bool
+	}
+)
+
+func newEndpoint(f *Fleet, d routing.Destination) *endpoint {
+	return &endpoint{fleet: f, id: d.ID, dest: d, box: routing.NewMailbox[any](), calls: map[routing.CallID]*exchange{}}
+}
+
+func (e *endpoint) run(ctx context.Context) {
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	for {
+		if len(e.idle) > 0 {
+			alarm.Reset(time.Until(e.fleet.idleUntil(e.idle[0].since)))
+		}
+		select {
+		case <-ctx.Done():
+			e.closeIdle(time.Time{})
+			return
+		case <-e.box.Signal():
+		case now := <-alarm.C:
+			e.closeIdle(now)
+		}
+		for _, m := range e.box.Take() {
+			e.take(m)
+		}
+	}
+}
+
+func (e *endpoint) take(m any) {
+	switch m := m.(type) {
+	case routing.Destination:
+		if m.Address != e.dest.Address || m.Since != e.dest.Since || m.State == brain.Gone {
+			e.closeIdle(time.Time{}) // they lead to a process that is no more
+		}
+		e.dest = m
+	case routing.Call:
+		x := &exchange{call: m, deadline: m.Deadline}
+		e.calls[m.ID] = x
+		e.start(x)
+	case probe:
+		e.start(&exchange{probe: true, deadline: time.Now().Add(probeWithin)})
+	case cancel:
+		e.cancel(m.id)
+	case drop:
+		e.closeIdle(time.Time{})
+	case dialed:
+		e.dialed(m)
+	case ended:
+		if !m.x.probe {
+			delete(e.calls, m.x.call.ID)
+		}
+		if m.reuse && m.x.wire.in.Buffered() == 0 {
+			e.free(m.x.wire)
+		} else {
+			e.close(m.x.wire)
+		}
+	}
+}
+
+// start puts an exchange on an idle connection, the one last used first, or opens a new one for it.
+func (e *endpoint) start(x *exchange) {
+	for len(e.idle) > 0 {
+		w := e.idle[len(e.idle)-1]
+		e.idle = e.idle[:len(e.idle)-1]
+		if time.Now().Before(e.fleet.idleUntil(w.since)) && alive(w.conn) {
+			if !e.carry(x, w) {
+				e.free(w)
+			}
+			return
+		}
+		e.close(w)
+	}
+	if e.fleet.open.Add(1) > e.fleet.most {
+		e.fleet.open.Add(-1)
+		e.fleet.log.Warn("out of connections, call not sent", "endpoint", e.id)
+		e.end(x, routing.End{Outcome: brain.NeverSent})
+		return
+	}
+	e.waiting = append(e.waiting, x)
+	address, until := e.dest.Address, time.Now().Add(e.fleet.params.Limits.ConnectTimeout.Span())
+	if x.deadline.Before(until) {
+		until = x.deadline
+	}
+	go func() {
+		conn, err := (&net.Dialer{Deadline: until, KeepAlive: -1}).Dial("tcp", address)
+		if err != nil {
+			e.fleet.open.Add(-1)
+			e.box.Post(dialed{owner: x, err: err})
+			return
+		}
+		e.box.Post(dialed{owner: x, wire: &wire{conn: conn, in: bufio.NewReader(conn)}})
+	}()
+}
+
+// dialed gives a new connection to whoever has waited longest; the call that it was opened for may have
+// found another one.
+func (e *endpoint) dialed(m dialed) {
+	if m.err == nil {
+		e.free(m.wire)
+		return
+	}
+	i := slices.Index(e.waiting, m.owner)
+	if i < 0 {
+		return
+	}
+	e.waiting = slices.Delete(e.waiting, i, i+1)
+	out := brain.NoConnect
+	if errors.Is(m.err, syscall.EMFILE) || errors.Is(m.err, syscall.ENFILE) || errors.Is(m.err, syscall.EADDRNOTAVAIL) {
+		out = brain.NeverSent // this process's fault, not the endpoint's
+	}
+	e.end(m.owner, routing.End{Outcome: out})
+}
+
+// free takes a connection that carries nothing: it serves whoever waits, or stands idle.
+func (e *endpoint) free(w *wire) {
+	for len(e.waiting) > 0 {
+		x := e.waiting[0]
+		e.waiting = e.waiting[1:]
+		if e.carry(x, w) {
+			return
+		}
+	}
+	if len(e.idle) >= e.fleet.idleMost() || e.dest.State == brain.Gone {
+		e.close(w)
+		return
+	}
+	w.since = time.Now()
+	e.idle = append(e.idle, w)
+}
+
+// carry runs an exchange on a connection, if it may still go out; else the exchange ends unsent. Its call
+// may have waited for the connection, so all that forbids it is looked at again.
+func (e *endpoint) carry(x *exchange, w *wire) bool {
+	now := time.Now()
+	drained := !e.dest.Told.IsZero() && now.After(e.dest.Told.Add(e.fleet.params.Rules.DrainGrace.Span()-drainMargin))
+	if x.cut.Load() || !now.Before(x.deadline) || drained && !x.probe {
+		e.end(x, routing.End{Outcome: brain.NeverSent})
+		return false
+	}
+	x.wire = w
+	go e.exchange(x)
+	return true
+}
+
+func (e *endpoint) cancel(id routing.CallID) {
+	x := e.calls[id]
+	if x == nil || x.cut.Swap(true) {
+		return
+	}
+	if x.wire != nil {
+		x.wire.conn.Close() // ends the exchange's reading; how it ended is told there
+		return
+	}
+	if i := slices.Index(e.waiting, x); i >= 0 {
+		e.waiting = slices.Delete(e.waiting, i, i+1)
+		e.end(x, routing.End{Outcome: brain.NeverSent})
+	}
+}
+
+// end gives an exchange's outcome, where no exchange goroutine does.
+func (e *endpoint) end(x *exchange, end routing.End) {
+	if x.probe {
+		e.fleet.sink.Probed(e.id, end.Outcome, end.Report)
+		return
+	}
+	delete(e.calls, x.call.ID)
+	e.fleet.sink.Finished(x.call.ID, end)
+}
+
+// closeIdle closes the idle connections whose time had come by then, or all for the zero time.
+func (e *endpoint) closeIdle(by time.Time) {
+	e.idle = slices.DeleteFunc(e.idle, func(w *wire) bool {
+		old := by.IsZero() || !by.Before(e.fleet.idleUntil(w.since))
+		if old {
+			e.close(w)
+		}
+		return old
+	})
+}
+
+func (e *endpoint) close(w *wire) {
+	w.conn.Close()
+	e.fleet.open.Add(-1)
+}
+
+// alive looks, without waiting, whether a peer has closed a connection that was idle: what is written to
+// such a one would end as a reset that may have run.
+func alive(conn net.Conn) bool {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	ok := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		ok = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && ok
+}
+
+// exchange runs beside the actor: it writes the request and reads the answer, tells the core of all that
+// comes, and hands the connection back. The connection's deadline is the call's.
+func (e *endpoint) exchange(x *exchange) {
+	conn := x.wire.conn
+	reuse := false
+	defer func() { e.box.Post(ended{x, reuse}) }()
+	job, _ := x.call.Job.(*protocol.Job)
+	var text []byte
+	if host := conn.RemoteAddr().String(); x.probe {
+		text = protocol.EncodeProbe(host, e.fleet.params)
+	} else {
+		text = job.Encode(host, time.Now())
+	}
+	finish := func(o brain.Outcome, end routing.End) {
+		end.Outcome = o
+		if x.probe {
+			e.fleet.sink.Probed(e.id, o, end.Report)
+		} else {
+			e.fleet.sink.Finished(x.call.ID, end)
+		}
+	}
+	_ = conn.SetDeadline(x.deadline) // fails only on a closed connection, as does what follows
+	if n, err := conn.Write(text); err != nil && n < len(text) {
+		// The endpoint has not begun what it has not got to the last byte.
+		if x.cut.Load() {
+			finish(brain.NeverSent, routing.End{})
+		} else {
+			finish(brain.NoConnect, routing.End{})
+		}
+		return
+	}
+	fail := func(err error) {
+		switch {
+		case x.cut.Load():
+			finish(brain.Cancelled, routing.End{})
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			finish(brain.TimedOut, routing.End{})
+		default:
+			finish(brain.Reset, routing.End{})
+		}
+	}
+	resp, err := http.ReadResponse(x.wire.in, nil)
+	for err == nil && resp.StatusCode < 200 { // an interim answer ends nothing
+		resp, err = http.ReadResponse(x.wire.in, nil)
+	}
+	if err != nil {
+		fail(err)
+		return
+	}
+	if x.probe {
+		body, err := io.ReadAll(io.LimitReader(resp.Body, protocol.MaxBody))
+		if err != nil {
+			fail(err)
+			return
+		}
+		o, report := protocol.ParseProbe(resp, body)
+		finish(o, routing.End{Report: report})
+	} else if err := e.follow(x, protocol.NewAnswer(job.ID, resp, e.fleet.params), finish); err != nil {
+		fail(err)
+		return
+	}
+	// What is left is the end of the framing; a peer that holds it back costs the connection only.
+	_ = conn.SetDeadline(time.Now().Add(drainWithin))
+	rest, err := io.Copy(io.Discard, io.LimitReader(resp.Body, protocol.MaxBody))
+	reuse = err == nil && rest < protocol.MaxBody && !resp.Close && !x.cut.Load()
+	_ = conn.SetDeadline(time.Time{})
+}
+
+// follow passes a job's news on until its last message.
+func (e *endpoint) follow(x *exchange, a *protocol.Answer, finish func(brain.Outcome, routing.End)) error {
+	for {
+		news, err := a.Next()
+		if err != nil {
+			return err
+		}
+		switch news.State {
+		case protocol.Started:
+			e.fleet.sink.Began(x.call.ID)
+		case protocol.Running:
+			e.fleet.sink.Progressed(x.call.ID, news.Share)
+		case protocol.Ended:
+			finish(news.End.Outcome, news.End)
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/fleet.go
@@ -0,0 +1,105 @@
+// Package transport holds the sockets: the server for inbound requests, the front for server-sent
+// events, the connections to endpoints and the calls to discovery.
+package transport
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/protocol"
+	"brassdale/internal/routing"
+)
+
+// Sink takes what comes back from endpoints. No method blocks.
+type Sink interface {
+	Began(routing.CallID)
+	Progressed(routing.CallID, float64)
+	Finished(routing.CallID, routing.End)
+	Probed(brain.WorkerID, brain.Outcome, *brain.Report)
+}
+
+// Fleet hands calls to the endpoints' actors. It is the core's routing.Endpoints. The actor of an endpoint
+// that is gone stays, idle: the module too remembers a worker for its life, and it may come back.
+type Fleet struct {
+	ctx     context.Context
+	params  *protocol.Params
+	sink    Sink
+	log     *slog.Logger
+	most    int64        // connections that all endpoints together may have open
+	open    atomic.Int64 // and how many are
+	mu      sync.Mutex
+	members map[brain.WorkerID]*endpoint
+}
+
+// NewFleet makes an empty fleet that holds so many connections at most.
+func NewFleet(ctx context.Context, p *protocol.Params, sink Sink, most int, log *slog.Logger) *Fleet {
+	return &Fleet{ctx: ctx, params: p, sink: sink, log: log, most: int64(most), members: map[brain.WorkerID]*endpoint{}}
+}
+
+// Update tells an endpoint's actor what the destination set says of it, and starts the actor of a new one.
+func (f *Fleet) Update(d routing.Destination) {
+	f.mu.Lock()
+	e := f.members[d.ID]
+	if e == nil && d.State != brain.Gone {
+		e = newEndpoint(f, d)
+		f.members[d.ID] = e
+		go e.run(f.ctx)
+	}
+	f.mu.Unlock()
+	if e != nil {
+		e.box.Post(d)
+	}
+}
+
+func (f *Fleet) member(id brain.WorkerID) *endpoint {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members[id]
+}
+
+// Send starts a call.
+func (f *Fleet) Send(c routing.Call) {
+	if e := f.member(c.Endpoint); e != nil {
+		e.box.Post(c)
+		return
+	}
+	f.sink.Finished(c.ID, routing.End{Outcome: brain.NeverSent})
+}
+
+// Cancel gives a call up.
+func (f *Fleet) Cancel(id brain.WorkerID, c routing.CallID) {
+	if e := f.member(id); e != nil {
+		e.box.Post(cancel{c})
+	}
+}
+
+// Drop closes an endpoint's idle connections.
+func (f *Fleet) Drop(id brain.WorkerID) {
+	if e := f.member(id); e != nil {
+		e.box.Post(drop{})
+	}
+}
+
+// Probe asks an endpoint for a sign of life.
+func (f *Fleet) Probe(id brain.WorkerID) {
+	if e := f.member(id); e != nil {
+		e.box.Post(probe{})
+		return
+	}
+	f.sink.Probed(id, brain.NeverSent, nil)
+}
+
+// idleMost is how many idle connections an endpoint may keep, so that all together stay within bounds.
+func (f *Fleet) idleMost() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(int(f.most)/(2*max(len(f.members), 1)), 1)
+}
+
+func (f *Fleet) idleUntil(since time.Time) time.Time {
+	return since.Add(f.params.Limits.ConnIdle.Span() * 85 / 100)
+}
