Add the front for progress: jobs by key, server-sent events, operator's file

Off unless an operator's file is named. A job belongs to its Idempotency-Key: a dropped stream leaves it to its deadline, a repeat attaches and replays from Last-Event-ID, a reconnect for an unknown key starts nothing.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -13,6 +12,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"brassdale/brain"
@@ -29,8 +29,9 @@
 	ownSockets = 24 // descriptors for what is neither inbound nor to an endpoint
 )
 
-// Run serves until a signal comes and all is answered. Logs go to out.
-func Run(env func(string) string, out io.Writer, signals <-chan os.Signal) error {
+// Run serves until a signal comes and all is answered. Logs go to out. An operator's file, if one is
+// named, switches the front for progress on.
+func Run(env func(string) string, operator string, out io.Writer, signals <-chan os.Signal) error {
 	level := slog.LevelInfo
 	if env("BRASSDALE_DEBUG") != "" {
 		level = slog.LevelDebug
@@ -40,6 +41,12 @@
 	if err != nil {
 		return err
 	}
+	var op *protocol.Operator
+	if operator != "" {
+		if op, err = protocol.LoadOperator(operator); err != nil {
+			return err
+		}
+	}
 	limit(cfg)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -49,7 +56,6 @@
 	if sockets == 0 {
 		sockets = 1024
 	}
-	inboundMost := (sockets - ownSockets) * 55 / 100
 	core := routing.NewCore(brain.New(p.Module(), cfg.SeedNumber()), routing.NewClock(),
 		routing.Options{MaxAttempts: p.Limits.MaxAttempts, AnswerSlack: p.Rules.AnswerSlack.Span()}, log)
 	fleet := transport.NewFleet(ctx, p, core, sockets*35/100, log)
@@ -60,17 +66,28 @@
 	set := routing.NewDestinations(core, fleet, transport.NewDiscovery(cfg.Discovery, p), saved, log)
 	core.Attach(fleet, set.Subscribe)
 
-	front := transport.NewInbound(core, p, inboundMost, log)
-	listener, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	most := (sockets - ownSockets) * 55 / 100
+	if op != nil {
+		most /= 2
+	}
+	inbound := transport.NewInbound(core, p, most, log)
+	fronts := []*front{{handler: inbound, server: transport.Server(inbound, inbound.Watch, log), listen: cfg.Listen, name: "inbound"}}
+	if op != nil {
+		progress := transport.NewProgress(core, p, op, most, log)
+		fronts = append(fronts, &front{handler: progress, server: transport.Server(progress, progress.Watch, log), listen: op.Listen, name: "progress"})
+	}
+	failed := make(chan error, len(fronts))
+	for _, f := range fronts {
+		listener, err := net.Listen("tcp", f.listen)
+		if err != nil {
+			return fmt.Errorf("%s: listen: %w", f.name, err)
+		}
+		go func() { failed <- f.server.Serve(listener) }()
+		log.Info("listening", "front", f.name, "address", listener.Addr().String())
 	}
 	go core.Run(ctx)
 	go set.Run(ctx)
-	server := transport.Server(front, front.Watch, log)
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve(listener) }()
-	log.Info("ready", "name", cfg.Name, "listen", listener.Addr().String(), "endpoints", len(saved.Destinations))
+	log.Info("ready", "name", cfg.Name, "endpoints", len(saved.Destinations))
 
 	select {
 	case err := <-failed:
@@ -83,18 +100,32 @@
 		longest = max(longest, p.ClassDeadline(i))
 	}
 	end := time.Now().Add(longest + endSlack)
-	front.Leaving()
+	for _, f := range fronts {
+		f.handler.Leaving()
+	}
 	time.Sleep(stayOpen)
 	ending, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if err := server.Shutdown(ending); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		log.Error("left unanswered", "open", core.Open(), "err", err)
-		return nil
+	var wait sync.WaitGroup
+	for _, f := range fronts {
+		wait.Go(func() {
+			if err := f.server.Shutdown(ending); err != nil {
+				log.Error("clients left unanswered", "front", f.name, "err", err)
+			}
+		})
 	}
+	wait.Wait()
 	log.Info("left", "open", core.Open())
 	return nil
 }
 
+// front is a listener with its handler.
+type front struct {
+	name, listen string
+	handler      interface{ Leaving() }
+	server       *http.Server
+}
+
 // limit keeps the runtime inside what the platform gives: threads by cores, and a collector that works
 // harder well before the limit on memory, at which the platform kills.
 func limit(c *protocol.Config) {
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -21,8 +21,8 @@
 	Leave(brain.RequestID)
 }
 
-// Inbound is the front for the platform's protocol.
-type Inbound struct {
+// front is what both fronts share: they let requests in and count connections.
+type front struct {
 	core    Core
 	params  *protocol.Params
 	most    int64 // connections that it holds; on one more a request is refused
@@ -31,23 +31,11 @@
 	log     *slog.Logger
 }
 
-// NewInbound makes the front.
-func NewInbound(c Core, p *protocol.Params, most int, log *slog.Logger) *Inbound {
-	return &Inbound{core: c, params: p, most: int64(most), log: log}
-}
-
 // Leaving turns the ready page to 503.
-func (f *Inbound) Leaving() { f.leaving.Store(true) }
-
-// Server makes the server for a front's handler. A connection that brings no whole header for long is
-// closed; bodies are bounded in readJob.
-func Server(h http.Handler, state func(net.Conn, http.ConnState), log *slog.Logger) *http.Server {
-	return &http.Server{Handler: h, ConnState: state, MaxHeaderBytes: 32 << 10, ReadHeaderTimeout: 20 * time.Second,
-		IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
-}
+func (f *front) Leaving() { f.leaving.Store(true) }
 
 // Watch counts connections, as an http.Server's ConnState.
-func (f *Inbound) Watch(_ net.Conn, s http.ConnState) {
+func (f *front) Watch(_ net.Conn, s http.ConnState) {
 	switch s {
 	case http.StateNew:
 		f.open.Add(1)
@@ -56,20 +44,50 @@
 	}
 }
 
-func (f *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+// admit reads a request. It gives nil where it has answered itself: to what is no job, and to one more
+// than there are descriptors for, past which this process would die with all that it holds.
+func (f *front) admit(w http.ResponseWriter, r *http.Request) *protocol.Job {
 	if r.URL.Path == "/health/ready" || r.URL.Path == "/health/live" {
 		serveHealth(w, r, f.leaving.Load())
-		return
+		return nil
 	}
 	job, err := readJob(w, r, f.params)
 	if err != nil {
 		rejectJob(w, err, f.log)
-		return
+		return nil
 	}
-	if f.open.Load() > f.most { // descriptors are the platform's to count: past them the process dies
-		f.log.Warn("fail-fast: out of connections", "open", f.open.Load())
-		w.Header().Set("Connection", "close")
-		writeAnswer(w, routing.Answer{Verdict: routing.Refused, RetryAfter: f.params.Limits.MaxRetryAfter.Span()})
+	if f.open.Load() > f.most {
+		f.refuse(w, "out of connections")
+		return nil
+	}
+	return job
+}
+
+// refuse is a fail-fast of the front itself, before the module has seen the request.
+func (f *front) refuse(w http.ResponseWriter, why string) {
+	f.log.Warn("fail-fast", "why", why, "open", f.open.Load())
+	w.Header().Set("Connection", "close")
+	writeAnswer(w, routing.Answer{Verdict: routing.Refused, RetryAfter: f.params.Limits.MaxRetryAfter.Span()})
+}
+
+// Inbound is the front for the platform's protocol.
+type Inbound struct{ front }
+
+// NewInbound makes the front.
+func NewInbound(c Core, p *protocol.Params, most int, log *slog.Logger) *Inbound {
+	return &Inbound{front{core: c, params: p, most: int64(most), log: log}}
+}
+
+// Server makes the server for a front's handler. A connection that brings no whole header for long is
+// closed; bodies are bounded in readJob.
+func Server(h http.Handler, state func(net.Conn, http.ConnState), log *slog.Logger) *http.Server {
+	return &http.Server{Handler: h, ConnState: state, MaxHeaderBytes: 32 << 10, ReadHeaderTimeout: 20 * time.Second,
+		IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+}
+
+func (f *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	job := f.admit(w, r)
+	if job == nil {
 		return
 	}
 	client := make(single, 1)
