Test the program as a process on both fronts; name the field of a bad config

The first run of the tests found: a config field of the wrong type was named by Go's name, not the file's (protocol/config.go, LoadConfig); now by the file's. Also new: a bound on what one exchange reads, since a flooding endpoint could take the memory of all; a default connect time-out, since 0 would connect to nothing.

--- /dev/null
+++ b/cmd/brassdale/inbound_test.go
@@ -0,0 +1,256 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestServesAndMapsBadInput(t *testing.T) {
+	t.Parallel()
+	var got http.Header
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+		got = r.Header
+		got.Set("Target", r.RequestURI)
+		works(b, c, r)
+	})
+	n := start(t, "", b)
+	if status, body, _ := n.do(request(n.url, "k1")); status != 200 || body != "priced" {
+		t.Errorf("a job: %d %q", status, body)
+	}
+	for name, want := range map[string]string{"Req-Id": "id-k1", "Idempotency-Key": "k1", "Target": "/price-part?sheet=7", "Body": "drawing"} {
+		if got.Get(name) != want {
+			t.Errorf("%s came to the endpoint as %q", name, got.Get(name))
+		}
+	}
+	resp, err := http.Get(n.url + "/price-part")
+	if err != nil || resp.StatusCode != 405 || resp.Header.Get("Allow") != "POST" {
+		t.Errorf("GET: %v %v", resp, err)
+	}
+	large := request(n.url, "k2")
+	large.Body, large.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 64<<10+1))), -1
+	unknown := request(n.url, "k3")
+	unknown.URL.Path = "/paint"
+	for name, c := range map[string]struct {
+		r      *http.Request
+		status int
+	}{
+		"too large":       {large, 413},
+		"unknown class":   {unknown, 404},
+		"unknown kind":    {request(n.url, "k", "Req-Kind", "paint"), 404},
+		"no id":           {request(n.url, "k", "Req-Id", ""), 400},
+		"no key":          {request(n.url, "k", "Idempotency-Key", ""), 400},
+		"deadline":        {request(n.url, "k", "Req-Deadline-Ms", "soon"), 400},
+		"negative":        {request(n.url, "k", "Req-Deadline-Ms", "-1"), 400},
+		"extra":           {request(n.url, "k", "Req-Extra", "slots=many"), 400},
+		"extra and noise": {request(n.url, "k4", "Req-Extra", "slots=2,new=1"), 200},
+	} {
+		if status, body, _ := n.do(c.r); status != c.status {
+			t.Errorf("%s: %d %q, want %d", name, status, body, c.status)
+		}
+	}
+	for _, text := range []string{"POST /price-part HTTP/1.1\r\nHost: h\r\nContent-Length: -4\r\n\r\n", "POST /price-part HTTP/1.1\r\nHost: h\r\nReq Id: 1\r\n\r\n"} {
+		c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, text)
+		if answer, _ := io.ReadAll(c); !strings.HasPrefix(string(answer), "HTTP/1.1 400 ") {
+			t.Errorf("%q: answered %q", text, answer)
+		}
+		c.Close()
+	}
+	if _, jobs := b.count(); jobs != 2 {
+		t.Errorf("%d jobs came to the endpoint, want 2", jobs)
+	}
+}
+
+// Only a worker's result makes a 200, only what never ran makes a refusal.
+func TestEndpointOutcomes(t *testing.T) {
+	t.Parallel()
+	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, c := range map[string]struct {
+		script func(*box, net.Conn, *http.Request)
+		status int
+	}{
+		"failed":            {says(`"state":"failed"`), 502},
+		"500":               {raw("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), 502},
+		"lost":              {says(`"state":"started"`, `"state":"lost"`), 502},
+		"cut at once":       {raw(""), 502},
+		"cut in a line":     {raw(chunked + "5\r\n{\"id\"\r\n"), 502},
+		"no last line":      {says(`"state":"started"`), 502},
+		"no JSON":           {raw(chunked + "4\r\nno!\n\r\n0\r\n\r\n"), 502},
+		"no HTTP":           {raw("hello\r\n\r\n"), 502},
+		"unknown state":     {says(`"state":"melted"`), 502},
+		"done, no result":   {says(`"state":"done"`), 502},
+		"other job's":       {raw(chunked + "29\r\n{\"id\":\"x\",\"state\":\"done\",\"result\":\"priced\"}\r\n0\r\n\r\n"), 502},
+		"returned":          {says(`"state":"returned"`), 503},
+		"declined":          {raw("HTTP/1.1 503 Full\r\nSrv-Declined: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"), 503},
+		"503, not declined": {raw("HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n"), 502},
+		"result and load":   {says(`"state":"done","result":"priced","load":{"util":0.2,"new":"x"}`), 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			n := start(t, "", newBox(t, "a", c.script))
+			status, body, after := n.do(request(n.url, "k", "Req-Deadline-Ms", "400"))
+			// Whatever may have run is sent on within its group only; the one box that this test has
+			// is tried again at most as often as the settings allow, and then the answer is final.
+			if status == 504 && c.status == 502 {
+				status = 502 // found at the deadline
+			}
+			if status != c.status || (status == 503) != (after != "") {
+				t.Errorf("answered %d %q, Retry-After %q, want %d", status, body, after, c.status)
+			}
+		})
+	}
+}
+
+// An endpoint that takes a job and says nothing: the answer still comes inside deadline and slack.
+func TestSilentEndpoint(t *testing.T) {
+	t.Parallel()
+	n := start(t, "", newBox(t, "a", freezes()))
+	begin := time.Now()
+	status, _, _ := n.do(request(n.url, "k", "Req-Deadline-Ms", "500"))
+	if took := time.Since(begin); status != 504 || took < 450*time.Millisecond || took > 1500*time.Millisecond {
+		t.Errorf("answered %d after %v", status, took)
+	}
+}
+
+// The body is read whole before a job goes on, or the server would not notice that its client leaves.
+func TestClientLeaves(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, "a", freezes(`"state":"started"`))
+	n := start(t, "", b)
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := request(n.url, "k").Write(c); err != nil {
+		t.Fatal(err)
+	}
+	n.waitFor("the job at the endpoint", func() bool { _, jobs := b.count(); return jobs == 1 })
+	c.Close()
+	select {
+	case <-b.closed:
+	case <-time.After(3 * time.Second):
+		t.Error("the call was not given up when its client left")
+	}
+}
+
+// Connections are used again; one that its endpoint closed while it was idle carries nothing.
+func TestConnections(t *testing.T) {
+	t.Parallel()
+	kept := newBox(t, "a", works)
+	n := start(t, "", kept)
+	for i := range 5 {
+		n.do(request(n.url, fmt.Sprint(i)))
+	}
+	if conns, _ := kept.count(); conns > 2 { // one for jobs, perhaps one more for a probe at that moment
+		t.Errorf("%d connections for 5 jobs in turn", conns)
+	}
+	closing := newBox(t, "b", func(b *box, c net.Conn, r *http.Request) { works(b, c, r); c.Close(); b.closed <- "" })
+	n = start(t, "", closing)
+	for i := range 5 {
+		if status, _, _ := n.do(request(n.url, fmt.Sprint(i))); status != 200 {
+			t.Errorf("job %d behind a closed connection: %d", i, status)
+		}
+		<-closing.closed
+	}
+	if _, jobs := closing.count(); jobs != 5 {
+		t.Errorf("%d jobs came, want 5", jobs)
+	}
+}
+
+// Nothing new goes to an endpoint that the watch told to be leaving; a failing discovery changes nothing.
+func TestDrainAndDiscovery(t *testing.T) {
+	t.Parallel()
+	a, b := newBox(t, "a", works), newBox(t, "b", works)
+	n := start(t, "", a, b)
+	g := n.registry
+	asked := func(revision int) func() bool {
+		return func() bool {
+			g.mu.Lock()
+			defer g.mu.Unlock()
+			return len(g.asked) > 0 && g.asked[len(g.asked)-1] == revision
+		}
+	}
+	n.waitFor("a watch", asked(1))
+	g.set(func() { a.phase = "leaving" })
+	n.waitFor("the next watch", asked(2))
+	_, before := a.count()
+	for i := range 6 {
+		if status, _, _ := n.do(request(n.url, fmt.Sprint(i))); status != 200 {
+			t.Errorf("job %d: %d", i, status)
+		}
+	}
+	if _, jobs := a.count(); jobs != before {
+		t.Errorf("%d jobs went to an endpoint that leaves", jobs-before)
+	}
+	g.set(func() { g.fail, a.phase = true, "active" })
+	n.waitFor("a failed call", func() bool { return strings.Contains(n.log(), "discovery failed") })
+	if status, _, _ := n.do(request(n.url, "x")); status != 200 {
+		t.Errorf("while discovery is down: %d", status)
+	}
+	g.set(func() { g.fail = false })
+	n.waitFor("the list after the failure", func() bool { return strings.Contains(n.log(), "revision=4") })
+}
+
+// SIGTERM: not ready at once, all that is open answered, then the end, by itself.
+func TestLeaving(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	n := start(t, "", b)
+	answered := make(chan int)
+	go func() { status, _, _ := n.do(request(n.url, "k")); answered <- status }()
+	n.waitFor("the job at the endpoint", func() bool { _, jobs := b.count(); return jobs == 1 })
+	n.stop()
+	n.waitFor("not ready", func() bool {
+		resp, err := http.Get(n.url + "/health/ready")
+		if err != nil {
+			t.Fatal("closed at once, though the front still brings clients:", err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 503
+	})
+	n.waitFor("the listener closed", func() bool { _, err := http.Get(n.url + "/health/live"); return err != nil })
+	close(release)
+	if status := <-answered; status != 200 {
+		t.Errorf("the open job: %d", status)
+	}
+	select {
+	case <-n.exited:
+	case <-time.After(5 * time.Second):
+		t.Fatal("still runs")
+	}
+	if code := n.cmd.ProcessState.ExitCode(); code != 0 {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// A bad file stops the start with one line that names the field.
+func TestBadFiles(t *testing.T) {
+	t.Parallel()
+	good := `{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","settings":` + settings + `}`
+	for _, c := range []struct{ config, operator, want string }{
+		{`{"listen":`, "", "config.json"},
+		{strings.Replace(good, `"127.0.0.1:0"`, `"here"`, 1), "", "listen"},
+		{strings.Replace(good, `"discovery":"127.0.0.1:1"`, `"discovery":7`, 1), "", "discovery"},
+		{strings.Replace(good, `"price-part"`, `""`, 1), "", "settings.classes[0].name"},
+		{strings.Replace(good, `"settings"`, `"known":{"members":[{"id":"a","phase":"odd"}]},"settings"`, 1), "", "known: members[0].phase"},
+		{good, `listen = "10.0.0.1:80"`, "listen"},
+		{good, "listen = \"127.0.0.1:0\"\nupstream = \"soap\"", "upstream"},
+		{good, "listen = \"127.0.0.1:0\"\nkeep = 1", "keep"},
+	} {
+		n := &node{t: t, exited: make(chan struct{})}
+		n.launch(c.config, c.operator)
+		<-n.exited
+		if text := n.log(); n.cmd.ProcessState.ExitCode() != 1 || strings.Count(text, "\n") != 1 || !strings.Contains(text, c.want) {
+			t.Errorf("%s %s: exit code %d, %q", c.config[:20], c.operator, n.cmd.ProcessState.ExitCode(), text)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/brassdale/stand_test.go
@@ -0,0 +1,313 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// The tests start the real program: this binary again, as the child that only runs main.
+func TestMain(m *testing.M) {
+	if os.Getenv("BRASSDALE_CHILD") != "" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const settings = `{"classes":[{"aim":200000,"credit":1,"deadline":5000000,"dedupScope":"cell","effect":"keyed","name":"price-part","window":7500000}],
+"discovery":"ask","familyInfo":{"classKind":[-1],"classStretch":[2.5],"progress":2000000,"tellsStart":true},"flavors":["new-box"],
+"limits":{"cancel":true,"connIdle":10000000,"connectTimeout":200000,"maxAttempts":4,"maxRetryAfter":2000000,"mayDuplicate":true,"probing":true,"retryAfter":true,"newKey":1},
+"loadReport":{"columns":["cpu_share","pending","x0","x1"],"via":"pull"},"replicasOfMe":1,
+"rules":{"answerSlack":8000,"askWithin":10000000,"cold":24000000,"drainGrace":500000,"fall":1500000,"startCapacity":0.14,"tipMultiple":3},"zones":["llanelli"]}`
+
+// line is a message of an endpoint about a job.
+func line(id, rest string) string { return fmt.Sprintf("{\"id\":%q,\"from\":\"s\",%s}\n", id, rest) }
+
+// box is an endpoint that does with each job what its script says.
+type box struct {
+	id, cell, phase string
+	ln              net.Listener
+	script          func(b *box, c net.Conn, r *http.Request)
+	mu              sync.Mutex
+	conns, jobs     int
+	runs            map[string]int // by key
+	closed          chan string    // Req-Id of each job whose connection the dispatcher closed
+}
+
+func newBox(t *testing.T, id string, script func(*box, net.Conn, *http.Request)) *box {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &box{id: id, cell: "1", phase: "active", ln: ln, script: script, runs: map[string]int{}, closed: make(chan string, 64)}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			b.mu.Lock()
+			b.conns++
+			b.mu.Unlock()
+			go b.serve(c)
+		}
+	}()
+	return b
+}
+
+func (b *box) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if r.URL.Path == "/stats" {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\nutil=0.1,queue=0,x0=5,x1=5")
+			continue
+		}
+		r.Header.Set("Body", string(body))
+		b.mu.Lock()
+		b.jobs++
+		b.runs[r.Header.Get("Idempotency-Key")]++
+		b.mu.Unlock()
+		b.script(b, c, r)
+	}
+}
+
+func (b *box) count() (conns, jobs int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.conns, b.jobs
+}
+
+// head starts a chunked answer, chunk goes on with it, last ends it.
+func head(c net.Conn, kind string) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nTransfer-Encoding: chunked\r\n\r\n", kind)
+}
+func chunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
+func last(c net.Conn)               { io.WriteString(c, "0\r\n\r\n") }
+
+// says answers a job with these messages.
+func says(messages ...string) func(*box, net.Conn, *http.Request) {
+	return func(_ *box, c net.Conn, r *http.Request) {
+		head(c, "application/json")
+		for _, m := range messages {
+			chunk(c, line(r.Header.Get("Req-Id"), m))
+		}
+		last(c)
+	}
+}
+
+// raw answers a job with this text, whatever it is, and ends the connection.
+func raw(text string) func(*box, net.Conn, *http.Request) {
+	return func(_ *box, c net.Conn, _ *http.Request) {
+		io.WriteString(c, text)
+		c.Close()
+	}
+}
+
+// freezes says these messages and then nothing until the dispatcher gives up.
+func freezes(messages ...string) func(*box, net.Conn, *http.Request) {
+	return func(b *box, c net.Conn, r *http.Request) {
+		head(c, "application/json")
+		for _, m := range messages {
+			chunk(c, line(r.Header.Get("Req-Id"), m))
+		}
+		io.Copy(io.Discard, c)
+		b.closed <- r.Header.Get("Req-Id")
+	}
+}
+
+var works = says(`"state":"started"`, `"state":"running","share":0.5`, `"state":"done","result":"priced"`)
+
+// registry is discovery: it answers a watch when the list is newer, or fails it.
+type registry struct {
+	mu       sync.Mutex
+	revision int
+	boxes    []*box
+	fail     bool
+	asked    []int // revisions that were asked after
+	changed  chan struct{}
+}
+
+func (g *registry) set(change func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change()
+	g.revision++
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+func (g *registry) list() string {
+	var lines []string
+	for _, b := range g.boxes {
+		lines = append(lines, fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"llanelli","flavor":"new-box","cell":%s,"phase":%q,"size":1.0,"up_since_ms":0}`,
+			b.id, b.ln.Addr(), b.cell, b.phase))
+	}
+	return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[%s]}`, g.revision, strings.Join(lines, ","))
+}
+
+func (g *registry) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.Atoi(r.URL.Query().Get("index"))
+	g.mu.Lock()
+	g.asked = append(g.asked, after)
+	fail := g.fail
+	for g.revision <= after && !g.fail {
+		changed := g.changed
+		g.mu.Unlock()
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		}
+		g.mu.Lock()
+	}
+	defer g.mu.Unlock()
+	if fail {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, g.list())
+}
+
+// node is the program under test.
+type node struct {
+	t             *testing.T
+	cmd           *exec.Cmd
+	registry      *registry
+	url, progress string // of both fronts
+	mu            sync.Mutex
+	text          strings.Builder
+	exited        chan struct{}
+}
+
+func start(t *testing.T, operator string, boxes ...*box) *node {
+	t.Helper()
+	n := &node{t: t, registry: &registry{revision: 1, boxes: boxes, changed: make(chan struct{})}, exited: make(chan struct{})}
+	discovery := httptest.NewServer(n.registry)
+	t.Cleanup(discovery.CloseClientConnections)
+	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
+		discovery.Listener.Addr(), n.registry.list(), settings)
+	n.launch(config, operator)
+	n.waitFor("both fronts", func() bool {
+		n.url = n.address("inbound")
+		n.progress = n.address("progress")
+		return n.url != "" && (operator == "" || n.progress != "") && strings.Contains(n.log(), "msg=ready")
+	})
+	return n
+}
+
+func (n *node) launch(config, operator string) {
+	dir := n.t.TempDir()
+	path := filepath.Join(dir, "config.json")
+	n.cmd = exec.Command(os.Args[0])
+	if operator != "" {
+		file := filepath.Join(dir, "progress.toml")
+		n.write(file, operator)
+		n.cmd.Args = append(n.cmd.Args, "-operator", file)
+	}
+	n.write(path, config)
+	n.cmd.Env = append(os.Environ(), "BRASSDALE_CHILD=1", "GW_CONFIG="+path)
+	n.cmd.Stderr = n
+	if err := n.cmd.Start(); err != nil {
+		n.t.Fatal(err)
+	}
+	go func() { n.cmd.Wait(); close(n.exited) }()
+	n.t.Cleanup(func() {
+		n.cmd.Process.Kill()
+		<-n.exited
+		if text := n.log(); strings.Contains(text, "DATA RACE") || strings.Contains(text, "panic") || n.t.Failed() {
+			n.t.Errorf("log of the program:\n%s", text)
+		}
+	})
+}
+
+func (n *node) write(path, text string) {
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		n.t.Fatal(err)
+	}
+}
+
+func (n *node) Write(p []byte) (int, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.text.Write(p)
+}
+
+func (n *node) log() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.text.String()
+}
+
+func (n *node) address(front string) string {
+	_, rest, ok := strings.Cut(n.log(), "front="+front+" address=")
+	address, _, whole := strings.Cut(rest, "\n")
+	if !ok || !whole {
+		return ""
+	}
+	return "http://" + address
+}
+
+func (n *node) waitFor(what string, ok func() bool) {
+	n.t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			n.t.Fatalf("never seen: %s", what)
+		}
+	}
+}
+
+func (n *node) stop() { n.cmd.Process.Signal(syscall.SIGTERM) }
+
+// request makes a job; headers are name, value, name, value and replace the usual ones.
+func request(url, key string, headers ...string) *http.Request {
+	r, err := http.NewRequest("POST", url+"/price-part?sheet=7", strings.NewReader("drawing"))
+	if err != nil {
+		panic(err)
+	}
+	pairs := append([]string{"Req-Id", "id-" + key, "Req-Kind", "price-part", "Req-Owner", "taff-marine",
+		"Idempotency-Key", key, "Req-Deadline-Ms", "5000"}, headers...)
+	for i := 0; i < len(pairs); i += 2 {
+		if r.Header.Set(pairs[i], pairs[i+1]); pairs[i+1] == "" {
+			r.Header.Del(pairs[i])
+		}
+	}
+	return r
+}
+
+// do sends a request and gives the status, the body and the Retry-After.
+func (n *node) do(r *http.Request) (int, string, string) {
+	n.t.Helper()
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	return resp.StatusCode, string(body), resp.Header.Get("Retry-After")
+}
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -4,11 +4,13 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -39,7 +41,13 @@
 	}
 	c := &Config{Name: env("GW_NAME"), Listen: env("GW_LISTEN"), Discovery: env("GW_DISCOVERY")}
 	if err := json.Unmarshal(text, c); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err) // encoding/json names the field
+		if wrong := (*json.UnmarshalTypeError)(nil); errors.As(err, &wrong) && wrong.Field != "" {
+			return nil, fmt.Errorf("%s: %s: a %s is no %s", path, wireName(wrong.Field), wrong.Value, wrong.Type)
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if l := &c.Settings.Limits; l.ConnectTimeout <= 0 {
+		l.ConnectTimeout = Micros(200 * time.Millisecond / time.Microsecond) // without one nothing would connect
 	}
 	return c, c.check(path)
 }
@@ -78,6 +86,15 @@
 	return nil
 }
 
+// wireName turns a path of Go's field names into the file's own.
+func wireName(path string) string {
+	parts := strings.Split(path, ".")
+	for i, p := range parts {
+		parts[i] = strings.ToLower(p[:1]) + p[1:]
+	}
+	return strings.Join(parts, ".")
+}
+
 // CheckAddr tells whether an address is host:port with a usable port.
 func CheckAddr(addr string) error {
 	host, port, err := net.SplitHostPort(addr)
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -24,6 +24,9 @@
 	probeWithin = 300 * time.Millisecond
 	drainWithin = time.Second
 
+	// mostAnswer bounds all that one exchange reads: an endpoint that floods ends its own call only.
+	mostAnswer = 1 << 20
+
 	// A call may still be written this much before the grace for a drain ends: its first byte counts
 	// when it leaves, which on a busy core is later than the look at the clock.
 	drainMargin = 50 * time.Millisecond
@@ -46,6 +49,7 @@
 // wire is a connection with what was read ahead of it.
 type wire struct {
 	conn  net.Conn
+	quota *io.LimitedReader // of what in may read
 	in    *bufio.Reader
 	since time.Time // idle since
 }
@@ -162,7 +166,8 @@
 			e.box.Post(dialed{owner: x, err: err})
 			return
 		}
-		e.box.Post(dialed{owner: x, wire: &wire{conn: conn, in: bufio.NewReader(conn)}})
+		quota := &io.LimitedReader{R: conn}
+		e.box.Post(dialed{owner: x, wire: &wire{conn: conn, quota: quota, in: bufio.NewReader(quota)}})
 	}()
 }
 
@@ -278,6 +283,7 @@
 // comes, and hands the connection back. The connection's deadline is the call's.
 func (e *endpoint) exchange(x *exchange) {
 	conn := x.wire.conn
+	x.wire.quota.N = mostAnswer
 	reuse := false
 	defer func() { e.box.Post(ended{x, reuse}) }()
 	job, _ := x.call.Job.(*protocol.Job)
