--- a/brain/api.go
+++ b/brain/api.go
@@ -118,6 +118,7 @@
 	Slots   float64 // 0 or less, or not a number, counts as 1
 	Expires Clock
 	Work    time.Duration // rough hint of its work; 0 when not told
+	Key     uint64        // what it needs at a worker: jobs of one key belong together; 0 when not told
 }
 
 // Outcome is how an attempt ended.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,12 +29,12 @@
 	mostAllow  = 1.0  // beyond it a held job is better off waiting for a free slot
 	allowStep  = 0.01 // a job moves it by this, on a small fleet for each dispatcher that knows all ...
 	mostStep   = 0.1  // ... and by this at most, or a single job would swing it
-	waitShare  = 0.15 // of the time that a request can spare: so long may it wait at a worker
+	waitShare  = 0.10 // of the time that a request can spare: so long may it wait at a worker
 
 	tieBand     = 1e-9                   // load values closer than this are ties
 	ownMemory   = 500 * time.Millisecond // how far back a report looks, about: one refresh and its delay
 	startGrace  = 150 * time.Millisecond // a job pushed to a free slot starts sooner than this
-	copyGrace   = 20 * time.Millisecond  // and nearly always than this, where a copy costs little
+	copyGrace   = 100 * time.Millisecond // where a job is copied: sooner, the copy fetches more than it saves
 	zoneWeight  = 15                     // load a crossing must save, for each unit of its price, ...
 	vagueWeight = 3                      // and where few workers are known, so that loads are known roughly
 	slowFrom    = 1.5                    // slower than peers by this factor counts; below it is chance
@@ -43,6 +43,9 @@
 	classMemory = 0.97                   // and in a class's mean work: about thirty jobs
 	workShare   = 0.5                    // most jobs are well under the mean work of their class
 
+	homesOfKey = 2   // workers at which a key is at home: one has too few slots, three fetch too often
+	awayValue  = 1e3 // more than any place in the rotation of a key
+
 	nearAll   = 3                // all workers are drawn from if all get an own job within so many seconds, ...
 	nearLeast = 4                // else this many at least, ...
 	nearSpan  = 0.5              // and as many as there are own jobs in so many seconds
@@ -395,6 +398,14 @@
 		if w.Zone != d.set.Zone {
 			v += crossing
 		}
+		if r.key != 0 {
+			// Departure where jobs have keys: all workers with a free slot are ties, and the rotation starts
+			// at the key's own place. What a job must fetch takes about its own time again, and a worker that
+			// ran the key before has it still. May hurt where nothing is fetched and loads are known well.
+			if (v+d.share(w, r.slots-roundDown))*d.drag(w) <= 1 {
+				v = w.homes(r.key) - awayValue
+			}
+		}
 		if v < least-tieBand || v < least+tieBand && w.turn < best.turn-tieBand {
 			best, least, at = w, min(v, least), n
 		}
@@ -449,7 +460,7 @@
 	c.span = max(c.span, left)
 	d.seq++
 	r := &request{
-		id: e.ID, class: class, slots: e.Slots, hint: max(e.Work, 0), expires: e.Expires, seq: d.seq,
+		id: e.ID, class: class, slots: e.Slots, key: e.Key, hint: max(e.Work, 0), expires: e.Expires, seq: d.seq,
 		born: d.now,
 	}
 	// A repeat has less time left than a first try; one with very little is an impatient client's.
@@ -502,19 +513,31 @@
 			return cmp.Or(late, cmp.Compare(d.density(b), d.density(a)), cmp.Compare(b.seq, a.seq))
 		})
 	}
-	full := false
-	d.held = slices.DeleteFunc(d.held, func(r *request) bool {
-		if full && len(r.attempts) == 0 {
-			return false
-		}
-		w := d.pick(r, d.allow)
-		if w == nil {
-			full = full || len(r.attempts) == 0
-			return false
-		}
-		d.send(r, w)
-		return true
-	})
+	// A slot that comes free is worth most to a job whose key is at home there; then to any.
+	for _, homely := range [...]bool{true, false} {
+		full := false
+		d.held = slices.DeleteFunc(d.held, func(r *request) bool {
+			if full && len(r.attempts) == 0 || homely && r.key == 0 {
+				return false
+			}
+			w := d.pick(r, d.allow)
+			full = full || w == nil && len(r.attempts) == 0
+			if w == nil || homely && !d.home(r, w) {
+				return false
+			}
+			d.send(r, w)
+			return true
+		})
+	}
+}
+
+// home tells whether the worker is one of the first in the rotation of the request's key.
+func (d *Dispatcher) home(r *request, w *worker) bool {
+	before, own := 0, w.homes(r.key)
+	for _, o := range d.workers {
+		before += oneIf(o.listed && o.homes(r.key) < own)
+	}
+	return before < homesOfKey
 }
 
 // density is what a request is worth for each unit of its work.
--- /dev/null
+++ b/brain/key_test.go
@@ -0,0 +1,46 @@
+package brain
+
+import "testing"
+
+// Jobs of one key go to the same worker from every dispatcher, while it has a free slot; without one, the
+// load decides as ever. Where the key was not heard of, each job fetched anew what another worker had.
+func TestKeysGoHome(t *testing.T) {
+	first := map[WorkerID]int{}
+	for key := uint64(1); key <= 40; key++ {
+		var home WorkerID
+		for me := range 3 {
+			s := plain()
+			s.Me, s.Dispatchers = me, 3
+			v := newDriver(t, s)
+			v.list(workers(4)...)
+			for id := RequestID(1); id <= 2; id++ { // a second job finds its worker with room
+				w := sentTo(v.give(Arrived{ID: id, Slots: 1, Key: key, Expires: v.now + 2*s.Classes[0].Deadline}))
+				if home == "" {
+					home = w
+				}
+				if w != home {
+					t.Errorf("key %d, dispatcher %d, job %d: went to %q, before to %q", key, me, id, w, home)
+				}
+			}
+		}
+		first[home]++
+	}
+	for _, w := range workers(4) {
+		if first[w.ID] < 2 || first[w.ID] > 20 {
+			t.Errorf("%d of 40 keys are at home at %q", first[w.ID], w.ID)
+		}
+	}
+}
+
+func TestBusyHomeIsPassedOver(t *testing.T) {
+	v := newDriver(t, plain())
+	v.list(workers(4)...)
+	to := map[WorkerID]int{}
+	for id := RequestID(1); id <= 20; id++ {
+		to[sentTo(v.give(Arrived{ID: id, Slots: 1, Key: 7, Expires: v.now + 2*v.d.set.Classes[0].Deadline}))]++
+	}
+	delete(to, "") // held here
+	if len(to) != 4 {
+		t.Errorf("20 jobs of a key at once went to %v, want all four workers in use", to)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -63,6 +63,7 @@
 	id             RequestID
 	class, seq     int
 	slots          float64
+	key            uint64
 	hint           time.Duration
 	born, expires  Clock // born: when its client first asked
 	attempts       []attempt
@@ -110,11 +111,21 @@
 func hash(id WorkerID) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(id))
-	x := h.Sum64()
+	return mix(h.Sum64())
+}
+
+func mix(x uint64) uint64 {
 	x = (x ^ x>>32) * 0x9e3779b97f4a7c15
 	return x ^ x>>29
 }
 
+// homes is a worker's place in a key's rotation, the same at every dispatcher: the lowest comes first.
+// Workers come first by their size.
+func (w *worker) homes(key uint64) float64 {
+	u := (float64(mix(mix(key)^w.hash)>>11) + 0.5) / (1 << 53)
+	return -math.Log(u) / max(sane(w.Weight), 1e-3)
+}
+
 // sane gives -1 for a figure that was not told.
 func sane(x float64) float64 {
 	if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
--- a/cmd/benchlink/link.go
+++ b/cmd/benchlink/link.go
@@ -35,6 +35,7 @@
 	Form         string
 	Handle       uint64
 	Qos          int
+	Subject      uint64
 	Expires      protocol.Micros
 	Effort       protocol.Micros
 	Width        float64
@@ -192,7 +193,7 @@
 	case "BACKENDS_CHANGED":
 		return l.listed(m)
 	case "ARRIVAL":
-		a := brain.Arrived{ID: req, Class: m.Qos, Slots: m.Width, Expires: m.Expires.Span()}
+		a := brain.Arrived{ID: req, Class: m.Qos, Slots: m.Width, Expires: m.Expires.Span(), Key: m.Subject}
 		if m.Bitmap&hintValid != 0 {
 			a.Work = m.Effort.Span()
 		}
--- a/cmd/brassdale/inbound_test.go
+++ b/cmd/brassdale/inbound_test.go
@@ -160,6 +160,21 @@
 	}
 }
 
+// Jobs about one thing go to one endpoint: it has fetched what they need.
+func TestOneUserOneEndpoint(t *testing.T) {
+	t.Parallel()
+	boxes := []*box{newBox(t, "a", works), newBox(t, "b", works), newBox(t, "c", works), newBox(t, "d", works)}
+	n := start(t, "", boxes...)
+	for i := range 6 {
+		n.do(request(n.url, fmt.Sprint(i), "Cookie", "theme=dark; user=7f3a9c21e0b4d655"))
+	}
+	for _, b := range boxes {
+		if _, jobs := b.count(); jobs != 0 && jobs != 6 {
+			t.Errorf("%d of 6 jobs of one user went to %s", jobs, b.id)
+		}
+	}
+}
+
 // Nothing new goes to an endpoint that the watch told to be leaving; a failing discovery changes nothing.
 func TestDrainAndDiscovery(t *testing.T) {
 	t.Parallel()
--- a/internal/protocol/inbound.go
+++ b/internal/protocol/inbound.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"math"
 	"net/http"
@@ -24,6 +25,7 @@
 	Target   string // path and query, as the client wrote them
 	Body     []byte
 	Slots    float64
+	Subject  uint64 // what the job is about: a number for the cookie's user, 0 without one
 	Deadline time.Time
 	Events   bool        // endpoints are asked to answer in server-sent events
 	Pass     http.Header // further headers that go on to the endpoint
@@ -83,6 +85,11 @@
 	if err := j.extras(r.Header.Get("Req-Extra")); err != nil {
 		return nil, err
 	}
+	if user, err := r.Cookie("user"); err == nil && user.Value != "" {
+		h := fnv.New64a()
+		h.Write([]byte(user.Value))
+		j.Subject = h.Sum64()
+	}
 	for _, h := range passed {
 		if v := r.Header.Values(h); len(v) > 0 {
 			j.Pass[h] = v
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -38,6 +38,7 @@
 type Inbound struct {
 	Class    int
 	Slots    float64
+	Key      uint64 // what the job needs at an endpoint: jobs of one key belong together; 0 when not told
 	Deadline time.Time
 	Job      any // what endpoints need to know; not read here
 	Client   Client
@@ -221,7 +222,7 @@
 		r := &request{Inbound: m.in, expires: c.clock.At(m.in.Deadline)}
 		c.requests[m.id] = r
 		heap.Push(&c.timers, timer{at: r.expires + c.options.AnswerSlack + guardAfter, guard: m.id})
-		c.feed(brain.Arrived{ID: m.id, Class: r.Class, Slots: r.Slots, Expires: r.expires})
+		c.feed(brain.Arrived{ID: m.id, Class: r.Class, Slots: r.Slots, Key: r.Key, Expires: r.expires})
 	case left:
 		if r := c.requests[m.id]; r != nil && !r.answered {
 			c.close(r)
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -91,7 +91,7 @@
 		return
 	}
 	client := make(single, 1)
-	id := f.core.Submit(routing.Inbound{Class: job.Class, Slots: job.Slots, Deadline: job.Deadline, Job: job, Client: client})
+	id := f.core.Submit(inboundOf(job, client))
 	select {
 	case a := <-client:
 		writeAnswer(w, a)
@@ -100,6 +100,11 @@
 	}
 }
 
+// inboundOf gives a job in the core's terms.
+func inboundOf(j *protocol.Job, c routing.Client) routing.Inbound {
+	return routing.Inbound{Class: j.Class, Slots: j.Slots, Key: j.Subject, Deadline: j.Deadline, Job: j, Client: c}
+}
+
 // serveHealth answers the pages that tell whether this process runs and wants work.
 func serveHealth(w http.ResponseWriter, r *http.Request, leaving bool) {
 	switch {
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -94,7 +94,7 @@
 	}
 	leave := func() {}
 	if fresh {
-		id := f.core.Submit(routing.Inbound{Class: job.Class, Slots: job.Slots, Deadline: job.Deadline, Job: job, Client: j})
+		id := f.core.Submit(inboundOf(job, j))
 		if job.Key == "" { // nobody could come back for it
 			leave = func() {
 				f.core.Leave(id)
