--- a/brain/brain.go
+++ b/brain/brain.go
@@ -399,11 +399,12 @@
 			v += crossing
 		}
 		if r.key != 0 {
-			// Departure where jobs have keys: all workers with a free slot are ties, and the rotation starts
-			// at the key's own place. What a job must fetch takes about its own time again, and a worker that
-			// ran the key before has it still. May hurt where nothing is fetched and loads are known well.
+			// Departure where jobs have keys: workers with a free slot count as ties, the more so the lower
+			// their value, and the rotation starts at the key's own place. What a job must fetch takes about
+			// its own time again, and a worker that ran the key before has it still. May hurt where nothing is
+			// fetched and loads are known well.
 			if (v+d.share(w, r.slots-roundDown))*d.drag(w) <= 1 {
-				v = w.homes(r.key) - awayValue
+				v = w.homes(r.key)*(1+v) - awayValue
 			}
 		}
 		if v < least-tieBand || v < least+tieBand && w.turn < best.turn-tieBand {
