--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,6 +43,7 @@
 	classMemory = 0.97                   // and in a class's mean work: about thirty jobs
 	workShare   = 0.5                    // most jobs are well under the mean work of their class
 
+	crowdDoubt = 10  // jobs for each unit of size that are assumed beside those counted
 	homesOfKey = 2   // workers at which a key is at home: one has too few slots, three fetch too often
 	awayValue  = 1e3 // more than any place in the rotation of a key
 
@@ -214,11 +215,13 @@
 func (d *Dispatcher) choose() {
 	d.chosen = d.now
 	d.near = d.near[:0]
+	d.size = 0
 	want := max(nearLeast, int(math.Ceil(nearSpan*d.rate)))
 	var zones [2][]*worker // the own zone, and all others
 	for _, w := range d.workers {
 		if z := oneIf(w.Zone != d.set.Zone); w.listed {
 			zones[z] = append(zones[z], w)
+			d.size += w.size()
 		}
 	}
 	all := float64(len(zones[0]) + len(zones[1]))
@@ -402,9 +405,9 @@
 			// Departure where jobs have keys: workers with a free slot count as ties, the more so the lower
 			// their value, and the rotation starts at the key's own place. What a job must fetch takes about
 			// its own time again, and a worker that ran the key before has it still. May hurt where nothing is
-			// fetched and loads are known well.
+			// fetched and loads are known well. One that got more than its part of late keeps fewer keys.
 			if (v+d.share(w, r.slots-roundDown))*d.drag(w) <= 1 {
-				v = w.homes(r.key)*(1+v) - awayValue
+				v = w.homes(r.key)*(1+v)*d.crowd(w) - awayValue
 			}
 		}
 		if v < least-tieBand || v < least+tieBand && w.turn < best.turn-tieBand {
@@ -532,6 +535,11 @@
 	}
 }
 
+// crowd is how far a worker's part of the recent jobs is over the part that its size makes fair; 1 at least.
+func (d *Dispatcher) crowd(w *worker) float64 {
+	return max((w.recent.at(d.now)+crowdDoubt)/(d.recent.at(d.now)/max(d.size, 1e-3)+crowdDoubt), 1)
+}
+
 // home tells whether the worker is one of the first in the rotation of the request's key.
 func (d *Dispatcher) home(r *request, w *worker) bool {
 	before, own := 0, w.homes(r.key)
@@ -568,7 +576,9 @@
 		w.sent = append(w.sent, spend{d.now, d.cost(r)})
 	}
 	d.bump(w, r.slots)
-	w.turn += 1 / max(sane(w.Weight), 1e-3)
+	w.turn += 1 / w.size()
+	w.recent.add(d.now, 1/w.size())
+	d.recent.add(d.now, 1)
 	if w.pushes++; w.pushes >= pushesToHalve {
 		w.increment, w.pushes = max(w.increment/2, leastIncrement), 0
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -35,6 +35,7 @@
 	pushes     int     // without a 'full'
 	usual      float64 // mean of base
 	turn       float64 // pushes by weight: ties go round robin, a worker of twice the size twice as often
+	recent     fading  // pushes by size
 	full       Clock   // it turned a job away; its value is 1 until then or a report
 	waiting    int     // own jobs not started within startGrace
 	lag, jobs  float64 // decayed sum over jobs of log(time here / usual time), and their number
@@ -97,6 +98,8 @@
 	first, last, chosen Clock           // first event, last arrival, last choice of near
 	stalled             Clock           // the turn in which this process found that it had stood still
 	rate, mean          float64         // own jobs a second; mean work of a job in slot-seconds
+	recent              fading          // pushes
+	size                float64         // of all listed workers together
 	allow               float64         // how far over its slots a worker may be filled now
 	stay, others        float64         // mean seconds from push to answer; mean share that others use
 	idleSafe            time.Duration   // connections idle for less were not lost; 0 for all
@@ -123,9 +126,26 @@
 // Workers come first by their size.
 func (w *worker) homes(key uint64) float64 {
 	u := (float64(mix(mix(key)^w.hash)>>11) + 0.5) / (1 << 53)
-	return -math.Log(u) / max(sane(w.Weight), 1e-3)
+	return -math.Log(u) / w.size()
 }
 
+// size is a worker's size as it was registered.
+func (w *worker) size() float64 { return max(sane(w.Weight), 1e-3) }
+
+// fading is a sum that fades over rateSpan.
+type fading struct {
+	sum  float64
+	when Clock
+}
+
+func (f *fading) at(now Clock) float64 {
+	f.sum *= math.Exp(-float64(now-f.when) / float64(rateSpan))
+	f.when = now
+	return f.sum
+}
+
+func (f *fading) add(now Clock, x float64) { f.sum = f.at(now) + x }
+
 // sane gives -1 for a figure that was not told.
 func sane(x float64) float64 {
 	if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
