Bound the writing of answers: a client that never reads frees its connection

Seen in a read of transport/inbound.go, writeAnswer: nothing bounded a write to a client that stopped reading, so its goroutine and descriptor stayed until the client went. Now a request's answer has the longest deadline and 5 s; the same point in time serves both fronts, so the reset behind a stream is gone.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -95,11 +95,7 @@
 	case s := <-signals:
 		log.Info("leaving", "signal", s.String(), "open", core.Open())
 	}
-	longest := leastEnd
-	for i := range p.Classes {
-		longest = max(longest, p.ClassDeadline(i))
-	}
-	end := time.Now().Add(longest + endSlack)
+	end := time.Now().Add(max(p.LongestDeadline(), leastEnd) + endSlack)
 	for _, f := range fronts {
 		f.handler.Leaving()
 	}
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -127,5 +127,13 @@
 	return 0, false
 }
 
+// LongestDeadline is the longest that a client of any class waits.
+func (p *Params) LongestDeadline() (longest time.Duration) {
+	for i := range p.Classes {
+		longest = max(longest, p.ClassDeadline(i))
+	}
+	return longest
+}
+
 // ClassDeadline is how long a client of the class waits at most.
 func (p *Params) ClassDeadline(class int) time.Duration { return p.Classes[class].Deadline.Span() }
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -15,6 +15,9 @@
 	"brassdale/internal/routing"
 )
 
+// A reader that takes nothing for so long is cut off; from the front for progress it may come for the rest.
+const readerWithin = 5 * time.Second
+
 // Core is what the fronts hand requests to.
 type Core interface {
 	Submit(routing.Inbound) brain.RequestID
@@ -47,6 +50,8 @@
 // admit reads a request. It gives nil where it has answered itself: to what is no job, and to one more
 // than there are descriptors for, past which this process would die with all that it holds.
 func (f *front) admit(w http.ResponseWriter, r *http.Request) *protocol.Job {
+	// A client that never reads its answer must not keep its connection and goroutine for ever.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.params.LongestDeadline() + readerWithin))
 	if r.URL.Path == "/health/ready" || r.URL.Path == "/health/live" {
 		serveHealth(w, r, f.leaving.Load())
 		return nil
@@ -123,11 +128,7 @@
 func readJob(w http.ResponseWriter, r *http.Request, p *protocol.Params) (*protocol.Job, error) {
 	now := time.Now()
 	c := http.NewResponseController(w)
-	var longest time.Duration
-	for i := range p.Classes {
-		longest = max(longest, p.ClassDeadline(i))
-	}
-	_ = c.SetReadDeadline(now.Add(longest))
+	_ = c.SetReadDeadline(now.Add(p.LongestDeadline()))
 	job, err := protocol.DecodeInbound(r, p, now)
 	if err == nil {
 		_ = c.SetReadDeadline(time.Time{})
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -19,9 +19,6 @@
 	// final answer is with the client by then.
 	answerMargin = 100 * time.Millisecond
 
-	// A reader that takes nothing for so long is cut off; it may come back for the rest.
-	readerWithin = 5 * time.Second
-
 	// Events of one job, of which progress may take so many: an endpoint that floods is cut short.
 	mostEvents = 256
 )
@@ -174,7 +171,6 @@
 			seen += len(events)
 		}
 		if final != nil {
-			_ = c.SetWriteDeadline(time.Time{}) // the connection may carry a further request
 			return
 		}
 		select {
