Open the stream of a client that comes back at once, not at the next event

Seen: the test of a dropped stream (new) found that a reconnect got no headers until the job's next event, which may be its end (transport/progress.go, stream). Now it hears at once that the job goes on. The test also holds that the job is not cancelled by the drop, not run again, and ends at its first deadline.

--- a/cmd/brassdale/progress_test.go
+++ b/cmd/brassdale/progress_test.go
@@ -231,6 +231,28 @@
 	}
 }
 
+// A job whose stream dropped is neither cancelled then nor given more time by the client that comes back.
+func TestDroppedStreamKeepsItsDeadline(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, "a", freezes(`"state":"started"`))
+	n := start(t, operator("lines"), b)
+	begin := time.Now()
+	s := n.open(request(n.progress, "k", "Req-Deadline-Ms", "1200"))
+	s.next()
+	s.resp.Body.Close()
+	back := n.open(request(n.progress, "k", "Req-Id", "again", "Req-Deadline-Ms", "5000", "Last-Event-ID", "1"))
+	if len(b.closed) > 0 {
+		t.Error("the call was given up when the stream dropped")
+	}
+	check(t, "reconnect", back.rest(), "2 failed")
+	if took := time.Since(begin); took < time.Second || took > 3*time.Second {
+		t.Errorf("ended after %v, want its first deadline of 1.2 s", took)
+	}
+	if _, jobs := b.count(); jobs != 1 {
+		t.Errorf("%d runs", jobs)
+	}
+}
+
 // A reader that takes nothing holds up nobody.
 func TestSlowReader(t *testing.T) {
 	t.Parallel()
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -151,7 +151,7 @@
 			writeAnswer(w, *final)
 			return
 		}
-		if len(events) > 0 {
+		if len(events) > 0 || seen > 0 && !begun { // who comes back hears at once that the job goes on
 			if !begun {
 				begun = true
 				w.Header().Set("Content-Type", "text/event-stream")
