End a call whose connection another call took; leave connections to an old address

Seen in a read of transport/endpoint.go, dialed: with two calls waiting, the second's connection may come first and carry the first call; if the first's own then failed, nobody looked after the second: no connection to come, no outcome, and its request stayed in the table behind its answer. Now the actor counts the connections that are to come and ends whoever is left without one. A connection opened to an address that discovery has changed since is closed and its call started anew, before any byte was written. Test: two waiting calls, results in that order.

--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -43,12 +43,14 @@
 	dest    routing.Destination
 	idle    []*wire // the longest idle first
 	waiting []*exchange
+	dialing int                          // connections that are being opened; never fewer than exchanges that wait
 	calls   map[routing.CallID]*exchange // calls without an outcome
 }
 
 // wire is a connection with what was read ahead of it.
 type wire struct {
 	conn  net.Conn
+	to    string            // the address it was opened to
 	quota *io.LimitedReader // of what in may read
 	in    *bufio.Reader
 	since time.Time // idle since
@@ -127,7 +129,7 @@
 		if !m.x.probe {
 			delete(e.calls, m.x.call.ID)
 		}
-		if m.reuse && m.x.wire.in.Buffered() == 0 {
+		if m.reuse && m.x.wire.in.Buffered() == 0 && m.x.wire.to == e.dest.Address {
 			e.free(m.x.wire)
 		} else {
 			e.close(m.x.wire)
@@ -155,6 +157,7 @@
 		return
 	}
 	e.waiting = append(e.waiting, x)
+	e.dialing++
 	address, until := e.dest.Address, time.Now().Add(e.fleet.params.Limits.ConnectTimeout.Span())
 	if x.deadline.Before(until) {
 		until = x.deadline
@@ -167,27 +170,41 @@
 			return
 		}
 		quota := &io.LimitedReader{R: conn}
-		e.box.Post(dialed{owner: x, wire: &wire{conn: conn, quota: quota, in: bufio.NewReader(quota)}})
+		e.box.Post(dialed{owner: x, wire: &wire{conn: conn, to: address, quota: quota, in: bufio.NewReader(quota)}})
 	}()
 }
 
 // dialed gives a new connection to whoever has waited longest; the call that it was opened for may have
 // found another one.
 func (e *endpoint) dialed(m dialed) {
-	if m.err == nil {
+	e.dialing--
+	if m.err == nil && m.wire.to == e.dest.Address {
 		e.free(m.wire)
 		return
 	}
+	// Whoever is left without a connection to come: the owner, or, where another took the owner's place on
+	// the connection of a third, the one that has waited longest. It would wait for ever.
 	i := slices.Index(e.waiting, m.owner)
+	if i < 0 && len(e.waiting) > e.dialing {
+		i = 0
+	}
+	if m.err == nil { // the endpoint has moved meanwhile
+		e.close(m.wire)
+	}
 	if i < 0 {
 		return
 	}
+	x := e.waiting[i]
 	e.waiting = slices.Delete(e.waiting, i, i+1)
+	if m.err == nil {
+		e.start(x)
+		return
+	}
 	out := brain.NoConnect
 	if errors.Is(m.err, syscall.EMFILE) || errors.Is(m.err, syscall.ENFILE) || errors.Is(m.err, syscall.EADDRNOTAVAIL) {
 		out = brain.NeverSent // this process's fault, not the endpoint's
 	}
-	e.end(m.owner, routing.End{Outcome: out})
+	e.end(x, routing.End{Outcome: out})
 }
 
 // free takes a connection that carries nothing: it serves whoever waits, or stands idle.
--- a/internal/transport/endpoint_test.go
+++ b/internal/transport/endpoint_test.go
@@ -22,6 +22,41 @@
 func (s sink) Finished(_ routing.CallID, e routing.End)                  { s <- e.Outcome }
 func (s sink) Probed(_ brain.WorkerID, o brain.Outcome, _ *brain.Report) { s <- o }
 
+// newIdle makes an endpoint's actor that does not run, and a wire for it with its far end.
+func newIdle(t *testing.T, told time.Time) (*endpoint, sink, *wire, net.Conn) {
+	p := &protocol.Params{}
+	p.Rules.DrainGrace = 500000
+	ends := make(sink, 4)
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	e := newEndpoint(NewFleet(context.Background(), p, ends, 8, log), routing.Destination{Told: told})
+	here, there := net.Pipe()
+	t.Cleanup(func() { here.Close(); there.Close() })
+	quota := &io.LimitedReader{R: here}
+	return e, ends, &wire{conn: here, quota: quota, in: bufio.NewReader(quota)}, there
+}
+
+func newExchange(deadline time.Time) *exchange {
+	return &exchange{call: routing.Call{Job: &protocol.Job{ID: "1", Method: "POST", Target: "/", Deadline: deadline}}, deadline: deadline}
+}
+
+// Two calls wait; the connection of the second comes first and carries the first call, then the first's
+// own fails. The second call has none to come: it once waited for ever, and was never ended.
+func TestFailedConnectionOfAnother(t *testing.T) {
+	e, ends, w, there := newIdle(t, time.Time{})
+	first, second := newExchange(time.Now().Add(time.Hour)), newExchange(time.Now().Add(time.Hour))
+	e.waiting, e.dialing = []*exchange{first, second}, 2
+	e.take(dialed{owner: second, wire: w})
+	if first.wire != w {
+		t.Fatal("the call that waited longest is not on the connection")
+	}
+	e.take(dialed{owner: first, err: io.EOF})
+	if o := <-ends; o != brain.NoConnect || len(e.waiting) != 0 {
+		t.Errorf("ended as %v, %d wait", o, len(e.waiting))
+	}
+	there.Close()
+	<-ends // the first call's, on a connection that broke
+}
+
 // A call that waited for its connection is looked at again before its first byte: what was called off,
 // overdue or drained meanwhile does not go out, and nothing of it is written.
 func TestLookBeforeFirstByte(t *testing.T) {
@@ -36,16 +71,11 @@
 		"overdue":         {deadline: now},
 		"called off":      {deadline: now.Add(time.Hour), cut: true},
 	} {
-		p := &protocol.Params{}
-		p.Rules.DrainGrace = 500000
-		ends := make(sink, 4)
-		e := newEndpoint(NewFleet(context.Background(), p, ends, 8, slog.New(slog.NewTextHandler(io.Discard, nil))), routing.Destination{Told: c.told})
-		here, there := net.Pipe()
-		quota := &io.LimitedReader{R: here}
-		x := &exchange{call: routing.Call{Job: &protocol.Job{ID: "1", Method: "POST", Target: "/", Deadline: c.deadline}}, deadline: c.deadline}
+		e, ends, w, there := newIdle(t, c.told)
+		x := newExchange(c.deadline)
 		x.cut.Store(c.cut)
 		e.waiting = append(e.waiting, x)
-		e.free(&wire{conn: here, quota: quota, in: bufio.NewReader(quota)})
+		e.free(w)
 		if c.sent {
 			if _, err := bufio.NewReader(there).ReadByte(); err != nil {
 				t.Errorf("%s: nothing written: %v", name, err)
@@ -57,7 +87,5 @@
 		} else if o := <-ends; o != brain.NeverSent || len(e.idle) != 1 || x.wire != nil {
 			t.Errorf("%s: ended as %v, %d idle connections", name, o, len(e.idle))
 		}
-		here.Close()
-		there.Close()
 	}
 }
