--- a/cmd/brassdale/inbound_test.go
+++ b/cmd/brassdale/inbound_test.go
@@ -104,6 +104,17 @@
 	}
 }
 
+// What reached no endpoint never ran: it is refused, and its client told when to come back.
+func TestNobodyListens(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, "a", works)
+	b.ln.Close()
+	n := start(t, "", b)
+	if status, _, after := n.do(request(n.url, "k")); status != 503 || after != "2" {
+		t.Errorf("answered %d, Retry-After %q", status, after)
+	}
+}
+
 // An endpoint that takes a job and says nothing: the answer still comes inside deadline and slack.
 func TestSilentEndpoint(t *testing.T) {
 	t.Parallel()
