Begin the grace of a drain once, also when the endpoint is then gone

Seen in a read of routing/destinations.go, apply: the time of being told was set in two places, and only the one for listed lines kept the first. An endpoint that drained and was then missing from a whole list got 500 ms anew, in which a call that waited for a connection could have gone out too late. Both go through update now. The test, on the old code, fails.

--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -89,6 +89,32 @@
 	<-f.answers
 }
 
+// updates records what endpoints are told of the destination set.
+type updates struct {
+	*fake
+	got []Destination
+}
+
+func (u *updates) Update(d Destination) { u.got = append(u.got, d) }
+
+// An endpoint that drains and then is missing from a whole list was told once: the grace for its drain once
+// began anew when it went.
+func TestGraceBeginsOnce(t *testing.T) {
+	c, f := startCore(t)
+	u := &updates{fake: f}
+	line := func(s brain.WorkerState) []Destination {
+		return []Destination{{WorkerInfo: brain.WorkerInfo{ID: "a", State: s}, Address: "h:1"}}
+	}
+	s := NewDestinations(c, u, nil, Update{Destinations: line(brain.Ready)}, c.log)
+	s.apply(Update{Destinations: line(brain.Draining)}, brain.ListChange)
+	s.apply(Update{Destinations: line(brain.Draining)}, brain.ListChange)
+	s.apply(Update{Complete: true}, brain.ListFull)
+	if len(u.got) != 4 || !u.got[0].Told.IsZero() || u.got[1].Told.IsZero() || u.got[3].State != brain.Gone ||
+		u.got[2].Told != u.got[1].Told || u.got[3].Told != u.got[1].Told || u.got[3].Address != "h:1" {
+		t.Errorf("told %+v", u.got)
+	}
+}
+
 // A client that has left is owed nothing and its call is called off.
 func TestLeft(t *testing.T) {
 	c, f := startCore(t)
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -120,23 +120,14 @@
 	present := map[brain.WorkerID]bool{}
 	for _, d := range u.Destinations {
 		present[d.ID] = true
-		old := s.known[d.ID]
-		if d.State != brain.Ready { // told once: a repeat of the news does not start the grace anew
-			if d.Told = old.Told; d.Told.IsZero() {
-				d.Told = now
-			}
-		}
-		if d.Address == "" {
-			d.Address = old.Address
-		}
-		s.update(d)
+		s.update(d, now)
 		listed.Workers = append(listed.Workers, d.WorkerInfo)
 	}
 	if u.Complete || kind == brain.ListSaved {
 		for id, d := range s.known {
 			if !present[id] {
-				d.State, d.Told = brain.Gone, now
-				s.update(d)
+				d.State = brain.Gone
+				s.update(d, now)
 			}
 		}
 	}
@@ -146,7 +137,16 @@
 	}
 }
 
-func (s *Destinations) update(d Destination) {
+func (s *Destinations) update(d Destination, now time.Time) {
+	old := s.known[d.ID]
+	if d.State != brain.Ready { // told once: neither a repeat nor its end starts the grace of a drain anew
+		if d.Told = old.Told; d.Told.IsZero() {
+			d.Told = now
+		}
+	}
+	if d.Address == "" {
+		d.Address = old.Address
+	}
 	if d.State == brain.Gone {
 		delete(s.known, d.ID)
 	} else {
