Say once how an exchange ended, how a load is read and how a bad field is worded

No change of behaviour. endpoint.go told an outcome to the core in end and again in a closure of exchange: both call tell now. worker.go gathered a report's fields in parseLoad and again in loadOf, and Answer kept settings that it never read. config.go and operator.go had the same closure for a bad field; the seed and the cookie's user were hashed by the same three lines. Left as they are: the loops of the two actors, alike in shape only.

--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -53,7 +53,7 @@
 }
 
 func (c *Config) check(path string) error {
-	bad := func(field, why string) error { return fmt.Errorf("%s: %s: %s", path, field, why) }
+	bad := badField(path)
 	for _, a := range []struct{ field, addr string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
 		if err := CheckAddr(a.addr); err != nil {
 			return bad(a.field, err.Error())
@@ -86,6 +86,11 @@
 	return nil
 }
 
+// badField words what is wrong with a field of a file.
+func badField(path string) func(field, why string) error {
+	return func(field, why string) error { return fmt.Errorf("%s: %s: %s", path, field, why) }
+}
+
 // wireName turns a path of Go's field names into the file's own.
 func wireName(path string) string {
 	parts := strings.Split(path, ".")
@@ -112,8 +117,13 @@
 	if n, err := strconv.ParseUint(c.Seed, 16, 64); err == nil {
 		return n
 	}
+	return hash(c.Seed)
+}
+
+// hash makes a number of a text that has none of its own.
+func hash(text string) uint64 {
 	h := fnv.New64a()
-	h.Write([]byte(c.Seed))
+	h.Write([]byte(text))
 	return h.Sum64()
 }
 
--- a/internal/protocol/inbound.go
+++ b/internal/protocol/inbound.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"math"
 	"net/http"
@@ -86,9 +85,7 @@
 		return nil, err
 	}
 	if user, err := r.Cookie("user"); err == nil && user.Value != "" {
-		h := fnv.New64a()
-		h.Write([]byte(user.Value))
-		j.Subject = h.Sum64()
+		j.Subject = hash(user.Value)
 	}
 	for _, h := range passed {
 		if v := r.Header.Values(h); len(v) > 0 {
--- a/internal/protocol/operator.go
+++ b/internal/protocol/operator.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
-	bad := func(field, why string) error { return fmt.Errorf("%s: %s: %s", path, field, why) }
+	bad := badField(path)
 	if extra := meta.Undecoded(); len(extra) > 0 {
 		return nil, bad(extra[0].String(), "no such field")
 	}
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -41,15 +41,14 @@
 
 // Answer reads an endpoint's answer to a job.
 type Answer struct {
-	id     string
-	next   func() (text []byte, state string, err error)
-	early  *News // an answer that ends the call by its status
-	params *Params
+	id    string
+	next  func() (text []byte, state string, err error)
+	early *News // an answer that ends the call by its status
 }
 
 // NewAnswer reads an answer's head. Chunks of JSON lines and server-sent events bring the same news.
-func NewAnswer(id string, resp *http.Response, p *Params) *Answer {
-	a := &Answer{id: id, params: p}
+func NewAnswer(id string, resp *http.Response) *Answer {
+	a := &Answer{id: id}
 	if resp.StatusCode != http.StatusOK {
 		end := routing.End{Outcome: brain.Errored, Report: parseLoad(resp.Header.Get("Srv-Load"))}
 		declined := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
@@ -179,16 +178,12 @@
 
 // parseLoad reads name=value,name=value; what is no such pair is skipped.
 func parseLoad(text string) *brain.Report {
-	r, found := noReport(), false
+	fields := map[string]any{}
 	for _, part := range strings.FieldsFunc(text, func(c rune) bool { return c == ',' || c == '\n' || c == ' ' }) {
 		name, value, _ := strings.Cut(part, "=")
 		if x, err := strconv.ParseFloat(value, 64); err == nil && !math.IsNaN(x) && !math.IsInf(x, 0) {
-			setColumn(r, name, x)
-			found = true
+			fields[name] = x
 		}
 	}
-	if !found {
-		return nil
-	}
-	return r
+	return loadOf(fields)
 }
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -253,14 +253,21 @@
 	}
 }
 
-// end gives an exchange's outcome, where no exchange goroutine does.
+// end ends an exchange that no connection carries.
 func (e *endpoint) end(x *exchange, end routing.End) {
+	if !x.probe {
+		delete(e.calls, x.call.ID)
+	}
+	e.tell(x, end)
+}
+
+// tell gives an exchange's outcome, once for each. It touches nothing that the actor owns.
+func (e *endpoint) tell(x *exchange, end routing.End) {
 	if x.probe {
 		e.fleet.sink.Probed(e.id, end.Outcome, end.Report)
-		return
+	} else {
+		e.fleet.sink.Finished(x.call.ID, end)
 	}
-	delete(e.calls, x.call.ID)
-	e.fleet.sink.Finished(x.call.ID, end)
 }
 
 // closeIdle closes the idle connections whose time had come by then, or all for the zero time.
@@ -310,33 +317,25 @@
 	} else {
 		text = job.Encode(host, time.Now())
 	}
-	finish := func(o brain.Outcome, end routing.End) {
-		end.Outcome = o
-		if x.probe {
-			e.fleet.sink.Probed(e.id, o, end.Report)
-		} else {
-			e.fleet.sink.Finished(x.call.ID, end)
-		}
-	}
 	_ = conn.SetDeadline(x.deadline) // fails only on a closed connection, as does what follows
 	if n, err := conn.Write(text); err != nil && n < len(text) {
 		// The endpoint has not begun what it has not got to the last byte.
+		out := brain.NoConnect
 		if x.cut.Load() {
-			finish(brain.NeverSent, routing.End{})
-		} else {
-			finish(brain.NoConnect, routing.End{})
+			out = brain.NeverSent
 		}
+		e.tell(x, routing.End{Outcome: out})
 		return
 	}
 	fail := func(err error) {
+		out := brain.Reset
 		switch {
 		case x.cut.Load():
-			finish(brain.Cancelled, routing.End{})
+			out = brain.Cancelled
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			finish(brain.TimedOut, routing.End{})
-		default:
-			finish(brain.Reset, routing.End{})
+			out = brain.TimedOut
 		}
+		e.tell(x, routing.End{Outcome: out})
 	}
 	resp, err := http.ReadResponse(x.wire.in, nil)
 	for err == nil && resp.StatusCode < 200 { // an interim answer ends nothing
@@ -353,8 +352,8 @@
 			return
 		}
 		o, report := protocol.ParseProbe(resp, body)
-		finish(o, routing.End{Report: report})
-	} else if err := e.follow(x, protocol.NewAnswer(job.ID, resp, e.fleet.params), finish); err != nil {
+		e.tell(x, routing.End{Outcome: o, Report: report})
+	} else if err := e.follow(x, protocol.NewAnswer(job.ID, resp)); err != nil {
 		fail(err)
 		return
 	}
@@ -366,7 +365,7 @@
 }
 
 // follow passes a job's news on until its last message.
-func (e *endpoint) follow(x *exchange, a *protocol.Answer, finish func(brain.Outcome, routing.End)) error {
+func (e *endpoint) follow(x *exchange, a *protocol.Answer) error {
 	for {
 		news, err := a.Next()
 		if err != nil {
@@ -378,7 +377,7 @@
 		case protocol.Running:
 			e.fleet.sink.Progressed(x.call.ID, news.Share)
 		case protocol.Ended:
-			finish(news.End.Outcome, news.End)
+			e.tell(x, news.End)
 			return nil
 		}
 	}
