Reload the platform's file on SIGHUP instead of dying; discovery moves at once

Checked: the file is read and checked whole before anything is swapped; a discovery address with a space passed CheckAddr (found by the test), so a bad file would have been taken: mended. Discovery's actor leaves the old call at once and asks the new address for its whole list; the list as known holds meanwhile, also when the first call fails.

--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -196,6 +196,7 @@
 	t             *testing.T
 	cmd           *exec.Cmd
 	registry      *registry
+	path, config  string // the platform's file, and its text at the start
 	url, progress string // of both fronts
 	mu            sync.Mutex
 	text          strings.Builder
@@ -220,15 +221,15 @@
 
 func (n *node) launch(config, operator string) {
 	dir := n.t.TempDir()
-	path := filepath.Join(dir, "config.json")
+	n.path, n.config = filepath.Join(dir, "config.json"), config
 	n.cmd = exec.Command(os.Args[0])
 	if operator != "" {
 		file := filepath.Join(dir, "progress.toml")
 		n.write(file, operator)
 		n.cmd.Args = append(n.cmd.Args, "-operator", file)
 	}
-	n.write(path, config)
-	n.cmd.Env = append(os.Environ(), "BRASSDALE_CHILD=1", "GW_CONFIG="+path)
+	n.write(n.path, config)
+	n.cmd.Env = append(os.Environ(), "BRASSDALE_CHILD=1", "GW_CONFIG="+n.path)
 	n.cmd.Stderr = n
 	if err := n.cmd.Start(); err != nil {
 		n.t.Fatal(err)
@@ -279,6 +280,12 @@
 	}
 }
 
+// reload replaces the platform's file and tells the program.
+func (n *node) reload(config string) {
+	n.write(n.path, config)
+	n.cmd.Process.Signal(syscall.SIGHUP)
+}
+
 func (n *node) stop() { n.cmd.Process.Signal(syscall.SIGTERM) }
 
 // request makes a job; headers are name, value, name, value and replace the usual ones.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -30,8 +30,8 @@
 )
 
 // Run serves until a signal comes and all is answered. Logs go to out. An operator's file, if one is
-// named, switches the front for progress on.
-func Run(env func(string) string, operator string, out io.Writer, signals <-chan os.Signal) error {
+// named, switches the front for progress on. Each of reloads has the platform's file read again.
+func Run(env func(string) string, operator string, out io.Writer, signals, reloads <-chan os.Signal) error {
 	level := slog.LevelInfo
 	if env("BRASSDALE_DEBUG") != "" {
 		level = slog.LevelDebug
@@ -63,7 +63,8 @@
 	if cfg.Known != nil {
 		saved = transport.Update(cfg.Known, p)
 	}
-	set := routing.NewDestinations(core, fleet, transport.NewDiscovery(cfg.Discovery, p), saved, log)
+	discovery := transport.NewDiscovery(cfg.Discovery, p)
+	set := routing.NewDestinations(core, fleet, discovery, saved, log)
 	core.Attach(fleet, set.Subscribe)
 
 	most := (sockets - ownSockets) * 55 / 100
@@ -88,6 +89,8 @@
 	go core.Run(ctx)
 	go set.Run(ctx)
 	log.Info("ready", "name", cfg.Name, "endpoints", len(saved.Destinations))
+	// To the very end, also while leaving: open requests still need to know who drains.
+	go (&reloader{env: env, set: set, discovery: discovery, cfg: cfg, log: log}).run(ctx, reloads)
 
 	select {
 	case err := <-failed:
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"hash/fnv"
 	"net"
+	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -106,7 +107,11 @@
 	if err != nil {
 		return fmt.Errorf("%q is not host:port", addr)
 	}
-	if n, err := strconv.ParseUint(port, 10, 16); err != nil || host == "" && n == 0 {
+	n, err := strconv.ParseUint(port, 10, 16)
+	if err != nil || host == "" && n == 0 {
+		return fmt.Errorf("%q is not host:port", addr)
+	}
+	if _, err := url.Parse("http://" + addr); err != nil { // such as a space: nothing could ever be asked there
 		return fmt.Errorf("%q is not host:port", addr)
 	}
 	return nil
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -16,11 +16,15 @@
 }
 
 // Discovery is whoever knows the destination set. Watch waits until there is something newer than the
-// revision, or for a while, and returns by the deadline that it keeps itself, whatever discovery does.
+// revision, or for a while, and returns by the deadline that it keeps itself, whatever discovery does. For
+// Whole it gives the whole set without a wait.
 type Discovery interface {
 	Watch(ctx context.Context, revision int64) (Update, error)
 }
 
+// Whole is no revision: who asks after it wants the whole set now.
+const Whole = -1
+
 // Destinations is the destination set's actor. While subscribed it watches without a gap; each answer
 // goes to the endpoints first and then to the module, so the module never sends to one unknown here.
 type Destinations struct {
@@ -31,14 +35,19 @@
 	box       *Mailbox[any]
 
 	// Owned by Run.
-	revision int64
-	known    map[brain.WorkerID]Destination
-	watching bool
+	revision   int64
+	known      map[brain.WorkerID]Destination
+	subscribed bool // the module has asked once: it wants to know
+	watching   bool
+	call       int                // number of the latest call; what an older one brings is void
+	stop       context.CancelFunc // ends that call
 }
 
 type (
 	subscribe struct{}
+	move      struct{ to Discovery }
 	watched   struct {
+		call   int
 		update Update
 		err    error
 	}
@@ -55,6 +64,9 @@
 // Subscribe asks for all changes from now on. It does not block.
 func (s *Destinations) Subscribe() { s.box.Post(subscribe{}) }
 
+// Move goes on with another discovery. It does not block.
+func (s *Destinations) Move(to Discovery) { s.box.Post(move{to}) }
+
 // watchPause keeps a discovery that answers at once with nothing new from being asked in a tight loop; it
 // is well inside the 200 ms after which a watch would have a gap.
 const watchPause = 20 * time.Millisecond
@@ -70,24 +82,40 @@
 		for _, m := range s.box.Take() {
 			switch m := m.(type) {
 			case subscribe:
+				s.subscribed = true
 				if !s.watching {
-					s.watching = true
+					s.watch(ctx, time.Now())
+				}
+			case move:
+				// The call to the old one is left at once, whatever it may still bring, and the new one is asked
+				// for its whole set: nobody says that both count revisions alike, and a change that the old one
+				// had under way must not be lost. Until the answer the list as known holds.
+				s.discovery, s.revision = m.to, Whole
+				if s.subscribed {
 					s.watch(ctx, time.Now())
 				}
 			case watched:
-				s.take(ctx, m)
+				if m.call == s.call {
+					s.take(ctx, m)
+				}
 			}
 		}
 	}
 }
 
-// watch calls discovery beside the actor, whose mailbox gets the answer.
+// watch calls discovery beside the actor, whose mailbox gets the answer. It ends the call before.
 func (s *Destinations) watch(ctx context.Context, from time.Time) {
-	revision := s.revision
+	if s.stop != nil {
+		s.stop()
+	}
+	s.watching = true
+	s.call++
+	call, revision, discovery := s.call, s.revision, s.discovery
+	ctx, s.stop = context.WithCancel(ctx)
 	go func() {
 		time.Sleep(time.Until(from))
-		u, err := s.discovery.Watch(ctx, revision)
-		s.box.Post(watched{u, err})
+		u, err := discovery.Watch(ctx, revision)
+		s.box.Post(watched{call, u, err})
 	}()
 }
 
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -26,6 +26,9 @@
 	client  http.Client
 }
 
+// Close gives up the connection of a discovery that is asked no more.
+func (d *Discovery) Close() { d.client.CloseIdleConnections() }
+
 // NewDiscovery makes a client of its own: no proxy of the environment may come between.
 func NewDiscovery(address string, p *protocol.Params) *Discovery {
 	// A discovery that is cut off takes no connection: that shows long before a watch's end.
@@ -37,9 +40,13 @@
 // Watch is one call. Its end is set beforehand: a discovery that was cut off keeps a connection open and
 // silent, and what it had to tell counts as told 2 s after the wait.
 func (d *Discovery) Watch(ctx context.Context, revision int64) (routing.Update, error) {
-	ctx, stop := context.WithDeadline(ctx, time.Now().Add(watchFor+watchWithin))
+	url, end := fmt.Sprintf("http://%s/registry/instances", d.Address), time.Now().Add(watchWithin)
+	if revision != routing.Whole {
+		url += fmt.Sprintf("?index=%d&wait=%d", revision, watchFor.Milliseconds())
+		end = end.Add(watchFor)
+	}
+	ctx, stop := context.WithDeadline(ctx, end)
 	defer stop()
-	url := fmt.Sprintf("http://%s/registry/instances?index=%d&wait=%d", d.Address, revision, watchFor.Milliseconds())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return routing.Update{}, err
@@ -60,6 +67,9 @@
 	if err != nil {
 		return routing.Update{}, err
 	}
+	if revision == routing.Whole && !l.Complete {
+		return routing.Update{}, fmt.Errorf("asked for the whole list, discovery gave changes")
+	}
 	return Update(l, d.Params), nil
 }
 
