Gate clients' connections and refuse requests with two lengths, seen byte by byte

Checked: net/http deletes Content-Length where Transfer-Encoding stands beside it (net/http, fixLength), so no handler can see it; the head time-out was 20 s, the body's 5 s (transport/inbound.go, Server and readJob); accepted connections were counted, not bounded (front.Watch), so silent ones made good clients 503 and ate all descriptors; a signed Req-Deadline-Ms passed ParseInt; a second request under an open Req-Id went on to endpoints. Now: gate.go (a table of connections, eviction by phase), framing.go, OpenIDs, 1.5 s + 1 s for head and body.

--- a/cmd/brassdale/inbound_test.go
+++ b/cmd/brassdale/inbound_test.go
@@ -46,6 +46,8 @@
 		"no key":          {request(n.url, "k", "Idempotency-Key", ""), 400},
 		"deadline":        {request(n.url, "k", "Req-Deadline-Ms", "soon"), 400},
 		"negative":        {request(n.url, "k", "Req-Deadline-Ms", "-1"), 400},
+		"signed":          {request(n.url, "k", "Req-Deadline-Ms", "+5"), 400},
+		"id not plain":    {request(n.url, "k", "Req-Id", "\u00e9"), 400},
 		"extra":           {request(n.url, "k", "Req-Extra", "slots=many"), 400},
 		"extra and noise": {request(n.url, "k4", "Req-Extra", "slots=2,new=1"), 200},
 	} {
--- /dev/null
+++ b/cmd/brassdale/rude_test.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+func (n *node) dial() net.Conn {
+	n.t.Helper()
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// asHead is a job's head with further lines.
+func asHead(id, lines string) string {
+	return "POST /price-part HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\nReq-Kind: price-part\r\nIdempotency-Key: " + id + "\r\n" + lines + "\r\n"
+}
+
+// What has both lengths is refused, however its bytes come, and what stands in its body never runs; what was
+// asked before on that connection is answered. net/http alone would go by one length and say nothing.
+func TestTwoLengths(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, "a", works)
+	n := start(t, "", b)
+	hidden := asHead("hidden", "Content-Length: 0\r\n")
+	good := asHead("ID", "Content-Length: 2\r\n") + "ok"
+	coded := asHead("ID", "Transfer-Encoding: chunked\r\n") + "2\r\nok\r\n0\r\n\r\n"
+	for i, c := range []struct{ text, want string }{
+		{asHead("ID", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n" + hidden, "400"},
+		{asHead("ID", "TRANSFER-encoding:chunked\r\ncontent-LENGTH:5\r\n") + "0\r\n\r\n" + hidden, "400"},
+		{strings.ReplaceAll(asHead("ID", "Transfer-Encoding: chunked\r\nX: y\r\nContent-Length: 5\r\n"), "\r\n", "\n") + "0\r\n\r\n" + hidden, "400"},
+		{strings.Replace(asHead("ID", "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n"), "1.1", "1.0", 1) + hidden, "400"},
+		{asHead("ID", "Content-Length:\r\n 5\r\n") + hidden, "400"},
+		{asHead("ID", "Content-Length: 5x\r\n") + hidden, "400"},
+		{asHead("ID", "Content-Length: 5\r\nContent-Length: 6\r\n") + "0\r\n\r\n" + hidden, "400"},
+		{good + asHead("ID-2", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n") + "0\r\n\r\n" + hidden, "200 400"},
+		{good + good, "200 200"},
+		{coded + hidden, "200"}, // nothing is read behind it, so nothing of it can be misread
+		{strings.Replace(good, "1.1\r\n", "1.0\r\nConnection: keep-alive\r\n", 1) + hidden, "200"},
+	} {
+		for _, split := range []bool{false, true} {
+			conn := n.dial().(*net.TCPConn)
+			text := strings.ReplaceAll(c.text, "ID", fmt.Sprintf("id-%d-%v", i, split))
+			for len(text) > 0 {
+				k := len(text)
+				if split {
+					k = 1
+				}
+				if _, err := io.WriteString(conn, text[:k]); err != nil {
+					break // it has answered and closed
+				}
+				text = text[k:]
+			}
+			var got []string
+			for in := bufio.NewReader(conn); len(got) < strings.Count(c.want, " ")+1; {
+				resp, err := http.ReadResponse(in, nil)
+				if err != nil {
+					t.Fatalf("%d split %v: %v after %v", i, split, err, got)
+				}
+				io.Copy(io.Discard, resp.Body)
+				got = append(got, fmt.Sprint(resp.StatusCode))
+			}
+			if strings.Join(got, " ") != c.want {
+				t.Errorf("%d split %v: answered %v, want %s", i, split, got, c.want)
+			}
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.runs["hidden"] != 0 {
+		t.Errorf("%d hidden requests ran", b.runs["hidden"])
+	}
+}
+
+// Clients that never finish a request, far more of them than there is room for: each gets an error or a close
+// inside 3 s, the descriptors hold out, and a client that means it is served on.
+func TestSilentClients(t *testing.T) {
+	t.Parallel()
+	n := start(t, "", newBox(t, "a", works))
+	var all sync.WaitGroup
+	for i := range 800 {
+		c := n.dial()
+		begin := time.Now()
+		switch i % 4 {
+		case 1:
+			io.WriteString(c, "POST /price-part HTTP/1.1\r\nReq-")
+		case 2:
+			io.WriteString(c, asHead(fmt.Sprint("half-", i), "Content-Length: 100\r\n")+"half")
+		case 3:
+			io.WriteString(c, "POST /price-part HTTP/1.1\r\nHost: h\r\nContent-Length: 60000000\r\n\r\n")
+		}
+		all.Go(func() {
+			c.SetReadDeadline(begin.Add(3 * time.Second))
+			_, err := io.Copy(io.Discard, c)
+			if wait, ok := err.(net.Error); ok && wait.Timeout() {
+				t.Errorf("connection %d got neither an error nor a close", i)
+			}
+		})
+		if i%40 == 0 {
+			if status, _, _ := n.do(request(n.url, fmt.Sprint(i))); status != 200 {
+				t.Errorf("among %d silent clients: %d", i, status)
+			}
+		}
+	}
+	all.Wait()
+	if !strings.Contains(n.log(), "closed for want of room") {
+		t.Error("there was room for all: the test is too small")
+	}
+}
+
+// An id is of one open request: a second one under it is turned away, and the first is served.
+func TestIDOfAnother(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	n := start(t, "", b)
+	answered := make(chan int)
+	go func() { status, _, _ := n.do(request(n.url, "k")); answered <- status }()
+	n.waitFor("the job at the endpoint", func() bool { _, jobs := b.count(); return jobs == 1 })
+	if status, _, _ := n.do(request(n.url, "other", "Req-Id", "id-k")); status != 409 {
+		t.Errorf("the id of an open request: %d", status)
+	}
+	close(release)
+	if status := <-answered; status != 200 {
+		t.Errorf("the request whose id it was: %d", status)
+	}
+	if status, _, _ := n.do(request(n.url, "later", "Req-Id", "id-k")); status != 200 {
+		t.Errorf("the id of a request that is over: %d", status)
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"math"
-	"net"
 	"net/http"
 	"os"
 	"runtime"
@@ -71,20 +70,25 @@
 	if op != nil {
 		most /= 2
 	}
-	inbound := transport.NewInbound(core, p, most, log)
-	fronts := []*front{{handler: inbound, server: transport.Server(inbound, inbound.Watch, log), listen: cfg.Listen, name: "inbound"}}
+	ids := &transport.OpenIDs{}
+	gate, err := transport.NewGate(cfg.Listen, most, log)
+	if err != nil {
+		return fmt.Errorf("inbound: listen: %w", err)
+	}
+	inbound := transport.NewInbound(core, p, gate, ids, log)
+	fronts := []*front{{handler: inbound, server: transport.Server(inbound, log), gate: gate, name: "inbound"}}
 	if op != nil {
-		progress := transport.NewProgress(core, p, op, most, log)
-		fronts = append(fronts, &front{handler: progress, server: transport.Server(progress, progress.Watch, log), listen: op.Listen, name: "progress"})
+		gate, err := transport.NewGate(op.Listen, most, log)
+		if err != nil {
+			return fmt.Errorf("progress: listen: %w", err)
+		}
+		progress := transport.NewProgress(core, p, op, gate, ids, log)
+		fronts = append(fronts, &front{handler: progress, server: transport.Server(progress, log), gate: gate, name: "progress"})
 	}
 	failed := make(chan error, len(fronts))
 	for _, f := range fronts {
-		listener, err := net.Listen("tcp", f.listen)
-		if err != nil {
-			return fmt.Errorf("%s: listen: %w", f.name, err)
-		}
-		go func() { failed <- f.server.Serve(listener) }()
-		log.Info("listening", "front", f.name, "address", listener.Addr().String())
+		go func() { failed <- f.server.Serve(f.gate) }()
+		log.Info("listening", "front", f.name, "address", f.gate.Addr().String())
 	}
 	go core.Run(ctx)
 	go set.Run(ctx)
@@ -120,9 +124,10 @@
 
 // front is a listener with its handler.
 type front struct {
-	name, listen string
-	handler      interface{ Leaving() }
-	server       *http.Server
+	name    string
+	handler interface{ Leaving() }
+	gate    *transport.Gate
+	server  *http.Server
 }
 
 // limit keeps the runtime inside what the platform gives: threads by cores, and a collector that works
--- a/internal/protocol/inbound.go
+++ b/internal/protocol/inbound.go
@@ -4,9 +4,9 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -67,16 +67,23 @@
 	if j.ID == "" {
 		return nil, reject(http.StatusBadRequest, "Req-Id is absent")
 	}
+	// What goes on must be of one meaning to whoever reads it next: an endpoint closes on what it cannot read,
+	// and that would look like the endpoint's fault.
+	for _, h := range [...]string{"Req-Id", "Idempotency-Key", "Req-Deadline-Ms", "Req-Kind", "Req-Owner", "Req-Extra"} {
+		if v := r.Header.Values(h); len(v) > 1 || len(v) == 1 && !plain(v[0]) {
+			return nil, reject(http.StatusBadRequest, "%s comes twice, is too long or not plain text", h)
+		}
+	}
 	if j.Key == "" && p.Classes[class].Effect == "keyed" {
 		return nil, reject(http.StatusBadRequest, "Idempotency-Key is absent")
 	}
 	wait := p.ClassDeadline(class)
 	if text := r.Header.Get("Req-Deadline-Ms"); text != "" {
-		ms, err := strconv.ParseInt(text, 10, 64)
-		if err != nil || ms < 0 {
+		ms, err := strconv.ParseUint(text, 10, 63) // no sign
+		if err != nil {
 			return nil, reject(http.StatusBadRequest, "Req-Deadline-Ms is not a number of milliseconds")
 		}
-		if ms < wait.Milliseconds() { // no class waits for longer than its own deadline
+		if ms < uint64(wait.Milliseconds()) { // no class waits for longer than its own deadline
 			wait = time.Duration(ms) * time.Millisecond
 		}
 	}
@@ -88,23 +95,30 @@
 		j.Subject = hash(user.Value)
 	}
 	for _, h := range passed {
-		if v := r.Header.Values(h); len(v) > 0 {
+		if v := r.Header.Values(h); len(v) > 0 && !slices.ContainsFunc(v, func(s string) bool { return !plain(s) }) {
 			j.Pass[h] = v
 		}
 	}
 	if r.ContentLength > MaxBody {
 		return nil, reject(http.StatusRequestEntityTooLarge, "the body is over %d bytes", MaxBody)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, MaxBody))
+	var whole bytes.Buffer
+	whole.Grow(int(max(r.ContentLength, 0)) + bytes.MinRead) // grown bit by bit, bodies cost thrice their memory
+	_, err := whole.ReadFrom(http.MaxBytesReader(nil, r.Body, MaxBody))
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 		return nil, reject(http.StatusRequestEntityTooLarge, "the body is over %d bytes", MaxBody)
 	} else if err != nil {
 		return nil, reject(http.StatusBadRequest, "the body cannot be read: %v", err)
 	}
-	j.Body = body
+	j.Body = whole.Bytes()
 	return j, nil
 }
 
+// plain tells whether a header's value is printable ASCII of a sane length.
+func plain(text string) bool {
+	return len(text) <= 1024 && strings.IndexFunc(text, func(c rune) bool { return c < ' ' || c > '~' }) < 0
+}
+
 // extras reads name=value,name=value. The module asks for the slots only.
 func (j *Job) extras(text string) error {
 	for part := range strings.SplitSeq(text, ",") {
--- /dev/null
+++ b/internal/transport/gate.go
@@ -0,0 +1,190 @@
+package transport
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// From the first byte of a request (of a connection, for its first one) so long until its head, and then
+	// until its body must be here whole: together inside the 3 s in which a client that never gets there is
+	// owed an error or a close.
+	headWithin = 1500 * time.Millisecond
+	bodyWithin = time.Second
+
+	// Younger connections than this are closed for want of room only when there is no older one: a client that
+	// means it sends with its connecting.
+	youngAge = 100 * time.Millisecond
+)
+
+// Gate is a front's listener and the table of its connections. It keeps them inside the front's part of the
+// descriptors whatever clients do: past it, a connection that has brought no request goes, the oldest first,
+// then one that has stood idle between requests the longest, and one that carries a job never. Where all
+// carry jobs, the newcomer is served a refusal, up to a small reserve.
+type Gate struct {
+	*net.TCPListener
+	most, reserve int
+	log           *slog.Logger
+
+	mu      sync.Mutex
+	conns   map[*inConn]struct{}
+	evicted int // since the last line of the log
+	said    time.Time
+}
+
+// phase is what a client's connection is at.
+type phase uint8
+
+const (
+	fresh   phase = iota // no request has come whole yet
+	idle                 // between requests
+	reading              // a head is here, its body is not
+	serving              // a job has been taken: its answer is owed
+)
+
+// inConn is a client's connection.
+type inConn struct {
+	*net.TCPConn
+	gate    *Gate
+	framing framing
+
+	// Guarded by gate.mu.
+	phase phase
+	since time.Time
+}
+
+// NewGate listens for a front that may hold so many connections, and a tenth more to refuse on.
+func NewGate(address string, most int, log *slog.Logger) (*Gate, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Gate{TCPListener: l.(*net.TCPListener), most: most, reserve: most / 10, log: log, conns: map[*inConn]struct{}{}}, nil
+}
+
+// Accept gives the next connection and makes room for it.
+func (g *Gate) Accept() (net.Conn, error) {
+	for {
+		conn, err := g.AcceptTCP()
+		if err != nil {
+			return nil, err
+		}
+		c := &inConn{TCPConn: conn, gate: g, since: time.Now()}
+		if g.admit(c) {
+			return c, nil
+		}
+		conn.Close()
+	}
+}
+
+// admit enters a connection and tells whether there was room even for a refusal.
+func (g *Gate) admit(c *inConn) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(g.conns) >= g.most {
+		if old := g.spare(c.since); old != nil {
+			// The reading side of net/http notices and ends it; the descriptor is free at once.
+			delete(g.conns, old)
+			old.TCPConn.Close()
+			g.evicted++
+			if c.since.Sub(g.said) > time.Second {
+				g.log.Warn("clients' connections closed for want of room", "closed", g.evicted, "most", g.most)
+				g.said, g.evicted = c.since, 0
+			}
+		} else if len(g.conns) >= g.most+g.reserve {
+			return false
+		}
+	}
+	g.conns[c] = struct{}{}
+	return true
+}
+
+// spare finds the connection that is missed least.
+func (g *Gate) spare(now time.Time) *inConn {
+	rank := func(c *inConn) int {
+		old := now.Sub(c.since) > youngAge
+		switch {
+		case c.phase == serving:
+			return 0
+		case c.phase != idle && old:
+			return 3
+		case c.phase == idle:
+			return 2
+		}
+		return 1
+	}
+	var worst *inConn
+	for c := range g.conns {
+		if r := rank(c); r > 0 && (worst == nil || r > rank(worst) || r == rank(worst) && c.since.Before(worst.since)) {
+			worst = c
+		}
+	}
+	return worst
+}
+
+// Close forgets the connection.
+func (c *inConn) Close() error {
+	c.gate.mu.Lock()
+	delete(c.gate.conns, c)
+	c.gate.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// Read hands net/http what came, less what may not reach it.
+func (c *inConn) Read(b []byte) (int, error) {
+	for {
+		if f := &c.framing; f.spoilt > 0 && len(b) > 0 {
+			b[0] = spoiler[len(spoiler)-f.spoilt]
+			f.spoilt--
+			return 1, nil
+		}
+		n, err := c.TCPConn.Read(b)
+		if n = c.framing.pass(b[:n]); n > 0 || err != nil || len(b) == 0 {
+			return n, err
+		}
+	}
+}
+
+// enter notes what the connection is at.
+func (c *inConn) enter(p phase) {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.phase, c.since = p, time.Now()
+}
+
+// Full tells whether jobs hold more than the front's part of the descriptors.
+func (g *Gate) Full() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns) > g.most
+}
+
+type connKey struct{}
+
+// note is an http.Server's ConnContext: handlers find their connection by it.
+func note(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// enter notes what a request's connection is at.
+func enter(r *http.Request, p phase) {
+	if c, ok := r.Context().Value(connKey{}).(*inConn); ok {
+		c.enter(p)
+	}
+}
+
+// watch is an http.Server's ConnState.
+func watch(conn net.Conn, s http.ConnState) {
+	if c, ok := conn.(*inConn); ok {
+		switch s {
+		case http.StateActive:
+			c.enter(reading)
+		case http.StateIdle:
+			c.enter(idle)
+		}
+	}
+}
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -4,9 +4,9 @@
 	"errors"
 	"log/slog"
 	"math"
-	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,28 +28,48 @@
 type front struct {
 	core    Core
 	params  *protocol.Params
-	most    int64 // connections that it holds; on one more a request is refused
-	open    atomic.Int64
+	gate    *Gate
+	ids     *OpenIDs
 	leaving atomic.Bool
 	log     *slog.Logger
 }
 
-// Leaving turns the ready page to 503.
-func (f *front) Leaving() { f.leaving.Store(true) }
+// OpenIDs holds the Req-Id of each job that is open, at whichever front. A second job under the id of an open
+// one is not let in: endpoints would take it for a copy of the first, whose client has done no wrong.
+type OpenIDs struct {
+	mu   sync.Mutex
+	open map[string]bool
+}
 
-// Watch counts connections, as an http.Server's ConnState.
-func (f *front) Watch(_ net.Conn, s http.ConnState) {
-	switch s {
-	case http.StateNew:
-		f.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		f.open.Add(-1)
+func (o *OpenIDs) take(id string) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.open[id] {
+		return false
+	}
+	if o.open == nil {
+		o.open = map[string]bool{}
 	}
+	o.open[id] = true
+	return true
 }
 
+func (o *OpenIDs) free(id string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	delete(o.open, id)
+}
+
+// Leaving turns the ready page to 503.
+func (f *front) Leaving() { f.leaving.Store(true) }
+
 // admit reads a request. It gives nil where it has answered itself: to what is no job, and to one more
 // than there are descriptors for, past which this process would die with all that it holds.
 func (f *front) admit(w http.ResponseWriter, r *http.Request) *protocol.Job {
+	if !r.ProtoAtLeast(1, 1) || len(r.TransferEncoding) > 0 {
+		// Where the next request would begin is for net/http alone to say: the framing was not followed.
+		w.Header().Set("Connection", "close")
+	}
 	// A client that never reads its answer must not keep its connection and goroutine for ever.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.params.LongestDeadline() + readerWithin))
 	if r.URL.Path == "/health/ready" || r.URL.Path == "/health/live" {
@@ -61,16 +81,17 @@
 		rejectJob(w, err, f.log)
 		return nil
 	}
-	if f.open.Load() > f.most {
+	if f.gate.Full() {
 		f.refuse(w, "out of connections")
 		return nil
 	}
+	enter(r, serving)
 	return job
 }
 
 // refuse is a fail-fast of the front itself, before the module has seen the request.
 func (f *front) refuse(w http.ResponseWriter, why string) {
-	f.log.Warn("fail-fast", "why", why, "open", f.open.Load())
+	f.log.Warn("fail-fast", "why", why)
 	w.Header().Set("Connection", "close")
 	writeAnswer(w, routing.Answer{Verdict: routing.Refused, RetryAfter: f.params.Limits.MaxRetryAfter.Span()})
 }
@@ -79,15 +100,15 @@
 type Inbound struct{ front }
 
 // NewInbound makes the front.
-func NewInbound(c Core, p *protocol.Params, most int, log *slog.Logger) *Inbound {
-	return &Inbound{front{core: c, params: p, most: int64(most), log: log}}
+func NewInbound(c Core, p *protocol.Params, g *Gate, ids *OpenIDs, log *slog.Logger) *Inbound {
+	return &Inbound{front{core: c, params: p, gate: g, ids: ids, log: log}}
 }
 
-// Server makes the server for a front's handler. A connection that brings no whole header for long is
-// closed; bodies are bounded in readJob.
-func Server(h http.Handler, state func(net.Conn, http.ConnState), log *slog.Logger) *http.Server {
-	return &http.Server{Handler: h, ConnState: state, MaxHeaderBytes: 32 << 10, ReadHeaderTimeout: 20 * time.Second,
-		IdleTimeout: 2 * time.Minute, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+// Server makes the server for a front's handler. A connection that brings no whole head in time is closed, and
+// one that brings too much of it; bodies are bounded in readJob.
+func Server(h http.Handler, log *slog.Logger) *http.Server {
+	return &http.Server{Handler: h, ConnState: watch, ConnContext: note, MaxHeaderBytes: 8 << 10, ReadHeaderTimeout: headWithin,
+		IdleTimeout: 2 * time.Minute, DisableGeneralOptionsHandler: true, ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
 }
 
 func (f *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -95,6 +116,11 @@
 	if job == nil {
 		return
 	}
+	if !f.ids.take(job.ID) {
+		rejectJob(w, errIDInUse, f.log)
+		return
+	}
+	defer f.ids.free(job.ID)
 	client := make(single, 1)
 	id := f.core.Submit(inboundOf(job, client))
 	select {
@@ -123,12 +149,14 @@
 	}
 }
 
-// readJob reads and decodes a request. A body that does not come whole until the class's deadline ends
-// the connection; after that the server must be free to notice that the client leaves.
+var errIDInUse = &protocol.Reject{Status: http.StatusConflict, Why: "Req-Id is of a request that is open"}
+
+// readJob reads and decodes a request. A body that does not come whole in time ends in an error; after that
+// the server must be free to notice that the client leaves.
 func readJob(w http.ResponseWriter, r *http.Request, p *protocol.Params) (*protocol.Job, error) {
 	now := time.Now()
 	c := http.NewResponseController(w)
-	_ = c.SetReadDeadline(now.Add(p.LongestDeadline()))
+	_ = c.SetReadDeadline(now.Add(bodyWithin))
 	job, err := protocol.DecodeInbound(r, p, now)
 	if err == nil {
 		_ = c.SetReadDeadline(time.Time{})
@@ -138,15 +166,13 @@
 
 func rejectJob(w http.ResponseWriter, err error, log *slog.Logger) {
 	status := http.StatusBadRequest
-	if r := (*protocol.Reject)(nil); errors.As(err, &r) {
-		status = r.Status
+	if why := (*protocol.Reject)(nil); errors.As(err, &why) {
+		status = why.Status
 	}
 	if status == http.StatusMethodNotAllowed {
 		w.Header().Set("Allow", http.MethodPost)
 	}
-	if status == http.StatusRequestEntityTooLarge {
-		w.Header().Set("Connection", "close") // the rest of the body is not worth reading
-	}
+	w.Header().Set("Connection", "close") // the rest of its body is not worth reading, nor is what may follow
 	log.Debug("inbound rejected", "status", status, "err", err)
 	http.Error(w, err.Error(), status)
 }
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"net/http"
 	"strconv"
@@ -44,6 +45,8 @@
 	digest [sha256.Size]byte
 	window time.Duration
 
+	release func() // frees the id, once
+
 	mu      sync.Mutex
 	events  []protocol.Event
 	started bool
@@ -53,8 +56,8 @@
 }
 
 // NewProgress makes the front.
-func NewProgress(c Core, p *protocol.Params, o *protocol.Operator, most int, log *slog.Logger) *Progress {
-	return &Progress{front: front{core: c, params: p, most: int64(most), log: log}, set: o, jobs: map[string]*watched{}}
+func NewProgress(c Core, p *protocol.Params, o *protocol.Operator, g *Gate, ids *OpenIDs, log *slog.Logger) *Progress {
+	return &Progress{front: front{core: c, params: p, gate: g, ids: ids, log: log}, set: o, jobs: map[string]*watched{}}
 }
 
 func (f *Progress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -75,15 +78,13 @@
 	job.Deadline = job.Deadline.Add(-min(answerMargin, wait/20))
 	digest := sha256.Sum256([]byte(job.Target + "\n" + r.Header.Get("Req-Owner") + "\n" + string(job.Body)))
 
-	j, fresh, full := f.find(job, digest, again != "")
+	j, fresh, err := f.find(job, digest, again != "")
 	switch {
-	case full:
+	case err == errFull:
 		f.refuse(w, "out of remembered jobs")
 		return
-	case j == nil:
-		// Known to another dispatcher, or to this one before a restart: its job may run or have run
-		// elsewhere, so a run from here could be one too many.
-		http.Error(w, "the job of this Idempotency-Key is not known here; nothing was started", http.StatusBadGateway)
+	case err != nil:
+		rejectJob(w, err, f.log)
 		return
 	case j.digest != digest:
 		http.Error(w, "Idempotency-Key was used for another job", http.StatusUnprocessableEntity)
@@ -96,32 +97,43 @@
 			leave = func() {
 				f.core.Leave(id)
 				f.forget(j)
+				j.release()
 			}
 		}
 	}
 	f.stream(w, r, j, seen, leave)
 }
 
+var (
+	errFull = errors.New("no room for a further job")
+
+	// Known to another dispatcher, or to this one before a restart: its job may run or have run elsewhere, so
+	// a run from here could be one too many.
+	errUnknown = &protocol.Reject{Status: http.StatusBadGateway, Why: "the job of this Idempotency-Key is not known here; nothing was started"}
+)
+
 // find gives the job of a key: the one that is known, or a fresh one. A reconnect gets none that is not
 // known. A job that was refused never counts as run, so a new try of its key starts anew.
-func (f *Progress) find(job *protocol.Job, digest [sha256.Size]byte, reconnect bool) (j *watched, fresh, full bool) {
+func (f *Progress) find(job *protocol.Job, digest [sha256.Size]byte, reconnect bool) (j *watched, fresh bool, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if j := f.jobs[job.Key]; j != nil && job.Key != "" && (reconnect || !j.refused()) {
-		return j, false, false
-	}
-	if reconnect {
-		return nil, false, false
+		return j, false, nil
 	}
-	if len(f.jobs) >= f.set.Jobs || f.bytes.Load() >= int64(f.set.KeepMB)<<20 {
-		return nil, false, true
+	switch {
+	case reconnect:
+		return nil, false, errUnknown
+	case len(f.jobs) >= f.set.Jobs || f.bytes.Load() >= int64(f.set.KeepMB)<<20:
+		return nil, false, errFull
+	case !f.ids.take(job.ID):
+		return nil, false, errIDInUse
 	}
 	j = &watched{front: f, key: job.Key, id: job.ID, digest: digest, changed: make(chan struct{}),
-		window: f.params.Classes[job.Class].Window.Span()}
+		window: f.params.Classes[job.Class].Window.Span(), release: sync.OnceFunc(func() { f.ids.free(job.ID) })}
 	if job.Key != "" {
 		f.jobs[job.Key] = j
 	}
-	return j, true, false
+	return j, true, nil
 }
 
 // forget drops a finished job whose window has passed, unless its key has a newer one.
@@ -243,6 +255,7 @@
 // Answered ends the job. It is remembered for its window from now on, which ends later than the one in
 // which endpoints drop a repeat.
 func (j *watched) Answered(a routing.Answer) {
+	j.release()
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.final = &a
