Leaving: serve on kept connections, and answer all before the platform's kill

At fault: program.go took the platform's 'counted as 3 s where it is longer' for a minimum, so the program meant to leave 5.6 s after SIGTERM and was killed after 3.7 s; and it closed all idle connections 0.5 s after SIGTERM, though clients keep using theirs and the other node may be away. Now: the module is told when the process ends (brain.Ending) and answers all by then; kept connections are served until 1.2 s before the kill.

--- a/brain/api.go
+++ b/brain/api.go
@@ -180,6 +180,9 @@
 // Left tells that the client has gone: nothing is owed for the request any more.
 type Left struct{ ID RequestID }
 
+// Ending tells that this process is about to end: whatever is open, or still comes, owes its answer by At.
+type Ending struct{ At Clock }
+
 // Woke answers a Wake.
 type Woke struct{ Token uint64 }
 
@@ -190,6 +193,7 @@
 func (Began) event()      {}
 func (Progressed) event() {}
 func (Left) event()       {}
+func (Ending) event()     {}
 func (Woke) event()       {}
 
 // Action is something the dispatcher wants done. The actions are the structs below, to be carried
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -74,7 +74,8 @@
 	tickMost            = 20 * time.Millisecond  // pause between looks while something is held
 	tickIdle            = 200 * time.Millisecond // and while nothing is open
 	stallLeast          = 100 * time.Millisecond // a turn that comes so late: this process stood still
-	tickToken, askToken = 1, 2                   // of the two timers
+	tickToken, askToken = 1, 2                   // of the timers
+	endToken            = 3
 )
 
 // New makes a dispatcher. The same settings, seed and events give the same actions.
@@ -130,10 +131,18 @@
 		if r := d.open[e.ID]; r != nil {
 			d.finish(r)
 		}
+	case Ending:
+		d.ends = e.At
+		for _, r := range d.order {
+			r.expires = min(r.expires, d.ends)
+		}
+		d.do(Wake{Token: endToken, After: d.ends - d.now + d.set.AnswerSlack/2}) // looks are too seldom for it
 	case Woke:
 		switch {
 		case e.Token == askToken:
 			d.do(Subscribe{})
+		case e.Token == endToken:
+			d.look()
 		case e.Token == tickToken && d.now >= d.tickAt: // else an older timer; a later one is set
 			d.ticking = false
 			if d.now != d.stalled { // else what has come must be read first
@@ -460,6 +469,9 @@
 	over := min(max(d.now-d.first, time.Second), rateSpan)
 	d.rate = d.rate*math.Exp(-float64(d.now-d.last)/float64(over)) + 1/over.Seconds()
 	d.last = d.now
+	if d.ends > 0 {
+		e.Expires = min(e.Expires, d.ends)
+	}
 	left := e.Expires - d.now
 	c.span = max(c.span, left)
 	d.seq++
--- a/brain/state.go
+++ b/brain/state.go
@@ -96,6 +96,7 @@
 	tickAt        Clock // when the next look is due
 
 	first, last, chosen Clock           // first event, last arrival, last choice of near
+	ends                Clock           // when this process ends; 0 while nobody says so
 	stalled             Clock           // the turn in which this process found that it had stood still
 	rate, mean          float64         // own jobs a second; mean work of a job in slot-seconds
 	recent              fading          // pushes
--- a/cmd/brassdale/inbound_test.go
+++ b/cmd/brassdale/inbound_test.go
@@ -240,7 +240,7 @@
 		resp.Body.Close()
 		return resp.StatusCode == 503
 	})
-	n.waitFor("the listener closed", func() bool { _, err := http.Get(n.url + "/health/live"); return err != nil })
+	n.waitFor("the listener closed", n.closed)
 	close(release)
 	if status := <-answered; status != 200 {
 		t.Errorf("the open job: %d", status)
@@ -255,6 +255,46 @@
 	}
 }
 
+// After SIGTERM the platform kills 0.7 s after the longest deadline, of which it counts 3 s at most. Until
+// shortly before, a client's kept connection is served on; then a job whose endpoint is silent gets its answer.
+func TestLeavingAnswersAll(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+		if r.Header.Get("Idempotency-Key") == "stuck" {
+			freezes(`"state":"started"`)(b, c, r)
+		}
+		works(b, c, r)
+	})
+	n := start(t, "", b)
+	kept := &http.Client{Transport: &http.Transport{}}
+	ask := func(key string) int {
+		resp, err := kept.Do(request(n.url, key))
+		if err != nil {
+			t.Fatalf("%s: %v", key, err)
+		}
+		defer resp.Body.Close()
+		io.Copy(io.Discard, resp.Body)
+		return resp.StatusCode
+	}
+	ask("before")
+	answered := make(chan int)
+	go func() { defer close(answered); status, _, _ := n.do(request(n.url, "stuck")); answered <- status }()
+	n.waitFor("the job at the endpoint", func() bool { _, jobs := b.count(); return jobs == 2 })
+	begin := time.Now()
+	n.stop()
+	n.waitFor("the listener closed", n.closed)
+	if status := ask("after"); status != 200 {
+		t.Errorf("on a kept connection: %d", status)
+	}
+	if status := <-answered; status != 502 && status != 504 {
+		t.Errorf("the stuck job: %d", status)
+	}
+	<-n.exited
+	if took, code := time.Since(begin), n.cmd.ProcessState.ExitCode(); took > 3700*time.Millisecond || code != 0 {
+		t.Errorf("exit code %d after %v: it would have been killed", code, took)
+	}
+}
+
 // A bad file stops the start with one line that names the field.
 func TestBadFiles(t *testing.T) {
 	t.Parallel()
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -286,6 +286,15 @@
 	n.cmd.Process.Signal(syscall.SIGHUP)
 }
 
+// closed tells whether no new connection is taken.
+func (n *node) closed() bool {
+	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
+	if err == nil {
+		c.Close()
+	}
+	return err != nil
+}
+
 func (n *node) stop() { n.cmd.Process.Signal(syscall.SIGTERM) }
 
 // request makes a job; headers are name, value, name, value and replace the usual ones.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -11,6 +11,7 @@
 	"os"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,9 +22,14 @@
 )
 
 const (
-	stayOpen = 500 * time.Millisecond // after SIGTERM, as long as the front may still bring clients
-	leastEnd = 3 * time.Second        // the platform counts shorter deadlines as this long, ...
-	endSlack = 600 * time.Millisecond // ... and kills 0.7 s after the longest
+	// After SIGTERM. The platform kills 0.7 s after the longest deadline, of which it counts so much at most.
+	mostCounted = 3 * time.Second
+	killSlack   = 700 * time.Millisecond
+	stayOpen    = 500 * time.Millisecond  // as long as the front may still bring clients
+	lastCall    = 1200 * time.Millisecond // before the end no connection brings a further request, ...
+	lastAnswer  = 250 * time.Millisecond  // ... all are answered, ...
+	lastMoment  = 100 * time.Millisecond  // ... and the process ends by itself
+	heldLook    = 20 * time.Millisecond
 
 	ownSockets = 24 // descriptors for what is neither inbound nor to an endpoint
 )
@@ -102,12 +108,23 @@
 	case s := <-signals:
 		log.Info("leaving", "signal", s.String(), "open", core.Open())
 	}
-	end := time.Now().Add(max(p.LongestDeadline(), leastEnd) + endSlack)
+	leave := time.Now()
+	end := leave.Add(min(p.LongestDeadline(), mostCounted) + killSlack)
+	core.Ending(end.Add(-lastAnswer))
 	for _, f := range fronts {
 		f.handler.Leaving()
 	}
-	time.Sleep(stayOpen)
-	ending, cancel := context.WithDeadline(context.Background(), end)
+	time.Sleep(time.Until(leave.Add(stayOpen)))
+	for _, f := range fronts {
+		f.gate.TCPListener.Close()
+	}
+	// Clients go on using the connections that they have, and perhaps have nobody else: another dispatcher may
+	// not be back yet from its own restart. So those are served for as long as their answers can be in time.
+	held := func(f *front) bool { return f.gate.Held() > 0 }
+	for time.Now().Before(end.Add(-lastCall)) && slices.ContainsFunc(fronts, held) {
+		time.Sleep(heldLook)
+	}
+	ending, cancel := context.WithDeadline(context.Background(), end.Add(-lastMoment))
 	defer cancel()
 	var wait sync.WaitGroup
 	for _, f := range fronts {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -165,6 +165,9 @@
 // Leave tells that a request's client has gone.
 func (c *Core) Leave(id brain.RequestID) { c.box.Post(left{id}) }
 
+// Ending tells that this process ends: by then all requests must have their answers.
+func (c *Core) Ending(at time.Time) { c.box.Post(brain.Ending{At: c.clock.At(at)}) }
+
 // Listed brings news of the destination set.
 func (c *Core) Listed(l brain.Listed) { c.box.Post(l) }
 
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -157,10 +157,13 @@
 }
 
 // Full tells whether jobs hold more than the front's part of the descriptors.
-func (g *Gate) Full() bool {
+func (g *Gate) Full() bool { return g.Held() > g.most }
+
+// Held is how many connections clients hold.
+func (g *Gate) Held() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.conns) > g.most
+	return len(g.conns)
 }
 
 type connKey struct{}
