--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -25,7 +25,7 @@
 	// After SIGTERM. The platform kills 0.7 s after the longest deadline, of which it counts so much at most.
 	mostCounted = 3 * time.Second
 	killSlack   = 700 * time.Millisecond
-	stayOpen    = 500 * time.Millisecond  // as long as the front may still bring clients
+	stayOpen    = 500 * time.Millisecond  // so long the front may still bring clients for sure
 	lastCall    = 1200 * time.Millisecond // before the end no connection brings a further request, ...
 	lastAnswer  = 250 * time.Millisecond  // ... all are answered, ...
 	lastMoment  = 100 * time.Millisecond  // ... and the process ends by itself
@@ -114,14 +114,12 @@
 	for _, f := range fronts {
 		f.handler.Leaving()
 	}
-	time.Sleep(time.Until(leave.Add(stayOpen)))
-	for _, f := range fronts {
-		f.gate.TCPListener.Close()
-	}
-	// Clients go on using the connections that they have, and perhaps have nobody else: another dispatcher may
-	// not be back yet from its own restart. So those are served for as long as their answers can be in time.
+	// The front brings no client for long, but clients go on using the connections that they have, and perhaps have
+	// nobody else while another dispatcher restarts: then one connection that is refused makes the front give this
+	// one up with all that it could still serve. So the door stays open for as long as answers can be in time.
 	held := func(f *front) bool { return f.gate.Held() > 0 }
-	for time.Now().Before(end.Add(-lastCall)) && slices.ContainsFunc(fronts, held) {
+	for now := leave; now.Before(end.Add(-lastCall)) &&
+		(now.Before(leave.Add(stayOpen)) || slices.ContainsFunc(fronts, held)); now = time.Now() {
 		time.Sleep(heldLook)
 	}
 	ending, cancel := context.WithDeadline(context.Background(), end.Add(-lastMoment))
