Shun a worker for two lost connections in a row, not for one that broke by chance

A probe of each attempt's end: 128 resets and 52 failed connects over all ten workers, and 297 times a worker shunned as unreachable in 20 s, for 0.5 s and more each, though the same workers served other jobs meanwhile; jobs waited 100 ms and more at those left. At fault: onFinished and onProbed in brain.go shunned on any single NoConnect or Reset.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -55,15 +55,16 @@
 	rateSpan  = 10 * time.Second // the own job rate is taken over this
 	loadSpan  = 20 * time.Second // and the mean of others' load at a worker over this
 
-	failsToShun = 3                      // so many failures in a row are no chance
-	firstShun   = 250 * time.Millisecond // a shunned worker gets one job after this, then after twice this ...
-	mostStrikes = 4                      // ... doubled up to this often ...
-	lostStrikes = 5                      // ... and at once this often where a trial may cost a job
-	silentRuns  = 1.5                    // progress news missing for this many periods is silence
-	silentSlack = 300 * time.Millisecond // and this for the way
-	silentLeast = time.Second            // silence where no progress news is due
-	idleLeast   = 200 * time.Millisecond // a connection used since is open
-	idleMemory  = 15 * time.Second       // how long a lost idle connection is remembered
+	lossesToShun = 2                      // connections lost in a row before a worker counts as unreachable
+	failsToShun  = 3                      // so many failures in a row are no chance
+	firstShun    = 250 * time.Millisecond // a shunned worker gets one job after this, then after twice this ...
+	mostStrikes  = 4                      // ... doubled up to this often ...
+	lostStrikes  = 5                      // ... and at once this often where a trial may cost a job
+	silentRuns   = 1.5                    // progress news missing for this many periods is silence
+	silentSlack  = 300 * time.Millisecond // and this for the way
+	silentLeast  = time.Second            // silence where no progress news is due
+	idleLeast    = 200 * time.Millisecond // a connection used since is open
+	idleMemory   = 15 * time.Second       // how long a lost idle connection is remembered
 
 	probeEvery = time.Second // where reports come by probe
 	coldShare  = 0.6         // part of the cold budget that is used: work is known by its mean only
@@ -684,7 +685,7 @@
 		d.failed(w, r.class)
 	case NoConnect, Reset:
 		if e.Outcome == NoConnect || !d.idleLoss(a) {
-			d.shun(w, &w.health, 0, "unreachable")
+			d.lost(w)
 		}
 	case Errored, TimedOut:
 		if e.Outcome == Errored || a.began == 0 && !a.lost {
@@ -850,6 +851,14 @@
 	h.until = d.now + d.shunTime(h)
 }
 
+// lost counts a connection that broke or never came up. One alone is chance where the network is bad, and to
+// shun its worker costs all the work that it could do; none of several in a row shows a sign of life between.
+func (d *Dispatcher) lost(w *worker) {
+	if w.fails++; w.fails >= lossesToShun {
+		d.shun(w, &w.health, 0, "unreachable")
+	}
+}
+
 // failed counts a failure of a class; successes of other classes do not clear it.
 func (d *Dispatcher) failed(w *worker, class int) {
 	h := &w.classes[class]
@@ -859,7 +868,7 @@
 }
 
 // heard notes a sign of life.
-func (d *Dispatcher) heard(w *worker) { w.heard, w.used, w.strikes = d.now, d.now, 0 }
+func (d *Dispatcher) heard(w *worker) { w.heard, w.used, w.strikes, w.fails = d.now, d.now, 0, 0 }
 
 // checkAttempt looks for silence: of a worker from which nothing at all is heard, and of a single job at
 // a worker that lives, and by a later report has a free slot. That job is lost: an idle connection was
@@ -908,7 +917,7 @@
 		return
 	}
 	if e.Outcome == NoConnect || e.Outcome == TimedOut {
-		d.shun(w, &w.health, 0, "unreachable")
+		d.lost(w)
 	}
 }
 
