Close idle connections by their own age after a loss; count 'full' as load only

A probe of resets: most come within 1 ms on connections idle for 0 to 700 ms, while the module went by how long the worker had not been heard of and had all idle connections closed before nearly every send, for 15 s (send and idleLoss in brain.go). Now a call's end says how long its connection had stood idle, and Drop names an age. A job that had begun was not lost with an idle connection. Also: a job turned away as full no longer counts towards 'keeps failing' (throttled workers were shut out 35 times).

--- a/brain/api.go
+++ b/brain/api.go
@@ -151,6 +151,7 @@
 	Outcome Outcome
 	Final   bool // the client has its answer, or the request was over before
 	Report  *Report
+	Idle    time.Duration // how long the connection that carried it had stood idle; below 0 where nobody knows
 }
 
 // Probed answers one Probe.
@@ -222,8 +223,12 @@
 // Fail is a final answer that promises nothing.
 type Fail struct{ ID RequestID }
 
-// Drop closes the idle connections to a worker; the next attempt there opens a new one.
-type Drop struct{ Worker WorkerID }
+// Drop closes the connections to a worker that have stood idle for so long. Where nobody knows for how long they
+// have, it closes all idle ones.
+type Drop struct {
+	Worker WorkerID
+	Idle   time.Duration
+}
 
 // Probe asks a worker for a sign of life and its report.
 type Probe struct{ Worker WorkerID }
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -582,7 +582,8 @@
 	}
 	idle := d.now - cmp.Or(w.used, d.now)
 	if w.used = d.now; d.idleSafe > 0 && d.now < d.idleLost+idleMemory && (w.own > 0 || idle*5 > d.idleSafe*4) {
-		d.do(Drop{Worker: w.ID}) // what idle connections carry may be lost; a new one costs a little
+		// What idle connections carry may be lost; a new one costs a little.
+		d.do(Drop{Worker: w.ID, Idle: d.idleSafe * 4 / 5})
 		idle = 0
 	}
 	if d.warmth(w) < 1 {
@@ -663,6 +664,9 @@
 	}
 	w := a.w
 	a.out = false
+	if e.Idle >= 0 {
+		a.idle = e.Idle
+	}
 	if a.trial {
 		d.trials--
 	}
@@ -682,7 +686,6 @@
 		d.heard(w)
 		w.full = d.now + max(seconds(d.stay), ownMemory) // the value is 1 until then
 		w.increment, w.pushes = min(2*w.increment, 1), 0
-		d.failed(w, r.class)
 	case NoConnect, Reset:
 		if e.Outcome == NoConnect || !d.idleLoss(a) {
 			d.lost(w)
@@ -895,7 +898,7 @@
 // idleLoss tells whether an attempt was lost with an idle connection, and notes for how long one may be
 // idle: from then on older ones are dropped before they are used.
 func (d *Dispatcher) idleLoss(a *attempt) bool {
-	if a.idle < idleLeast {
+	if a.idle < idleLeast || a.began > 0 {
 		return false
 	}
 	if d.idleSafe = min(d.idleSafe, a.idle); d.idleSafe == 0 || d.now > d.idleLost+idleMemory {
--- a/brain/large_test.go
+++ b/brain/large_test.go
@@ -234,7 +234,7 @@
 	v.served(1, nil)
 	v.now += 3 * time.Second
 	v.arrive(2, 2)
-	v.give(Finished{ID: 2, Outcome: Reset})
+	v.give(Finished{ID: 2, Outcome: Reset, Idle: -1})
 	if !v.d.sound(v.d.workers[0], 0) {
 		t.Error("the worker is shunned for its lost connection")
 	}
--- a/brain/loss_test.go
+++ b/brain/loss_test.go
@@ -1,6 +1,9 @@
 package brain
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // One connection that breaks is chance where the network is bad; each once shut its worker out for half a second
 // and longer. Two with no sign of life between mean that the worker cannot be reached.
@@ -20,3 +23,37 @@
 		v.now += ms
 	}
 }
+
+// What was lost with a connection that had stood idle has the older ones closed, not all: only how long the
+// connection itself stood idle tells, and a job that had begun was not lost with it.
+func TestIdleLossByConnection(t *testing.T) {
+	for _, c := range []struct {
+		idle  time.Duration
+		began bool
+		drops int
+	}{{time.Second, false, 1}, {0, false, 0}, {time.Second, true, 0}} {
+		v := newDriver(t, plain())
+		v.list(workers(1)...)
+		job := func(id RequestID) []Action {
+			return v.give(Arrived{ID: id, Slots: 1, Expires: v.now + v.d.set.Classes[0].Deadline})
+		}
+		job(1)
+		v.served(1, nil)
+		v.now += 5 * time.Second // longer than any of its connections: probes and other jobs came between
+		job(2)
+		if c.began {
+			v.give(Began{ID: 2})
+		}
+		v.give(Finished{ID: 2, Outcome: Reset, Final: true, Idle: c.idle})
+		v.now += time.Second
+		acts := job(3)
+		for _, a := range acts {
+			if d, ok := a.(Drop); ok && d.Idle != c.idle*4/5 {
+				t.Errorf("%+v: drops what was idle for %v", c, d.Idle)
+			}
+		}
+		if n := count[Drop](acts); n != c.drops {
+			t.Errorf("%+v: %d drops", c, n)
+		}
+	}
+}
--- a/cmd/benchlink/link.go
+++ b/cmd/benchlink/link.go
@@ -215,7 +215,7 @@
 			return brain.Probed{Worker: worker, Outcome: outcome, Report: report}, nil
 		}
 		return brain.Finished{ID: req, Attempt: m.SeqNo, Worker: worker, Outcome: outcome,
-			Final: m.Final, Report: report}, nil
+			Final: m.Final, Report: report, Idle: -1}, nil
 	case "ELAPSED":
 		return brain.Woke{Token: m.Ref}, nil
 	case "HANGUP":
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -63,6 +63,7 @@
 	Outcome brain.Outcome
 	Result  []byte // where Served
 	Report  *brain.Report
+	Idle    time.Duration // how long its connection had stood idle before
 }
 
 // Destination is an endpoint as the destination set lists it.
@@ -78,7 +79,7 @@
 	Update(Destination)
 	Send(Call)
 	Cancel(brain.WorkerID, CallID)
-	Drop(brain.WorkerID)
+	Drop(id brain.WorkerID, idle time.Duration)
 	Probe(brain.WorkerID)
 }
 
@@ -276,7 +277,7 @@
 		c.answer(r, Answer{Verdict: Served, Result: end.Result})
 	}
 	c.feed(brain.Finished{ID: id.Request, Attempt: id.Attempt, Worker: a.endpoint, Outcome: end.Outcome,
-		Final: r.answered, Report: end.Report})
+		Final: r.answered, Report: end.Report, Idle: end.Idle})
 	c.forget(id.Request, r)
 }
 
@@ -328,7 +329,7 @@
 		case brain.Fail:
 			c.final(a.ID, Answer{Verdict: Failed})
 		case brain.Drop:
-			c.endpoints.Drop(a.Worker)
+			c.endpoints.Drop(a.Worker, a.Idle)
 		case brain.Probe:
 			c.endpoints.Probe(a.Worker)
 		case brain.Subscribe:
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -20,7 +20,7 @@
 func (f *fake) Update(Destination)                 {}
 func (f *fake) Send(c Call)                        { f.sent <- c }
 func (f *fake) Cancel(_ brain.WorkerID, id CallID) { f.cancelled <- id }
-func (f *fake) Drop(brain.WorkerID)                {}
+func (f *fake) Drop(brain.WorkerID, time.Duration) {}
 func (f *fake) Probe(brain.WorkerID)               {}
 func (f *fake) Began(int)                          {}
 func (f *fake) Progressed(int, float64)            {}
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -61,14 +61,15 @@
 	call     routing.Call
 	probe    bool
 	deadline time.Time
-	cut      atomic.Bool // called off
-	wire     *wire       // once one carries it
+	cut      atomic.Bool   // called off
+	wire     *wire         // once one carries it
+	idle     time.Duration // for so long that had stood idle
 }
 
 // The messages of the actor, beside routing.Destination and routing.Call.
 type (
 	cancel struct{ id routing.CallID }
-	drop   struct{}
+	drop   struct{ idle time.Duration }
 	probe  struct{}
 	dialed struct {
 		owner *exchange
@@ -122,7 +123,8 @@
 	case cancel:
 		e.cancel(m.id)
 	case drop:
-		e.closeIdle(time.Time{})
+		now := time.Now()
+		e.sweep(func(w *wire) bool { return now.Sub(w.since) >= m.idle })
 	case dialed:
 		e.dialed(m)
 	case ended:
@@ -142,7 +144,8 @@
 	for len(e.idle) > 0 {
 		w := e.idle[len(e.idle)-1]
 		e.idle = e.idle[:len(e.idle)-1]
-		if time.Now().Before(e.fleet.idleUntil(w.since)) && alive(w.conn) {
+		if now := time.Now(); now.Before(e.fleet.idleUntil(w.since)) && alive(w.conn) {
+			x.idle = now.Sub(w.since)
 			if !e.carry(x, w) {
 				e.free(w)
 			}
@@ -266,18 +269,24 @@
 	if x.probe {
 		e.fleet.sink.Probed(e.id, end.Outcome, end.Report)
 	} else {
+		end.Idle = x.idle
 		e.fleet.sink.Finished(x.call.ID, end)
 	}
 }
 
 // closeIdle closes the idle connections whose time had come by then, or all for the zero time.
 func (e *endpoint) closeIdle(by time.Time) {
+	e.sweep(func(w *wire) bool { return by.IsZero() || !by.Before(e.fleet.idleUntil(w.since)) })
+}
+
+// sweep closes the idle connections that are too old.
+func (e *endpoint) sweep(old func(*wire) bool) {
 	e.idle = slices.DeleteFunc(e.idle, func(w *wire) bool {
-		old := by.IsZero() || !by.Before(e.fleet.idleUntil(w.since))
-		if old {
-			e.close(w)
+		if !old(w) {
+			return false
 		}
-		return old
+		e.close(w)
+		return true
 	})
 }
 
--- a/internal/transport/endpoint_test.go
+++ b/internal/transport/endpoint_test.go
@@ -89,3 +89,15 @@
 		}
 	}
 }
+
+// Of the idle connections those are dropped that stood idle too long.
+func TestDropByIdleTime(t *testing.T) {
+	e, _, old, _ := newIdle(t, time.Time{})
+	_, _, young, _ := newIdle(t, time.Time{})
+	now := time.Now()
+	old.since, young.since = now.Add(-time.Minute), now
+	e.idle = []*wire{old, young}
+	if e.take(drop{time.Second}); len(e.idle) != 1 || e.idle[0] != young {
+		t.Fatalf("%d connections left", len(e.idle))
+	}
+}
--- a/internal/transport/fleet.go
+++ b/internal/transport/fleet.go
@@ -77,10 +77,10 @@
 	}
 }
 
-// Drop closes an endpoint's idle connections.
-func (f *Fleet) Drop(id brain.WorkerID) {
+// Drop closes an endpoint's connections that have stood idle for so long.
+func (f *Fleet) Drop(id brain.WorkerID, idle time.Duration) {
 	if e := f.member(id); e != nil {
-		e.box.Post(drop{})
+		e.box.Post(drop{idle})
 	}
 }
 
