Notice a hung discovery in time: watches of 2.5 s, a quick call after a first failure

A trace of what discovery sent: the first watch was taken and never answered; later answers broke off, were reset or came in pieces. At fault: watchFor 10 s and watchWithin 1.5 s (transport/discovery.go), and 1 s more before the first call after a failure (ask in brain.go): 2.6 s and more after the wait, where what was to be told counts after 2 s, and 11.5 s of news lost.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -207,12 +207,12 @@
 	}
 }
 
-// ask subscribes after a jittered wait that doubles with each failure: the list service is small,
-// and dispatchers that restart together would overrun it.
+// ask subscribes after a jittered wait that doubles with each failure after the first (a call that hung is
+// late already): the list service is small, and dispatchers that restart together would overrun it.
 func (d *Dispatcher) ask() {
 	wait := firstAsk/5 + min(askSpread*time.Duration(d.set.Dispatchers), max(d.set.AskWithin/2, lastAsk))
-	if d.asks > 0 {
-		wait += min(firstAsk<<min(d.asks, 8), lastAsk)
+	if d.asks > 1 {
+		wait += min(firstAsk<<min(d.asks-1, 8), lastAsk)
 	}
 	d.do(Wake{Token: askToken, After: time.Duration(float64(wait)*(0.2+0.8*d.rng.Float64())) + 1})
 }
--- a/cmd/brassdale/reload_test.go
+++ b/cmd/brassdale/reload_test.go
@@ -61,3 +61,24 @@
 		t.Errorf("exit code %d", code)
 	}
 }
+
+// A watch that hangs is given up soon enough: what discovery has to tell counts as told 2 s after the wait that was
+// asked for, and nothing may go to an endpoint that leaves 500 ms after that. It once took 2.6 s and longer.
+func TestHungDiscovery(t *testing.T) {
+	t.Parallel()
+	a, b := newBox(t, "a", works), newBox(t, "b", works)
+	n := start(t, "", a, b)
+	g := n.registry
+	asked := func() int { g.mu.Lock(); defer g.mu.Unlock(); return len(g.asked) }
+	n.waitFor("a watch", func() bool { return asked() > 0 })
+	g.set(func() { g.hang = true })
+	calls := asked()
+	begin := time.Now() // the call that hangs was made before
+	g.set(func() { a.phase = "leaving" })
+	n.waitFor("a further call", func() bool { return asked() > calls })
+	g.set(func() { g.hang = false })
+	n.waitFor("the list", func() bool { return strings.Contains(n.log(), "revision=4") })
+	if took := time.Since(begin); took > 4500*time.Millisecond {
+		t.Errorf("the list came after %v", took)
+	}
+}
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -146,6 +146,7 @@
 	revision int
 	boxes    []*box
 	fail     bool
+	hang     bool  // calls are taken and never answered
 	asked    []int // revisions that were asked after
 	changed  chan struct{}
 }
@@ -173,7 +174,7 @@
 	g.mu.Lock()
 	g.asked = append(g.asked, after)
 	fail := g.fail
-	for g.revision <= after && !g.fail {
+	for g.revision <= after && !g.fail || g.hang {
 		changed := g.changed
 		g.mu.Unlock()
 		select {
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	watchFor      = 10 * time.Second        // how long a watch waits for news
-	watchWithin   = 1500 * time.Millisecond // and how much later its answer must be here
-	connectWithin = time.Second
+	// A watch waits so long for news, and its answer must be here so much later. What discovery has to tell counts
+	// as told 2 s after the wait, even where the call hangs: both are short, so that there is time to ask again.
+	watchFor      = 2500 * time.Millisecond
+	watchWithin   = 750 * time.Millisecond
+	connectWithin = 500 * time.Millisecond
 	mostList      = 4 << 20
 )
 
