--- a/brain/api.go
+++ b/brain/api.go
@@ -133,6 +133,7 @@
 	Reset             // connection broke; may have run
 	Cancelled         // called off; may have run
 	NeverSent         // not sent at all
+	Rejected          // turned away for what the request is; never ran, and would nowhere
 )
 
 // Report is the load that a worker tells of itself. A field that is negative or not a finite
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -188,7 +188,7 @@
 				func(w *worker, id WorkerID) int { return cmp.Compare(w.ID, id) })
 			d.workers = slices.Insert(d.workers, at, w)
 		} else if in.Since > w.Since { // restarted: what was known of the old process is void
-			w.base, w.usual, w.reported, w.full, w.lag, w.jobs = 0, 0, 0, 0, 0, 0
+			w.base, w.usual, w.reported, w.full, w.lag, w.jobs, w.last = 0, 0, 0, 0, 0, 0, Report{}
 			w.health, w.classes = health{}, make([]health, len(d.classes))
 		}
 		w.WorkerInfo = in
@@ -670,7 +670,7 @@
 	if a.trial {
 		d.trials--
 	}
-	a.maybe = e.Outcome != Full && e.Outcome != NoConnect && e.Outcome != NeverSent
+	a.maybe = e.Outcome != Full && e.Outcome != NoConnect && e.Outcome != NeverSent && e.Outcome != Rejected
 	if !a.lost {
 		d.bump(w, -r.slots)
 	}
@@ -686,6 +686,8 @@
 		d.heard(w)
 		w.full = d.now + max(seconds(d.stay), ownMemory) // the value is 1 until then
 		w.increment, w.pushes = min(2*w.increment, 1), 0
+	case Rejected: // the client's fault: a bad client must not get workers shunned
+		d.heard(w)
 	case NoConnect, Reset:
 		if e.Outcome == NoConnect || !d.idleLoss(a) {
 			d.lost(w)
@@ -701,6 +703,9 @@
 		d.finish(r)
 	case r.done:
 		d.forget(r)
+	case e.Outcome == Rejected:
+		d.do(Fail{ID: r.id})
+		d.finish(r)
 	case r.has(out):
 	case r.expires-d.now <= d.tick() || !d.canGo(r):
 		d.answer(r)
@@ -916,7 +921,10 @@
 	w.probing = false
 	if e.Outcome == Served {
 		d.heard(w)
-		d.told(w, e.Report)
+		if e.Report != nil && *e.Report != w.last { // else not refreshed since: it is as old as it was
+			w.last = *e.Report
+			d.told(w, e.Report)
+		}
 		return
 	}
 	if e.Outcome == NoConnect || e.Outcome == TimedOut {
--- a/brain/loss_test.go
+++ b/brain/loss_test.go
@@ -57,3 +57,38 @@
 		}
 	}
 }
+
+// A probe that brings the figures of the one before says nothing new: the worker has not refreshed them. Such a
+// report was once taken for a fresh one, so an old load seemed certain for as long as it was repeated.
+func TestRepeatedReportIsOld(t *testing.T) {
+	v := newDriver(t, plain())
+	v.list(workers(1)...)
+	w, first := v.d.workers[0], v.now
+	for _, c := range []struct {
+		free float64
+		want Clock
+	}{{3.5, first}, {3.5, first}, {3.4, first + 2*time.Second}} {
+		if v.give(Probed{Worker: w.ID, Report: report(0.5, c.free)}); w.reported != c.want || w.heard != v.now {
+			t.Errorf("reported at %v, heard at %v, want %v and now", w.reported, w.heard, c.want)
+		}
+		v.now += time.Second
+	}
+}
+
+// Requests that no worker can use are their clients' fault: they fail at once, are not tried elsewhere, and the
+// worker keeps its good name. Three of them once had it shunned.
+func TestRejectedIsNotTheWorkersFault(t *testing.T) {
+	v := newDriver(t, plain())
+	v.list(workers(2)...)
+	for id := RequestID(1); id <= 4; id++ {
+		w := v.arrive(id, 0)
+		if acts := v.give(Finished{ID: id, Worker: w, Outcome: Rejected}); count[Fail](acts) != 1 || count[Send](acts) != 0 {
+			t.Errorf("did %v", acts)
+		}
+	}
+	for _, w := range v.d.workers {
+		if !v.d.sound(w, 0) || w.own != 0 || w.classes[0].fails != 0 {
+			t.Errorf("%s: sound %v, %v slots held, %d failures", w.ID, v.d.sound(w, 0), w.own, w.classes[0].fails)
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -24,6 +24,7 @@
 	health         // of all classes: can it be reached
 	classes []health
 
+	last       Report  // of the last probe
 	base, load float64 // others' jobs and all jobs, as a share of the worker, by the last report
 	reported   Clock   // when that was
 	own        float64 // slots of own jobs that are out
--- a/cmd/brassdale/inbound_test.go
+++ b/cmd/brassdale/inbound_test.go
@@ -81,6 +81,7 @@
 	}{
 		"failed":            {says(`"state":"failed"`), 502},
 		"500":               {raw("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"), 502},
+		"404":               {raw("HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n"), 502},
 		"lost":              {says(`"state":"started"`, `"state":"lost"`), 502},
 		"cut at once":       {raw(""), 502},
 		"cut in a line":     {raw(chunked + "5\r\n{\"id\"\r\n"), 502},
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -54,6 +54,8 @@
 		declined := resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusGatewayTimeout
 		if declined && resp.Header.Get("Srv-Declined") == "1" {
 			end.Outcome = brain.Full
+		} else if resp.StatusCode >= 400 && resp.StatusCode < 500 {
+			end.Outcome = brain.Rejected
 		}
 		a.early = &News{State: Ended, End: end}
 		return a
