While leaving, keep the last free connections free by refusing at once

Ruled out before: a refused connection, a 502 of the node that ended before, an earlier last call, an earlier end. At fault: admit in transport/inbound.go let a leaving node take a job on its last free connection.

--- a/cmd/brassdale/inbound_test.go
+++ b/cmd/brassdale/inbound_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -300,6 +301,51 @@
 	}
 }
 
+// While it leaves no new connection comes: when all are busy, the platform's front tells whoever wants one that
+// nobody is here, and sends no more requests on those that come free either. So the last free ones are kept free,
+// by a refusal that leaves the connection open.
+func TestLeavingKeepsConnectionsFree(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+		if strings.HasPrefix(r.Header.Get("Idempotency-Key"), "stuck") {
+			freezes(`"state":"started"`)(b, c, r)
+		}
+		works(b, c, r)
+	})
+	b.closed = make(chan string, 256)
+	n := start(t, "", b)
+	for i := range 30 {
+		if err := request(n.url, fmt.Sprint("stuck-", i)).Write(n.dial()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	free, other := n.dial(), n.dial()
+	in := bufio.NewReader(free)
+	ask := func(i int) *http.Response {
+		if err := request(n.url, fmt.Sprint("k-", i)).Write(free); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		return resp
+	}
+	io.WriteString(other, "GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n") // no job: it stays free
+	n.waitFor("the jobs at the endpoint", func() bool { _, jobs := b.count(); return jobs >= 4 })
+	n.stop()
+	i, resp := 0, (*http.Response)(nil)
+	n.waitFor("a refusal for the sake of the last free connections", func() bool {
+		resp = ask(i)
+		i++
+		return strings.Contains(n.log(), "the last free connections")
+	})
+	if resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || resp.Close {
+		t.Errorf("answered %d, Retry-After %q, closes %v", resp.StatusCode, resp.Header.Get("Retry-After"), resp.Close)
+	}
+}
+
 // A bad file stops the start with one line that names the field.
 func TestBadFiles(t *testing.T) {
 	t.Parallel()
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -166,6 +166,22 @@
 	return len(g.conns)
 }
 
+// spareShare is the part of the connections that is kept free while no new one can come.
+const spareShare = 16
+
+// Tight tells whether one more job would take of the last connections that are free for a next request.
+func (g *Gate) Tight() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	free := -1 // without the one that asks
+	for c := range g.conns {
+		if c.phase != serving {
+			free++
+		}
+	}
+	return free < len(g.conns)/spareShare
+}
+
 type connKey struct{}
 
 // note is an http.Server's ConnContext: handlers find their connection by it.
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -30,7 +30,7 @@
 	params  *protocol.Params
 	gate    *Gate
 	ids     *OpenIDs
-	leaving atomic.Bool
+	leaving atomic.Pointer[time.Time] // since when; nil while it is not
 	log     *slog.Logger
 }
 
@@ -61,7 +61,20 @@
 }
 
 // Leaving turns the ready page to 503.
-func (f *front) Leaving() { f.leaving.Store(true) }
+func (f *front) Leaving() {
+	now := time.Now()
+	f.leaving.Store(&now)
+}
+
+// frontLeaves is how long after SIGTERM the platform's front goes on bringing new connections at least.
+const frontLeaves = 250 * time.Millisecond
+
+// tight tells whether one more job would leave clients no free connection here while no new one comes: who then
+// wants one is told that nobody is here, and all that this process could still serve goes unasked.
+func (f *front) tight() bool {
+	since := f.leaving.Load()
+	return since != nil && time.Since(*since) > frontLeaves && f.gate.Tight()
+}
 
 // admit reads a request. It gives nil where it has answered itself: to what is no job, and to one more
 // than there are descriptors for, past which this process would die with all that it holds.
@@ -73,7 +86,7 @@
 	// A client that never reads its answer must not keep its connection and goroutine for ever.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.params.LongestDeadline() + readerWithin))
 	if r.URL.Path == "/health/ready" || r.URL.Path == "/health/live" {
-		serveHealth(w, r, f.leaving.Load())
+		serveHealth(w, r, f.leaving.Load() != nil)
 		return nil
 	}
 	job, err := readJob(w, r, f.params)
@@ -81,9 +94,14 @@
 		rejectJob(w, err, f.log)
 		return nil
 	}
-	if f.gate.Full() {
+	switch {
+	case f.gate.Full():
+		w.Header().Set("Connection", "close")
 		f.refuse(w, "out of connections")
 		return nil
+	case f.tight():
+		f.refuse(w, "leaving, the last free connections")
+		return nil
 	}
 	enter(r, serving)
 	return job
@@ -92,7 +110,6 @@
 // refuse is a fail-fast of the front itself, before the module has seen the request.
 func (f *front) refuse(w http.ResponseWriter, why string) {
 	f.log.Warn("fail-fast", "why", why)
-	w.Header().Set("Connection", "close")
 	writeAnswer(w, routing.Answer{Verdict: routing.Refused, RetryAfter: f.params.Limits.MaxRetryAfter.Span()})
 }
 
