--- a/cmd/brassdale/inbound_test.go
+++ b/cmd/brassdale/inbound_test.go
@@ -307,14 +307,16 @@
 // by a refusal that leaves the connection open.
 func TestLeavingKeepsConnectionsFree(t *testing.T) {
 	t.Parallel()
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
-		if strings.HasPrefix(r.Header.Get("Idempotency-Key"), "stuck") {
-			freezes(`"state":"started"`)(b, c, r)
-		}
-		works(b, c, r)
-	})
-	b.closed = make(chan string, 256)
-	n := start(t, "", b)
+	var boxes []*box // so many that all jobs are taken at once: one that the module refuses frees its connection
+	for i := range 12 {
+		boxes = append(boxes, newBox(t, fmt.Sprint("box-", i), func(b *box, c net.Conn, r *http.Request) {
+			if strings.HasPrefix(r.Header.Get("Idempotency-Key"), "stuck") {
+				freezes(`"state":"started"`)(b, c, r)
+			}
+			works(b, c, r)
+		}))
+	}
+	n := start(t, "", boxes...)
 	for i := range 30 {
 		if err := request(n.url, fmt.Sprint("stuck-", i)).Write(n.dial()); err != nil {
 			t.Fatal(err)
@@ -334,7 +336,14 @@
 		return resp
 	}
 	io.WriteString(other, "GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n") // no job: it stays free
-	n.waitFor("the jobs at the endpoint", func() bool { _, jobs := b.count(); return jobs >= 4 })
+	n.waitFor("all jobs at the endpoints", func() bool {
+		sum := 0
+		for _, b := range boxes {
+			_, jobs := b.count()
+			sum += jobs
+		}
+		return sum >= 30
+	})
 	n.stop()
 	i, resp := 0, (*http.Response)(nil)
 	n.waitFor("a refusal for the sake of the last free connections", func() bool {
