Bound the bodies of all requests together to a tenth of the memory

Checked: 550 connections, the inbound share of 1,024 descriptors, may each hold a body of 64 KiB for a second: 35 MB, more than the 32 MB that the platform may give, and past it the program is killed.

--- a/cmd/brassdale/rude_test.go
+++ b/cmd/brassdale/rude_test.go
@@ -139,3 +139,29 @@
 		t.Errorf("the id of a request that is over: %d", status)
 	}
 }
+
+// Bodies are small one by one; one on every connection would be more than the memory. Past their part a request is
+// refused with advice, and once they are gone all is served again.
+func TestRoomForBodies(t *testing.T) {
+	t.Parallel()
+	n := start(t, "", newBox(t, "a", works))
+	for i := range 400 { // 25 MB of 192: they send all but the last byte
+		c := n.dial()
+		io.WriteString(c, asHead(fmt.Sprint("big-", i), "Content-Length: 65536\r\n")+strings.Repeat("x", 65535))
+	}
+	n.waitFor("a refusal", func() bool { return strings.Contains(n.log(), "out of room for bodies") })
+	large := request(n.url, "k")
+	large.Body, large.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 1<<16))), 1<<16
+	status, _, after := n.do(large)
+	if status != 503 || after == "" {
+		t.Errorf("past the room: %d, Retry-After %q", status, after)
+	}
+	i := 0
+	n.waitFor("room again", func() bool {
+		i++
+		again := request(n.url, fmt.Sprint("k-", i))
+		again.Body, again.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 1<<16))), 1<<16
+		status, _, _ := n.do(again)
+		return status == 200
+	})
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -31,6 +31,7 @@
 	lastMoment  = 100 * time.Millisecond  // ... and the process ends by itself
 	heldLook    = 20 * time.Millisecond
 
+	bodiesPart = 10 // of the memory, so much for requests' bodies at each front
 	ownSockets = 24 // descriptors for what is neither inbound nor to an endpoint
 )
 
@@ -76,15 +77,19 @@
 	if op != nil {
 		most /= 2
 	}
+	room := int64(math.MaxInt64)
+	if cfg.Limits.MemoryMB > 0 {
+		room = int64(cfg.Limits.MemoryMB) << 20 / bodiesPart
+	}
 	ids := &transport.OpenIDs{}
-	gate, err := transport.NewGate(cfg.Listen, most, log)
+	gate, err := transport.NewGate(cfg.Listen, most, room, log)
 	if err != nil {
 		return fmt.Errorf("inbound: listen: %w", err)
 	}
 	inbound := transport.NewInbound(core, p, gate, ids, log)
 	fronts := []*front{{handler: inbound, server: transport.Server(inbound, log), gate: gate, name: "inbound"}}
 	if op != nil {
-		gate, err := transport.NewGate(op.Listen, most, log)
+		gate, err := transport.NewGate(op.Listen, most, room, log)
 		if err != nil {
 			return fmt.Errorf("progress: listen: %w", err)
 		}
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -28,6 +29,8 @@
 type Gate struct {
 	*net.TCPListener
 	most, reserve int
+	room          int64        // for the bodies of all requests together, in bytes
+	bodies        atomic.Int64 // that are being read, or held for their jobs
 	log           *slog.Logger
 
 	mu      sync.Mutex
@@ -57,13 +60,14 @@
 	since time.Time
 }
 
-// NewGate listens for a front that may hold so many connections, and a tenth more to refuse on.
-func NewGate(address string, most int, log *slog.Logger) (*Gate, error) {
+// NewGate listens for a front that may hold so many connections, a tenth more to refuse on, and so many bytes of
+// bodies: each is small, but one on every connection would be more than the memory that the platform gives.
+func NewGate(address string, most int, room int64, log *slog.Logger) (*Gate, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &Gate{TCPListener: l.(*net.TCPListener), most: most, reserve: most / 10, log: log, conns: map[*inConn]struct{}{}}, nil
+	return &Gate{TCPListener: l.(*net.TCPListener), most: most, reserve: most / 10, room: room, log: log, conns: map[*inConn]struct{}{}}, nil
 }
 
 // Accept gives the next connection and makes room for it.
@@ -159,6 +163,17 @@
 // Full tells whether jobs hold more than the front's part of the descriptors.
 func (g *Gate) Full() bool { return g.Held() > g.most }
 
+// hold sets room aside for a request's body and tells whether there was any; what it gave must be let go of.
+func (g *Gate) hold(n int64) bool {
+	if g.bodies.Add(n) > g.room {
+		g.bodies.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (g *Gate) letGo(n int64) { g.bodies.Add(-n) }
+
 // Held is how many connections clients hold.
 func (g *Gate) Held() int {
 	g.mu.Lock()
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -76,9 +76,11 @@
 	return since != nil && time.Since(*since) > frontLeaves && f.gate.Tight()
 }
 
-// admit reads a request. It gives nil where it has answered itself: to what is no job, and to one more
-// than there are descriptors for, past which this process would die with all that it holds.
-func (f *front) admit(w http.ResponseWriter, r *http.Request) *protocol.Job {
+// admit reads a request. It gives nil where it has answered itself: to what is no job, and to one more than there
+// are descriptors or memory for, past which this process would die with all that it holds. done must be called when
+// the request is over.
+func (f *front) admit(w http.ResponseWriter, r *http.Request) (job *protocol.Job, done func()) {
+	done = func() {}
 	if !r.ProtoAtLeast(1, 1) || len(r.TransferEncoding) > 0 {
 		// Where the next request would begin is for net/http alone to say: the framing was not followed.
 		w.Header().Set("Connection", "close")
@@ -87,24 +89,34 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.params.LongestDeadline() + readerWithin))
 	if r.URL.Path == "/health/ready" || r.URL.Path == "/health/live" {
 		serveHealth(w, r, f.leaving.Load() != nil)
-		return nil
+		return nil, done
 	}
+	size := r.ContentLength
+	if size < 0 || size > protocol.MaxBody { // not told, or cut off at the limit
+		size = protocol.MaxBody
+	}
+	if !f.gate.hold(size) {
+		w.Header().Set("Connection", "close")
+		f.refuse(w, "out of room for bodies")
+		return nil, done
+	}
+	done = func() { f.gate.letGo(size) }
 	job, err := readJob(w, r, f.params)
 	if err != nil {
 		rejectJob(w, err, f.log)
-		return nil
+		return nil, done
 	}
 	switch {
 	case f.gate.Full():
 		w.Header().Set("Connection", "close")
 		f.refuse(w, "out of connections")
-		return nil
+		return nil, done
 	case f.tight():
 		f.refuse(w, "leaving, the last free connections")
-		return nil
+		return nil, done
 	}
 	enter(r, serving)
-	return job
+	return job, done
 }
 
 // refuse is a fail-fast of the front itself, before the module has seen the request.
@@ -129,7 +141,8 @@
 }
 
 func (f *Inbound) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	job := f.admit(w, r)
+	job, done := f.admit(w, r)
+	defer done()
 	if job == nil {
 		return
 	}
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -61,7 +61,8 @@
 }
 
 func (f *Progress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	job := f.admit(w, r)
+	job, done := f.admit(w, r)
+	defer done()
 	if job == nil {
 		return
 	}
