--- a/cmd/brassdale/inbound_test.go
+++ b/cmd/brassdale/inbound_test.go
@@ -230,9 +230,7 @@
 	release := make(chan struct{})
 	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
 	n := start(t, "", b)
-	answered := make(chan int)
-	go func() { status, _, _ := n.do(request(n.url, "k")); answered <- status }()
-	n.waitFor("the job at the endpoint", func() bool { _, jobs := b.count(); return jobs == 1 })
+	answered := n.begin(b, "k")
 	n.stop()
 	n.waitFor("not ready", func() bool {
 		resp, err := http.Get(n.url + "/health/ready")
@@ -278,9 +276,7 @@
 		io.Copy(io.Discard, resp.Body)
 		return resp.StatusCode
 	}
-	answered := make(chan int)
-	go func() { defer close(answered); status, _, _ := n.do(request(n.url, "stuck")); answered <- status }()
-	n.waitFor("the job at the endpoint", func() bool { _, jobs := b.count(); return jobs == 1 })
+	answered := n.begin(b, "stuck")
 	ask("before")
 	begin := time.Now()
 	n.stop()
--- a/cmd/brassdale/reload_test.go
+++ b/cmd/brassdale/reload_test.go
@@ -20,9 +20,7 @@
 	b.cell = "2"
 	n := start(t, "", a)
 	n.waitFor("a watch", func() bool { n.registry.mu.Lock(); defer n.registry.mu.Unlock(); return len(n.registry.asked) > 0 })
-	answered := make(chan int)
-	go func() { status, _, _ := n.do(request(n.url, "open")); answered <- status }()
-	n.waitFor("the job at the endpoint", func() bool { _, jobs := a.count(); return jobs == 1 })
+	answered := n.begin(a, "open")
 
 	n.reload(strings.Replace(n.config, `"discovery":"`, `"discovery":"nowhere `, 1))
 	n.waitFor("a refusal", func() bool {
--- a/cmd/brassdale/rude_test.go
+++ b/cmd/brassdale/rude_test.go
@@ -125,9 +125,7 @@
 	release := make(chan struct{})
 	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
 	n := start(t, "", b)
-	answered := make(chan int)
-	go func() { status, _, _ := n.do(request(n.url, "k")); answered <- status }()
-	n.waitFor("the job at the endpoint", func() bool { _, jobs := b.count(); return jobs == 1 })
+	answered := n.begin(b, "k")
 	if status, _, _ := n.do(request(n.url, "other", "Req-Id", "id-k")); status != 409 {
 		t.Errorf("the id of an open request: %d", status)
 	}
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -287,6 +287,19 @@
 	n.cmd.Process.Signal(syscall.SIGHUP)
 }
 
+// begin sends a job and gives its status to come, once the job is at the endpoint; closed if there is none.
+func (n *node) begin(b *box, key string) <-chan int {
+	n.t.Helper()
+	answered := make(chan int, 1)
+	go func() {
+		defer close(answered)
+		status, _, _ := n.do(request(n.url, key))
+		answered <- status
+	}()
+	n.waitFor("the job at the endpoint", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.runs[key] == 1 })
+	return answered
+}
+
 // closed tells whether no new connection is taken.
 func (n *node) closed() bool {
 	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
