Say once how the front refuses, how a test's box sticks and how the program's end is awaited

No change of behaviour: three of four refusals of the front closed their connection by hand, two tests spelled the same box and two the same wait for the end. Left as they are: the actors' loops in core.go and endpoint.go, alike in shape only.

--- a/cmd/brassdale/inbound_test.go
+++ b/cmd/brassdale/inbound_test.go
@@ -245,26 +245,14 @@
 	if status := <-answered; status != 200 {
 		t.Errorf("the open job: %d", status)
 	}
-	select {
-	case <-n.exited:
-	case <-time.After(5 * time.Second):
-		t.Fatal("still runs")
-	}
-	if code := n.cmd.ProcessState.ExitCode(); code != 0 {
-		t.Errorf("exit code %d", code)
-	}
+	n.ends(time.Now().Add(5 * time.Second))
 }
 
 // After SIGTERM the platform kills 0.7 s after the longest deadline, of which it counts 3 s at most. Until
 // shortly before, clients are served on, also on new connections; then a job whose endpoint is silent gets its answer.
 func TestLeavingAnswersAll(t *testing.T) {
 	t.Parallel()
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
-		if r.Header.Get("Idempotency-Key") == "stuck" {
-			freezes(`"state":"started"`)(b, c, r)
-		}
-		works(b, c, r)
-	})
+	b := newBox(t, "a", sticks)
 	n := start(t, "", b)
 	kept := &http.Client{Transport: &http.Transport{}}
 	ask := func(key string) int {
@@ -305,12 +293,7 @@
 	t.Parallel()
 	var boxes []*box // so many that all jobs are taken at once: one that the module refuses frees its connection
 	for i := range 12 {
-		boxes = append(boxes, newBox(t, fmt.Sprint("box-", i), func(b *box, c net.Conn, r *http.Request) {
-			if strings.HasPrefix(r.Header.Get("Idempotency-Key"), "stuck") {
-				freezes(`"state":"started"`)(b, c, r)
-			}
-			works(b, c, r)
-		}))
+		boxes = append(boxes, newBox(t, fmt.Sprint("box-", i), sticks))
 	}
 	n := start(t, "", boxes...)
 	for i := range 30 {
--- a/cmd/brassdale/reload_test.go
+++ b/cmd/brassdale/reload_test.go
@@ -50,14 +50,7 @@
 	}
 	n.stop()
 	n.reload(moved)
-	select {
-	case <-n.exited:
-	case <-time.After(8 * time.Second):
-		t.Fatal("still runs")
-	}
-	if code := n.cmd.ProcessState.ExitCode(); code != 0 {
-		t.Errorf("exit code %d", code)
-	}
+	n.ends(time.Now().Add(8 * time.Second))
 }
 
 // A watch that hangs is given up soon enough: what discovery has to tell counts as told 2 s after the wait that was
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -138,6 +138,14 @@
 	}
 }
 
+// sticks freezes in jobs whose key begins with "stuck", once they have started, and works on all others.
+func sticks(b *box, c net.Conn, r *http.Request) {
+	if strings.HasPrefix(r.Header.Get("Idempotency-Key"), "stuck") {
+		freezes(`"state":"started"`)(b, c, r)
+	}
+	works(b, c, r)
+}
+
 var works = says(`"state":"started"`, `"state":"running","share":0.5`, `"state":"done","result":"priced"`)
 
 // registry is discovery: it answers a watch when the list is newer, or fails it.
@@ -309,6 +317,19 @@
 	return err != nil
 }
 
+// ends waits until the program has ended by itself, in good order.
+func (n *node) ends(by time.Time) {
+	n.t.Helper()
+	select {
+	case <-n.exited:
+	case <-time.After(time.Until(by)):
+		n.t.Fatal("still runs")
+	}
+	if code := n.cmd.ProcessState.ExitCode(); code != 0 {
+		n.t.Errorf("exit code %d", code)
+	}
+}
+
 func (n *node) stop() { n.cmd.Process.Signal(syscall.SIGTERM) }
 
 // request makes a job; headers are name, value, name, value and replace the usual ones.
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -96,7 +96,6 @@
 		size = protocol.MaxBody
 	}
 	if !f.gate.hold(size) {
-		w.Header().Set("Connection", "close")
 		f.refuse(w, "out of room for bodies")
 		return nil, done
 	}
@@ -108,19 +107,24 @@
 	}
 	switch {
 	case f.gate.Full():
-		w.Header().Set("Connection", "close")
 		f.refuse(w, "out of connections")
 		return nil, done
 	case f.tight():
-		f.refuse(w, "leaving, the last free connections")
+		f.failFast(w, "leaving, the last free connections")
 		return nil, done
 	}
 	enter(r, serving)
 	return job, done
 }
 
-// refuse is a fail-fast of the front itself, before the module has seen the request.
+// refuse is a fail-fast for want of room: the connection gives up its own.
 func (f *front) refuse(w http.ResponseWriter, why string) {
+	w.Header().Set("Connection", "close")
+	f.failFast(w, why)
+}
+
+// failFast is a refusal by the front itself, before the module has seen the request.
+func (f *front) failFast(w http.ResponseWriter, why string) {
 	f.log.Warn("fail-fast", "why", why)
 	writeAnswer(w, routing.Answer{Verdict: routing.Refused, RetryAfter: f.params.Limits.MaxRetryAfter.Span()})
 }
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -82,7 +82,6 @@
 	j, fresh, err := f.find(job, digest, again != "")
 	switch {
 	case err == errFull:
-		w.Header().Set("Connection", "close")
 		f.refuse(w, "out of remembered jobs")
 		return
 	case err != nil:
