--- a/brain/api.go
+++ b/brain/api.go
@@ -185,6 +185,15 @@
 // Ending tells that this process is about to end: whatever is open, or still comes, owes its answer by At.
 type Ending struct{ At Clock }
 
+// Detached tells that operators have put a worker out by hand: it gets nothing, whatever the list says of it.
+type Detached struct{ Worker WorkerID }
+
+// Attached ends that. The worker was most likely started anew: what was believed of it is void.
+type Attached struct{ Worker WorkerID }
+
+// Shared tells how many processes act as this one dispatcher: two while one replaces the other.
+type Shared struct{ Processes int }
+
 // Woke answers a Wake.
 type Woke struct{ Token uint64 }
 
@@ -196,6 +205,9 @@
 func (Progressed) event() {}
 func (Left) event()       {}
 func (Ending) event()     {}
+func (Detached) event()   {}
+func (Attached) event()   {}
+func (Shared) event()     {}
 func (Woke) event()       {}
 
 // Action is something the dispatcher wants done. The actions are the structs below, to be carried
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -93,7 +93,7 @@
 	}
 	return &Dispatcher{
 		set: s, rng: rand.New(rand.NewPCG(seed, uint64(s.Me))), cursor: s.Me, allow: firstAllow,
-		byID: map[WorkerID]*worker{}, open: map[RequestID]*request{},
+		byID: map[WorkerID]*worker{}, out: map[WorkerID]bool{}, processes: 1, open: map[RequestID]*request{},
 		kindTop: map[int]float64{}, kindLag: map[int]float64{}, classes: make([]classState, len(s.Classes)),
 	}
 }
@@ -138,6 +138,12 @@
 			r.expires = min(r.expires, d.ends)
 		}
 		d.do(Wake{Token: endToken, After: d.ends - d.now + d.set.AnswerSlack/2}) // looks are too seldom for it
+	case Detached:
+		d.byHand(e.Worker, true)
+	case Attached:
+		d.byHand(e.Worker, false)
+	case Shared:
+		d.processes = max(e.Processes, 1)
 	case Woke:
 		switch {
 		case e.Token == askToken:
@@ -182,15 +188,16 @@
 	for _, in := range e.Workers {
 		w := d.byID[in.ID]
 		if w == nil {
-			w = &worker{increment: firstIncrement, hash: hash(in.ID), classes: make([]health, len(d.classes))}
+			w = &worker{increment: firstIncrement, hash: hash(in.ID), out: d.out[in.ID]}
+			w.classes = make([]health, len(d.classes))
 			d.byID[in.ID] = w
 			at, _ := slices.BinarySearchFunc(d.workers, in.ID,
 				func(w *worker, id WorkerID) int { return cmp.Compare(w.ID, id) })
 			d.workers = slices.Insert(d.workers, at, w)
-		} else if in.Since > w.Since { // restarted: what was known of the old process is void
-			w.base, w.usual, w.reported, w.full, w.lag, w.jobs, w.last = 0, 0, 0, 0, 0, 0, Report{}
-			w.health, w.classes = health{}, make([]health, len(d.classes))
+		} else if in.Since > w.Since { // restarted
+			d.anew(w)
 		}
+		in.Since = max(in.Since, w.Since) // an older list does not make it older
 		w.WorkerInfo = in
 		w.listed = in.State == Ready
 	}
@@ -207,6 +214,27 @@
 	}
 }
 
+// byHand puts a worker out, or back. Then it is cold: by the list, or, where that tells of no start since it
+// was put out, from now on, as the news may be still to come.
+func (d *Dispatcher) byHand(id WorkerID, out bool) {
+	w := d.byID[id]
+	if d.out[id] = out; !out {
+		delete(d.out, id)
+	}
+	if w == nil || w.out == out {
+		return
+	}
+	if w.out, w.nextProbe = out, 0; out {
+		w.outAt = d.now
+	} else {
+		d.anew(w)
+		if w.back = d.now; w.Since < w.outAt {
+			w.Since = d.now
+		}
+	}
+	d.choose()
+}
+
 // ask subscribes after a jittered wait that doubles with each failure after the first (a call that hung is
 // late already): the list service is small, and dispatchers that restart together would overrun it.
 func (d *Dispatcher) ask() {
@@ -229,7 +257,7 @@
 	want := max(nearLeast, int(math.Ceil(nearSpan*d.rate)))
 	var zones [2][]*worker // the own zone, and all others
 	for _, w := range d.workers {
-		if z := oneIf(w.Zone != d.set.Zone); w.listed {
+		if z := oneIf(w.Zone != d.set.Zone); w.listed && !w.out {
 			zones[z] = append(zones[z], w)
 			d.size += w.size()
 		}
@@ -411,12 +439,15 @@
 		if w.Zone != d.set.Zone {
 			v += crossing
 		}
+		if w.back > 0 && w.own == 0 { // put back by hand: it is to be seen at work soon, though it is cold
+			v -= 2 * awayValue
+		}
 		if r.key != 0 {
 			// Departure where jobs have keys: workers with a free slot count as ties, the more so the lower
 			// their value, and the rotation starts at the key's own place. What a job must fetch takes about
 			// its own time again, and a worker that ran the key before has it still. May hurt where nothing is
 			// fetched and loads are known well. One that got more than its part of late keeps fewer keys.
-			if (v+d.share(w, r.slots-roundDown))*d.drag(w) <= 1 {
+			if v > -awayValue && (v+d.share(w, r.slots-roundDown))*d.drag(w) <= 1 {
 				v = w.homes(r.key)*(1+v)*d.crowd(w) - awayValue
 			}
 		}
@@ -433,7 +464,7 @@
 // may tells whether the rules let the request go to the worker at all.
 func (d *Dispatcher) may(r *request, w *worker) bool {
 	c := &d.set.Classes[r.class]
-	if !w.listed || c.Kind >= 0 && c.Kind != w.Kind {
+	if !w.listed || w.out || c.Kind >= 0 && c.Kind != w.Kind {
 		return false
 	}
 	for i := range r.attempts {
@@ -611,7 +642,7 @@
 	}
 	d.heard(a.w)
 	if a.began == 0 {
-		a.began = d.now
+		a.began, a.w.back = d.now, 0
 		d.learnWait(r, a)
 		if a.lost {
 			a.lost = false
@@ -679,7 +710,7 @@
 	}
 	switch e.Outcome {
 	case Served:
-		w.classes[r.class] = health{}
+		w.classes[r.class], w.back = health{}, 0
 		d.heard(w)
 		d.ran(r, a)
 	case Full:
@@ -789,7 +820,7 @@
 		d.choose()
 	}
 	for _, w := range d.near {
-		if d.set.ReportsPulled && d.set.MayProbe && w.listed && !w.probing && d.now >= w.nextProbe {
+		if d.set.ReportsPulled && d.set.MayProbe && w.listed && !w.out && !w.probing && d.now >= w.nextProbe {
 			// Spread, so that not all workers are known equally late, nor all dispatchers at once.
 			w.probing, w.nextProbe = true, d.now+time.Duration((0.75+d.rng.Float64()/2)*float64(probeEvery))
 			d.do(Probe{Worker: w.ID})
@@ -961,7 +992,8 @@
 
 // budget is the work that a cold worker may be sent within any Fall by all dispatchers together.
 func (d *Dispatcher) budget(w *worker) float64 {
-	return coldShare * d.set.TipMultiple * d.warmth(w) * max(d.slots(w), 1) * d.set.Fall.Seconds()
+	work := d.warmth(w) * max(d.slots(w), 1) * d.set.Fall.Seconds()
+	return coldShare / float64(d.processes) * d.set.TipMultiple * work
 }
 
 // owners is how many dispatchers share a cold worker's budget: so many that each part holds a job.
--- a/brain/state.go
+++ b/brain/state.go
@@ -20,6 +20,9 @@
 type worker struct {
 	WorkerInfo
 	listed  bool
+	out     bool   // put out by hand
+	outAt   Clock  // when it was
+	back    Clock  // when it was put back and nothing was heard of it since; 0 otherwise
 	hash    uint64 // of its id
 	health         // of all classes: can it be reached
 	classes []health
@@ -87,6 +90,7 @@
 	acts          []Action
 	workers, near []*worker // all, and those that jobs are drawn to; by id
 	byID          map[WorkerID]*worker
+	out           map[WorkerID]bool // put out by hand, known or not
 	classes       []classState
 	open          map[RequestID]*request
 	order, held   []*request // open ones by arrival; those that wait here
@@ -97,6 +101,7 @@
 	tickAt        Clock // when the next look is due
 
 	first, last, chosen Clock           // first event, last arrival, last choice of near
+	processes           int             // that act as this dispatcher
 	ends                Clock           // when this process ends; 0 while nobody says so
 	stalled             Clock           // the turn in which this process found that it had stood still
 	rate, mean          float64         // own jobs a second; mean work of a job in slot-seconds
@@ -174,6 +179,23 @@
 	return r, &r.attempts[n]
 }
 
+// anew forgets what was known of a worker's old process.
+func (d *Dispatcher) anew(w *worker) {
+	w.base, w.usual, w.reported, w.full, w.lag, w.jobs, w.last = 0, 0, 0, 0, 0, 0, Report{}
+	w.health, w.classes = health{}, make([]health, len(d.classes))
+}
+
+// Knows tells whether the list ever named the worker, or it is out by hand.
+func (d *Dispatcher) Knows(id WorkerID) bool { return d.byID[id] != nil || d.out[id] }
+
+// Avoided counts the workers on the list that get no jobs but trials, by hand or by choice.
+func (d *Dispatcher) Avoided() (n int) {
+	for _, w := range d.workers {
+		n += oneIf(w.State != Gone && (w.out || w.strikes > 0))
+	}
+	return n
+}
+
 func (d *Dispatcher) do(a Action) { d.acts = append(d.acts, a) }
 
 func oneIf(is bool) int {
--- /dev/null
+++ b/cmd/brassdale/replace_test.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The program is started again beside itself: clients find one dispatcher throughout. What waits at the listener is
+// the successor's, open jobs end where they are, kept connections end behind an answer, an id is open once.
+func TestReplace(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+		if strings.HasPrefix(r.Header.Get("Idempotency-Key"), "held") {
+			<-release
+		}
+		works(b, c, r)
+	})
+	n := start(t, "", b)
+	kept := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}}
+	ask := func(key string) *http.Response {
+		resp, err := kept.Do(request(n.url, key))
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body) // else its connection is not kept
+		resp.Body.Close()
+		return resp
+	}
+	if resp := ask("first"); resp.StatusCode != 200 || resp.Close {
+		t.Errorf("before: %d, closes %v", resp.StatusCode, resp.Close)
+	}
+	held := n.begin(b, "held")
+
+	// Clients with a connection for each job, all the time.
+	stop, done := make(chan struct{}), make(chan int)
+	go func() {
+		jobs := 0
+		defer func() { done <- jobs }()
+		for each := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}); ; jobs++ {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			if resp, err := each.Do(request(n.url, fmt.Sprint("each-", jobs))); err != nil {
+				t.Errorf("job %d: %v", jobs, err)
+			} else if resp.Body.Close(); resp.StatusCode != 200 {
+				t.Errorf("job %d: %d", jobs, resp.StatusCode)
+			}
+		}
+	}()
+	m := n.successor("")
+	if m.url != n.url {
+		t.Fatalf("serves at %s, not at %s", m.url, n.url)
+	}
+	if status, _ := m.call("GET", "/_ready", ""); status != 200 {
+		t.Errorf("ready: %d", status)
+	}
+	n.waitFor("the successor's word", func() bool { return strings.Contains(n.log(), "successor serves") })
+	if resp := ask("kept"); resp.StatusCode != 200 || !resp.Close {
+		t.Errorf("on a kept connection: %d, closes %v", resp.StatusCode, resp.Close)
+	}
+	n.stop()
+	close(release)
+	if status := <-held; status != 200 {
+		t.Errorf("the open job: %d", status)
+	}
+	n.ends(time.Now().Add(5 * time.Second))
+	m.waitFor("the end of the predecessor", func() bool { return strings.Contains(m.log(), "predecessor gone") })
+	before := m.figure("replies.price-part.success")
+	if resp := ask("last"); resp.StatusCode != 200 || m.figure("replies.price-part.success") <= before {
+		t.Errorf("after: %d", resp.StatusCode)
+	}
+	close(stop)
+	if jobs := <-done; jobs < 10 {
+		t.Errorf("only %d jobs meanwhile", jobs)
+	}
+}
+
+// Both processes together have an id open once, whichever has it.
+func TestReplaceKeepsIDs(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	n := start(t, "", b)
+	old := n.dial() // accepted there before the successor serves
+	if err := request(n.url, "old").Write(old); err != nil {
+		t.Fatal(err)
+	}
+	n.waitFor("the job", func() bool { _, jobs := b.count(); return jobs == 1 })
+	m := n.successor("")
+	n.waitFor("the successor's word", func() bool { return strings.Contains(n.log(), "successor serves") })
+	if status, _, _ := m.do(request(m.url, "old")); status != 409 {
+		t.Errorf("an id that is open at the predecessor: %d", status)
+	}
+	next := m.begin(b, "next")
+	if status, _, _ := m.do(request(m.url, "other", "Req-Id", "id-next")); status != 409 {
+		t.Errorf("an id that is open here: %d", status)
+	}
+	close(release)
+	if status := <-next; status != 200 {
+		t.Errorf("the job: %d", status)
+	}
+	if status, _, _ := m.do(request(m.url, "again", "Req-Id", "id-next")); status != 200 {
+		t.Errorf("an id that is free again: %d", status)
+	}
+}
+
+// A process that finds nobody, a dead one's leftovers, or one that hangs, starts alone; one whose successor dies
+// serves on and can be replaced again.
+func TestReplaceFails(t *testing.T) {
+	t.Parallel()
+	n := start(t, "", newBox(t, "a", works))
+	m := n.successor("")
+	m.cmd.Process.Kill()
+	<-m.exited
+	n.waitFor("the successor's end", func() bool { return strings.Contains(n.log(), "serving on alone") })
+	each := func(n *node, key string) {
+		t.Helper()
+		r := request(n.url, key)
+		r.Close = true
+		if status, _, _ := n.do(r); status != 200 {
+			t.Errorf("%s: %d", key, status)
+		}
+	}
+	each(n, "on")
+	if n.figure("replies.price-part.success") != 1 {
+		t.Error("the job was not served by the process that is left")
+	}
+	n.waitFor("the name", func() bool {
+		files, _ := filepath.Glob(filepath.Join(n.tmp, "*.sock"))
+		return len(files) == 1
+	})
+	k := n.successor("")
+	n.waitFor("the second successor's word", func() bool { return strings.Count(n.log(), "successor serves") == 2 })
+	n.stop()
+	n.ends(time.Now().Add(5 * time.Second))
+	each(k, "second")
+	k.cmd.Process.Kill()
+	<-k.exited
+
+	files, _ := filepath.Glob(filepath.Join(n.tmp, "*.sock"))
+	if len(files) != 1 {
+		t.Fatalf("leftovers: %v", files)
+	}
+	l := n.successor("")
+	each(l, "alone")
+	l.cmd.Process.Kill()
+	<-l.exited
+
+	// It takes the connection and says nothing.
+	hung, err := net.ListenUnix("unix", &net.UnixAddr{Name: filepath.Join(n.tmp, "hung"), Net: "unix"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hung.Close()
+	if err := os.Rename(filepath.Join(n.tmp, "hung"), files[0]); err != nil {
+		t.Fatal(err)
+	}
+	h := n.successor("")
+	each(h, "beside a hung one")
+	if !strings.Contains(h.log(), "starting alone") {
+		t.Error("it did not notice")
+	}
+}
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -206,7 +206,9 @@
 	cmd           *exec.Cmd
 	registry      *registry
 	path, config  string // the platform's file, and its text at the start
+	tmp           string // $TMPDIR
 	url, progress string // of both fronts
+	admin         string // of the door
 	mu            sync.Mutex
 	text          strings.Builder
 	exited        chan struct{}
@@ -220,12 +222,51 @@
 	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
 		discovery.Listener.Addr(), n.registry.list(), settings)
 	n.launch(config, operator)
+	n.serves(operator)
+	return n
+}
+
+// serves waits until the program takes clients.
+func (n *node) serves(operator string) {
+	n.t.Helper()
 	n.waitFor("both fronts", func() bool {
-		n.url = n.address("inbound")
-		n.progress = n.address("progress")
+		n.url, n.progress, n.admin = n.address("inbound"), n.address("progress"), n.address("admin")
 		return n.url != "" && (operator == "" || n.progress != "") && strings.Contains(n.log(), "msg=ready")
 	})
-	return n
+}
+
+// successor starts the program again beside itself, as the platform does.
+func (n *node) successor(operator string) *node {
+	n.t.Helper()
+	m := &node{t: n.t, registry: n.registry, tmp: n.tmp, exited: make(chan struct{})}
+	m.launch(n.config, operator)
+	m.serves(operator)
+	return m
+}
+
+// call makes an operator's call at the door and gives the status and the body.
+func (n *node) call(method, path, body string) (int, string) {
+	n.t.Helper()
+	r, err := http.NewRequest(method, n.admin+path, strings.NewReader(body))
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	r.Close = true
+	status, text, _ := n.do(r)
+	return status, text
+}
+
+// figure gives one of the figures; -1 where there is none of that name.
+func (n *node) figure(name string) int {
+	n.t.Helper()
+	_, text := n.call("GET", "/_vars", "")
+	_, rest, ok := strings.Cut("\n"+text, "\n"+name+"=")
+	value, _, _ := strings.Cut(rest, "\n")
+	x, err := strconv.Atoi(value)
+	if !ok || err != nil {
+		return -1
+	}
+	return x
 }
 
 func (n *node) launch(config, operator string) {
@@ -238,7 +279,10 @@
 		n.cmd.Args = append(n.cmd.Args, "-operator", file)
 	}
 	n.write(n.path, config)
-	n.cmd.Env = append(os.Environ(), "BRASSDALE_CHILD=1", "GW_CONFIG="+n.path)
+	if n.tmp == "" {
+		n.tmp = n.t.TempDir()
+	}
+	n.cmd.Env = append(os.Environ(), "BRASSDALE_CHILD=1", "GW_CONFIG="+n.path, "TMPDIR="+n.tmp, "GW_ADMIN=127.0.0.1:0")
 	n.cmd.Stderr = n
 	if err := n.cmd.Start(); err != nil {
 		n.t.Fatal(err)
--- /dev/null
+++ b/internal/program/operations.go
@@ -0,0 +1,61 @@
+package program
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/protocol"
+	"brassdale/internal/transport"
+)
+
+// A caller at the door waits for a second. By then it has its answer.
+const answerCalls = 600 * time.Millisecond
+
+// operations is what the door for operators opens on.
+type operations struct {
+	d    *dispatcher
+	file *detached
+
+	mu sync.Mutex // one call that changes something at a time
+}
+
+func (o *operations) Ready() bool     { return o.d.serving.Load() }
+func (o *operations) Figures() string { return protocol.Figures(o.d.core.Ledger().Figures()) }
+
+func (o *operations) Detach(ctx context.Context, id string) error { return o.put(ctx, id, true) }
+func (o *operations) Attach(ctx context.Context, id string) error { return o.put(ctx, id, false) }
+
+// put takes a worker out by hand, or puts it back: in the other process too while there is one, on file, and in the
+// module, in this order, so that a yes is true of all three.
+func (o *operations) put(ctx context.Context, id string, out bool) error {
+	until := time.Now().Add(answerCalls)
+	ctx, stop := context.WithDeadline(ctx, until)
+	defer stop()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	known, err := o.d.core.Knows(ctx, brain.WorkerID(id))
+	if err != nil {
+		return err
+	}
+	if !known {
+		return &transport.Refusal{Status: http.StatusNotFound, Why: "no such worker was ever listed"}
+	}
+	if kin := o.d.kin(); kin != nil {
+		if yes, heard := kin.Ask(protocol.Note{Worker: id, Out: out}, until); heard && !yes {
+			return &transport.Refusal{Status: http.StatusConflict, Why: "the other process could not do it"}
+		}
+	}
+	return o.keep(id, out)
+}
+
+// keep does it in this process.
+func (o *operations) keep(id string, out bool) error {
+	if err := o.file.put(id, out); err != nil {
+		return err
+	}
+	o.d.core.Put(brain.WorkerID(id), out)
+	return nil
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -9,10 +9,9 @@
 	"math"
 	"net/http"
 	"os"
-	"runtime"
-	"runtime/debug"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"brassdale/brain"
@@ -30,11 +29,43 @@
 	lastAnswer  = 250 * time.Millisecond  // ... all are answered, ...
 	lastMoment  = 100 * time.Millisecond  // ... and the process ends by itself
 	heldLook    = 20 * time.Millisecond
-
-	bodiesPart = 10 // of the memory, so much for requests' bodies at each front
-	ownSockets = 24 // descriptors for what is neither inbound nor to an endpoint
 )
 
+// dispatcher is the program, put together.
+type dispatcher struct {
+	ctx        context.Context
+	log        *slog.Logger
+	params     *protocol.Params
+	core       *routing.Core
+	fleet      *transport.Fleet
+	set        *routing.Destinations
+	ids        *transport.OpenIDs
+	fronts     []*front
+	reloader   *reloader
+	operations *operations
+	socket     string      // where successors find this process
+	serving    atomic.Bool // takes clients
+	passed     atomic.Bool // a successor does
+
+	mu     sync.Mutex
+	shares shares
+	others *protocol.Held // what another process holds that acts as the same dispatcher
+	other  *transport.Kin // the connection to it
+}
+
+// front is a listener with its handler.
+type front struct {
+	name    string
+	address string
+	handler interface {
+		http.Handler
+		Leaving()
+		Passing(bool)
+	}
+	gate   *transport.Gate
+	server *http.Server
+}
+
 // Run serves until a signal comes and all is answered. Logs go to out. An operator's file, if one is
 // named, switches the front for progress on. Each of reloads has the platform's file read again.
 func Run(env func(string) string, operator string, out io.Writer, signals, reloads <-chan os.Signal) error {
@@ -53,110 +84,142 @@
 			return err
 		}
 	}
-	limit(cfg)
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-
-	p := &cfg.Settings
-	sockets := cfg.Limits.Sockets
-	if sockets == 0 {
-		sockets = 1024
-	}
-	core := routing.NewCore(brain.New(p.Module(), cfg.SeedNumber()), routing.NewClock(),
-		routing.Options{MaxAttempts: p.Limits.MaxAttempts, AnswerSlack: p.Rules.AnswerSlack.Span()}, log)
-	fleet := transport.NewFleet(ctx, p, core, sockets*35/100, log)
-	saved := routing.Update{}
-	if cfg.Known != nil {
-		saved = transport.Update(cfg.Known, p)
-	}
-	discovery := transport.NewDiscovery(cfg.Discovery, p)
-	set := routing.NewDestinations(core, fleet, discovery, saved, log)
-	core.Attach(fleet, set.Subscribe)
-
-	most := (sockets - ownSockets) * 55 / 100
-	if op != nil {
-		most /= 2
+	d := &dispatcher{ctx: ctx, log: log, params: &cfg.Settings, ids: &transport.OpenIDs{}, socket: keptFile(env, cfg, ".sock")}
+	pred := d.meet()
+	if err := d.build(env, cfg, op, pred); err != nil {
+		return err
 	}
-	room := int64(math.MaxInt64)
-	if cfg.Limits.MemoryMB > 0 {
-		room = int64(cfg.Limits.MemoryMB) << 20 / bodiesPart
+	d.operations = &operations{d: d, file: &detached{path: keptFile(env, cfg, ".detached"), name: cfg.Name}}
+	if err := d.operations.file.load(); err != nil {
+		log.Warn("workers that were out by hand are not known", "err", err)
 	}
-	ids := &transport.OpenIDs{}
-	gate, err := transport.NewGate(cfg.Listen, most, room, log)
-	if err != nil {
-		return fmt.Errorf("inbound: listen: %w", err)
+	d.putOut(d.operations.file.list())
+	if pred != nil {
+		d.follow(pred)
 	}
-	inbound := transport.NewInbound(core, p, gate, ids, log)
-	fronts := []*front{{handler: inbound, server: transport.Server(inbound, log), gate: gate, name: "inbound"}}
-	if op != nil {
-		gate, err := transport.NewGate(op.Listen, most, room, log)
+	d.deal()
+
+	failed := make(chan error, len(d.fronts)+1)
+	if cfg.Admin != "" {
+		l, err := transport.Listen(cfg.Admin)
 		if err != nil {
-			return fmt.Errorf("progress: listen: %w", err)
+			return fmt.Errorf("admin: listen: %w", err)
 		}
-		progress := transport.NewProgress(core, p, op, gate, ids, log)
-		fronts = append(fronts, &front{handler: progress, server: transport.Server(progress, log), gate: gate, name: "progress"})
+		gate := transport.NewGate(l, log)
+		gate.Allow(transport.MostCallers, math.MaxInt64)
+		go func() { failed <- transport.DoorServer(transport.Door(d.operations, log), log).Serve(gate) }()
+		log.Info("listening", "front", "admin", "address", gate.Addr().String())
 	}
-	failed := make(chan error, len(fronts))
-	for _, f := range fronts {
+	for _, f := range d.fronts {
 		go func() { failed <- f.server.Serve(f.gate) }()
 		log.Info("listening", "front", f.name, "address", f.gate.Addr().String())
 	}
-	go core.Run(ctx)
-	go set.Run(ctx)
-	log.Info("ready", "name", cfg.Name, "endpoints", len(saved.Destinations))
+	go d.core.Run(ctx)
+	go d.set.Run(ctx)
+	d.serving.Store(true)
+	d.publish()
+	if pred != nil {
+		pred.kin.Tell(protocol.Note{Serving: true})
+	}
+	log.Info("ready", "name", cfg.Name)
 	// To the very end, also while leaving: open requests still need to know who drains.
-	go (&reloader{env: env, set: set, discovery: discovery, cfg: cfg, log: log}).run(ctx, reloads)
+	go d.reloader.run(ctx, reloads)
 
 	select {
 	case err := <-failed:
 		return fmt.Errorf("listen: %w", err)
 	case s := <-signals:
-		log.Info("leaving", "signal", s.String(), "open", core.Open())
+		log.Info("leaving", "signal", s.String(), "open", d.core.Open(), "replaced", d.passed.Load())
 	}
+	d.leave()
+	log.Info("left", "open", d.core.Open())
+	return nil
+}
+
+// build makes all parts, none of which runs yet.
+func (d *dispatcher) build(env func(string) string, cfg *protocol.Config, op *protocol.Operator, pred *predecessor) error {
+	p, log := d.params, d.log
+	d.core = routing.NewCore(brain.New(p.Module(), cfg.SeedNumber()), routing.NewClock(),
+		routing.Options{MaxAttempts: p.Limits.MaxAttempts, AnswerSlack: p.Rules.AnswerSlack.Span()}, log)
+	for i := range p.Classes {
+		d.core.Ledger().Class(p.Classes[i].Name)
+	}
+	d.fleet = transport.NewFleet(d.ctx, p, d.core, log)
+	saved := routing.Update{}
+	if cfg.Known != nil {
+		saved = transport.Update(cfg.Known, p)
+	}
+	if pred != nil { // it knows the list as of now
+		if u, err := pred.handover.Update(cfg.Discovery, p); err == nil {
+			saved = u
+		} else {
+			log.Warn("the predecessor's list is of no use", "err", err)
+		}
+	}
+	discovery := transport.NewDiscovery(cfg.Discovery, p)
+	d.set = routing.NewDestinations(d.core, d.fleet, discovery, saved, log)
+	d.core.Attach(d.fleet, d.set.Subscribe)
+	d.reloader = &reloader{d: d, env: env, discovery: discovery, cfg: cfg}
+
+	add := func(name, address string, handler func(*transport.Gate) *front) error {
+		l, err := pred.listener(name, address)
+		if err != nil {
+			return fmt.Errorf("%s: listen: %w", name, err)
+		}
+		gate := transport.NewGate(l, log)
+		f := handler(gate)
+		f.name, f.address, f.gate, f.server = name, address, gate, transport.Server(f.handler, log)
+		d.fronts = append(d.fronts, f)
+		return nil
+	}
+	if err := add("inbound", cfg.Listen, func(g *transport.Gate) *front {
+		return &front{handler: transport.NewInbound(d.core, p, g, d.ids, log)}
+	}); err != nil {
+		return err
+	}
+	if op != nil {
+		if err := add("progress", op.Listen, func(g *transport.Gate) *front {
+			return &front{handler: transport.NewProgress(d.core, p, op, g, d.ids, log)}
+		}); err != nil {
+			return err
+		}
+	}
+	d.shares = sharesOf(cfg.Limits, len(d.fronts))
+	return nil
+}
+
+// leave answers all that was taken, and ends in time.
+func (d *dispatcher) leave() {
+	d.serving.Store(false)
 	leave := time.Now()
-	end := leave.Add(min(p.LongestDeadline(), mostCounted) + killSlack)
-	core.Ending(end.Add(-lastAnswer))
-	for _, f := range fronts {
+	end := leave.Add(min(d.params.LongestDeadline(), mostCounted) + killSlack)
+	d.core.Ending(end.Add(-lastAnswer))
+	passed := d.passed.Load()
+	for _, f := range d.fronts {
 		f.handler.Leaving()
+		if passed { // the successor has the same listener: what waits there is its
+			f.gate.Close()
+		}
 	}
 	// The front brings no client for long, but clients go on using the connections that they have, and perhaps have
 	// nobody else while another dispatcher restarts: then one connection that is refused makes the front give this
 	// one up with all that it could still serve. So the door stays open for as long as answers can be in time.
 	held := func(f *front) bool { return f.gate.Held() > 0 }
 	for now := leave; now.Before(end.Add(-lastCall)) &&
-		(now.Before(leave.Add(stayOpen)) || slices.ContainsFunc(fronts, held)); now = time.Now() {
+		(!passed && now.Before(leave.Add(stayOpen)) || slices.ContainsFunc(d.fronts, held)); now = time.Now() {
 		time.Sleep(heldLook)
 	}
 	ending, cancel := context.WithDeadline(context.Background(), end.Add(-lastMoment))
 	defer cancel()
 	var wait sync.WaitGroup
-	for _, f := range fronts {
+	for _, f := range d.fronts {
 		wait.Go(func() {
 			if err := f.server.Shutdown(ending); err != nil {
-				log.Error("clients left unanswered", "front", f.name, "err", err)
+				d.log.Error("clients left unanswered", "front", f.name, "err", err)
 			}
 		})
 	}
 	wait.Wait()
-	log.Info("left", "open", core.Open())
-	return nil
-}
-
-// front is a listener with its handler.
-type front struct {
-	name    string
-	handler interface{ Leaving() }
-	gate    *transport.Gate
-	server  *http.Server
-}
-
-// limit keeps the runtime inside what the platform gives: threads by cores, and a collector that works
-// harder well before the limit on memory, at which the platform kills.
-func limit(c *protocol.Config) {
-	if c.Limits.Cores > 0 {
-		runtime.GOMAXPROCS(max(int(math.Ceil(c.Limits.Cores)), 1))
-	}
-	if c.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
-	}
 }
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -2,22 +2,28 @@
 
 import (
 	"context"
-	"log/slog"
 	"os"
 	"reflect"
+	"sync"
 
 	"brassdale/internal/protocol"
-	"brassdale/internal/routing"
 	"brassdale/internal/transport"
 )
 
 // reloader puts a new version of the platform's file in force, or none of it.
 type reloader struct {
+	d         *dispatcher
 	env       func(string) string
-	set       *routing.Destinations
 	discovery *transport.Discovery // in use
-	cfg       *protocol.Config     // in force; only run touches it
-	log       *slog.Logger
+	mu        sync.Mutex
+	cfg       *protocol.Config // in force
+}
+
+// address is that of discovery now.
+func (r *reloader) address() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cfg.Discovery
 }
 
 func (r *reloader) run(ctx context.Context, reloads <-chan os.Signal) {
@@ -36,15 +42,21 @@
 func (r *reloader) reload() {
 	cfg, err := protocol.LoadConfig(r.env("GW_CONFIG"), r.env)
 	if err != nil {
-		r.log.Error("reload refused, the old file stays in force", "err", err)
+		r.d.core.Ledger().Reloaded(false)
+		r.d.log.Error("reload refused, the old file stays in force", "err", err)
 		return
 	}
+	r.mu.Lock()
 	old := r.cfg
 	r.cfg = cfg
-	limit(cfg)
+	r.mu.Unlock()
+	r.d.mu.Lock()
+	r.d.shares = sharesOf(cfg.Limits, len(r.d.fronts))
+	r.d.mu.Unlock()
+	r.d.deal()
 	if cfg.Discovery != old.Discovery {
 		next := transport.NewDiscovery(cfg.Discovery, r.discovery.Params)
-		r.set.Move(next)
+		r.d.set.Move(next)
 		r.discovery.Close()
 		r.discovery = next
 	}
@@ -52,11 +64,12 @@
 	for _, f := range []struct {
 		field     string
 		now, then any
-	}{{"name", old.Name, cfg.Name}, {"listen", old.Listen, cfg.Listen}, {"limits.sockets", old.Limits.Sockets, cfg.Limits.Sockets},
+	}{{"name", old.Name, cfg.Name}, {"listen", old.Listen, cfg.Listen}, {"admin", old.Admin, cfg.Admin},
 		{"settings", old.Settings, cfg.Settings}} {
 		if !reflect.DeepEqual(f.now, f.then) {
 			later = append(later, f.field)
 		}
 	}
-	r.log.Info("reloaded", "discovery", cfg.Discovery, "from_next_start", later)
+	r.d.core.Ledger().Reloaded(true)
+	r.d.log.Info("reloaded", "discovery", cfg.Discovery, "from_next_start", later)
 }
--- /dev/null
+++ b/internal/program/replace.go
@@ -0,0 +1,232 @@
+package program
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/protocol"
+	"brassdale/internal/transport"
+)
+
+const (
+	meetWithin  = 500 * time.Millisecond // a process that is to be replaced answers in this time, or it is taken for dead
+	heldEvery   = 50 * time.Millisecond  // so often it tells what it still holds
+	spareOfHeld = 8                      // connections to endpoints that it may still open: not every call finds one
+)
+
+// In $TMPDIR, which the platform keeps while it replaces a process. The names hold the clients' address: two
+// dispatchers may share a folder.
+func keptFile(env func(string) string, cfg *protocol.Config, kind string) string {
+	dir := env("TMPDIR")
+	if dir == "" {
+		dir = os.TempDir()
+	}
+	return filepath.Join(dir, "brassdale-"+strings.Map(func(c rune) rune {
+		if c == '/' || c == 0 {
+			return '_'
+		}
+		return c
+	}, cfg.Listen)+kind)
+}
+
+// predecessor is the process that this one replaces, with what it handed over; nil where there is none.
+type predecessor struct {
+	kin       *transport.Kin
+	handover  *protocol.Handover
+	listeners map[string]*net.TCPListener
+}
+
+// meet looks for a predecessor. With none, a dead one, its leftovers or one that hangs, this process starts alone.
+func (d *dispatcher) meet() *predecessor {
+	kin, handover, listeners, err := transport.Meet(d.socket, time.Now().Add(meetWithin))
+	if err != nil {
+		if _, none := os.Lstat(d.socket); none == nil {
+			d.log.Warn("no predecessor answers: starting alone", "err", err)
+		}
+		return nil
+	}
+	p := &predecessor{kin: kin, handover: handover, listeners: map[string]*net.TCPListener{}}
+	for i, name := range handover.Fronts {
+		p.listeners[name] = listeners[i]
+	}
+	d.log.Info("replacing", "members", len(handover.Members), "out", len(handover.Out), "listeners", len(listeners))
+	return p
+}
+
+// listener gives a front's: the predecessor's own, with the queue of clients at it, if it has the address.
+func (p *predecessor) listener(name, address string) (*net.TCPListener, error) {
+	if p != nil {
+		if l := p.listeners[name]; l != nil {
+			delete(p.listeners, name)
+			host, port, _ := net.SplitHostPort(address)
+			hasHost, hasPort, _ := net.SplitHostPort(l.Addr().String())
+			if (port == hasPort || port == "0") && (host == hasHost || net.ParseIP(host).IsUnspecified()) {
+				return l, nil
+			}
+			l.Close()
+		}
+	}
+	return transport.Listen(address)
+}
+
+// follow lives with the predecessor until it is gone.
+func (d *dispatcher) follow(p *predecessor) {
+	d.setKin(p.kin)
+	d.ids.Follow(p.kin)
+	d.core.Shared(2)
+	d.takeHeld(&protocol.Held{Outbound: d.shares.outbound / 2})
+	go func() {
+		p.kin.Run(func(n protocol.Note) {
+			switch {
+			case n.Held != nil:
+				d.takeHeld(n.Held)
+			case n.Worker != "":
+				err := d.operations.keep(n.Worker, n.Out)
+				p.kin.Tell(protocol.Note{Answer: n.Ask, Yes: err == nil})
+			}
+		})
+		d.ids.Follow(nil)
+		d.setKin(nil)
+		d.core.Shared(1)
+		d.takeHeld(nil)
+		d.log.Info("predecessor gone")
+	}()
+}
+
+// takeHeld notes what the other process holds.
+func (d *dispatcher) takeHeld(h *protocol.Held) {
+	d.mu.Lock()
+	d.others = h
+	d.mu.Unlock()
+	d.deal()
+}
+
+// publish waits for successors from now on.
+func (d *dispatcher) publish() {
+	l, err := transport.Publish(d.socket)
+	if err != nil {
+		d.log.Warn("cannot be replaced while it serves", "err", err)
+		return
+	}
+	go func() {
+		defer l.Close()
+		for {
+			kin, err := transport.Heir(l)
+			if err != nil {
+				return
+			}
+			if d.kin() != nil { // one at a time
+				kin.Close()
+				continue
+			}
+			if d.precede(kin) {
+				return // the successor has taken the name over, and this process is to end
+			}
+		}
+	}()
+}
+
+// precede lives with a successor until one of both is gone. It tells whether the successor served to the end.
+func (d *dispatcher) precede(kin *transport.Kin) (replaced bool) {
+	defer kin.Close()
+	known, err := d.set.Known(d.ctx)
+	if err != nil {
+		return false
+	}
+	h := &protocol.Handover{Discovery: d.reloader.address(), Revision: known.Revision, Out: d.operations.file.list(),
+		Members: protocol.KnownMembers(known.Destinations, d.params)}
+	var gates []*transport.Gate
+	for _, f := range d.fronts {
+		h.Fronts, gates = append(h.Fronts, f.name), append(gates, f.gate)
+	}
+	d.setKin(kin)
+	d.core.Shared(2)
+	if err := kin.Hand(h, gates); err != nil {
+		d.log.Warn("a successor got nothing", "err", err)
+	} else {
+		d.log.Info("successor starts")
+		kin.Run(func(n protocol.Note) {
+			switch {
+			case n.Serving:
+				d.passOn(kin)
+			case n.Take != "":
+				kin.Tell(protocol.Note{Answer: n.Ask, Yes: d.ids.Take(n.Take, kin)})
+			case n.Free != "":
+				d.ids.Free(n.Free, kin)
+			case n.Worker != "":
+				err := d.operations.keep(n.Worker, n.Out)
+				kin.Tell(protocol.Note{Answer: n.Ask, Yes: err == nil})
+			}
+		})
+	}
+	if !d.serving.Load() { // leaving
+		return true
+	}
+	// The successor is gone first: this process is the dispatcher again.
+	d.log.Error("successor gone: serving on alone")
+	d.ids.Forget(kin)
+	d.setKin(nil)
+	d.core.Shared(1)
+	d.passed.Store(false)
+	for _, f := range d.fronts {
+		f.handler.Passing(false)
+		f.gate.Resume()
+	}
+	d.deal()
+	d.publish() // the name leads to the dead one
+	return true
+}
+
+// passOn leaves new clients to the successor, and tells it what is still held here until the end.
+func (d *dispatcher) passOn(kin *transport.Kin) {
+	d.passed.Store(true)
+	for _, f := range d.fronts {
+		f.gate.Pause()
+		f.handler.Passing(true)
+	}
+	d.log.Info("successor serves: taking no new clients", "open", d.core.Open())
+	go func() {
+		last := protocol.Held{}
+		for tick := time.NewTicker(heldEvery); ; {
+			held := protocol.Held{Outbound: d.fleet.Held() + spareOfHeld}
+			d.fleet.Allow(held.Outbound)
+			for _, f := range d.fronts {
+				held.Inbound = append(held.Inbound, f.gate.Held())
+			}
+			if held.Outbound != last.Outbound || !slices.Equal(held.Inbound, last.Inbound) {
+				kin.Tell(protocol.Note{Held: &held})
+				last = held
+			}
+			select {
+			case <-tick.C:
+			case <-kin.Gone():
+				tick.Stop()
+				return
+			}
+		}
+	}()
+}
+
+func (d *dispatcher) kin() *transport.Kin {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.other
+}
+
+func (d *dispatcher) setKin(k *transport.Kin) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.other = k
+}
+
+// putOut puts workers out that were out before.
+func (d *dispatcher) putOut(ids []string) {
+	for _, id := range ids {
+		d.core.Put(brain.WorkerID(id), true)
+	}
+}
--- /dev/null
+++ b/internal/program/shares.go
@@ -0,0 +1,70 @@
+package program
+
+import (
+	"math"
+	"runtime"
+	"runtime/debug"
+
+	"brassdale/internal/protocol"
+	"brassdale/internal/transport"
+)
+
+// shares deals out what the platform gives. Descriptors: those of the process itself first (its log, its listeners,
+// discovery, files, the socket for a successor), the door's, then 35% for endpoints and the rest for clients, of which
+// a tenth is there to refuse on.
+type shares struct {
+	inbound  int   // connections of each front
+	outbound int   // connections to endpoints
+	bodies   int64 // bytes of requests' bodies at each front
+	heap     int64 // bytes that the collector works towards
+	threads  int   // 0 for as many as there are
+}
+
+const (
+	ownSockets   = 24
+	fixedSockets = ownSockets + transport.MostCallers*11/10 // of each process
+	usualSockets = 1024                                     // where the platform tells no limit
+	bodiesPart   = 10                                       // of the memory, so much for requests' bodies at each front
+)
+
+func sharesOf(l protocol.Limits, fronts int) shares {
+	sockets := l.Sockets
+	if sockets == 0 {
+		sockets = usualSockets
+	}
+	left := sockets - fixedSockets
+	s := shares{outbound: left * 35 / 100, bodies: math.MaxInt64, heap: math.MaxInt64}
+	s.inbound = (left - s.outbound) * 10 / 11 / fronts
+	if l.MemoryMB > 0 {
+		s.bodies, s.heap = int64(l.MemoryMB)<<20/bodiesPart, int64(l.MemoryMB)<<20*6/10
+	}
+	if l.Cores > 0 {
+		s.threads = max(int(math.Ceil(l.Cores)), 1)
+	}
+	return s
+}
+
+// deal puts the shares in force, less what another process holds that acts as the same dispatcher; nil for none.
+func (d *dispatcher) deal() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.shares
+	if d.others != nil {
+		s.bodies, s.heap = s.bodies/2, s.heap/2
+	}
+	for i, f := range d.fronts {
+		most := s.inbound
+		if d.others != nil && i < len(d.others.Inbound) {
+			most = max(most-d.others.Inbound[i]-fixedSockets/len(d.fronts), 0)
+		}
+		f.gate.Allow(most, s.bodies)
+	}
+	if d.others != nil {
+		s.outbound = max(s.outbound-d.others.Outbound, 0)
+	}
+	d.fleet.Allow(s.outbound)
+	debug.SetMemoryLimit(s.heap) // well before the limit at which the platform kills
+	if s.threads > 0 {
+		runtime.GOMAXPROCS(s.threads)
+	}
+}
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -20,14 +20,18 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Admin     string // the door for operators; off where it is empty
 	Seed      string
-	Limits    struct {
-		Cores    float64
-		MemoryMB int `json:"memory_mb"`
-		Sockets  int
-	}
-	Known    *List
-	Settings Params
+	Limits    Limits
+	Known     *List
+	Settings  Params
+}
+
+// Limits are what the platform gives a dispatcher; 0 stands for no limit told.
+type Limits struct {
+	Cores    float64
+	MemoryMB int `json:"memory_mb"`
+	Sockets  int
 }
 
 // LoadConfig reads the platform's file. The variables that the platform sets beside it fill what the
@@ -40,7 +44,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	c := &Config{Name: env("GW_NAME"), Listen: env("GW_LISTEN"), Discovery: env("GW_DISCOVERY")}
+	c := &Config{Name: env("GW_NAME"), Listen: env("GW_LISTEN"), Discovery: env("GW_DISCOVERY"), Admin: env("GW_ADMIN")}
 	if err := json.Unmarshal(text, c); err != nil {
 		if wrong := (*json.UnmarshalTypeError)(nil); errors.As(err, &wrong) && wrong.Field != "" {
 			return nil, fmt.Errorf("%s: %s: a %s is no %s", path, wireName(wrong.Field), wrong.Value, wrong.Type)
@@ -60,6 +64,11 @@
 			return bad(a.field, err.Error())
 		}
 	}
+	if c.Admin != "" {
+		if err := CheckAddr(c.Admin); err != nil {
+			return bad("admin", err.Error())
+		}
+	}
 	switch {
 	case c.Limits.Cores < 0 || c.Limits.MemoryMB < 0 || c.Limits.Sockets < 0:
 		return bad("limits", "negative")
--- /dev/null
+++ b/internal/protocol/figures.go
@@ -0,0 +1,22 @@
+package protocol
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"brassdale/internal/routing"
+)
+
+// Figures writes the numbers as operators' tools read them, a line each.
+func Figures(f routing.Figures) string {
+	var b strings.Builder
+	for _, name := range slices.Sorted(maps.Keys(f.Classes)) {
+		t := f.Classes[name]
+		fmt.Fprintf(&b, "replies.%[1]s.success=%[2]d\nreplies.%[1]s.overload=%[3]d\nreplies.%[1]s.error=%[4]d\n", name, t.Served, t.Refused, t.Failed)
+	}
+	fmt.Fprintf(&b, "dispatches=%d\nconcurrent=%d\ntargets=%d\ntargets_disabled=%d\nreload_success=%d\nreload_failure=%d\n",
+		f.Dispatches, f.Concurrent, f.Targets, f.Avoided, f.ReloadsTaken, f.ReloadsRefused)
+	return b.String()
+}
--- a/internal/protocol/inbound.go
+++ b/internal/protocol/inbound.go
@@ -17,17 +17,18 @@
 
 // Job is an inbound request, decoded. It passes through the core unread, to whichever endpoint gets it.
 type Job struct {
-	ID       string
-	Class    int
-	Key      string // Idempotency-Key
-	Method   string
-	Target   string // path and query, as the client wrote them
-	Body     []byte
-	Slots    float64
-	Subject  uint64 // what the job is about: a number for the cookie's user, 0 without one
-	Deadline time.Time
-	Events   bool        // endpoints are asked to answer in server-sent events
-	Pass     http.Header // further headers that go on to the endpoint
+	ID        string
+	Class     int
+	ClassName string
+	Key       string // Idempotency-Key
+	Method    string
+	Target    string // path and query, as the client wrote them
+	Body      []byte
+	Slots     float64
+	Subject   uint64 // what the job is about: a number for the cookie's user, 0 without one
+	Deadline  time.Time
+	Events    bool        // endpoints are asked to answer in server-sent events
+	Pass      http.Header // further headers that go on to the endpoint
 }
 
 // Reject says why an inbound request is no job, as the HTTP status to answer with.
@@ -45,18 +46,24 @@
 // passed are the headers that go on to endpoints beside those that the protocol names.
 var passed = []string{"Req-Kind", "Req-Owner", "Req-Retry", "Req-Extra", "Req-Cost", "Cookie", "Content-Type"}
 
+// ClassOf gives the class that a request names, known or not.
+func ClassOf(r *http.Request) string {
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	return name
+}
+
 // DecodeInbound reads a whole request. Until its body is read to the end net/http does not look for the
 // client's leaving, so nothing may be handed on before.
 func DecodeInbound(r *http.Request, p *Params, arrived time.Time) (*Job, error) {
 	if r.Method != http.MethodPost {
 		return nil, reject(http.StatusMethodNotAllowed, "jobs come by POST")
 	}
-	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	name := ClassOf(r)
 	class, ok := p.Class(name)
 	if !ok {
 		return nil, reject(http.StatusNotFound, "no class %q", name)
 	}
-	j := &Job{ID: r.Header.Get("Req-Id"), Class: class, Key: r.Header.Get("Idempotency-Key"),
+	j := &Job{ID: r.Header.Get("Req-Id"), Class: class, ClassName: name, Key: r.Header.Get("Idempotency-Key"),
 		Method: r.Method, Target: r.URL.RequestURI(), Slots: 1, Pass: http.Header{}}
 	if kind := r.Header.Get("Req-Kind"); kind != "" && kind != name {
 		if _, ok := p.Class(kind); !ok {
--- /dev/null
+++ b/internal/protocol/succession.go
@@ -0,0 +1,97 @@
+package protocol
+
+import (
+	"slices"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/routing"
+)
+
+// Note is a message between a process and the one that replaces it, a line of JSON. Each uses some fields.
+type Note struct {
+	Handover *Handover `json:"handover,omitempty"` // the predecessor's first word
+	Held     *Held     `json:"held,omitempty"`     // the predecessor: all that it still holds, and will hold no more of
+
+	Serving bool `json:"serving,omitempty"` // the successor takes clients
+
+	// A question has a number; its answer repeats it.
+	Ask    uint64 `json:"ask,omitempty"`
+	Answer uint64 `json:"answer,omitempty"`
+	Yes    bool   `json:"yes,omitempty"`
+
+	Take string `json:"take,omitempty"` // the successor asks for a Req-Id
+	Free string `json:"free,omitempty"` // and gives it back
+
+	Worker string `json:"worker,omitempty"` // put out by hand, or back
+	Out    bool   `json:"out,omitempty"`
+}
+
+// Held counts connections.
+type Held struct {
+	Inbound  []int `json:"inbound"` // by front
+	Outbound int   `json:"outbound"`
+}
+
+// Handover is what a successor begins with.
+type Handover struct {
+	Fronts    []string `json:"fronts"` // whose listeners come with it, in order
+	Discovery string   `json:"discovery"`
+	Revision  int64    `json:"revision"`
+	Members   []Known  `json:"members"`
+	Out       []string `json:"out"` // workers that are out by hand
+}
+
+// Known is a member as the predecessor knows it.
+type Known struct {
+	Member
+	Told time.Time `json:"told"` // that it drains
+}
+
+// KnownMembers gives destinations in the words of discovery, whose numbers of zones and kinds are each process's own.
+func KnownMembers(ds []routing.Destination, p *Params) (known []Known) {
+	name := func(names []string, i int) string {
+		if i < 0 || i >= len(names) {
+			return ""
+		}
+		return names[i]
+	}
+	for _, d := range ds {
+		k := Known{Told: d.Told, Member: Member{ID: string(d.ID), HostPort: d.Address, Cell: d.Cell, Size: d.Weight,
+			Locality: name(p.Zones, d.Zone), Flavor: name(p.Flavors, d.Kind), UpSinceMS: d.Since.Milliseconds()}}
+		for phase, state := range phases {
+			if state == d.State {
+				k.Phase = phase
+			}
+		}
+		known = append(known, k)
+	}
+	return known
+}
+
+// Update gives the predecessor's list in the core's terms. Its revision counts only where both ask the same discovery.
+func (s *Handover) Update(discovery string, p *Params) (routing.Update, error) {
+	l := List{Revision: s.Revision, Complete: true}
+	for _, k := range s.Members {
+		l.Members = append(l.Members, k.Member)
+	}
+	if err := l.check(); err != nil {
+		return routing.Update{}, err
+	}
+	u := routing.Update{Revision: s.Revision, Complete: true, Destinations: l.Destinations(p)}
+	if s.Discovery != discovery {
+		u.Revision = routing.Whole
+	}
+	for i := range u.Destinations {
+		u.Destinations[i].Told = s.Members[i].Told
+	}
+	return u, nil
+}
+
+// Workers gives the ids of the workers that are out.
+func (s *Handover) Workers() (out []brain.WorkerID) {
+	for _, id := range s.Out {
+		out = append(out, brain.WorkerID(id))
+	}
+	return slices.Compact(out)
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -36,12 +36,13 @@
 
 // Inbound is a request as a front hands it in.
 type Inbound struct {
-	Class    int
-	Slots    float64
-	Key      uint64 // what the job needs at an endpoint: jobs of one key belong together; 0 when not told
-	Deadline time.Time
-	Job      any // what endpoints need to know; not read here
-	Client   Client
+	Class     int
+	ClassName string // for the figures
+	Slots     float64
+	Key       uint64 // what the job needs at an endpoint: jobs of one key belong together; 0 when not told
+	Deadline  time.Time
+	Job       any // what endpoints need to know; not read here
+	Client    Client
 }
 
 // CallID names an outbound call.
@@ -81,6 +82,7 @@
 	Cancel(brain.WorkerID, CallID)
 	Drop(id brain.WorkerID, idle time.Duration)
 	Probe(brain.WorkerID)
+	Bar(id brain.WorkerID, since time.Time) // put out by hand; zero: put back
 }
 
 // Options are the limits that the core itself must know.
@@ -104,7 +106,7 @@
 	log       *slog.Logger
 	box       *Mailbox[any]
 	lastID    atomic.Uint64
-	open      atomic.Int64
+	ledger    Ledger
 
 	// Owned by Run.
 	now      brain.Clock
@@ -142,6 +144,14 @@
 		id  CallID
 		end End
 	}
+	byHand struct {
+		id  brain.WorkerID
+		out bool
+	}
+	knows struct {
+		id     brain.WorkerID
+		answer chan<- bool
+	}
 )
 
 // NewCore makes the actor. Attach must be called before Run.
@@ -158,7 +168,7 @@
 // exactly one answer, unless it leaves before.
 func (c *Core) Submit(in Inbound) brain.RequestID {
 	id := brain.RequestID(c.lastID.Add(1))
-	c.open.Add(1)
+	c.ledger.taken()
 	c.box.Post(arrived{id, in})
 	return id
 }
@@ -186,8 +196,32 @@
 	c.box.Post(brain.Probed{Worker: id, Outcome: o, Report: r})
 }
 
+// Dispatched tells that a call was written to its last byte.
+func (c *Core) Dispatched() { c.ledger.Dispatched() }
+
 // Open is how many requests wait for their answers.
-func (c *Core) Open() int64 { return c.open.Load() }
+func (c *Core) Open() int { return c.ledger.Figures().Concurrent }
+
+// Ledger is the account that the core keeps.
+func (c *Core) Ledger() *Ledger { return &c.ledger }
+
+// Put takes a worker out by hand, or puts it back. From then on the module knows.
+func (c *Core) Put(id brain.WorkerID, out bool) { c.box.Post(byHand{id, out}) }
+
+// Knows tells whether a worker was ever listed, or is out by hand.
+func (c *Core) Knows(ctx context.Context, id brain.WorkerID) (bool, error) {
+	answer := make(chan bool, 1)
+	c.box.Post(knows{id, answer})
+	select {
+	case known := <-answer:
+		return known, nil
+	case <-ctx.Done():
+		return false, ctx.Err()
+	}
+}
+
+// Shared tells how many processes act as this dispatcher.
+func (c *Core) Shared(processes int) { c.box.Post(brain.Shared{Processes: processes}) }
 
 // Run is the actor's life.
 func (c *Core) Run(ctx context.Context) {
@@ -217,6 +251,7 @@
 				c.overdue(t.guard)
 			}
 		}
+		c.ledger.avoids(c.module.Avoided())
 	}
 }
 
@@ -229,7 +264,8 @@
 		c.feed(brain.Arrived{ID: m.id, Class: r.Class, Slots: r.Slots, Key: r.Key, Expires: r.expires})
 	case left:
 		if r := c.requests[m.id]; r != nil && !r.answered {
-			c.close(r)
+			r.answered = true
+			c.ledger.left()
 			c.feed(brain.Left{ID: m.id})
 			c.forget(m.id, r)
 		}
@@ -249,6 +285,15 @@
 		}
 	case finished:
 		c.finish(m.id, m.end)
+	case byHand:
+		ev, since := brain.Event(brain.Attached{Worker: m.id}), time.Time{}
+		if m.out {
+			ev, since = brain.Detached{Worker: m.id}, time.Now()
+		}
+		c.endpoints.Bar(m.id, since) // first, so that what the module sends from now on finds it done
+		c.feed(ev)
+	case knows:
+		m.answer <- c.module.Knows(m.id) // has room
 	case brain.Event:
 		c.feed(m)
 	}
@@ -298,13 +343,9 @@
 		return
 	}
 	a.Expired = a.Verdict != Served && (r.timedOut || c.now >= r.expires-c.options.AnswerSlack)
-	c.close(r)
-	r.Client.Answered(a)
-}
-
-func (c *Core) close(r *request) {
 	r.answered = true
-	c.open.Add(-1)
+	c.ledger.answered(r.ClassName, a.Verdict)
+	r.Client.Answered(a)
 }
 
 func (c *Core) forget(id brain.RequestID, r *request) {
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -22,6 +22,7 @@
 func (f *fake) Cancel(_ brain.WorkerID, id CallID) { f.cancelled <- id }
 func (f *fake) Drop(brain.WorkerID, time.Duration) {}
 func (f *fake) Probe(brain.WorkerID)               {}
+func (f *fake) Bar(brain.WorkerID, time.Time)      {}
 func (f *fake) Began(int)                          {}
 func (f *fake) Progressed(int, float64)            {}
 func (f *fake) Answered(a Answer)                  { f.answers <- a }
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"time"
@@ -46,6 +47,7 @@
 type (
 	subscribe struct{}
 	move      struct{ to Discovery }
+	ask       struct{ answer chan<- Update }
 	watched   struct {
 		call   int
 		update Update
@@ -67,6 +69,18 @@
 // Move goes on with another discovery. It does not block.
 func (s *Destinations) Move(to Discovery) { s.box.Post(move{to}) }
 
+// Known gives the set as it is known, once the actor runs.
+func (s *Destinations) Known(ctx context.Context) (Update, error) {
+	answer := make(chan Update, 1)
+	s.box.Post(ask{answer})
+	select {
+	case u := <-answer:
+		return u, nil
+	case <-ctx.Done():
+		return Update{}, ctx.Err()
+	}
+}
+
 // watchPause keeps a discovery that answers at once with nothing new from being asked in a tight loop; it
 // is well inside the 200 ms after which a watch would have a gap.
 const watchPause = 20 * time.Millisecond
@@ -94,6 +108,12 @@
 				if s.subscribed {
 					s.watch(ctx, time.Now())
 				}
+			case ask:
+				u := Update{Revision: s.revision, Complete: true}
+				for _, d := range s.known {
+					u.Destinations = append(u.Destinations, d)
+				}
+				m.answer <- u // has room
 			case watched:
 				if m.call == s.call {
 					s.take(ctx, m)
@@ -159,6 +179,7 @@
 			}
 		}
 	}
+	s.core.ledger.listed(len(s.known))
 	s.core.Listed(listed)
 	if len(u.Destinations) > 0 {
 		s.log.Info("destination set", "revision", u.Revision, "complete", u.Complete, "lines", len(u.Destinations), "known", len(s.known))
@@ -168,7 +189,7 @@
 func (s *Destinations) update(d Destination, now time.Time) {
 	old := s.known[d.ID]
 	if d.State != brain.Ready { // told once: neither a repeat nor its end starts the grace of a drain anew
-		if d.Told = old.Told; d.Told.IsZero() {
+		if d.Told = cmp.Or(old.Told, d.Told); d.Told.IsZero() { // a predecessor may have been told before
 			d.Told = now
 		}
 	}
--- /dev/null
+++ b/internal/routing/ledger.go
@@ -0,0 +1,88 @@
+package routing
+
+import (
+	"maps"
+	"sync"
+)
+
+// Ledger is the account of what became of the requests: each is entered once, where its one final answer is
+// decided. It is read beside the core, which a reader never holds up.
+type Ledger struct {
+	mu sync.Mutex
+	f  Figures
+}
+
+// Figures are a moment's numbers, counted from the start of the process.
+type Figures struct {
+	Classes                      map[string]Tally // by name; a class that is dropped keeps its own
+	Dispatches                   int              // calls written to their last byte
+	Concurrent                   int              // requests taken and not ended
+	Targets, Avoided             int              // endpoints in the list, and those of them that get nothing now
+	ReloadsTaken, ReloadsRefused int
+}
+
+// Tally is what became of the requests of a class.
+type Tally struct{ Served, Refused, Failed int }
+
+// Figures gives a copy.
+func (l *Ledger) Figures() Figures {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f := l.f
+	f.Classes = maps.Clone(f.Classes)
+	return f
+}
+
+func (l *Ledger) enter(change func(*Figures)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.f.Classes == nil {
+		l.f.Classes = map[string]Tally{}
+	}
+	change(&l.f)
+}
+
+func (f *Figures) count(class string, v Verdict) {
+	t := f.Classes[class]
+	switch v {
+	case Served:
+		t.Served++
+	case Refused:
+		t.Refused++
+	default:
+		t.Failed++
+	}
+	f.Classes[class] = t
+}
+
+// Class has a class stand in the account before it has had a request.
+func (l *Ledger) Class(name string) { l.enter(func(f *Figures) { f.Classes[name] = f.Classes[name] }) }
+
+// Unheard counts a request that a front answered itself, before the module heard of it.
+func (l *Ledger) Unheard(class string, v Verdict) {
+	l.enter(func(f *Figures) { f.count(class, v) })
+}
+
+// Dispatched counts a call that was written to its last byte.
+func (l *Ledger) Dispatched() { l.enter(func(f *Figures) { f.Dispatches++ }) }
+
+// Reloaded counts a new version of the platform's file, taken or not.
+func (l *Ledger) Reloaded(taken bool) {
+	l.enter(func(f *Figures) {
+		if taken {
+			f.ReloadsTaken++
+		} else {
+			f.ReloadsRefused++
+		}
+	})
+}
+
+func (l *Ledger) taken() { l.enter(func(f *Figures) { f.Concurrent++ }) }
+func (l *Ledger) left()  { l.enter(func(f *Figures) { f.Concurrent-- }) }
+
+func (l *Ledger) answered(class string, v Verdict) {
+	l.enter(func(f *Figures) { f.count(class, v); f.Concurrent-- })
+}
+
+func (l *Ledger) listed(n int) { l.enter(func(f *Figures) { f.Targets = n }) }
+func (l *Ledger) avoids(n int) { l.enter(func(f *Figures) { f.Avoided = n }) }
--- /dev/null
+++ b/internal/transport/door.go
@@ -0,0 +1,89 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	// MostCallers is how many callers the door for operators holds at a time; past it the one that has not finished
+	// its call for the longest goes.
+	MostCallers = 12
+
+	callWithin = 2 * time.Second // for a whole call; who means it takes far less
+	mostID     = 256
+)
+
+// Operations is what the door for operators opens on. No method takes longer than the context allows.
+type Operations interface {
+	Ready() bool
+	Figures() string
+	Detach(ctx context.Context, id string) error
+	Attach(ctx context.Context, id string) error
+}
+
+// Refusal is an operator's call that is answered with no, and why.
+type Refusal struct {
+	Status int
+	Why    string
+}
+
+func (r *Refusal) Error() string { return r.Why }
+
+// Door is the handler of the door for operators. A 2xx means yes.
+func Door(o Operations, log *slog.Logger) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /_ready", func(w http.ResponseWriter, _ *http.Request) {
+		if !o.Ready() {
+			http.Error(w, "not yet, or not any more", http.StatusServiceUnavailable)
+			return
+		}
+		io.WriteString(w, "ready\n")
+	})
+	mux.HandleFunc("GET /_vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+		w.Header().Set("Cache-Control", "no-store")
+		io.WriteString(w, o.Figures())
+	})
+	worker := func(name string, do func(context.Context, string) error) {
+		mux.HandleFunc("POST /_workers/"+name, func(w http.ResponseWriter, r *http.Request) {
+			// What is too long is read on a little by net/http: closed at once, its caller might not see the no.
+			body, err := io.ReadAll(io.LimitReader(r.Body, mostID+1))
+			id := strings.TrimSpace(string(body))
+			if err != nil || id == "" || len(body) > mostID {
+				http.Error(w, "the body must be a worker's id", http.StatusBadRequest)
+				return
+			}
+			if err = do(r.Context(), id); err != nil {
+				status := http.StatusInternalServerError
+				if no, ok := err.(*Refusal); ok {
+					status = no.Status
+				}
+				log.Warn("operator's call refused", "call", name, "worker", id, "err", err)
+				http.Error(w, err.Error(), status)
+				return
+			}
+			log.Info("operator's call", "call", name, "worker", id)
+			fmt.Fprintf(w, "%s %s\n", name, id)
+		})
+	}
+	worker("detach", o.Detach)
+	worker("attach", o.Attach)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		enter(r, serving) // it has finished its call: it is not one of those that make room
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// DoorServer is the server of the door: one call a connection, each bounded in time and bytes.
+func DoorServer(h http.Handler, log *slog.Logger) *http.Server {
+	s := Server(h, log)
+	s.ReadHeaderTimeout, s.ReadTimeout, s.WriteTimeout, s.MaxHeaderBytes = callWithin, callWithin, callWithin, 4<<10
+	s.SetKeepAlivesEnabled(false)
+	return s
+}
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -41,7 +41,8 @@
 
 	// Owned by run.
 	dest    routing.Destination
-	idle    []*wire // the longest idle first
+	barred  time.Time // since when it is out by hand; zero while it is not
+	idle    []*wire   // the longest idle first
 	waiting []*exchange
 	dialing int                          // connections that are being opened; never fewer than exchanges that wait
 	calls   map[routing.CallID]*exchange // calls without an outcome
@@ -71,6 +72,7 @@
 	cancel struct{ id routing.CallID }
 	drop   struct{ idle time.Duration }
 	probe  struct{}
+	bar    struct{ since time.Time }
 	dialed struct {
 		owner *exchange
 		wire  *wire
@@ -120,6 +122,9 @@
 		e.start(x)
 	case probe:
 		e.start(&exchange{probe: true, deadline: time.Now().Add(probeWithin)})
+	case bar:
+		e.barred = m.since
+		e.closeIdle(time.Time{}) // it is put out to be restarted
 	case cancel:
 		e.cancel(m.id)
 	case drop:
@@ -153,7 +158,7 @@
 		}
 		e.close(w)
 	}
-	if e.fleet.open.Add(1) > e.fleet.most {
+	if e.fleet.open.Add(1) > e.fleet.most.Load() {
 		e.fleet.open.Add(-1)
 		e.fleet.log.Warn("out of connections, call not sent", "endpoint", e.id)
 		e.end(x, routing.End{Outcome: brain.NeverSent})
@@ -231,8 +236,10 @@
 // may have waited for the connection, so all that forbids it is looked at again.
 func (e *endpoint) carry(x *exchange, w *wire) bool {
 	now := time.Now()
-	drained := !e.dest.Told.IsZero() && now.After(e.dest.Told.Add(e.fleet.params.Rules.DrainGrace.Span()-drainMargin))
-	if x.cut.Load() || !now.Before(x.deadline) || drained && !x.probe {
+	over := func(told time.Time) bool {
+		return !told.IsZero() && now.After(told.Add(e.fleet.params.Rules.DrainGrace.Span()-drainMargin))
+	}
+	if x.cut.Load() || !now.Before(x.deadline) || !x.probe && (over(e.dest.Told) || over(e.barred)) {
 		e.end(x, routing.End{Outcome: brain.NeverSent})
 		return false
 	}
@@ -336,6 +343,9 @@
 		e.tell(x, routing.End{Outcome: out})
 		return
 	}
+	if !x.probe {
+		e.fleet.sink.Dispatched()
+	}
 	fail := func(err error) {
 		out := brain.Reset
 		switch {
--- a/internal/transport/endpoint_test.go
+++ b/internal/transport/endpoint_test.go
@@ -18,6 +18,7 @@
 type sink chan brain.Outcome
 
 func (sink) Began(routing.CallID)                                        {}
+func (sink) Dispatched()                                                 {}
 func (sink) Progressed(routing.CallID, float64)                          {}
 func (s sink) Finished(_ routing.CallID, e routing.End)                  { s <- e.Outcome }
 func (s sink) Probed(_ brain.WorkerID, o brain.Outcome, _ *brain.Report) { s <- o }
@@ -28,7 +29,7 @@
 	p.Rules.DrainGrace = 500000
 	ends := make(sink, 4)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	e := newEndpoint(NewFleet(context.Background(), p, ends, 8, log), routing.Destination{Told: told})
+	e := newEndpoint(NewFleet(context.Background(), p, ends, log), routing.Destination{Told: told})
 	here, there := net.Pipe()
 	t.Cleanup(func() { here.Close(); there.Close() })
 	quota := &io.LimitedReader{R: here}
--- a/internal/transport/fleet.go
+++ b/internal/transport/fleet.go
@@ -20,6 +20,7 @@
 	Progressed(routing.CallID, float64)
 	Finished(routing.CallID, routing.End)
 	Probed(brain.WorkerID, brain.Outcome, *brain.Report)
+	Dispatched() // a call was written to its last byte
 }
 
 // Fleet hands calls to the endpoints' actors. It is the core's routing.Endpoints. The actor of an endpoint
@@ -29,23 +30,32 @@
 	params  *protocol.Params
 	sink    Sink
 	log     *slog.Logger
-	most    int64        // connections that all endpoints together may have open
+	most    atomic.Int64 // connections that all endpoints together may have open
 	open    atomic.Int64 // and how many are
 	mu      sync.Mutex
 	members map[brain.WorkerID]*endpoint
+	barred  map[brain.WorkerID]time.Time // put out by hand, listed or not
 }
 
-// NewFleet makes an empty fleet that holds so many connections at most.
-func NewFleet(ctx context.Context, p *protocol.Params, sink Sink, most int, log *slog.Logger) *Fleet {
-	return &Fleet{ctx: ctx, params: p, sink: sink, log: log, most: int64(most), members: map[brain.WorkerID]*endpoint{}}
+// NewFleet makes an empty fleet. It opens no connection before Allow.
+func NewFleet(ctx context.Context, p *protocol.Params, sink Sink, log *slog.Logger) *Fleet {
+	return &Fleet{ctx: ctx, params: p, sink: sink, log: log, members: map[brain.WorkerID]*endpoint{},
+		barred: map[brain.WorkerID]time.Time{}}
 }
 
+// Allow sets how many connections all endpoints together may have open.
+func (f *Fleet) Allow(most int) { f.most.Store(int64(most)) }
+
+// Held is how many they have.
+func (f *Fleet) Held() int { return int(f.open.Load()) }
+
 // Update tells an endpoint's actor what the destination set says of it, and starts the actor of a new one.
 func (f *Fleet) Update(d routing.Destination) {
 	f.mu.Lock()
 	e := f.members[d.ID]
 	if e == nil && d.State != brain.Gone {
 		e = newEndpoint(f, d)
+		e.barred = f.barred[d.ID]
 		f.members[d.ID] = e
 		go e.run(f.ctx)
 	}
@@ -77,6 +87,18 @@
 	}
 }
 
+// Bar puts an endpoint out by hand, or back. That stands beside what the destination set says of it.
+func (f *Fleet) Bar(id brain.WorkerID, since time.Time) {
+	f.mu.Lock()
+	if f.barred[id] = since; since.IsZero() {
+		delete(f.barred, id)
+	}
+	f.mu.Unlock()
+	if e := f.member(id); e != nil {
+		e.box.Post(bar{since})
+	}
+}
+
 // Drop closes an endpoint's connections that have stood idle for so long.
 func (f *Fleet) Drop(id brain.WorkerID, idle time.Duration) {
 	if e := f.member(id); e != nil {
@@ -97,7 +119,7 @@
 func (f *Fleet) idleMost() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return max(int(f.most)/(2*max(len(f.members), 1)), 1)
+	return max(int(f.most.Load())/(2*max(len(f.members), 1)), 1)
 }
 
 func (f *Fleet) idleUntil(since time.Time) time.Time {
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -2,12 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -20,6 +25,8 @@
 	// Younger connections than this are closed for want of room only when there is no older one: a client that
 	// means it sends with its connecting.
 	youngAge = 100 * time.Millisecond
+
+	reserveShare = 10 // of the connections, one in so many more to refuse on
 )
 
 // Gate is a front's listener and the table of its connections. It keeps them inside the front's part of the
@@ -28,12 +35,13 @@
 // carry jobs, the newcomer is served a refusal, up to a small reserve.
 type Gate struct {
 	*net.TCPListener
-	most, reserve int
-	room          int64        // for the bodies of all requests together, in bytes
-	bodies        atomic.Int64 // that are being read, or held for their jobs
-	log           *slog.Logger
+	room   atomic.Int64 // for the bodies of all requests together, in bytes
+	bodies atomic.Int64 // that are being read, or held for their jobs
+	log    *slog.Logger
 
 	mu      sync.Mutex
+	most    int           // connections; a tenth more to refuse on
+	paused  chan struct{} // closed when connections are taken again; nil while they are
 	conns   map[*inConn]struct{}
 	evicted int // since the last line of the log
 	said    time.Time
@@ -60,20 +68,80 @@
 	since time.Time
 }
 
-// NewGate listens for a front that may hold so many connections, a tenth more to refuse on, and so many bytes of
-// bodies: each is small, but one on every connection would be more than the memory that the platform gives.
-func NewGate(address string, most int, room int64, log *slog.Logger) (*Gate, error) {
-	l, err := net.Listen("tcp", address)
+// Listen listens at a front's address. While a program is replaced, two processes may do so.
+func Listen(address string) (*net.TCPListener, error) {
+	shared := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) (err error) {
+		if e := raw.Control(func(fd uintptr) { err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1) }); e != nil {
+			return e
+		}
+		return err
+	}}
+	l, err := shared.Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return &Gate{TCPListener: l.(*net.TCPListener), most: most, reserve: most / 10, room: room, log: log, conns: map[*inConn]struct{}{}}, nil
+	return l.(*net.TCPListener), nil
+}
+
+// NewGate makes the gate of a front. It lets nothing in before Allow.
+func NewGate(l *net.TCPListener, log *slog.Logger) *Gate {
+	return &Gate{TCPListener: l, log: log, conns: map[*inConn]struct{}{}}
+}
+
+// Allow sets how many connections the front may hold, a tenth more to refuse on, and how many bytes of bodies:
+// each is small, but one on every connection would be more than the memory that the platform gives.
+func (g *Gate) Allow(most int, room int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.most = most
+	g.room.Store(room)
+}
+
+// Pause leaves new connections in the listener's queue, which a successor shares, until Resume.
+func (g *Gate) Pause() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.paused == nil {
+		g.paused = make(chan struct{})
+		_ = g.SetDeadline(time.Now()) // wakes Accept; fails only on a closed listener
+	}
+}
+
+// Resume takes new connections again.
+func (g *Gate) Resume() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.paused != nil {
+		_ = g.SetDeadline(time.Time{})
+		close(g.paused)
+		g.paused = nil
+	}
+}
+
+// Close closes the listener.
+func (g *Gate) Close() error {
+	err := g.TCPListener.Close()
+	g.Resume() // an Accept that pauses finds it closed
+	return err
+}
+
+// pausing gives what to wait for while no connections are taken; nil while they are.
+func (g *Gate) pausing() <-chan struct{} {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.paused
 }
 
 // Accept gives the next connection and makes room for it.
 func (g *Gate) Accept() (net.Conn, error) {
 	for {
 		conn, err := g.AcceptTCP()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			if paused := g.pausing(); paused != nil {
+				<-paused
+			}
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -99,7 +167,7 @@
 				g.log.Warn("clients' connections closed for want of room", "closed", g.evicted, "most", g.most)
 				g.said, g.evicted = c.since, 0
 			}
-		} else if len(g.conns) >= g.most+g.reserve {
+		} else if len(g.conns) >= g.most+g.most/reserveShare {
 			return false
 		}
 	}
@@ -161,11 +229,15 @@
 }
 
 // Full tells whether jobs hold more than the front's part of the descriptors.
-func (g *Gate) Full() bool { return g.Held() > g.most }
+func (g *Gate) Full() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns) > g.most
+}
 
 // hold sets room aside for a request's body and tells whether there was any; what it gave must be let go of.
 func (g *Gate) hold(n int64) bool {
-	if g.bodies.Add(n) > g.room {
+	if g.bodies.Add(n) > g.room.Load() {
 		g.bodies.Add(-n)
 		return false
 	}
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log/slog"
+	"maps"
 	"math"
 	"net/http"
 	"strconv"
@@ -22,6 +23,7 @@
 type Core interface {
 	Submit(routing.Inbound) brain.RequestID
 	Leave(brain.RequestID)
+	Ledger() *routing.Ledger
 }
 
 // front is what both fronts share: they let requests in and count connections.
@@ -31,33 +33,85 @@
 	gate    *Gate
 	ids     *OpenIDs
 	leaving atomic.Pointer[time.Time] // since when; nil while it is not
+	passing atomic.Bool               // a successor serves here too: clients are to go there
 	log     *slog.Logger
 }
 
 // OpenIDs holds the Req-Id of each job that is open, at whichever front. A second job under the id of an open
 // one is not let in: endpoints would take it for a copy of the first, whose client has done no wrong.
+//
+// While one process replaces another, the predecessor's table decides for both.
 type OpenIDs struct {
 	mu   sync.Mutex
-	open map[string]bool
+	open map[string]*Kin // by whom: nil for this process
+	pred *Kin
 }
 
-func (o *OpenIDs) take(id string) bool {
+// kinAnswers is how long a predecessor has to say whether an id is free. One that is stuck for longer is taken to
+// have none open that matter: its clients hear nothing either.
+const kinAnswers = 250 * time.Millisecond
+
+// Follow has the ids asked of a predecessor too, until it is gone.
+func (o *OpenIDs) Follow(pred *Kin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.pred = pred
+}
+
+// Take takes an id for the process that asks, nil for this one, and tells whether it was free here.
+func (o *OpenIDs) Take(id string, by *Kin) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if o.open[id] {
+	if _, taken := o.open[id]; taken {
 		return false
 	}
 	if o.open == nil {
-		o.open = map[string]bool{}
+		o.open = map[string]*Kin{}
 	}
-	o.open[id] = true
+	o.open[id] = by
 	return true
 }
 
-func (o *OpenIDs) free(id string) {
+// Free gives back what the same process took.
+func (o *OpenIDs) Free(id string, by *Kin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if owner, taken := o.open[id]; taken && owner == by {
+		delete(o.open, id)
+	}
+}
+
+// Forget gives back all that a process had taken which is gone.
+func (o *OpenIDs) Forget(by *Kin) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	maps.DeleteFunc(o.open, func(_ string, owner *Kin) bool { return owner == by })
+}
+
+func (o *OpenIDs) predecessor() *Kin {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	delete(o.open, id)
+	return o.pred
+}
+
+func (o *OpenIDs) take(id string) bool {
+	if !o.Take(id, nil) {
+		return false
+	}
+	if pred := o.predecessor(); pred != nil {
+		if yes, heard := pred.Ask(protocol.Note{Take: id}, time.Now().Add(kinAnswers)); heard && !yes {
+			o.Free(id, nil)
+			return false
+		}
+	}
+	return true
+}
+
+func (o *OpenIDs) free(id string) {
+	o.Free(id, nil)
+	if pred := o.predecessor(); pred != nil {
+		pred.Tell(protocol.Note{Free: id})
+	}
 }
 
 // Leaving turns the ready page to 503.
@@ -66,6 +120,10 @@
 	f.leaving.Store(&now)
 }
 
+// Passing has clients go to a successor, each behind its next answer: a connection that is closed between requests
+// may cross one that is turned back unheard then.
+func (f *front) Passing(on bool) { f.passing.Store(on) }
+
 // frontLeaves is how long after SIGTERM the platform's front goes on bringing new connections at least.
 const frontLeaves = 250 * time.Millisecond
 
@@ -73,7 +131,7 @@
 // wants one is told that nobody is here, and all that this process could still serve goes unasked.
 func (f *front) tight() bool {
 	since := f.leaving.Load()
-	return since != nil && time.Since(*since) > frontLeaves && f.gate.Tight()
+	return since != nil && !f.passing.Load() && time.Since(*since) > frontLeaves && f.gate.Tight()
 }
 
 // admit reads a request. It gives nil where it has answered itself: to what is no job, and to one more than there
@@ -87,8 +145,11 @@
 	}
 	// A client that never reads its answer must not keep its connection and goroutine for ever.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.params.LongestDeadline() + readerWithin))
+	if f.passing.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if r.URL.Path == "/health/ready" || r.URL.Path == "/health/live" {
-		serveHealth(w, r, f.leaving.Load() != nil)
+		serveHealth(w, r, f.leaving.Load() != nil && !f.passing.Load())
 		return nil, done
 	}
 	size := r.ContentLength
@@ -96,7 +157,7 @@
 		size = protocol.MaxBody
 	}
 	if !f.gate.hold(size) {
-		f.refuse(w, "out of room for bodies")
+		f.refuse(w, protocol.ClassOf(r), "out of room for bodies")
 		return nil, done
 	}
 	done = func() { f.gate.letGo(size) }
@@ -107,10 +168,10 @@
 	}
 	switch {
 	case f.gate.Full():
-		f.refuse(w, "out of connections")
+		f.refuse(w, job.ClassName, "out of connections")
 		return nil, done
 	case f.tight():
-		f.failFast(w, "leaving, the last free connections")
+		f.failFast(w, job.ClassName, "leaving, the last free connections")
 		return nil, done
 	}
 	enter(r, serving)
@@ -118,14 +179,17 @@
 }
 
 // refuse is a fail-fast for want of room: the connection gives up its own.
-func (f *front) refuse(w http.ResponseWriter, why string) {
+func (f *front) refuse(w http.ResponseWriter, class, why string) {
 	w.Header().Set("Connection", "close")
-	f.failFast(w, why)
+	f.failFast(w, class, why)
 }
 
 // failFast is a refusal by the front itself, before the module has seen the request.
-func (f *front) failFast(w http.ResponseWriter, why string) {
+func (f *front) failFast(w http.ResponseWriter, class, why string) {
 	f.log.Warn("fail-fast", "why", why)
+	if _, ok := f.params.Class(class); ok { // else it is no job
+		f.core.Ledger().Unheard(class, routing.Refused)
+	}
 	writeAnswer(w, routing.Answer{Verdict: routing.Refused, RetryAfter: f.params.Limits.MaxRetryAfter.Span()})
 }
 
@@ -167,7 +231,7 @@
 
 // inboundOf gives a job in the core's terms.
 func inboundOf(j *protocol.Job, c routing.Client) routing.Inbound {
-	return routing.Inbound{Class: j.Class, Slots: j.Slots, Key: j.Subject, Deadline: j.Deadline, Job: j, Client: c}
+	return routing.Inbound{Class: j.Class, ClassName: j.ClassName, Slots: j.Slots, Key: j.Subject, Deadline: j.Deadline, Job: j, Client: c}
 }
 
 // serveHealth answers the pages that tell whether this process runs and wants work.
--- /dev/null
+++ b/internal/transport/kin.go
@@ -0,0 +1,231 @@
+package transport
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"brassdale/internal/protocol"
+	"brassdale/internal/routing"
+)
+
+// Kin is the other process while one replaces the other: a Unix socket whose end is the other's end. It is an
+// actor with a mailbox: nobody who tells it something waits for it.
+type Kin struct {
+	conn *net.UnixConn
+	in   *json.Decoder
+	box  *routing.Mailbox[protocol.Note]
+	gone chan struct{}
+
+	mu    sync.Mutex
+	asked uint64
+	open  map[uint64]chan bool
+}
+
+const (
+	kinWithin  = time.Second // a process that takes nothing from its kin for so long is as good as dead
+	mostFronts = 4
+)
+
+func newKin(conn *net.UnixConn) *Kin {
+	return &Kin{conn: conn, in: json.NewDecoder(conn), box: routing.NewMailbox[protocol.Note](), gone: make(chan struct{}), open: map[uint64]chan bool{}}
+}
+
+// Meet finds the process that is to be replaced and takes over its listeners and what it knows. No such process, a
+// dead one or one that does not answer until then is an error.
+func Meet(path string, until time.Time) (*Kin, *protocol.Handover, []*net.TCPListener, error) {
+	conn, err := (&net.Dialer{Deadline: until}).Dial("unix", path)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	k := newKin(conn.(*net.UnixConn))
+	_ = k.conn.SetDeadline(until)
+	listeners, err := k.receive()
+	var first protocol.Note
+	if err == nil {
+		err = k.in.Decode(&first)
+	}
+	if err == nil && (first.Handover == nil || len(first.Handover.Fronts) != len(listeners)) {
+		err = errors.New("the predecessor's first word is no handover")
+	}
+	if err != nil {
+		conn.Close()
+		for _, l := range listeners {
+			l.Close()
+		}
+		return nil, nil, nil, err
+	}
+	_ = k.conn.SetDeadline(time.Time{})
+	return k, first.Handover, listeners, nil
+}
+
+// receive takes the listeners, which come with one byte.
+func (k *Kin) receive() (listeners []*net.TCPListener, err error) {
+	mark, control := make([]byte, 1), make([]byte, unix.CmsgSpace(4*mostFronts))
+	_, n, _, _, err := k.conn.ReadMsgUnix(mark, control)
+	if err != nil {
+		return nil, err
+	}
+	messages, err := syscall.ParseSocketControlMessage(control[:n])
+	if err != nil {
+		return nil, err
+	}
+	for i := range messages {
+		fds, err := syscall.ParseUnixRights(&messages[i])
+		if err != nil {
+			return listeners, err
+		}
+		for _, fd := range fds {
+			f := os.NewFile(uintptr(fd), "listener")
+			l, err := net.FileListener(f)
+			f.Close()
+			if tcp, ok := l.(*net.TCPListener); ok {
+				listeners = append(listeners, tcp)
+			} else if err == nil {
+				l.Close()
+			}
+		}
+	}
+	return listeners, nil
+}
+
+// Hand gives a successor the listeners, without a copy here, and what it begins with.
+func (k *Kin) Hand(s *protocol.Handover, gates []*Gate) error {
+	var fds []int
+	var send func() error
+	send = func() (err error) { // each descriptor is held while the next is asked for
+		if len(fds) < len(gates) {
+			raw, err := gates[len(fds)].SyscallConn()
+			if err != nil {
+				return err
+			}
+			var inner error
+			err = raw.Control(func(fd uintptr) { fds = append(fds, int(fd)); inner = send() })
+			return errors.Join(err, inner)
+		}
+		_, _, err = k.conn.WriteMsgUnix([]byte{'\n'}, syscall.UnixRights(fds...), nil)
+		return err
+	}
+	_ = k.conn.SetWriteDeadline(time.Now().Add(kinWithin))
+	if err := send(); err != nil {
+		return err
+	}
+	k.Tell(protocol.Note{Handover: s})
+	return nil
+}
+
+// Run reads and writes until the other process is gone. take gets all but answers.
+func (k *Kin) Run(take func(protocol.Note)) {
+	go k.write()
+	for {
+		var n protocol.Note
+		if err := k.in.Decode(&n); err != nil {
+			break
+		}
+		if n.Answer == 0 {
+			take(n)
+			continue
+		}
+		k.mu.Lock()
+		answered := k.open[n.Answer]
+		delete(k.open, n.Answer)
+		k.mu.Unlock()
+		if answered != nil {
+			answered <- n.Yes // has room
+		}
+	}
+	k.conn.Close()
+	close(k.gone)
+}
+
+func (k *Kin) write() {
+	out := json.NewEncoder(k.conn)
+	for {
+		select {
+		case <-k.gone:
+			return
+		case <-k.box.Signal():
+		}
+		for _, n := range k.box.Take() {
+			_ = k.conn.SetWriteDeadline(time.Now().Add(kinWithin))
+			if err := out.Encode(n); err != nil {
+				k.conn.Close() // ends Run
+				return
+			}
+		}
+	}
+}
+
+// Tell sends a note. It does not block.
+func (k *Kin) Tell(n protocol.Note) { k.box.Post(n) }
+
+// Ask sends a question and gives the answer; heard tells whether one came until then.
+func (k *Kin) Ask(n protocol.Note, until time.Time) (yes, heard bool) {
+	answered := make(chan bool, 1)
+	k.mu.Lock()
+	k.asked++
+	n.Ask = k.asked
+	k.open[n.Ask] = answered
+	k.mu.Unlock()
+	k.Tell(n)
+	late := time.NewTimer(time.Until(until))
+	defer late.Stop()
+	select {
+	case yes := <-answered:
+		return yes, true
+	case <-k.gone:
+	case <-late.C:
+		k.mu.Lock()
+		delete(k.open, n.Ask)
+		k.mu.Unlock()
+	}
+	return false, false
+}
+
+// Gone is closed when the other process has ended.
+func (k *Kin) Gone() <-chan struct{} { return k.gone }
+
+// Close ends the connection.
+func (k *Kin) Close() { k.conn.Close() }
+
+// Publish listens for a successor at a path in place of whoever did so before. The name changes hands in one step:
+// at no time does a successor find nobody.
+func Publish(path string) (*net.UnixListener, error) {
+	fresh := fmt.Sprintf("%s.%d", path, os.Getpid())
+	_ = os.Remove(fresh) // of a dead process that had the same number
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: fresh, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	l.SetUnlinkOnClose(false) // by then it may be another's
+	if err := errors.Join(os.Chmod(fresh, 0o600), os.Rename(fresh, path)); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// Heir waits for the next successor: a process of the same user.
+func Heir(l *net.UnixListener) (*Kin, error) {
+	for {
+		conn, err := l.AcceptUnix()
+		if err != nil {
+			return nil, err
+		}
+		var who *unix.Ucred
+		if raw, err := conn.SyscallConn(); err == nil {
+			_ = raw.Control(func(fd uintptr) { who, _ = unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED) })
+		}
+		if who != nil && int(who.Uid) == os.Getuid() {
+			return newKin(conn), nil
+		}
+		conn.Close()
+	}
+}
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -82,7 +82,7 @@
 	j, fresh, err := f.find(job, digest, again != "")
 	switch {
 	case err == errFull:
-		f.refuse(w, "out of remembered jobs")
+		f.refuse(w, job.ClassName, "out of remembered jobs")
 		return
 	case err != nil:
 		rejectJob(w, err, f.log)
