--- a/brain/api.go
+++ b/brain/api.go
@@ -194,6 +194,10 @@
 // Shared tells how many processes act as this one dispatcher: two while one replaces the other.
 type Shared struct{ Processes int }
 
+// Retuned brings new settings. Its classes go on from those before: a class keeps its number for the dispatcher's
+// life, and one whose rules change is another class. Requests that are open keep the settings that they began with.
+type Retuned struct{ Settings Settings }
+
 // Woke answers a Wake.
 type Woke struct{ Token uint64 }
 
@@ -208,6 +212,7 @@
 func (Detached) event()   {}
 func (Attached) event()   {}
 func (Shared) event()     {}
+func (Retuned) event()    {}
 func (Woke) event()       {}
 
 // Action is something the dispatcher wants done. The actions are the structs below, to be carried
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -81,20 +81,11 @@
 
 // New makes a dispatcher. The same settings, seed and events give the same actions.
 func New(s Settings, seed uint64) *Dispatcher {
-	s.Dispatchers, s.Me = max(s.Dispatchers, s.Me+1, 1), max(s.Me, 0)
-	if len(s.Classes) == 0 {
-		s.Classes = []Class{{Effect: Unsafe, Kind: -1}}
-	}
-	if !s.AdviseRetry {
-		s.MaxRetryAfter = 0
-	}
-	if s.MaxAttempts <= 0 {
-		s.MaxAttempts = 16
-	}
+	set := s.usable()
 	return &Dispatcher{
-		set: s, rng: rand.New(rand.NewPCG(seed, uint64(s.Me))), cursor: s.Me, allow: firstAllow,
+		set: set, rng: rand.New(rand.NewPCG(seed, uint64(set.Me))), cursor: set.Me, allow: firstAllow,
 		byID: map[WorkerID]*worker{}, out: map[WorkerID]bool{}, processes: 1, open: map[RequestID]*request{},
-		kindTop: map[int]float64{}, kindLag: map[int]float64{}, classes: make([]classState, len(s.Classes)),
+		kindTop: map[int]float64{}, kindLag: map[int]float64{}, classes: make([]classState, len(set.Classes)),
 	}
 }
 
@@ -142,6 +133,8 @@
 		d.byHand(e.Worker, true)
 	case Attached:
 		d.byHand(e.Worker, false)
+	case Retuned:
+		d.retune(e.Settings)
 	case Shared:
 		d.processes = max(e.Processes, 1)
 	case Woke:
@@ -463,7 +456,7 @@
 
 // may tells whether the rules let the request go to the worker at all.
 func (d *Dispatcher) may(r *request, w *worker) bool {
-	c := &d.set.Classes[r.class]
+	c := &r.set.Classes[r.class]
 	if !w.listed || w.out || c.Kind >= 0 && c.Kind != w.Kind {
 		return false
 	}
@@ -473,7 +466,7 @@
 			continue
 		}
 		switch {
-		case a.out && !d.set.MayCopy, c.Effect == Unsafe:
+		case a.out && !r.set.MayCopy, c.Effect == Unsafe:
 			return false
 		case c.Effect == Safe:
 		case d.now >= a.sent+c.Window-d.tick(), c.Scope == ScopeZone && a.w.Zone != w.Zone,
@@ -481,7 +474,7 @@
 			return false
 		}
 	}
-	return len(r.attempts) < d.set.MaxAttempts
+	return len(r.attempts) < r.set.MaxAttempts
 }
 
 // ---- Request life ----
@@ -491,7 +484,7 @@
 		return
 	}
 	class := e.Class
-	if class < 0 || class >= len(d.classes) {
+	if class < 0 || class >= len(d.set.Classes) {
 		class = 0 // an unknown class: the first stands in, at the cost of its rules only
 	}
 	if sane(e.Slots) <= 0 {
@@ -508,7 +501,8 @@
 	c.span = max(c.span, left)
 	d.seq++
 	r := &request{
-		id: e.ID, class: class, slots: e.Slots, key: e.Key, hint: max(e.Work, 0), expires: e.Expires, seq: d.seq,
+		id: e.ID, set: d.set, class: class, slots: e.Slots, key: e.Key,
+		hint: max(e.Work, 0), expires: e.Expires, seq: d.seq,
 		born: d.now,
 	}
 	// A repeat has less time left than a first try; one with very little is an impatient client's.
@@ -535,7 +529,7 @@
 
 // slack is how long a request can still wait for a slot and be in time.
 func (d *Dispatcher) slack(r *request) time.Duration {
-	c := &d.set.Classes[r.class]
+	c := &r.set.Classes[r.class]
 	run := seconds(d.work(r))
 	if r.hint <= 0 {
 		run = seconds(workShare * d.work(r))
@@ -595,7 +589,7 @@
 
 // density is what a request is worth for each unit of its work.
 func (d *Dispatcher) density(r *request) float64 {
-	worth := d.set.Classes[r.class].Worth
+	worth := r.set.Classes[r.class].Worth
 	if d.set.WorthByWork {
 		return worth
 	}
@@ -681,7 +675,7 @@
 // callOff cancels the attempts that are out and meet the condition.
 func (d *Dispatcher) callOff(r *request, when func(*attempt) bool) {
 	for i := range r.attempts {
-		if a := &r.attempts[i]; d.set.MayCancel && a.out && !a.canceled && when(a) {
+		if a := &r.attempts[i]; r.set.MayCancel && a.out && !a.canceled && when(a) {
 			a.canceled = true
 			d.do(Cancel{ID: r.id, Attempt: i})
 		}
@@ -766,16 +760,16 @@
 // canGo tells whether some listed worker may take the request, now or later.
 func (d *Dispatcher) canGo(r *request) bool {
 	if !r.has(maybe) {
-		return len(r.attempts) < d.set.MaxAttempts
+		return len(r.attempts) < r.set.MaxAttempts
 	}
 	return slices.ContainsFunc(d.workers, func(w *worker) bool { return d.may(r, w) })
 }
 
 // answer gives the final answer: a refusal where a further try is harmless, else a failure.
 func (d *Dispatcher) answer(r *request) {
-	c := &d.set.Classes[r.class]
+	c := &r.set.Classes[r.class]
 	if c.Effect == Safe || c.Effect == Keyed && c.Scope == ScopeAll || !r.has(maybe) {
-		d.do(Refuse{ID: r.id, RetryAfter: d.set.MaxRetryAfter})
+		d.do(Refuse{ID: r.id, RetryAfter: r.set.MaxRetryAfter})
 	} else {
 		d.do(Fail{ID: r.id})
 	}
@@ -845,27 +839,27 @@
 			last, begun, sound = a, begun || a.began > 0, sound || d.sound(a.w, r.class)
 		}
 	}
-	c := &d.set.Classes[r.class]
+	c := &r.set.Classes[r.class]
 	late := c.LateWorth <= 0 && d.slack(r) < 0
 	switch {
 	case last == nil:
 		if r.expires-d.now <= 2*d.tick() || late {
 			d.answer(r)
 		}
-	case d.now >= r.expires+d.set.AnswerSlack/2:
+	case d.now >= r.expires+r.set.AnswerSlack/2:
 		d.do(Fail{ID: r.id})
 		d.finish(r)
 	case c.Effect == Safe && late && !begun && d.set.TellsStart: // its turn comes too late: refused in time
 		d.answer(r)
-	case c.Effect == Unsafe || last.canceled || begun && sound || len(r.attempts)+1 >= d.set.MaxAttempts:
-	case d.set.MayCopy && d.set.MayCancel:
+	case c.Effect == Unsafe || last.canceled || begun && sound || len(r.attempts)+1 >= r.set.MaxAttempts:
+	case r.set.MayCopy && r.set.MayCancel:
 		if !d.stuck(last, copyGrace) && d.sound(last.w, r.class) {
 			return
 		}
 		if w := d.pick(r, d.allow); w != nil && !r.tried(w) {
 			d.send(r, w)
 		}
-	case !sound && d.set.MayCancel:
+	case !sound && r.set.MayCancel:
 		d.callOff(r, func(*attempt) bool { return true })
 	}
 }
@@ -1009,5 +1003,5 @@
 
 // cost is the work that a request may bring, in slot-seconds.
 func (d *Dispatcher) cost(r *request) float64 {
-	return cmp.Or(d.work(r), d.set.Classes[r.class].Aim.Seconds()) * r.slots
+	return cmp.Or(d.work(r), r.set.Classes[r.class].Aim.Seconds()) * r.slots
 }
--- /dev/null
+++ b/brain/retune_test.go
@@ -0,0 +1,26 @@
+package brain
+
+import "testing"
+
+// New settings hold for what comes from now on: an open request keeps its attempts and its class's effect, a new
+// class has its own, and numbers of classes stay.
+func TestRetuned(t *testing.T) {
+	v := newDriver(t, plain())
+	v.list(workers(3)...)
+	arrive := func(id RequestID, class int) {
+		v.give(Arrived{ID: id, Class: class, Slots: 1, Expires: v.now + v.d.set.Classes[class].Deadline})
+	}
+	arrive(1, 0)
+	next := plain()
+	next.MaxAttempts = 1
+	fresh := next.Classes[2] // unsafe
+	next.Classes = append(next.Classes, fresh)
+	v.give(Retuned{Settings: next})
+	arrive(2, 0)
+	arrive(3, 3)
+	for id, want := range map[RequestID]int{1: 1, 2: 0, 3: 0} {
+		if n := count[Send](v.give(Finished{ID: id, Outcome: Reset})); n != want {
+			t.Errorf("request %d: sent %d times more, want %d", id, n, want)
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -66,6 +66,7 @@
 
 type request struct {
 	id             RequestID
+	set            *Settings // as it began
 	class, seq     int
 	slots          float64
 	key            uint64
@@ -84,7 +85,7 @@
 
 // Dispatcher is the decision state of one dispatcher. Make it with New.
 type Dispatcher struct {
-	set           Settings
+	set           *Settings // in force; replaced as a whole
 	now           Clock
 	rng           *rand.Rand
 	acts          []Action
@@ -117,6 +118,31 @@
 
 // ---- Helpers ----
 
+// usable gives settings as the decisions take them.
+func (s Settings) usable() *Settings {
+	s.Dispatchers, s.Me = max(s.Dispatchers, s.Me+1, 1), max(s.Me, 0)
+	if len(s.Classes) == 0 {
+		s.Classes = []Class{{Effect: Unsafe, Kind: -1}}
+	}
+	if !s.AdviseRetry {
+		s.MaxRetryAfter = 0
+	}
+	if s.MaxAttempts <= 0 {
+		s.MaxAttempts = 16
+	}
+	return &s
+}
+
+// retune puts new settings in force for what comes from now on.
+func (d *Dispatcher) retune(s Settings) {
+	d.set = s.usable()
+	grow := max(len(d.set.Classes)-len(d.classes), 0)
+	d.classes = append(d.classes, make([]classState, grow)...)
+	for _, w := range d.workers {
+		w.classes = append(w.classes, make([]health, grow)...)
+	}
+}
+
 // hash scatters workers, the same way at every dispatcher.
 func hash(id WorkerID) uint64 {
 	h := fnv.New64a()
--- a/cmd/brassdale/reload_test.go
+++ b/cmd/brassdale/reload_test.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -73,3 +75,112 @@
 		t.Errorf("the list came after %v", took)
 	}
 }
+
+// Settings change while it serves: a class is dropped, one comes with another effect, attempts become fewer. Jobs that
+// are open keep the rules that they began with, retries included; what comes after has the new ones.
+func TestRetune(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	once := func(b *box, c net.Conn, r *http.Request) {
+		key := r.Header.Get("Idempotency-Key")
+		if strings.HasPrefix(key, "held") {
+			<-release
+		}
+		if n := attempts(key); strings.Contains(key, "breaks") && n == 1 {
+			c.Close()
+			return
+		}
+		works(b, c, r)
+	}
+	a, b := newBox(t, "a", once), newBox(t, "b", once)
+	n := start(t, "", a, b)
+	held := make(chan int, 1)
+	go func() {
+		status, _, _ := n.do(request(n.url, "held-breaks"))
+		held <- status
+	}()
+	n.waitFor("the job at an endpoint", func() bool { _, x := a.count(); _, y := b.count(); return x+y == 1 })
+
+	retuned := strings.Replace(n.config, `"classes":[{`, `"classes":[{"aim":200000,"credit":1,"deadline":4000000,"effect":"unsafe","name":"rush"},{`, 1)
+	retuned = strings.Replace(retuned, `"name":"price-part"`, `"name":"price-whole"`, 1)
+	retuned = strings.Replace(retuned, `"maxAttempts":4`, `"maxAttempts":1`, 1)
+	n.reload(retuned)
+	n.waitFor("the file in force", func() bool { return n.figure("reload_success") == 1 })
+	ask := func(class, key string) int {
+		t.Helper()
+		r := request(n.url, key, "Req-Kind", class)
+		r.URL.Path = "/" + class
+		if class == "rush" {
+			r.Header.Del("Idempotency-Key")
+		}
+		status, _, _ := n.do(r)
+		return status
+	}
+	if status := ask("price-part", "dropped"); status != 404 {
+		t.Errorf("a class that was dropped: %d", status)
+	}
+	if status := ask("rush", "new"); status != 200 {
+		t.Errorf("a new class without keys: %d", status)
+	}
+	if status := ask("price-whole", "breaks"); status != 502 && status != 504 {
+		t.Errorf("a job with one attempt, which broke: %d", status)
+	}
+	close(release)
+	if status := <-held; status != 200 {
+		t.Errorf("the open job, which had four attempts: %d", status)
+	}
+	for name, want := range map[string]int{"replies.price-part.success": 1, "replies.price-part.error": 1,
+		"replies.rush.success": 1, "replies.price-whole.error": 1} {
+		if got := n.figure(name); got != want {
+			t.Errorf("%s=%d, want %d", name, got, want)
+		}
+	}
+	n.reload(n.config)
+	n.waitFor("the old file", func() bool { return n.figure("reload_success") == 2 })
+	if status := ask("price-part", "again"); status != 200 {
+		t.Errorf("a class that came back: %d", status)
+	}
+}
+
+var tries = struct {
+	sync.Mutex
+	by map[string]int
+}{by: map[string]int{}}
+
+// attempts counts the runs of a key at all endpoints of the test.
+func attempts(key string) int {
+	tries.Lock()
+	defer tries.Unlock()
+	tries.by[key]++
+	return tries.by[key]
+}
+
+// Of a file that is broken in any way nothing is taken.
+func TestBrokenFiles(t *testing.T) {
+	t.Parallel()
+	n := start(t, "", newBox(t, "a", works))
+	good := strings.Replace(n.config, `"name":"price-part"`, `"name":"other"`, 1)
+	swap := func(old, new string) string {
+		if !strings.Contains(good, old) {
+			t.Fatalf("no %s in the file", old)
+		}
+		return strings.Replace(good, old, new, 1)
+	}
+	for i, text := range []string{
+		"", " ", good[:len(good)/2], good[:len(good)-1], good + "}", "[]", "null", "{}",
+		swap(`"deadline":5000000`, `"deadline":0`), swap(`"deadline":5000000`, `"deadline":-5`), swap(`"deadline":5000000`, `"deadline":"soon"`),
+		swap(`"deadline":5000000`, `"deadline":null`), swap(`"deadline":5000000,`, ``), swap(`"effect":"keyed",`, ``), swap(`,"window":7500000`, ``),
+		swap(`"maxAttempts":4`, `"maxAttempts":0`), swap(`"maxAttempts":4`, `"maxAttempts":-1`), swap(`"maxAttempts":4`, `"maxAttempts":"four"`),
+		swap(`"maxAttempts":4,`, ``), swap(`"maxAttempts":4`, `"maxAttempts":1.5`), swap(`"maxAttempts":4`, `"maxAttempts":null`),
+		swap(`"listen":`, `"listens":`), swap(`"discovery":"127`, `"discoveries":"127`), swap(`"limits":{"cores"`, `"limit":{"cores"`),
+		swap(`"settings":`, `"setting":`), swap(`"classes":`, `"class":`), swap(`"rules":`, `"rule":`),
+	} {
+		n.reload(text)
+		n.waitFor("a refusal", func() bool { return n.figure("reload_failure") == i+1 })
+		if status, _, _ := n.do(request(n.url, fmt.Sprint(i))); status != 200 || n.figure("reload_success") != 0 {
+			t.Fatalf("after file %d, %.60q: %d", i, text, status)
+		}
+	}
+	n.reload(good)
+	n.waitFor("the good file", func() bool { return n.figure("reload_success") == 1 })
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -35,7 +35,7 @@
 type dispatcher struct {
 	ctx        context.Context
 	log        *slog.Logger
-	params     *protocol.Params
+	params     *protocol.Live
 	core       *routing.Core
 	fleet      *transport.Fleet
 	set        *routing.Destinations
@@ -86,7 +86,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	d := &dispatcher{ctx: ctx, log: log, params: &cfg.Settings, ids: &transport.OpenIDs{}, socket: keptFile(env, cfg, ".sock")}
+	d := &dispatcher{ctx: ctx, log: log, params: &protocol.Live{}, ids: &transport.OpenIDs{}, socket: keptFile(env, cfg, ".sock")}
 	pred := d.meet()
 	if err := d.build(env, cfg, op, pred); err != nil {
 		return err
@@ -141,18 +141,17 @@
 // build makes all parts, none of which runs yet.
 func (d *dispatcher) build(env func(string) string, cfg *protocol.Config, op *protocol.Operator, pred *predecessor) error {
 	p, log := d.params, d.log
-	d.core = routing.NewCore(brain.New(p.Module(), cfg.SeedNumber()), routing.NewClock(),
-		routing.Options{MaxAttempts: p.Limits.MaxAttempts, AnswerSlack: p.Rules.AnswerSlack.Span()}, log)
-	for i := range p.Classes {
-		d.core.Ledger().Class(p.Classes[i].Name)
-	}
+	p.Put(&cfg.Settings, func(s brain.Settings) {
+		d.core = routing.NewCore(brain.New(s, cfg.SeedNumber()), routing.NewClock(), log)
+	})
+	d.register(&cfg.Settings)
 	d.fleet = transport.NewFleet(d.ctx, p, d.core, log)
 	saved := routing.Update{}
 	if cfg.Known != nil {
-		saved = transport.Update(cfg.Known, p)
+		saved = transport.Update(cfg.Known, p.Now())
 	}
 	if pred != nil { // it knows the list as of now
-		if u, err := pred.handover.Update(cfg.Discovery, p); err == nil {
+		if u, err := pred.handover.Update(cfg.Discovery, p.Now()); err == nil {
 			saved = u
 		} else {
 			log.Warn("the predecessor's list is of no use", "err", err)
@@ -190,11 +189,18 @@
 	return nil
 }
 
+// register has the figures of all classes stand from the start.
+func (d *dispatcher) register(p *protocol.Params) {
+	for i := range p.Classes {
+		d.core.Ledger().Class(p.Classes[i].Name)
+	}
+}
+
 // leave answers all that was taken, and ends in time.
 func (d *dispatcher) leave() {
 	d.serving.Store(false)
 	leave := time.Now()
-	end := leave.Add(min(d.params.LongestDeadline(), mostCounted) + killSlack)
+	end := leave.Add(min(d.params.Now().LongestDeadline(), mostCounted) + killSlack)
 	d.core.Ending(end.Add(-lastAnswer))
 	passed := d.passed.Load()
 	for _, f := range d.fronts {
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"os"
-	"reflect"
+	"slices"
 	"sync"
 
 	"brassdale/internal/protocol"
@@ -41,6 +41,9 @@
 // written, leaves the old one in force. Requests, connections and the list as known stay as they are.
 func (r *reloader) reload() {
 	cfg, err := protocol.LoadConfig(r.env("GW_CONFIG"), r.env)
+	if err == nil {
+		err = cfg.Follows(r.cfg)
+	}
 	if err != nil {
 		r.d.core.Ledger().Reloaded(false)
 		r.d.log.Error("reload refused, the old file stays in force", "err", err)
@@ -54,7 +57,10 @@
 	r.d.shares = sharesOf(cfg.Limits, len(r.d.fronts))
 	r.d.mu.Unlock()
 	r.d.deal()
-	if cfg.Discovery != old.Discovery {
+	// The module hears first, by the same mailbox that brings it the jobs: none comes under rules that it does not know.
+	r.d.params.Put(&cfg.Settings, r.d.core.Retune)
+	r.d.register(&cfg.Settings)
+	if cfg.Discovery != old.Discovery || !slices.Equal(cfg.Settings.Zones, old.Settings.Zones) || !slices.Equal(cfg.Settings.Flavors, old.Settings.Flavors) {
 		next := transport.NewDiscovery(cfg.Discovery, r.discovery.Params)
 		r.d.set.Move(next)
 		r.discovery.Close()
@@ -63,13 +69,12 @@
 	var later []string // what is built in at the start
 	for _, f := range []struct {
 		field     string
-		now, then any
-	}{{"name", old.Name, cfg.Name}, {"listen", old.Listen, cfg.Listen}, {"admin", old.Admin, cfg.Admin},
-		{"settings", old.Settings, cfg.Settings}} {
-		if !reflect.DeepEqual(f.now, f.then) {
+		now, then string
+	}{{"name", old.Name, cfg.Name}, {"listen", old.Listen, cfg.Listen}, {"admin", old.Admin, cfg.Admin}} {
+		if f.now != f.then {
 			later = append(later, f.field)
 		}
 	}
 	r.d.core.Ledger().Reloaded(true)
-	r.d.log.Info("reloaded", "discovery", cfg.Discovery, "from_next_start", later)
+	r.d.log.Info("reloaded", "discovery", cfg.Discovery, "classes", len(cfg.Settings.Classes), "from_next_start", later)
 }
--- a/internal/program/replace.go
+++ b/internal/program/replace.go
@@ -139,7 +139,7 @@
 		return false
 	}
 	h := &protocol.Handover{Discovery: d.reloader.address(), Revision: known.Revision, Out: d.operations.file.list(),
-		Members: protocol.KnownMembers(known.Destinations, d.params)}
+		Members: protocol.KnownMembers(known.Destinations, d.params.Now())}
 	var gates []*transport.Gate
 	for _, f := range d.fronts {
 		h.Fronts, gates = append(h.Fronts, f.name), append(gates, f.gate)
@@ -168,7 +168,6 @@
 		return true
 	}
 	// The successor is gone first: this process is the dispatcher again.
-	d.log.Error("successor gone: serving on alone")
 	d.ids.Forget(kin)
 	d.setKin(nil)
 	d.core.Shared(1)
@@ -179,6 +178,7 @@
 	}
 	d.deal()
 	d.publish() // the name leads to the dead one
+	d.log.Error("successor gone: serving on alone")
 	return true
 }
 
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -7,9 +7,11 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"net"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -25,6 +27,8 @@
 	Limits    Limits
 	Known     *List
 	Settings  Params
+
+	raw map[string]any // the file as it is
 }
 
 // Limits are what the platform gives a dispatcher; 0 stands for no limit told.
@@ -51,6 +55,9 @@
 		}
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	if err := json.Unmarshal(text, &c.raw); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
 	if l := &c.Settings.Limits; l.ConnectTimeout <= 0 {
 		l.ConnectTimeout = Micros(200 * time.Millisecond / time.Microsecond) // without one nothing would connect
 	}
@@ -74,6 +81,8 @@
 		return bad("limits", "negative")
 	case c.Limits.Sockets > 0 && c.Limits.Sockets < 64:
 		return bad("limits.sockets", "fewer than 64")
+	case c.Settings.Limits.MaxAttempts < 0 || c.Settings.Limits.MaxAttempts == 0 && has(c.raw, "settings", "limits", "maxAttempts"):
+		return bad("settings.limits.maxAttempts", "must be above 0")
 	case len(c.Settings.Classes) == 0:
 		return bad("settings.classes", "no class of request")
 	}
@@ -96,6 +105,78 @@
 	return nil
 }
 
+// has tells whether there is such a key.
+func has(o map[string]any, path ...string) bool {
+	v, ok := o[path[0]]
+	if len(path) == 1 || !ok {
+		return ok
+	}
+	inner, ok := v.(map[string]any)
+	return ok && has(inner, path[1:]...)
+}
+
+// Follows tells whether this file may take the place of another while the program runs. It must be whole: what the
+// other says and this one does not was lost on the way, and no default may stand in for it.
+func (c *Config) Follows(old *Config) error {
+	was, is := maps.Clone(old.raw), c.raw
+	delete(was, "known") // counts at a start only
+	if err := missing("", was, is); err != nil {
+		return err
+	}
+	first, _ := was["settings"].(map[string]any)
+	next, _ := is["settings"].(map[string]any)
+	keys := classKeys(first["classes"])
+	for i, class := range classesOf(next["classes"]) {
+		for _, key := range keys {
+			_, ok := class[key]
+			if forKeyed := key == "window" || key == "dedupScope"; !ok && (!forKeyed || class["effect"] == "keyed") {
+				return fmt.Errorf("settings.classes[%d].%s: absent", i, key)
+			}
+		}
+	}
+	return nil
+}
+
+// missing names a key that one object has and another lacks.
+func missing(path string, was, is map[string]any) error {
+	for _, key := range slices.Sorted(maps.Keys(was)) {
+		v, ok := is[key]
+		if !ok || v == nil && was[key] != nil {
+			return fmt.Errorf("%s%s: absent", path, key)
+		}
+		if inner, ok := was[key].(map[string]any); ok {
+			now, ok := v.(map[string]any)
+			if !ok {
+				return fmt.Errorf("%s%s: no object", path, key)
+			}
+			if err := missing(path+key+".", inner, now); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func classesOf(v any) (classes []map[string]any) {
+	list, _ := v.([]any)
+	for _, c := range list {
+		o, _ := c.(map[string]any)
+		classes = append(classes, o)
+	}
+	return classes
+}
+
+// classKeys gives the keys that all classes have.
+func classKeys(v any) (keys []string) {
+	for i, class := range classesOf(v) {
+		if i == 0 {
+			keys = slices.Sorted(maps.Keys(class))
+		}
+		keys = slices.DeleteFunc(keys, func(key string) bool { _, ok := class[key]; return !ok })
+	}
+	return keys
+}
+
 // badField words what is wrong with a field of a file.
 func badField(path string) func(field, why string) error {
 	return func(field, why string) error { return fmt.Errorf("%s: %s: %s", path, field, why) }
--- a/internal/protocol/inbound.go
+++ b/internal/protocol/inbound.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"brassdale/internal/routing"
 )
 
 // MaxBody is the most that a body of the platform's protocol holds.
@@ -18,9 +20,11 @@
 // Job is an inbound request, decoded. It passes through the core unread, to whichever endpoint gets it.
 type Job struct {
 	ID        string
-	Class     int
+	Class     int // its number in the module
 	ClassName string
-	Key       string // Idempotency-Key
+	Rules     routing.Rules
+	Window    time.Duration // how long repeats of the class are remembered
+	Key       string        // Idempotency-Key
 	Method    string
 	Target    string // path and query, as the client wrote them
 	Body      []byte
@@ -63,7 +67,8 @@
 	if !ok {
 		return nil, reject(http.StatusNotFound, "no class %q", name)
 	}
-	j := &Job{ID: r.Header.Get("Req-Id"), Class: class, ClassName: name, Key: r.Header.Get("Idempotency-Key"),
+	j := &Job{ID: r.Header.Get("Req-Id"), Class: p.numbers[class], ClassName: name, Window: p.Classes[class].Window.Span(),
+		Rules: routing.Rules{MaxAttempts: p.Limits.MaxAttempts, AnswerSlack: p.Rules.AnswerSlack.Span()}, Key: r.Header.Get("Idempotency-Key"),
 		Method: r.Method, Target: r.URL.RequestURI(), Slots: 1, Pass: http.Header{}}
 	if kind := r.Header.Get("Req-Kind"); kind != "" && kind != name {
 		if _, ok := p.Class(kind); !ok {
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -1,6 +1,8 @@
 package protocol
 
 import (
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"brassdale/brain"
@@ -63,6 +65,41 @@
 		StartCapacity float64
 		TipMultiple   float64
 	}
+
+	numbers []int // of the classes, in the module
+}
+
+// Live holds the settings in force. They are replaced as a whole: whoever begins something takes them once.
+type Live struct {
+	now atomic.Pointer[Params]
+
+	// Owned by whoever calls Put. A class keeps its number in the module for good, so that jobs keep the rules that
+	// they began with; one whose rules change gets a further number, and its old one if they change back.
+	names   []string
+	classes []brain.Class
+}
+
+// Now gives the settings in force.
+func (l *Live) Now() *Params { return l.now.Load() }
+
+// Put numbers the classes, gives the settings in the module's terms to swap, and puts them in force. The module must
+// know them before the first job of a new class: it is told in between.
+func (l *Live) Put(p *Params, swap func(brain.Settings)) {
+	s := p.Module()
+	p.numbers = nil
+	for i, class := range s.Classes {
+		n := 0
+		for n < len(l.names) && (l.names[n] != p.Classes[i].Name || l.classes[n] != class) {
+			n++
+		}
+		if n == len(l.names) {
+			l.names, l.classes = append(l.names, p.Classes[i].Name), append(l.classes, class)
+		}
+		p.numbers = append(p.numbers, n)
+	}
+	s.Classes = slices.Clone(l.classes)
+	swap(s)
+	l.now.Store(p)
 }
 
 // Module gives the settings in the module's terms.
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -39,6 +39,7 @@
 	Class     int
 	ClassName string // for the figures
 	Slots     float64
+	Rules     Rules
 	Key       uint64 // what the job needs at an endpoint: jobs of one key belong together; 0 when not told
 	Deadline  time.Time
 	Job       any // what endpoints need to know; not read here
@@ -85,8 +86,8 @@
 	Bar(id brain.WorkerID, since time.Time) // put out by hand; zero: put back
 }
 
-// Options are the limits that the core itself must know.
-type Options struct {
+// Rules are the limits that the core itself must know of a request, as they were when it began.
+type Rules struct {
 	MaxAttempts int           // calls past it are not sent; 0 for no limit
 	AnswerSlack time.Duration // how long after its deadline an answer still counts
 }
@@ -100,7 +101,6 @@
 type Core struct {
 	module    *brain.Dispatcher
 	clock     Clock
-	options   Options
 	endpoints Endpoints
 	subscribe func()
 	log       *slog.Logger
@@ -155,8 +155,8 @@
 )
 
 // NewCore makes the actor. Attach must be called before Run.
-func NewCore(module *brain.Dispatcher, clock Clock, o Options, log *slog.Logger) *Core {
-	return &Core{module: module, clock: clock, options: o, log: log, box: NewMailbox[any](),
+func NewCore(module *brain.Dispatcher, clock Clock, log *slog.Logger) *Core {
+	return &Core{module: module, clock: clock, log: log, box: NewMailbox[any](),
 		requests: map[brain.RequestID]*request{}}
 }
 
@@ -220,6 +220,9 @@
 	}
 }
 
+// Retune puts new settings in force for the requests that come from now on.
+func (c *Core) Retune(s brain.Settings) { c.box.Post(brain.Retuned{Settings: s}) }
+
 // Shared tells how many processes act as this dispatcher.
 func (c *Core) Shared(processes int) { c.box.Post(brain.Shared{Processes: processes}) }
 
@@ -260,7 +263,7 @@
 	case arrived:
 		r := &request{Inbound: m.in, expires: c.clock.At(m.in.Deadline)}
 		c.requests[m.id] = r
-		heap.Push(&c.timers, timer{at: r.expires + c.options.AnswerSlack + guardAfter, guard: m.id})
+		heap.Push(&c.timers, timer{at: r.expires + r.Rules.AnswerSlack + guardAfter, guard: m.id})
 		c.feed(brain.Arrived{ID: m.id, Class: r.Class, Slots: r.Slots, Key: r.Key, Expires: r.expires})
 	case left:
 		if r := c.requests[m.id]; r != nil && !r.answered {
@@ -342,7 +345,7 @@
 	if r.answered {
 		return
 	}
-	a.Expired = a.Verdict != Served && (r.timedOut || c.now >= r.expires-c.options.AnswerSlack)
+	a.Expired = a.Verdict != Served && (r.timedOut || c.now >= r.expires-r.Rules.AnswerSlack)
 	r.answered = true
 	c.ledger.answered(r.ClassName, a.Verdict)
 	r.Client.Answered(a)
@@ -401,7 +404,7 @@
 	id.Attempt = len(r.calls)
 	r.calls = append(r.calls, call{endpoint: a.Worker, out: true})
 	r.out++
-	if r.answered || c.now >= r.expires || c.options.MaxAttempts > 0 && id.Attempt >= c.options.MaxAttempts {
+	if r.answered || c.now >= r.expires || r.Rules.MaxAttempts > 0 && id.Attempt >= r.Rules.MaxAttempts {
 		c.Finished(id, End{Outcome: brain.NeverSent})
 		return
 	}
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -27,14 +27,14 @@
 func (f *fake) Progressed(int, float64)            {}
 func (f *fake) Answered(a Answer)                  { f.answers <- a }
 func (f *fake) submit(c *Core, until time.Time) Call {
-	c.Submit(Inbound{Deadline: until, Slots: 1, Client: f})
+	c.Submit(Inbound{Deadline: until, Slots: 1, Client: f, Rules: Rules{MaxAttempts: 4, AnswerSlack: 8 * time.Millisecond}})
 	return <-f.sent
 }
 
 func startCore(t *testing.T) (*Core, *fake) {
 	set := brain.Settings{Dispatchers: 1, MayCancel: true, MaxAttempts: 4, TellsStart: true, AnswerSlack: 8 * time.Millisecond,
 		Classes: []brain.Class{{Aim: time.Second, Deadline: 5 * time.Second, Effect: brain.Unsafe, Kind: -1}}}
-	c := NewCore(brain.New(set, 1), NewClock(), Options{MaxAttempts: 4, AnswerSlack: set.AnswerSlack}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c := NewCore(brain.New(set, 1), NewClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
 	f := &fake{make(chan Call, 16), make(chan CallID, 16), make(chan Answer, 16)}
 	c.Attach(f, func() {})
 	ctx, stop := context.WithCancel(context.Background())
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -24,7 +24,7 @@
 // Discovery asks for the destination set. It is the core's routing.Discovery.
 type Discovery struct {
 	Address string
-	Params  *protocol.Params
+	Params  *protocol.Live
 	client  http.Client
 }
 
@@ -32,7 +32,7 @@
 func (d *Discovery) Close() { d.client.CloseIdleConnections() }
 
 // NewDiscovery makes a client of its own: no proxy of the environment may come between.
-func NewDiscovery(address string, p *protocol.Params) *Discovery {
+func NewDiscovery(address string, p *protocol.Live) *Discovery {
 	// A discovery that is cut off takes no connection: that shows long before a watch's end.
 	dialer := &net.Dialer{Timeout: connectWithin}
 	return &Discovery{Address: address, Params: p,
@@ -72,7 +72,7 @@
 	if revision == routing.Whole && !l.Complete {
 		return routing.Update{}, fmt.Errorf("asked for the whole list, discovery gave changes")
 	}
-	return Update(l, d.Params), nil
+	return Update(l, d.Params.Now()), nil
 }
 
 // Update gives a list in the core's terms.
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -166,7 +166,7 @@
 	}
 	e.waiting = append(e.waiting, x)
 	e.dialing++
-	address, until := e.dest.Address, time.Now().Add(e.fleet.params.Limits.ConnectTimeout.Span())
+	address, until := e.dest.Address, time.Now().Add(e.fleet.params.Now().Limits.ConnectTimeout.Span())
 	if x.deadline.Before(until) {
 		until = x.deadline
 	}
@@ -237,7 +237,7 @@
 func (e *endpoint) carry(x *exchange, w *wire) bool {
 	now := time.Now()
 	over := func(told time.Time) bool {
-		return !told.IsZero() && now.After(told.Add(e.fleet.params.Rules.DrainGrace.Span()-drainMargin))
+		return !told.IsZero() && now.After(told.Add(e.fleet.params.Now().Rules.DrainGrace.Span()-drainMargin))
 	}
 	if x.cut.Load() || !now.Before(x.deadline) || !x.probe && (over(e.dest.Told) || over(e.barred)) {
 		e.end(x, routing.End{Outcome: brain.NeverSent})
@@ -329,7 +329,7 @@
 	job, _ := x.call.Job.(*protocol.Job)
 	var text []byte
 	if host := conn.RemoteAddr().String(); x.probe {
-		text = protocol.EncodeProbe(host, e.fleet.params)
+		text = protocol.EncodeProbe(host, e.fleet.params.Now())
 	} else {
 		text = job.Encode(host, time.Now())
 	}
--- a/internal/transport/endpoint_test.go
+++ b/internal/transport/endpoint_test.go
@@ -29,7 +29,9 @@
 	p.Rules.DrainGrace = 500000
 	ends := make(sink, 4)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	e := newEndpoint(NewFleet(context.Background(), p, ends, log), routing.Destination{Told: told})
+	live := &protocol.Live{}
+	live.Put(p, func(brain.Settings) {})
+	e := newEndpoint(NewFleet(context.Background(), live, ends, log), routing.Destination{Told: told})
 	here, there := net.Pipe()
 	t.Cleanup(func() { here.Close(); there.Close() })
 	quota := &io.LimitedReader{R: here}
--- a/internal/transport/fleet.go
+++ b/internal/transport/fleet.go
@@ -27,7 +27,7 @@
 // that is gone stays, idle: the module too remembers a worker for its life, and it may come back.
 type Fleet struct {
 	ctx     context.Context
-	params  *protocol.Params
+	params  *protocol.Live
 	sink    Sink
 	log     *slog.Logger
 	most    atomic.Int64 // connections that all endpoints together may have open
@@ -38,7 +38,7 @@
 }
 
 // NewFleet makes an empty fleet. It opens no connection before Allow.
-func NewFleet(ctx context.Context, p *protocol.Params, sink Sink, log *slog.Logger) *Fleet {
+func NewFleet(ctx context.Context, p *protocol.Live, sink Sink, log *slog.Logger) *Fleet {
 	return &Fleet{ctx: ctx, params: p, sink: sink, log: log, members: map[brain.WorkerID]*endpoint{},
 		barred: map[brain.WorkerID]time.Time{}}
 }
@@ -123,5 +123,5 @@
 }
 
 func (f *Fleet) idleUntil(since time.Time) time.Time {
-	return since.Add(f.params.Limits.ConnIdle.Span() * 85 / 100)
+	return since.Add(f.params.Now().Limits.ConnIdle.Span() * 85 / 100)
 }
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -29,7 +29,7 @@
 // front is what both fronts share: they let requests in and count connections.
 type front struct {
 	core    Core
-	params  *protocol.Params
+	params  *protocol.Live
 	gate    *Gate
 	ids     *OpenIDs
 	leaving atomic.Pointer[time.Time] // since when; nil while it is not
@@ -139,12 +139,13 @@
 // the request is over.
 func (f *front) admit(w http.ResponseWriter, r *http.Request) (job *protocol.Job, done func()) {
 	done = func() {}
+	params := f.params.Now() // the rules that the job begins with
 	if !r.ProtoAtLeast(1, 1) || len(r.TransferEncoding) > 0 {
 		// Where the next request would begin is for net/http alone to say: the framing was not followed.
 		w.Header().Set("Connection", "close")
 	}
 	// A client that never reads its answer must not keep its connection and goroutine for ever.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(f.params.LongestDeadline() + readerWithin))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(params.LongestDeadline() + readerWithin))
 	if f.passing.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -161,9 +162,12 @@
 		return nil, done
 	}
 	done = func() { f.gate.letGo(size) }
-	job, err := readJob(w, r, f.params)
+	job, err := readJob(w, r, params)
 	if err != nil {
-		rejectJob(w, err, f.log)
+		f.rejectJob(w, err)
+		if _, now := params.Class(protocol.ClassOf(r)); !now && f.core.Ledger().Had(protocol.ClassOf(r)) {
+			f.core.Ledger().Unheard(protocol.ClassOf(r), routing.Failed) // of a class that was dropped
+		}
 		return nil, done
 	}
 	switch {
@@ -187,17 +191,17 @@
 // failFast is a refusal by the front itself, before the module has seen the request.
 func (f *front) failFast(w http.ResponseWriter, class, why string) {
 	f.log.Warn("fail-fast", "why", why)
-	if _, ok := f.params.Class(class); ok { // else it is no job
+	if f.core.Ledger().Had(class) { // else it is no job
 		f.core.Ledger().Unheard(class, routing.Refused)
 	}
-	writeAnswer(w, routing.Answer{Verdict: routing.Refused, RetryAfter: f.params.Limits.MaxRetryAfter.Span()})
+	writeAnswer(w, routing.Answer{Verdict: routing.Refused, RetryAfter: f.params.Now().Limits.MaxRetryAfter.Span()})
 }
 
 // Inbound is the front for the platform's protocol.
 type Inbound struct{ front }
 
 // NewInbound makes the front.
-func NewInbound(c Core, p *protocol.Params, g *Gate, ids *OpenIDs, log *slog.Logger) *Inbound {
+func NewInbound(c Core, p *protocol.Live, g *Gate, ids *OpenIDs, log *slog.Logger) *Inbound {
 	return &Inbound{front{core: c, params: p, gate: g, ids: ids, log: log}}
 }
 
@@ -215,7 +219,7 @@
 		return
 	}
 	if !f.ids.take(job.ID) {
-		rejectJob(w, errIDInUse, f.log)
+		f.rejectJob(w, errIDInUse)
 		return
 	}
 	defer f.ids.free(job.ID)
@@ -231,7 +235,7 @@
 
 // inboundOf gives a job in the core's terms.
 func inboundOf(j *protocol.Job, c routing.Client) routing.Inbound {
-	return routing.Inbound{Class: j.Class, ClassName: j.ClassName, Slots: j.Slots, Key: j.Subject, Deadline: j.Deadline, Job: j, Client: c}
+	return routing.Inbound{Class: j.Class, ClassName: j.ClassName, Rules: j.Rules, Slots: j.Slots, Key: j.Subject, Deadline: j.Deadline, Job: j, Client: c}
 }
 
 // serveHealth answers the pages that tell whether this process runs and wants work.
@@ -262,7 +266,7 @@
 	return job, err
 }
 
-func rejectJob(w http.ResponseWriter, err error, log *slog.Logger) {
+func (f *front) rejectJob(w http.ResponseWriter, err error) {
 	status := http.StatusBadRequest
 	if why := (*protocol.Reject)(nil); errors.As(err, &why) {
 		status = why.Status
@@ -271,7 +275,7 @@
 		w.Header().Set("Allow", http.MethodPost)
 	}
 	w.Header().Set("Connection", "close") // the rest of its body is not worth reading, nor is what may follow
-	log.Debug("inbound rejected", "status", status, "err", err)
+	f.log.Debug("inbound rejected", "status", status, "err", err)
 	http.Error(w, err.Error(), status)
 }
 
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -56,7 +56,7 @@
 }
 
 // NewProgress makes the front.
-func NewProgress(c Core, p *protocol.Params, o *protocol.Operator, g *Gate, ids *OpenIDs, log *slog.Logger) *Progress {
+func NewProgress(c Core, p *protocol.Live, o *protocol.Operator, g *Gate, ids *OpenIDs, log *slog.Logger) *Progress {
 	return &Progress{front: front{core: c, params: p, gate: g, ids: ids, log: log}, set: o, jobs: map[string]*watched{}}
 }
 
@@ -85,7 +85,7 @@
 		f.refuse(w, job.ClassName, "out of remembered jobs")
 		return
 	case err != nil:
-		rejectJob(w, err, f.log)
+		f.rejectJob(w, err)
 		return
 	case j.digest != digest:
 		http.Error(w, "Idempotency-Key was used for another job", http.StatusUnprocessableEntity)
@@ -130,7 +130,7 @@
 		return nil, false, errIDInUse
 	}
 	j = &watched{front: f, key: job.Key, id: job.ID, digest: digest, changed: make(chan struct{}),
-		window: f.params.Classes[job.Class].Window.Span(), release: sync.OnceFunc(func() { f.ids.free(job.ID) })}
+		window: job.Window, release: sync.OnceFunc(func() { f.ids.free(job.ID) })}
 	if job.Key != "" {
 		f.jobs[job.Key] = j
 	}
