Do not let quick starts at cold workers raise the allowance of all

A trace of each job: at the seven cold workers jobs start at once (queue 0 ms, two slots held), at the warm ones they wait for 290 to 430 ms, own 8 to 11 jobs on 6 slots from each dispatcher, while the allowance stands at 0.42 to 0.76. learnWait counts both alike: each start at a cold worker, which its pace keeps short (drag), raises the allowance that fills the warm ones.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -665,6 +665,7 @@
 	switch {
 	case float64(d.now-a.sent) > waitShare*float64(spare):
 		d.allow = max(d.allow-step, leastAllow)
+	case d.drag(a.w) > 1: // kept short by its pace: that a job starts there soon tells nothing of the others
 	case len(d.held) > 0:
 		d.allow = min(d.allow+step, mostAllow)
 	case d.allow < firstAllow:
--- a/brain/loss_test.go
+++ b/brain/loss_test.go
@@ -92,3 +92,26 @@
 		}
 	}
 }
+
+// Cold workers are kept short by their pace, so jobs always start soon there. That once raised the allowance of all,
+// and jobs queued at the few warm ones.
+func TestAllowanceByWarmWorkers(t *testing.T) {
+	v := newDriver(t, plain())
+	ws := workers(2)
+	ws[0].Since = v.now
+	v.list(ws...)
+	cold, warm := v.d.byID[ws[0].ID], v.d.byID[ws[1].ID]
+	r := &request{set: v.d.set, born: v.now, expires: v.now + time.Second}
+	v.d.held = []*request{r}
+	before := v.d.allow
+	if v.d.learnWait(r, &attempt{w: cold, sent: v.d.now}); v.d.allow != before {
+		t.Errorf("a job that started soon at a cold worker: %v, was %v", v.d.allow, before)
+	}
+	if v.d.learnWait(r, &attempt{w: warm, sent: v.d.now}); v.d.allow <= before {
+		t.Errorf("at a warm one: %v, was %v", v.d.allow, before)
+	}
+	v.d.allow = before
+	if v.d.learnWait(r, &attempt{w: cold, sent: v.d.now - time.Second}); v.d.allow >= before {
+		t.Errorf("a job that waited at a cold one: %v, was %v", v.d.allow, before)
+	}
+}
