Keep the front for progress whole across a replacement: relay readers, hand ended jobs over

Design: the successor asks the predecessor for a key it does not know and relays the reader there through a Unix socket (net/http/httputil); the predecessor relays keys that it does not know. Ended jobs go over with their events for the rest of the window, and the predecessor ends only when the successor has taken all. Not taken: passing the readers' connections over. Each is in the middle of net/http's hands.

TestProgressReplaced: three streams, two processes, one run a key; fails without (a second run, then 502). The door listens alone now: with SO_REUSEPORT two processes on one admin address would have answered by chance.

--- a/cmd/brassdale/progress_test.go
+++ b/cmd/brassdale/progress_test.go
@@ -279,3 +279,49 @@
 		t.Errorf("past the bound: %d, Retry-After %q", status, after)
 	}
 }
+
+// While the program is replaced, a key still has one job: who comes to either process for it attaches to it, and its
+// end is remembered by the successor when the predecessor is gone.
+func TestProgressReplaced(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+		head(c, "application/json")
+		id := r.Header.Get("Req-Id")
+		chunk(c, line(id, `"state":"started"`))
+		<-release
+		chunk(c, line(id, `"state":"done","result":"priced"`))
+		last(c)
+	})
+	n := start(t, operator("lines"), b)
+	first := n.open(request(n.progress, "k"))
+	check(t, "before", []string{first.next().Name}, "started")
+	m := n.successor(operator("lines"))
+	if m.progress != n.progress {
+		t.Fatalf("progress is served at %s, not at %s", m.progress, n.progress)
+	}
+	n.waitFor("the successor's word", func() bool { return strings.Contains(n.log(), "successor serves") })
+	http.DefaultClient.CloseIdleConnections()
+	again := request(m.progress, "k", "Req-Id", "again")
+	second := m.open(again)
+	check(t, "at the successor", []string{second.next().Name}, "started")
+	other := m.open(request(m.progress, "other"))
+	check(t, "another job there", []string{other.next().Name}, "started")
+	n.stop()
+	close(release)
+	check(t, "the first stream", first.rest(), "2 done")
+	check(t, "the second stream", second.rest(), "2 done")
+	check(t, "the other stream", other.rest(), "2 done")
+	n.ends(time.Now().Add(5 * time.Second))
+	m.waitFor("the end of the predecessor", func() bool { return strings.Contains(m.log(), "predecessor gone") })
+	check(t, "what the successor remembers", m.open(request(m.progress, "k", "Req-Id", "later")).rest(), "1 started, 2 done")
+	check(t, "the rest of it", m.open(request(m.progress, "k", "Req-Id", "rest", "Last-Event-ID", "1")).rest(), "2 done")
+	if resp := m.open(request(m.progress, "never", "Last-Event-ID", "1")); resp.resp.StatusCode != 502 {
+		t.Errorf("a key that neither knows: %d", resp.resp.StatusCode)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.runs["k"] != 1 || b.runs["other"] != 1 || b.runs["never"] != 0 {
+		t.Errorf("runs by key: %v", b.runs)
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -41,6 +41,9 @@
 	set        *routing.Destinations
 	ids        *transport.OpenIDs
 	fronts     []*front
+	progress   *transport.Progress // nil where that front is off
+	relayed    *http.Server        // takes readers that the other process relays
+	relay      string              // at this path; empty while nobody can
 	reloader   *reloader
 	operations *operations
 	socket     string      // where successors find this process
@@ -96,6 +99,7 @@
 		log.Warn("workers that were out by hand are not known", "err", err)
 	}
 	d.putOut(d.operations.file.list())
+	d.takeRelayed()
 	if pred != nil {
 		d.follow(pred)
 	}
@@ -103,7 +107,7 @@
 
 	failed := make(chan error, len(d.fronts)+1)
 	if cfg.Admin != "" {
-		l, err := transport.Listen(cfg.Admin)
+		l, err := transport.ListenAlone(cfg.Admin)
 		if err != nil {
 			return fmt.Errorf("admin: listen: %w", err)
 		}
@@ -121,7 +125,7 @@
 	d.serving.Store(true)
 	d.publish()
 	if pred != nil {
-		pred.kin.Tell(protocol.Note{Serving: true})
+		pred.kin.Tell(protocol.Note{Serving: true, Relay: d.relay})
 	}
 	log.Info("ready", "name", cfg.Name)
 	// To the very end, also while leaving: open requests still need to know who drains.
@@ -180,7 +184,8 @@
 	}
 	if op != nil {
 		if err := add("progress", op.Listen, func(g *transport.Gate) *front {
-			return &front{handler: transport.NewProgress(d.core, p, op, g, d.ids, log)}
+			d.progress = transport.NewProgress(d.core, p, op, g, d.ids, log)
+			return &front{handler: d.progress}
 		}); err != nil {
 			return err
 		}
@@ -230,5 +235,11 @@
 			}
 		})
 	}
+	if d.relayed != nil {
+		wait.Go(func() { _ = d.relayed.Shutdown(ending) })
+	}
 	wait.Wait()
+	if kin := d.kin(); kin != nil && passed {
+		kin.Ask(protocol.Note{Last: true}, end.Add(-lastMoment/2))
+	}
 }
--- a/internal/program/replace.go
+++ b/internal/program/replace.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"fmt"
 	"net"
 	"os"
 	"path/filepath"
@@ -80,11 +81,18 @@
 	d.ids.Follow(p.kin)
 	d.core.Shared(2)
 	d.takeHeld(&protocol.Held{Outbound: d.shares.outbound / 2})
+	if d.progress != nil {
+		d.progress.Beside(p.kin, p.handover.Relay, true)
+	}
 	go func() {
 		p.kin.Run(func(n protocol.Note) {
 			switch {
 			case n.Held != nil:
 				d.takeHeld(n.Held)
+			case n.Last:
+				p.kin.Tell(protocol.Note{Answer: n.Ask, Yes: true})
+			case n.Remembered != nil && d.progress != nil:
+				d.progress.Remember(n.Remembered)
 			case n.Worker != "":
 				err := d.operations.keep(n.Worker, n.Out)
 				p.kin.Tell(protocol.Note{Answer: n.Ask, Yes: err == nil})
@@ -92,6 +100,9 @@
 		})
 		d.ids.Follow(nil)
 		d.setKin(nil)
+		if d.progress != nil {
+			d.progress.Beside(nil, "", false)
+		}
 		d.core.Shared(1)
 		d.takeHeld(nil)
 		d.log.Info("predecessor gone")
@@ -138,7 +149,7 @@
 	if err != nil {
 		return false
 	}
-	h := &protocol.Handover{Discovery: d.reloader.address(), Revision: known.Revision, Out: d.operations.file.list(),
+	h := &protocol.Handover{Discovery: d.reloader.address(), Revision: known.Revision, Out: d.operations.file.list(), Relay: d.relay,
 		Members: protocol.KnownMembers(known.Destinations, d.params.Now())}
 	var gates []*transport.Gate
 	for _, f := range d.fronts {
@@ -153,7 +164,9 @@
 		kin.Run(func(n protocol.Note) {
 			switch {
 			case n.Serving:
-				d.passOn(kin)
+				d.passOn(kin, n.Relay)
+			case n.Key != "":
+				kin.Tell(protocol.Note{Answer: n.Ask, Yes: d.progress != nil && d.progress.Has(n.Key)})
 			case n.Take != "":
 				kin.Tell(protocol.Note{Answer: n.Ask, Yes: d.ids.Take(n.Take, kin)})
 			case n.Free != "":
@@ -172,6 +185,9 @@
 	d.setKin(nil)
 	d.core.Shared(1)
 	d.passed.Store(false)
+	if d.progress != nil {
+		d.progress.Beside(nil, "", false)
+	}
 	for _, f := range d.fronts {
 		f.handler.Passing(false)
 		f.gate.Resume()
@@ -183,8 +199,11 @@
 }
 
 // passOn leaves new clients to the successor, and tells it what is still held here until the end.
-func (d *dispatcher) passOn(kin *transport.Kin) {
+func (d *dispatcher) passOn(kin *transport.Kin, relay string) {
 	d.passed.Store(true)
+	if d.progress != nil {
+		d.progress.Beside(kin, relay, false)
+	}
 	for _, f := range d.fronts {
 		f.gate.Pause()
 		f.handler.Passing(true)
@@ -212,6 +231,21 @@
 	}()
 }
 
+// takeRelayed serves those who come to the other process for a job of this one.
+func (d *dispatcher) takeRelayed() {
+	if d.progress == nil {
+		return
+	}
+	path := fmt.Sprintf("%s.%d.progress", d.socket, os.Getpid())
+	l, err := transport.ListenPrivate(path)
+	if err != nil {
+		d.log.Warn("jobs of the front for progress are not known beyond a replacement", "err", err)
+		return
+	}
+	d.relay, d.relayed = path, transport.Server(d.progress, d.log)
+	go func() { _ = d.relayed.Serve(l) }()
+}
+
 func (d *dispatcher) kin() *transport.Kin {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/protocol/succession.go
+++ b/internal/protocol/succession.go
@@ -23,8 +23,25 @@
 	Take string `json:"take,omitempty"` // the successor asks for a Req-Id
 	Free string `json:"free,omitempty"` // and gives it back
 
+	Last bool `json:"last,omitempty"` // the predecessor asks before its end whether all that it told was taken
+
 	Worker string `json:"worker,omitempty"` // put out by hand, or back
 	Out    bool   `json:"out,omitempty"`
+
+	Key        string      `json:"key,omitempty"`        // the successor asks whether a job is known under it
+	Remembered *Remembered `json:"remembered,omitempty"` // the predecessor's jobs that have ended
+	Relay      string      `json:"relay,omitempty"`      // with Serving: where the front for progress takes the other's readers
+}
+
+// Remembered is an ended job of the front for progress.
+type Remembered struct {
+	Key     string         `json:"key"`
+	ID      string         `json:"id"`
+	Digest  []byte         `json:"digest"`
+	Events  []Event        `json:"events"`
+	Answer  routing.Answer `json:"answer"`
+	Forget  time.Time      `json:"forget"`
+	Started bool           `json:"started"`
 }
 
 // Held counts connections.
@@ -40,6 +57,7 @@
 	Revision  int64    `json:"revision"`
 	Members   []Known  `json:"members"`
 	Out       []string `json:"out"` // workers that are out by hand
+	Relay     string   `json:"relay,omitempty"`
 }
 
 // Known is a member as the predecessor knows it.
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -85,6 +85,15 @@
 	return l.(*net.TCPListener), nil
 }
 
+// ListenAlone listens at an address that no other process may have: a call must not reach whichever comes first.
+func ListenAlone(address string) (*net.TCPListener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return l.(*net.TCPListener), nil
+}
+
 // NewGate makes the gate of a front. It lets nothing in before Allow.
 func NewGate(l *net.TCPListener, log *slog.Logger) *Gate {
 	return &Gate{TCPListener: l, log: log, conns: map[*inConn]struct{}{}}
--- a/internal/transport/kin.go
+++ b/internal/transport/kin.go
@@ -199,13 +199,26 @@
 // at no time does a successor find nobody.
 func Publish(path string) (*net.UnixListener, error) {
 	fresh := fmt.Sprintf("%s.%d", path, os.Getpid())
-	_ = os.Remove(fresh) // of a dead process that had the same number
-	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: fresh, Net: "unix"})
+	l, err := ListenPrivate(fresh)
 	if err != nil {
 		return nil, err
 	}
 	l.SetUnlinkOnClose(false) // by then it may be another's
-	if err := errors.Join(os.Chmod(fresh, 0o600), os.Rename(fresh, path)); err != nil {
+	if err := os.Rename(fresh, path); err != nil {
+		l.Close()
+		return nil, err
+	}
+	return l, nil
+}
+
+// ListenPrivate listens at a path for processes of the same user.
+func ListenPrivate(path string) (*net.UnixListener, error) {
+	_ = os.Remove(path) // of a dead process that had the same number
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	if err := os.Chmod(path, 0o600); err != nil {
 		l.Close()
 		return nil, err
 	}
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -22,6 +22,7 @@
 
 	// Events of one job, of which progress may take so many: an endpoint that floods is cut short.
 	mostEvents = 256
+	eventCost  = 64 // of an event beside its data, in memory
 )
 
 // Progress is the front for progress by server-sent events. A job belongs to its key, not to a
@@ -34,6 +35,7 @@
 
 	mu   sync.Mutex
 	jobs map[string]*watched // by key
+	peer *peer               // the other process while one replaces the other
 }
 
 // watched is a job with its events so far. Each reader goes through them at its own pace, so a slow one
@@ -48,6 +50,7 @@
 	release func() // frees the id, once
 
 	mu      sync.Mutex
+	forget  time.Time // when it is, once it has ended
 	events  []protocol.Event
 	started bool
 	final   *routing.Answer
@@ -79,6 +82,10 @@
 	job.Deadline = job.Deadline.Add(-min(answerMargin, wait/20))
 	digest := sha256.Sum256([]byte(job.Target + "\n" + r.Header.Get("Req-Owner") + "\n" + string(job.Body)))
 
+	if peer := f.elsewhere(job.Key); peer != nil {
+		peer.relay(w, r, job)
+		return
+	}
 	j, fresh, err := f.find(job, digest, again != "")
 	switch {
 	case err == errFull:
@@ -218,8 +225,8 @@
 		text = []byte("{}")
 	}
 	j.events = append(j.events, protocol.Event{ID: strconv.Itoa(len(j.events) + 1), Name: name, Data: string(text), Retry: retry})
-	j.bytes.Add(int64(len(text)) + 64)
-	j.front.bytes.Add(int64(len(text)) + 64)
+	j.bytes.Add(int64(len(text)) + eventCost)
+	j.front.bytes.Add(int64(len(text)) + eventCost)
 	close(j.changed)
 	j.changed = make(chan struct{})
 }
@@ -257,9 +264,15 @@
 // which endpoints drop a repeat.
 func (j *watched) Answered(a routing.Answer) {
 	j.release()
+	j.end(a)
+	j.front.hand(j)
+}
+
+func (j *watched) end(a routing.Answer) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.final = &a
+	j.forget = time.Now().Add(j.window)
 	switch a.Verdict {
 	case routing.Served:
 		result := string(a.Result)
--- /dev/null
+++ b/internal/transport/relay.go
@@ -0,0 +1,124 @@
+package transport
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"brassdale/internal/protocol"
+)
+
+// peer is the other process's front for progress. A job is at one of both: who comes to the other one for it is
+// relayed, through a Unix socket, and what has ended at the predecessor goes to the successor's table.
+type peer struct {
+	kin   *Kin
+	older bool // it is the predecessor
+	proxy *httputil.ReverseProxy
+}
+
+// Beside goes on beside another process, whose front takes relayed readers at a path; with none, alone. older tells
+// whether that one is the predecessor; else it is handed what is remembered here.
+func (f *Progress) Beside(kin *Kin, path string, older bool) {
+	var p *peer
+	if kin != nil && path != "" {
+		dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "unix", path)
+		}
+		p = &peer{kin: kin, older: older, proxy: &httputil.ReverseProxy{
+			Rewrite:       func(r *httputil.ProxyRequest) { r.SetURL(&url.URL{Scheme: "http", Host: r.In.Host}) },
+			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true},
+			FlushInterval: -1, // each event at once
+			ErrorHandler:  func(w http.ResponseWriter, _ *http.Request, _ error) { f.rejectJob(w, errUnknown) },
+		}}
+	}
+	f.mu.Lock()
+	f.peer = p
+	var known []*watched
+	for _, j := range f.jobs {
+		known = append(known, j)
+	}
+	f.mu.Unlock()
+	for _, j := range known {
+		f.hand(j)
+	}
+}
+
+// elsewhere gives the other process's front if that one has the job of a key: the predecessor if it knows the key,
+// the successor for all keys that are not known here.
+func (f *Progress) elsewhere(key string) *peer {
+	f.mu.Lock()
+	p, known := f.peer, f.jobs[key] != nil
+	f.mu.Unlock()
+	switch {
+	case p == nil || known || key == "":
+		return nil
+	case !p.older:
+		return p
+	}
+	if yes, heard := p.kin.Ask(protocol.Note{Key: key}, time.Now().Add(kinAnswers)); heard && yes {
+		return p
+	}
+	return nil
+}
+
+// Has tells whether the job of a key is known here. One that was refused may be tried anew anywhere.
+func (f *Progress) Has(key string) bool {
+	f.mu.Lock()
+	j := f.jobs[key]
+	f.mu.Unlock()
+	return j != nil && !j.refused()
+}
+
+// relay has the other process answer.
+func (p *peer) relay(w http.ResponseWriter, r *http.Request, job *protocol.Job) {
+	r.Body, r.ContentLength, r.TransferEncoding = io.NopCloser(bytes.NewReader(job.Body)), int64(len(job.Body)), nil
+	r.Header.Set("Req-Deadline-Ms", strconv.FormatInt(max(time.Until(job.Deadline).Milliseconds(), 1), 10))
+	p.proxy.ServeHTTP(w, r)
+}
+
+// hand gives an ended job to the successor.
+func (f *Progress) hand(j *watched) {
+	f.mu.Lock()
+	p := f.peer
+	f.mu.Unlock()
+	if p == nil || p.older || j.key == "" {
+		return
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.final != nil {
+		p.kin.Tell(protocol.Note{Remembered: &protocol.Remembered{Key: j.key, ID: j.id, Digest: j.digest[:],
+			Events: j.events, Answer: *j.final, Forget: j.forget, Started: j.started}})
+	}
+}
+
+// Remember takes an ended job over from the predecessor.
+func (f *Progress) Remember(r *protocol.Remembered) {
+	left := time.Until(r.Forget)
+	if left <= 0 || len(r.Digest) != sha256.Size {
+		return
+	}
+	j := &watched{front: f, key: r.Key, id: r.ID, digest: [sha256.Size]byte(r.Digest), release: sync.OnceFunc(func() {}),
+		events: r.Events, started: r.Started, final: &r.Answer, forget: r.Forget, changed: make(chan struct{})}
+	size := int64(0)
+	for _, ev := range r.Events {
+		size += int64(len(ev.Data)) + eventCost
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.jobs[r.Key] != nil || len(f.jobs) >= f.set.Jobs || f.bytes.Load()+size > int64(f.set.KeepMB)<<20 {
+		return
+	}
+	j.bytes.Store(size)
+	f.bytes.Add(size)
+	f.jobs[r.Key] = j
+	time.AfterFunc(left, func() { f.forget(j) })
+}
