--- a/brain/brain.go
+++ b/brain/brain.go
@@ -335,7 +335,7 @@
 // drag is how much longer a job holds a slot here: 1 on the ordinary path; more for a cold worker, by
 // age, and for one whose jobs take much longer than like jobs elsewhere.
 func (d *Dispatcher) drag(w *worker) float64 {
-	if slow := math.Exp(w.lag / (w.jobs + slowDoubt)); slow > slowFrom {
+	if slow := math.Exp((w.lag + w.lagOut) / (w.jobs + w.jobsOut + slowDoubt)); slow > slowFrom {
 		return max(slow, 1/d.warmth(w))
 	}
 	return 1 / d.warmth(w)
@@ -754,7 +754,7 @@
 	c.scale += weight * (run/unit - c.scale)
 	c.usual += weight * (math.Log(run/unit) - c.usual)
 	d.kindLag[a.w.Kind] += (1 - classMemory) * (math.Log(run/unit) - c.usual - d.kindLag[a.w.Kind])
-	a.w.lag = a.w.lag*slowMemory + math.Log(run/unit) - c.usual
+	a.w.lag = a.w.lag*slowMemory + d.lateness(r, a)
 	a.w.jobs = a.w.jobs*slowMemory + 1
 }
 
@@ -794,7 +794,7 @@
 // look is the regular round: overdue requests, copies, silent workers, probes.
 func (d *Dispatcher) look() {
 	for _, w := range d.workers {
-		w.waiting = 0
+		w.waiting, w.lagOut, w.jobsOut = 0, 0, 0
 	}
 	d.order = slices.DeleteFunc(d.order, func(r *request) bool { return d.open[r.id] != r })
 	for _, r := range d.order {
@@ -804,6 +804,10 @@
 			if d.stuck(a, startGrace) && !a.lost {
 				a.w.waiting++
 			}
+			// One that runs for longer than usual tells of a slow worker before it ends.
+			if late := d.lateness(r, a); a.out && a.began > 0 && late > 0 {
+				a.w.lagOut, a.w.jobsOut = a.w.lagOut+late, a.w.jobsOut+1
+			}
 		}
 	}
 	for _, r := range slices.Clone(d.order) {
--- a/brain/loss_test.go
+++ b/brain/loss_test.go
@@ -115,3 +115,32 @@
 		t.Errorf("a job that waited at a cold one: %v, was %v", v.d.allow, before)
 	}
 }
+
+// A worker that has become slow shows it by jobs that run on, before any of them ends: what counted only ends went on
+// sending to a worker that another program had taken most of.
+func TestSlowBeforeJobsEnd(t *testing.T) {
+	v := newDriver(t, plain())
+	v.list(workers(2)...)
+	w := v.d.workers[0]
+	v.d.classes[0] = classState{scale: 0.1, usual: -2.3, jobs: 100}
+	deadline := v.d.set.Classes[0].Deadline
+	for id := RequestID(1); id <= 12; id++ {
+		r := &request{id: id, set: v.d.set, slots: 1, born: v.now, expires: v.now + deadline,
+			attempts: []attempt{{w: w, sent: v.now, began: v.now, out: true, maybe: true}}}
+		v.d.open[id] = r
+		v.d.order = append(v.d.order, r)
+	}
+	v.d.look()
+	if drag := v.d.drag(w); drag != 1 {
+		t.Errorf("drag %v while they have only begun", drag)
+	}
+	v.now += time.Second
+	v.d.now = v.now
+	v.d.look()
+	if drag := v.d.drag(w); drag < slowFrom {
+		t.Errorf("drag %v after a second of jobs that take a tenth", drag)
+	}
+	if drag := v.d.drag(v.d.workers[1]); drag != 1 {
+		t.Errorf("drag %v of the other worker", drag)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -1,6 +1,7 @@
 package brain
 
 import (
+	"cmp"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
@@ -43,6 +44,8 @@
 	full       Clock   // it turned a job away; its value is 1 until then or a report
 	waiting    int     // own jobs not started within startGrace
 	lag, jobs  float64 // decayed sum over jobs of log(time here / usual time), and their number
+	lagOut     float64 // the same over jobs that run for longer than usual now ...
+	jobsOut    float64 // ... and their number
 	heard      Clock   // last sign of life, or first push after nothing was out
 	used       Clock   // last push or answer
 	nextProbe  Clock
@@ -222,6 +225,15 @@
 	return n
 }
 
+// lateness is how much longer than usual an attempt has run by now, as a logarithm.
+func (d *Dispatcher) lateness(r *request, a *attempt) float64 {
+	if d.classes[r.class].jobs == 0 {
+		return 0
+	}
+	run := (d.now - cmp.Or(a.began, a.sent)).Seconds()
+	return math.Log(max(run, 1e-6)/cmp.Or(r.hint.Seconds(), 1)) - d.classes[r.class].usual
+}
+
 func (d *Dispatcher) do(a Action) { d.acts = append(d.acts, a) }
 
 func oneIf(is bool) int {
