--- a/brain/brain.go
+++ b/brain/brain.go
@@ -29,7 +29,7 @@
 	mostAllow  = 1.0  // beyond it a held job is better off waiting for a free slot
 	allowStep  = 0.01 // a job moves it by this, on a small fleet for each dispatcher that knows all ...
 	mostStep   = 0.1  // ... and by this at most, or a single job would swing it
-	waitShare  = 0.10 // of the time that a request can spare: so long may it wait at a worker
+	waitShare  = 0.05 // of the time that a request can spare: so long may it wait at a worker
 
 	tieBand     = 1e-9                   // load values closer than this are ties
 	ownMemory   = 500 * time.Millisecond // how far back a report looks, about: one refresh and its delay
