--- a/brain/brain.go
+++ b/brain/brain.go
@@ -332,13 +332,15 @@
 	return math.Sqrt(min(others, others*d.rate*since.Seconds()/float64(max(len(d.workers), 1))))
 }
 
-// drag is how much longer a job holds a slot here: 1 on the ordinary path; more for a cold worker, by
-// age, and for one whose jobs take much longer than like jobs elsewhere.
+// drag is how much longer a job holds a slot here: 1 on the ordinary path; more for a cold worker, at first
+// by its age, and for one whose jobs take much longer than like jobs elsewhere.
 func (d *Dispatcher) drag(w *worker) float64 {
-	if slow := math.Exp((w.lag + w.lagOut) / (w.jobs + w.jobsOut + slowDoubt)); slow > slowFrom {
-		return max(slow, 1/d.warmth(w))
+	feared := -math.Log(d.warmth(w)) // by the rules; most are better, which their jobs tell
+	slow := math.Exp((w.lag + w.lagOut + slowDoubt*feared) / (w.jobs + w.jobsOut + slowDoubt))
+	if feared == 0 && slow <= slowFrom {
+		return 1
 	}
-	return 1 / d.warmth(w)
+	return max(slow, 1)
 }
 
 // bump accounts for own slots coming (positive) or going.
--- a/brain/loss_test.go
+++ b/brain/loss_test.go
@@ -144,3 +144,24 @@
 		t.Errorf("drag %v of the other worker", drag)
 	}
 }
+
+// The rules' worst case is where a cold worker's pace begins; its jobs tell the true one. By age alone most cold
+// workers stood half idle while jobs queued at the warm ones.
+func TestColdPaceFollowsJobs(t *testing.T) {
+	v := newDriver(t, plain())
+	v.list(workers(1)...)
+	w := v.d.workers[0]
+	w.Since = v.now - time.Second
+	feared := 1 / v.d.warmth(w)
+	if drag := v.d.drag(w); drag < feared*0.999 || drag > feared*1.001 {
+		t.Errorf("at first %v, want %v", drag, feared)
+	}
+	w.jobs, w.lag = 20, 0 // jobs took as long as elsewhere
+	if drag := v.d.drag(w); drag > feared/2 || drag < 1 {
+		t.Errorf("after 20 ordinary jobs %v", drag)
+	}
+	w.lag = 20 * 2 // and seven times as long
+	if drag := v.d.drag(w); drag < feared {
+		t.Errorf("after 20 slow jobs %v", drag)
+	}
+}
