--- a/cmd/brassdale/replace_test.go
+++ b/cmd/brassdale/replace_test.go
@@ -172,3 +172,20 @@
 		t.Error("it did not notice")
 	}
 }
+
+// A front that the successor has not is closed with the predecessor: clients would wait at its listener for nobody.
+func TestReplaceWithoutFront(t *testing.T) {
+	t.Parallel()
+	n := start(t, operator("lines"), newBox(t, "a", works))
+	m := n.successor("")
+	n.waitFor("the successor's word", func() bool { return strings.Contains(n.log(), "successor serves") })
+	n.stop()
+	n.ends(time.Now().Add(5 * time.Second))
+	if c, err := net.Dial("tcp", strings.TrimPrefix(n.progress, "http://")); err == nil {
+		c.Close()
+		t.Error("the front that is off takes connections")
+	}
+	if status, _, _ := m.do(request(m.url, "k")); status != 200 {
+		t.Errorf("the front that is on: %d", status)
+	}
+}
--- a/internal/program/detached.go
+++ b/internal/program/detached.go
@@ -45,6 +45,13 @@
 	return nil
 }
 
+// take begins with the predecessor's list, which is on file already.
+func (f *detached) take(ids []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.ids = ids
+}
+
 // list gives the workers that are out.
 func (f *detached) list() []string {
 	f.mu.Lock()
--- a/internal/program/operations.go
+++ b/internal/program/operations.go
@@ -51,6 +51,16 @@
 	return o.keep(id, out)
 }
 
+// hand gives a successor its beginning. No call comes between the list of who is out and the moment from which the
+// successor is told of each call.
+func (o *operations) hand(kin *transport.Kin, h *protocol.Handover, gates []*transport.Gate) error {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	h.Out = o.file.list()
+	o.d.setKin(kin)
+	return kin.Hand(h, gates)
+}
+
 // keep does it in this process.
 func (o *operations) keep(id string, out bool) error {
 	if err := o.file.put(id, out); err != nil {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -95,7 +95,10 @@
 		return err
 	}
 	d.operations = &operations{d: d, file: &detached{path: keptFile(env, cfg, ".detached"), name: cfg.Name}}
-	if err := d.operations.file.load(); err != nil {
+	if pred != nil {
+		pred.close()
+		d.operations.file.take(pred.handover.Out)
+	} else if err := d.operations.file.load(); err != nil {
 		log.Warn("workers that were out by hand are not known", "err", err)
 	}
 	d.putOut(d.operations.file.list())
--- a/internal/program/replace.go
+++ b/internal/program/replace.go
@@ -75,6 +75,15 @@
 	return transport.Listen(address)
 }
 
+// close lets go of the listeners of fronts that are off here: clients would wait there for nobody.
+func (p *predecessor) close() {
+	if p != nil {
+		for _, l := range p.listeners {
+			l.Close()
+		}
+	}
+}
+
 // follow lives with the predecessor until it is gone.
 func (d *dispatcher) follow(p *predecessor) {
 	d.setKin(p.kin)
@@ -149,15 +158,14 @@
 	if err != nil {
 		return false
 	}
-	h := &protocol.Handover{Discovery: d.reloader.address(), Revision: known.Revision, Out: d.operations.file.list(), Relay: d.relay,
+	h := &protocol.Handover{Discovery: d.reloader.address(), Revision: known.Revision, Relay: d.relay,
 		Members: protocol.KnownMembers(known.Destinations, d.params.Now())}
 	var gates []*transport.Gate
 	for _, f := range d.fronts {
 		h.Fronts, gates = append(h.Fronts, f.name), append(gates, f.gate)
 	}
-	d.setKin(kin)
 	d.core.Shared(2)
-	if err := kin.Hand(h, gates); err != nil {
+	if err := d.operations.hand(kin, h, gates); err != nil {
 		d.log.Warn("a successor got nothing", "err", err)
 	} else {
 		d.log.Info("successor starts")
--- a/internal/protocol/succession.go
+++ b/internal/protocol/succession.go
@@ -1,10 +1,8 @@
 package protocol
 
 import (
-	"slices"
 	"time"
 
-	"brassdale/brain"
 	"brassdale/internal/routing"
 )
 
@@ -105,11 +103,3 @@
 	}
 	return u, nil
 }
-
-// Workers gives the ids of the workers that are out.
-func (s *Handover) Workers() (out []brain.WorkerID) {
-	for _, id := range s.Out {
-		out = append(out, brain.WorkerID(id))
-	}
-	return slices.Compact(out)
-}
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -248,7 +248,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.conns {
-		if c.phase != serving {
+		if c.phase != serving && !c.unread() {
 			delete(g.conns, c)
 			c.TCPConn.Close()
 		}
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -99,7 +99,11 @@
 		return false
 	}
 	if pred := o.predecessor(); pred != nil {
-		if yes, heard := pred.Ask(protocol.Note{Take: id}, time.Now().Add(kinAnswers)); heard && !yes {
+		yes, heard := pred.Ask(protocol.Note{Take: id}, time.Now().Add(kinAnswers))
+		switch {
+		case !heard: // nor will it answer for the next
+			o.Follow(nil)
+		case !yes:
 			o.Free(id, nil)
 			return false
 		}
