Hand what the module has learned over to the successor's module

Seen by reading: a worker that was put back counts as cold from the call on where the list tells of no start; the successor knew the list alone and would have taken it for warm, past the budget that both processes must keep. It also began without mean times, slots and speeds, in the middle of a release.

brain.Experience goes with the handover, classes by name since their numbers are each process's own. Not taken: the whole state of the module, with its open requests, which are the predecessor's to end.

--- a/brain/api.go
+++ b/brain/api.go
@@ -198,6 +198,9 @@
 // life, and one whose rules change is another class. Requests that are open keep the settings that they began with.
 type Retuned struct{ Settings Settings }
 
+// Succeeded is the first event of a dispatcher that goes on in the place of another, behind the list.
+type Succeeded struct{ Experience Experience }
+
 // Woke answers a Wake.
 type Woke struct{ Token uint64 }
 
@@ -213,6 +216,7 @@
 func (Attached) event()   {}
 func (Shared) event()     {}
 func (Retuned) event()    {}
+func (Succeeded) event()  {}
 func (Woke) event()       {}
 
 // Action is something the dispatcher wants done. The actions are the structs below, to be carried
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -133,6 +133,8 @@
 		d.byHand(e.Worker, true)
 	case Attached:
 		d.byHand(e.Worker, false)
+	case Succeeded:
+		d.adopt(e.Experience)
 	case Retuned:
 		d.retune(e.Settings)
 	case Shared:
--- a/brain/state.go
+++ b/brain/state.go
@@ -119,6 +119,55 @@
 	kindTop             map[int]float64 // most slots seen on a kind of machine
 }
 
+// Experience is what a dispatcher has learned and what holds as well for one that goes on in its place.
+type Experience struct {
+	Allow, Stay, Mean float64
+	Classes           []ClassExperience // by number
+	Workers           map[WorkerID]WorkerExperience
+}
+
+// ClassExperience is how long jobs of a class take.
+type ClassExperience struct {
+	Scale, Usual float64
+	Jobs         int
+}
+
+// WorkerExperience is of a worker's process that started then.
+type WorkerExperience struct {
+	Since                         Clock
+	Total, Increment, Lag, JobsOf float64
+}
+
+// Experience gives what was learned so far.
+func (d *Dispatcher) Experience() Experience {
+	e := Experience{Allow: d.allow, Stay: d.stay, Mean: d.mean, Workers: map[WorkerID]WorkerExperience{}}
+	for _, c := range d.classes {
+		e.Classes = append(e.Classes, ClassExperience{c.scale, c.usual, c.jobs})
+	}
+	for _, w := range d.workers {
+		if w.State != Gone {
+			e.Workers[w.ID] = WorkerExperience{w.Since, w.total, w.increment, w.lag, w.jobs}
+		}
+	}
+	return e
+}
+
+// adopt begins with what another has learned, of the workers that are listed and have not started anew since.
+func (d *Dispatcher) adopt(e Experience) {
+	d.allow, d.stay, d.mean = e.Allow, e.Stay, e.Mean
+	for i, c := range e.Classes {
+		if i < len(d.classes) {
+			d.classes[i] = classState{scale: c.Scale, usual: c.Usual, jobs: c.Jobs}
+		}
+	}
+	for id, was := range e.Workers {
+		if w := d.byID[id]; w != nil && w.Since <= was.Since {
+			w.Since, w.increment, w.lag, w.jobs = was.Since, was.Increment, was.Lag, was.JobsOf
+			d.seen(w, was.Total)
+		}
+	}
+}
+
 // ---- Helpers ----
 
 // usable gives settings as the decisions take them.
--- a/internal/program/replace.go
+++ b/internal/program/replace.go
@@ -89,6 +89,9 @@
 	d.setKin(p.kin)
 	d.ids.Follow(p.kin)
 	d.core.Shared(2)
+	learned := p.handover.Experience
+	learned.Classes = d.params.Number(p.handover.Classes)
+	d.core.Succeed(learned) // behind the list, which was told when it was made
 	d.takeHeld(&protocol.Held{Outbound: d.shares.outbound / 2})
 	if d.progress != nil {
 		d.progress.Beside(p.kin, p.handover.Relay, true)
@@ -158,7 +161,12 @@
 	if err != nil {
 		return false
 	}
+	learned, err := d.core.Experience(d.ctx)
+	if err != nil {
+		return false
+	}
 	h := &protocol.Handover{Discovery: d.reloader.address(), Revision: known.Revision, Relay: d.relay,
+		Experience: learned, Classes: d.params.ByName(learned),
 		Members: protocol.KnownMembers(known.Destinations, d.params.Now())}
 	var gates []*transport.Gate
 	for _, f := range d.fronts {
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -82,6 +82,29 @@
 // Now gives the settings in force.
 func (l *Live) Now() *Params { return l.now.Load() }
 
+// ByName gives an experience's classes by their names, as far as they are in force.
+func (l *Live) ByName(e brain.Experience) map[string]brain.ClassExperience {
+	p, named := l.Now(), map[string]brain.ClassExperience{}
+	for i, n := range p.numbers {
+		if n < len(e.Classes) {
+			named[p.Classes[i].Name] = e.Classes[n]
+		}
+	}
+	return named
+}
+
+// Number puts classes that another process named into the numbers of this one.
+func (l *Live) Number(named map[string]brain.ClassExperience) []brain.ClassExperience {
+	p := l.Now()
+	classes := make([]brain.ClassExperience, len(p.numbers))
+	for i, n := range p.numbers {
+		if n < len(classes) {
+			classes[n] = named[p.Classes[i].Name]
+		}
+	}
+	return classes
+}
+
 // Put numbers the classes, gives the settings in the module's terms to swap, and puts them in force. The module must
 // know them before the first job of a new class: it is told in between.
 func (l *Live) Put(p *Params, swap func(brain.Settings)) {
--- a/internal/protocol/succession.go
+++ b/internal/protocol/succession.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"brassdale/brain"
 	"brassdale/internal/routing"
 )
 
@@ -56,6 +57,9 @@
 	Members   []Known  `json:"members"`
 	Out       []string `json:"out"` // workers that are out by hand
 	Relay     string   `json:"relay,omitempty"`
+
+	Experience brain.Experience                 `json:"experience"` // classes are by name, beside it
+	Classes    map[string]brain.ClassExperience `json:"classes"`
 }
 
 // Known is a member as the predecessor knows it.
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -152,6 +152,7 @@
 		id     brain.WorkerID
 		answer chan<- bool
 	}
+	learned struct{ answer chan<- brain.Experience }
 )
 
 // NewCore makes the actor. Attach must be called before Run.
@@ -212,11 +213,27 @@
 func (c *Core) Knows(ctx context.Context, id brain.WorkerID) (bool, error) {
 	answer := make(chan bool, 1)
 	c.box.Post(knows{id, answer})
+	return await(ctx, answer)
+}
+
+// Experience gives what the module has learned.
+func (c *Core) Experience(ctx context.Context) (brain.Experience, error) {
+	answer := make(chan brain.Experience, 1)
+	c.box.Post(learned{answer})
+	return await(ctx, answer)
+}
+
+// Succeed has the module begin with what another process has learned.
+func (c *Core) Succeed(e brain.Experience) { c.box.Post(brain.Succeeded{Experience: e}) }
+
+// await waits for an actor's answer.
+func await[T any](ctx context.Context, answer <-chan T) (T, error) {
 	select {
-	case known := <-answer:
-		return known, nil
+	case x := <-answer:
+		return x, nil
 	case <-ctx.Done():
-		return false, ctx.Err()
+		var none T
+		return none, ctx.Err()
 	}
 }
 
@@ -295,6 +312,8 @@
 		}
 		c.endpoints.Bar(m.id, since) // first, so that what the module sends from now on finds it done
 		c.feed(ev)
+	case learned:
+		m.answer <- c.module.Experience() // has room
 	case knows:
 		m.answer <- c.module.Knows(m.id) // has room
 	case brain.Event:
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -73,12 +73,7 @@
 func (s *Destinations) Known(ctx context.Context) (Update, error) {
 	answer := make(chan Update, 1)
 	s.box.Post(ask{answer})
-	select {
-	case u := <-answer:
-		return u, nil
-	case <-ctx.Done():
-		return Update{}, ctx.Err()
-	}
+	return await(ctx, answer)
 }
 
 // watchPause keeps a discovery that answers at once with nothing new from being asked in a tight loop; it
