--- a/cmd/brassdale/reload_test.go
+++ b/cmd/brassdale/reload_test.go
@@ -81,6 +81,14 @@
 func TestRetune(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
+	var mu sync.Mutex
+	runs := map[string]int{} // at both endpoints together
+	attempts := func(key string) int {
+		mu.Lock()
+		defer mu.Unlock()
+		runs[key]++
+		return runs[key]
+	}
 	once := func(b *box, c net.Conn, r *http.Request) {
 		key := r.Header.Get("Idempotency-Key")
 		if strings.HasPrefix(key, "held") {
@@ -142,19 +150,6 @@
 	}
 }
 
-var tries = struct {
-	sync.Mutex
-	by map[string]int
-}{by: map[string]int{}}
-
-// attempts counts the runs of a key at all endpoints of the test.
-func attempts(key string) int {
-	tries.Lock()
-	defer tries.Unlock()
-	tries.by[key]++
-	return tries.by[key]
-}
-
 // Of a file that is broken in any way nothing is taken.
 func TestBrokenFiles(t *testing.T) {
 	t.Parallel()
