Say once what replacing, the ledger and the fleet's count said twice; no change of behaviour

Read again: both sides of replacing began, ended and answered the other's calls in their own copies (setKin, keepFor, besideProgress serve both); each caller of Ledger.Unheard asked first whether the class is known (it does now, under one lock); the fleet's counts were atomics that only change under its lock; each look took a logarithm for attempts that are not out; ran took the same one twice; a front's address was never read; worker.back was a time used as a yes.

Left: Remember counts an ended job's events beside watched.add, since its bound looks at the size first.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -223,7 +223,7 @@
 		w.outAt = d.now
 	} else {
 		d.anew(w)
-		if w.back = d.now; w.Since < w.outAt {
+		if w.back = true; w.Since < w.outAt {
 			w.Since = d.now
 		}
 	}
@@ -436,7 +436,7 @@
 		if w.Zone != d.set.Zone {
 			v += crossing
 		}
-		if w.back > 0 && w.own == 0 { // put back by hand: it is to be seen at work soon, though it is cold
+		if w.back && w.own == 0 { // put back by hand: it is to be seen at work soon, though it is cold
 			v -= 2 * awayValue
 		}
 		if r.key != 0 {
@@ -640,7 +640,7 @@
 	}
 	d.heard(a.w)
 	if a.began == 0 {
-		a.began, a.w.back = d.now, 0
+		a.began, a.w.back = d.now, false
 		d.learnWait(r, a)
 		if a.lost {
 			a.lost = false
@@ -709,7 +709,7 @@
 	}
 	switch e.Outcome {
 	case Served:
-		w.classes[r.class], w.back = health{}, 0
+		w.classes[r.class], w.back = health{}, false
 		d.heard(w)
 		d.ran(r, a)
 	case Full:
@@ -757,8 +757,9 @@
 	weight := max(1/float64(c.jobs), 1-classMemory)
 	c.scale += weight * (run/unit - c.scale)
 	c.usual += weight * (math.Log(run/unit) - c.usual)
-	d.kindLag[a.w.Kind] += (1 - classMemory) * (math.Log(run/unit) - c.usual - d.kindLag[a.w.Kind])
-	a.w.lag = a.w.lag*slowMemory + d.lateness(r, a)
+	late := d.lateness(r, a)
+	d.kindLag[a.w.Kind] += (1 - classMemory) * (late - d.kindLag[a.w.Kind])
+	a.w.lag = a.w.lag*slowMemory + late
 	a.w.jobs = a.w.jobs*slowMemory + 1
 }
 
@@ -809,8 +810,10 @@
 				a.w.waiting++
 			}
 			// One that runs for longer than usual tells of a slow worker before it ends.
-			if late := d.lateness(r, a); a.out && a.began > 0 && late > 0 {
-				a.w.lagOut, a.w.jobsOut = a.w.lagOut+late, a.w.jobsOut+1
+			if a.out && a.began > 0 {
+				if late := d.lateness(r, a); late > 0 {
+					a.w.lagOut, a.w.jobsOut = a.w.lagOut+late, a.w.jobsOut+1
+				}
 			}
 		}
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -23,7 +23,7 @@
 	listed  bool
 	out     bool   // put out by hand
 	outAt   Clock  // when it was
-	back    Clock  // when it was put back and nothing was heard of it since; 0 otherwise
+	back    bool   // it was put back, and no job of its was heard of since
 	hash    uint64 // of its id
 	health         // of all classes: can it be reached
 	classes []health
--- a/cmd/brassdale/progress_test.go
+++ b/cmd/brassdale/progress_test.go
@@ -300,7 +300,7 @@
 	if m.progress != n.progress {
 		t.Fatalf("progress is served at %s, not at %s", m.progress, n.progress)
 	}
-	n.waitFor("the successor's word", func() bool { return strings.Contains(n.log(), "successor serves") })
+	n.passesOn(1)
 	http.DefaultClient.CloseIdleConnections()
 	again := request(m.progress, "k", "Req-Id", "again")
 	second := m.open(again)
--- a/cmd/brassdale/replace_test.go
+++ b/cmd/brassdale/replace_test.go
@@ -64,7 +64,7 @@
 	if status, _ := m.call("GET", "/_ready", ""); status != 200 {
 		t.Errorf("ready: %d", status)
 	}
-	n.waitFor("the successor's word", func() bool { return strings.Contains(n.log(), "successor serves") })
+	n.passesOn(1)
 	if resp := ask("kept"); resp.StatusCode != 200 || !resp.Close {
 		t.Errorf("on a kept connection: %d, closes %v", resp.StatusCode, resp.Close)
 	}
@@ -97,7 +97,7 @@
 	}
 	n.waitFor("the job", func() bool { _, jobs := b.count(); return jobs == 1 })
 	m := n.successor("")
-	n.waitFor("the successor's word", func() bool { return strings.Contains(n.log(), "successor serves") })
+	n.passesOn(1)
 	if status, _, _ := m.do(request(m.url, "old")); status != 409 {
 		t.Errorf("an id that is open at the predecessor: %d", status)
 	}
@@ -120,7 +120,7 @@
 	t.Parallel()
 	n := start(t, "", newBox(t, "a", works))
 	m := n.successor("")
-	n.waitFor("the successor's word", func() bool { return strings.Contains(n.log(), "successor serves") })
+	n.passesOn(1)
 	m.cmd.Process.Kill()
 	<-m.exited
 	n.waitFor("the successor's end", func() bool { return strings.Contains(n.log(), "serving on alone") })
@@ -141,7 +141,7 @@
 		return len(files) == 1
 	})
 	k := n.successor("")
-	n.waitFor("the second successor's word", func() bool { return strings.Count(n.log(), "successor serves") == 2 })
+	n.passesOn(2)
 	n.stop()
 	n.ends(time.Now().Add(5 * time.Second))
 	each(k, "second")
@@ -178,7 +178,7 @@
 	t.Parallel()
 	n := start(t, operator("lines"), newBox(t, "a", works))
 	m := n.successor("")
-	n.waitFor("the successor's word", func() bool { return strings.Contains(n.log(), "successor serves") })
+	n.passesOn(1)
 	n.stop()
 	n.ends(time.Now().Add(5 * time.Second))
 	if c, err := net.Dial("tcp", strings.TrimPrefix(n.progress, "http://")); err == nil {
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -250,6 +250,12 @@
 	return m
 }
 
+// passesOn waits until so many successors have told the program that they serve.
+func (n *node) passesOn(times int) {
+	n.t.Helper()
+	n.waitFor("the successor's word", func() bool { return strings.Count(n.log(), "successor serves") == times })
+}
+
 // call makes an operator's call at the door and gives the status and the body.
 func (n *node) call(method, path, body string) (int, string) {
 	n.t.Helper()
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -59,7 +59,6 @@
 // front is a listener with its handler.
 type front struct {
 	name    string
-	address string
 	handler interface {
 		http.Handler
 		Leaving()
@@ -176,7 +175,7 @@
 		}
 		gate := transport.NewGate(l, log)
 		f := handler(gate)
-		f.name, f.address, f.gate, f.server = name, address, gate, transport.Server(f.handler, log)
+		f.name, f.gate, f.server = name, gate, transport.Server(f.handler, log)
 		d.fronts = append(d.fronts, f)
 		return nil
 	}
--- a/internal/program/replace.go
+++ b/internal/program/replace.go
@@ -88,14 +88,11 @@
 func (d *dispatcher) follow(p *predecessor) {
 	d.setKin(p.kin)
 	d.ids.Follow(p.kin)
-	d.core.Shared(2)
 	learned := p.handover.Experience
 	learned.Classes = d.params.Number(p.handover.Classes)
 	d.core.Succeed(learned) // behind the list, which was told when it was made
 	d.takeHeld(&protocol.Held{Outbound: d.shares.outbound / 2})
-	if d.progress != nil {
-		d.progress.Beside(p.kin, p.handover.Relay, true)
-	}
+	d.besideProgress(p.kin, p.handover.Relay, true)
 	go func() {
 		p.kin.Run(func(n protocol.Note) {
 			switch {
@@ -106,16 +103,11 @@
 			case n.Remembered != nil && d.progress != nil:
 				d.progress.Remember(n.Remembered)
 			case n.Worker != "":
-				err := d.operations.keep(n.Worker, n.Out)
-				p.kin.Tell(protocol.Note{Answer: n.Ask, Yes: err == nil})
+				d.keepFor(p.kin, n)
 			}
 		})
 		d.ids.Follow(nil)
 		d.setKin(nil)
-		if d.progress != nil {
-			d.progress.Beside(nil, "", false)
-		}
-		d.core.Shared(1)
 		d.takeHeld(nil)
 		d.log.Info("predecessor gone")
 	}()
@@ -172,7 +164,6 @@
 	for _, f := range d.fronts {
 		h.Fronts, gates = append(h.Fronts, f.name), append(gates, f.gate)
 	}
-	d.core.Shared(2)
 	if err := d.operations.hand(kin, h, gates); err != nil {
 		d.log.Warn("a successor got nothing", "err", err)
 	} else {
@@ -188,8 +179,7 @@
 			case n.Free != "":
 				d.ids.Free(n.Free, kin)
 			case n.Worker != "":
-				err := d.operations.keep(n.Worker, n.Out)
-				kin.Tell(protocol.Note{Answer: n.Ask, Yes: err == nil})
+				d.keepFor(kin, n)
 			}
 		})
 	}
@@ -199,11 +189,7 @@
 	// The successor is gone first: this process is the dispatcher again.
 	d.ids.Forget(kin)
 	d.setKin(nil)
-	d.core.Shared(1)
 	d.passed.Store(false)
-	if d.progress != nil {
-		d.progress.Beside(nil, "", false)
-	}
 	for _, f := range d.fronts {
 		f.handler.Passing(false)
 		f.gate.Resume()
@@ -217,9 +203,7 @@
 // passOn leaves new clients to the successor, and tells it what is still held here until the end.
 func (d *dispatcher) passOn(kin *transport.Kin, relay string) {
 	d.passed.Store(true)
-	if d.progress != nil {
-		d.progress.Beside(kin, relay, false)
-	}
+	d.besideProgress(kin, relay, false)
 	for _, f := range d.fronts {
 		f.gate.Pause()
 		f.handler.Passing(true)
@@ -268,10 +252,30 @@
 	return d.other
 }
 
+// setKin notes the other process, nil for none, and how many then act as this dispatcher.
 func (d *dispatcher) setKin(k *transport.Kin) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.other = k
+	d.mu.Unlock()
+	if k != nil {
+		d.core.Shared(2)
+		return
+	}
+	d.core.Shared(1)
+	d.besideProgress(nil, "", false)
+}
+
+// besideProgress has the front for progress, if it is on, go on beside another process's; nil for none.
+func (d *dispatcher) besideProgress(kin *transport.Kin, relay string, older bool) {
+	if d.progress != nil {
+		d.progress.Beside(kin, relay, older)
+	}
+}
+
+// keepFor does here what an operator's call at the other process's door asks for.
+func (d *dispatcher) keepFor(kin *transport.Kin, n protocol.Note) {
+	err := d.operations.keep(n.Worker, n.Out)
+	kin.Tell(protocol.Note{Answer: n.Ask, Yes: err == nil})
 }
 
 // putOut puts workers out that were out before.
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -232,6 +232,12 @@
 	return 0, false
 }
 
+// Has tells whether there is such a class.
+func (p *Params) Has(name string) bool {
+	_, ok := p.Class(name)
+	return ok
+}
+
 // LongestDeadline is the longest that a client of any class waits.
 func (p *Params) LongestDeadline() (longest time.Duration) {
 	for i := range p.Classes {
--- a/internal/protocol/inbound.go
+++ b/internal/protocol/inbound.go
@@ -71,7 +71,7 @@
 		Rules: routing.Rules{MaxAttempts: p.Limits.MaxAttempts, AnswerSlack: p.Rules.AnswerSlack.Span()}, Key: r.Header.Get("Idempotency-Key"),
 		Method: r.Method, Target: r.URL.RequestURI(), Slots: 1, Pass: http.Header{}}
 	if kind := r.Header.Get("Req-Kind"); kind != "" && kind != name {
-		if _, ok := p.Class(kind); !ok {
+		if !p.Has(kind) {
 			return nil, reject(http.StatusNotFound, "no class %q", kind)
 		}
 		return nil, reject(http.StatusBadRequest, "Req-Kind %q, path %q", kind, name)
--- a/internal/routing/ledger.go
+++ b/internal/routing/ledger.go
@@ -58,17 +58,14 @@
 // Class has a class stand in the account before it has had a request.
 func (l *Ledger) Class(name string) { l.enter(func(f *Figures) { f.Classes[name] = f.Classes[name] }) }
 
-// Had tells whether there ever was such a class.
-func (l *Ledger) Had(class string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	_, had := l.f.Classes[class]
-	return had
-}
-
-// Unheard counts a request that a front answered itself, before the module heard of it.
+// Unheard counts a request that a front answered itself, before the module heard of it. What names a class that there
+// never was is no job.
 func (l *Ledger) Unheard(class string, v Verdict) {
-	l.enter(func(f *Figures) { f.count(class, v) })
+	l.enter(func(f *Figures) {
+		if _, had := f.Classes[class]; had {
+			f.count(class, v)
+		}
+	})
 }
 
 // Dispatched counts a call that was written to its last byte.
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -186,7 +186,7 @@
 		// All carry calls. The next that ends gives its place up, which is soon; sent elsewhere, the call would find
 		// no connection either and have lost an attempt.
 		if len(e.starved) == 0 {
-			e.fleet.log.Warn("out of connections, calls wait", "endpoint", e.id, "most", e.fleet.most.Load())
+			e.fleet.log.Warn("out of connections, calls wait", "endpoint", e.id, "most", e.fleet.allowed())
 		}
 		e.starved = append(e.starved, x)
 		time.AfterFunc(time.Until(x.deadline), func() { e.box.Post(overdue{}) })
--- a/internal/transport/fleet.go
+++ b/internal/transport/fleet.go
@@ -6,7 +6,6 @@
 	"context"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"brassdale/brain"
@@ -30,9 +29,9 @@
 	params  *protocol.Live
 	sink    Sink
 	log     *slog.Logger
-	most    atomic.Int64 // connections that all endpoints together may have open
-	open    atomic.Int64 // and how many are
 	mu      sync.Mutex
+	most    int // connections that all endpoints together may have open
+	open    int // and how many are
 	members map[brain.WorkerID]*endpoint
 	barred  map[brain.WorkerID]time.Time // put out by hand, listed or not
 	starved []*endpoint                  // wait for a connection that they may open
@@ -48,17 +47,23 @@
 func (f *Fleet) Allow(most int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.most.Store(int64(most))
+	f.most = most
 	f.feed()
 }
 
+func (f *Fleet) allowed() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.most
+}
+
 // take counts a connection that is to be opened, and tells whether it may be. If not, the endpoint hears of the next
 // that is closed, and all close what stands idle.
 func (f *Fleet) take(e *endpoint) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.open.Load() < f.most.Load() {
-		f.open.Add(1)
+	if f.open < f.most {
+		f.open++
 		return true
 	}
 	if len(f.starved) == 0 {
@@ -81,20 +86,24 @@
 func (f *Fleet) give() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.open.Add(-1)
+	f.open--
 	f.feed()
 }
 
 // feed tells those that wait as far as there is room; f.mu is held.
 func (f *Fleet) feed() {
-	for n := f.most.Load() - f.open.Load(); n > 0 && len(f.starved) > 0; n-- {
+	for n := f.most - f.open; n > 0 && len(f.starved) > 0; n-- {
 		f.starved[0].box.Post(room{})
 		f.starved = f.starved[1:]
 	}
 }
 
 // Held is how many they have.
-func (f *Fleet) Held() int { return int(f.open.Load()) }
+func (f *Fleet) Held() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.open
+}
 
 // Update tells an endpoint's actor what the destination set says of it, and starts the actor of a new one.
 func (f *Fleet) Update(d routing.Destination) {
@@ -169,7 +178,7 @@
 	if len(f.starved) > 0 {
 		return 0
 	}
-	return max(int(f.most.Load())/(2*max(len(f.members), 1)), 1)
+	return max(f.most/(2*max(len(f.members), 1)), 1)
 }
 
 func (f *Fleet) idleUntil(since time.Time) time.Time {
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -32,7 +32,8 @@
 // Gate is a front's listener and the table of its connections. It keeps them inside the front's part of the
 // descriptors whatever clients do: past it, one that has said nothing yet goes, the oldest first, then an idle one that
 // never brought a job, one whose request has not gone on for long, one that is idle between jobs, one that has only just
-// come and said nothing, one whose request still comes, and one that carries a job never. Where all carry jobs, the newcomer is served a refusal, up to a small reserve.
+// come and said nothing, one whose request still comes, and one that carries a job never. Where all carry jobs, the
+// newcomer is served a refusal, up to a small reserve.
 type Gate struct {
 	*net.TCPListener
 	room   atomic.Int64 // for the bodies of all requests together, in bytes
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -169,8 +169,8 @@
 	job, err := readJob(w, r, params)
 	if err != nil {
 		f.rejectJob(w, err)
-		if _, now := params.Class(protocol.ClassOf(r)); !now && f.core.Ledger().Had(protocol.ClassOf(r)) {
-			f.core.Ledger().Unheard(protocol.ClassOf(r), routing.Failed) // of a class that was dropped
+		if class := protocol.ClassOf(r); !params.Has(class) {
+			f.core.Ledger().Unheard(class, routing.Failed) // perhaps of a class that was dropped
 		}
 		return nil, done
 	}
@@ -195,9 +195,7 @@
 // failFast is a refusal by the front itself, before the module has seen the request.
 func (f *front) failFast(w http.ResponseWriter, class, why string) {
 	f.log.Warn("fail-fast", "why", why)
-	if f.core.Ledger().Had(class) { // else it is no job
-		f.core.Ledger().Unheard(class, routing.Refused)
-	}
+	f.core.Ledger().Unheard(class, routing.Refused)
 	writeAnswer(w, routing.Answer{Verdict: routing.Refused, RetryAfter: f.params.Now().Limits.MaxRetryAfter.Span()})
 }
 
