--- /dev/null
+++ b/internal/decisions/shares/shares.go
@@ -0,0 +1,78 @@
+// Package shares decides which accounts' jobs are taken when there is not room for all that come, over all fronts
+// together. Values in, verdicts out: no I/O, no clock, no goroutine.
+//
+// It promises:
+//
+//  1. No more jobs are open than there is room.
+//  2. An account that holds less than its share of the room gets its job taken whenever there is any room.
+//  3. An account gets more than its share only as long as it holds less than what is free, so that others find room
+//     the moment they come; alone it may hold half of the room.
+//  4. Accounts that nobody listed have one share together: a client cannot gain by inventing names.
+//  5. What is done is free again, also after the shares were changed while it was open.
+package shares
+
+import "brassdale/internal/decisions/streams"
+
+// Table is the account of what is open.
+type Table struct {
+	room  int
+	parts map[string]float64
+	other float64 // the part of all accounts that have none of their own
+	open  map[string]int
+	total int
+}
+
+// New makes a table for a room of so many jobs, of which each account has a part between 0 and 1. What the parts leave
+// is the part of all others together.
+func New(room int, parts map[string]float64) *Table {
+	t := &Table{open: map[string]int{}}
+	t.Retune(room, parts)
+	return t
+}
+
+// Retune changes room and parts. What is open stays open.
+func (t *Table) Retune(room int, parts map[string]float64) {
+	t.room, t.parts, t.other = room, parts, 1
+	for _, part := range parts {
+		t.other -= part
+	}
+	t.other = max(t.other, 0)
+}
+
+// Pot tells under which name an account's jobs count. It must be asked once a job: a retuning may change it.
+func (t *Table) Pot(account string) string {
+	if _, ok := t.parts[account]; ok {
+		return account
+	}
+	return ""
+}
+
+// Take takes a job of a pot, or tells that there is no room for it.
+func (t *Table) Take(pot string) bool {
+	if !streams.Fair(t.room, t.total, t.open[pot], t.floor(pot)) {
+		return false
+	}
+	t.open[pot]++
+	t.total++
+	return true
+}
+
+// Done ends a job that was taken.
+func (t *Table) Done(pot string) {
+	t.total--
+	if t.open[pot]--; t.open[pot] <= 0 {
+		delete(t.open, pot)
+	}
+}
+
+// Open tells how many jobs of a pot are open, and how many it may always have.
+func (t *Table) Open(pot string) (open, share int) { return t.open[pot], t.floor(pot) }
+
+// floor is an account's share in jobs: whole ones, and one at least.
+func (t *Table) floor(pot string) int {
+	part, ok := t.parts[pot]
+	if !ok {
+		part = t.other
+	}
+	return max(int(part*float64(t.room)), 1)
+}
--- /dev/null
+++ b/internal/decisions/shares/shares_test.go
@@ -0,0 +1,86 @@
+package shares
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func TestPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		room := rapid.IntRange(8, 80).Draw(t, "room")
+		parts := map[string]float64{"a": 0.5, "b": 0.25, "c": 0.125}
+		table := New(room, parts)
+		var open []string
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0:
+				if len(open) > 0 {
+					i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+					table.Done(open[i])
+					open = append(open[:i], open[i+1:]...)
+				}
+			case 1:
+				if rapid.IntRange(0, 20).Draw(t, "retune") == 0 {
+					parts = map[string]float64{"a": 0.25, "d": 0.5}
+					table.Retune(room, parts)
+				}
+			default:
+				pot := table.Pot(rapid.SampledFrom([]string{"a", "b", "c", "d", "e", "f"}).Draw(t, "account"))
+				before, share := table.Open(pot)
+				full := len(open) >= room
+				ok := table.Take(pot)
+				switch {
+				case ok && full:
+					t.Fatal("more open than there is room")
+				case !ok && !full && before < share:
+					t.Fatalf("%q holds %d of its share of %d and was turned away", pot, before, share)
+				case ok && before >= share && before >= room-len(open):
+					t.Fatalf("%q got its job %d beyond its share of %d with %d free", pot, before+1, share, room-len(open))
+				}
+				if ok {
+					open = append(open, pot)
+				}
+			}
+			if len(open) > room {
+				t.Fatal("more open than there is room")
+			}
+		}
+		for _, pot := range open {
+			table.Done(pot)
+		}
+		if table.total != 0 || len(table.open) != 0 {
+			t.Fatalf("left over: %d, %v", table.total, table.open)
+		}
+	})
+}
+
+// An account at five times its share beside others that want theirs: these get it, whatever the greedy one took first.
+func TestGreedy(t *testing.T) {
+	table := New(100, map[string]float64{"greedy": 0.2, "b": 0.4, "c": 0.4})
+	for range 500 {
+		table.Take("greedy")
+	}
+	if open, _ := table.Open("greedy"); open != 50 {
+		t.Errorf("alone it holds %d", open)
+	}
+	for i := range 400 { // all run for the same time, the oldest ends first
+		table.Done("greedy")
+		for range 5 {
+			table.Take("greedy")
+		}
+		for _, pot := range []string{"b", "c"} {
+			if open, share := table.Open(pot); open < share && i%2 == 0 && !table.Take(pot) && table.total < 100 {
+				t.Fatalf("%s holds %d of %d and was turned away", pot, open, share)
+			}
+		}
+	}
+	if open, share := table.Open("greedy"); open > share {
+		t.Errorf("the greedy one holds %d, its share is %d", open, share)
+	}
+	for _, pot := range []string{"b", "c"} {
+		if open, share := table.Open(pot); open != share {
+			t.Errorf("%s holds %d, its share is %d", pot, open, share)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decisions/streams/streams.go
@@ -0,0 +1,233 @@
+// Package streams decides what a client may do with one HTTP/2 connection beside having its jobs answered, and how a
+// front's room is dealt out among connections. Values in, verdicts out: no I/O, no clock, no goroutine.
+//
+// It promises:
+//
+//  1. A connection that opens streams one after the other and takes their answers is never ended, at whatever rate, if
+//     beside each answered stream it sends no more than the credit of each kind of frame (see budgets).
+//  2. Of each kind of frame that costs this side work and asks for none, no more pass in any span of time than the
+//     kind's burst, its rate times the span, and its credit for the streams answered in it.
+//  3. What has begun to come (the preface, a frame, a head) is whole within Whole, or Due tells when the connection
+//     is to be ended; so no connection that says something half is kept for longer.
+//  4. A head takes no more than MostFragments frames and MostHead bytes.
+//  5. Once a verdict was to end the connection, all later ones are the same.
+//  6. Room that was dealt out is never more than the limit, a newcomer below the floor finds room whenever there is
+//     any, and what is given above the floor leaves at least as much free as its holder then has, less one.
+//
+// The frames are those of RFC 9113, section 6. What net/http bounds by itself is not done again here: streams open at a
+// time (SETTINGS_MAX_CONCURRENT_STREAMS, and handlers that outlive their streams), the size of a header list, flow
+// control, queued replies to frames, and frames that break the protocol.
+package streams
+
+import "time"
+
+// Kind is a frame's type.
+type Kind uint8
+
+// The kinds of RFC 9113.
+const (
+	Data Kind = iota
+	Headers
+	Priority
+	Reset
+	Settings
+	PushPromise
+	Ping
+	GoAway
+	WindowUpdate
+	Continuation
+)
+
+// The flags that count here.
+const (
+	EndStream  = 0x1 // of Data and Headers
+	Ack        = 0x1 // of Settings and Ping
+	EndHeaders = 0x4 // of Headers and Continuation
+)
+
+// Frame is the head of a frame.
+type Frame struct {
+	Kind   Kind
+	Flags  uint8
+	Stream uint32
+	Length uint32 // bytes behind the head
+}
+
+// Why tells why a connection is to be ended; empty while it may go on.
+type Why string
+
+// The reasons.
+const (
+	Resets    Why = "resets"    // streams opened and given up at once, or made to be reset
+	Pings     Why = "pings"     //
+	Options   Why = "settings"  //
+	Ranks     Why = "priority"  //
+	Windows   Why = "windows"   //
+	Crumbs    Why = "crumbs"    // bodies in pieces of next to nothing
+	Strange   Why = "unknown"   // kinds of frames that there are not
+	Fragments Why = "fragments" // a head in too many frames or bytes
+	Halves    Why = "halves"    // the preface, a frame or a head that did not come whole in time
+)
+
+const (
+	// Whole is how long the preface, a frame or a head may take from its first byte to its last.
+	Whole = 2600 * time.Millisecond
+
+	// MostFragments and MostHead bound a head: its frames, and their bytes together. One that is within the bound on
+	// header lists (8 KiB) has room in one frame of the usual size.
+	MostFragments = 16
+	MostHead      = 32 << 10
+
+	crumb = 64 // bytes; a piece of a body that is shorter and not the last
+)
+
+// budget is a token bucket: so many at once, so many more a second, and so many more for each stream answered.
+type budget struct {
+	burst, rate, credit float64
+}
+
+// The budgets, by reason. Bursts are what well-made clients were seen to need at most, several times over: all streams
+// given up at once, a WINDOW_UPDATE for the stream and one for the connection with each piece of an answer, a PING to
+// measure the way with each.
+var budgets = map[Why]budget{
+	Resets:  {burst: 256, rate: 20, credit: 1},
+	Pings:   {burst: 64, rate: 10, credit: 1},
+	Options: {burst: 16, rate: 2},
+	Ranks:   {burst: 512, rate: 20, credit: 2},
+	Windows: {burst: 1024, rate: 100, credit: 8},
+	Crumbs:  {burst: 1024, rate: 200, credit: 16},
+	Strange: {burst: 64, rate: 10, credit: 1},
+}
+
+// Conn is what is known of a connection. The times that its methods get never run backwards.
+type Conn struct {
+	spent    map[Why]float64 // of each budget, as of at
+	at       time.Duration
+	answered float64 // streams, since at
+
+	began     time.Duration // of the preface, then of the frame that is coming
+	partial   bool          // the one of these is not whole
+	head      time.Duration // when the head began that is coming
+	inHead    bool
+	fragments int
+	bytes     uint32
+	ended     Why
+}
+
+// New begins with a connection that has just been taken: its preface is to come.
+func New(now time.Duration) *Conn {
+	return &Conn{spent: map[Why]float64{}, at: now, began: now, partial: true}
+}
+
+// Preface tells that the preface is whole.
+func (c *Conn) Preface() { c.partial = false }
+
+// Begin tells that the first byte of a frame came.
+func (c *Conn) Begin(now time.Duration) { c.began, c.partial = now, true }
+
+// End tells that the last byte of a frame came.
+func (c *Conn) End() { c.partial = false }
+
+// Answered tells that a stream had its answer in full.
+func (c *Conn) Answered() { c.answered++ }
+
+// Came judges a frame by its head, before anything of it goes on.
+func (c *Conn) Came(now time.Duration, f Frame) Why {
+	switch f.Kind {
+	case Headers:
+		c.head, c.inHead, c.fragments, c.bytes = now, true, 0, 0
+		c.fragment(f)
+	case Continuation:
+		c.fragment(f)
+	case Data:
+		if f.Length < crumb && f.Flags&EndStream == 0 {
+			c.spend(now, Crumbs)
+		}
+	case Reset:
+		c.spend(now, Resets)
+	case Ping:
+		if f.Flags&Ack == 0 {
+			c.spend(now, Pings)
+		}
+	case Settings:
+		c.spend(now, Options)
+	case Priority:
+		c.spend(now, Ranks)
+	case WindowUpdate:
+		c.spend(now, Windows)
+	case PushPromise, GoAway: // net/http ends the connection at the one and lets go of it behind the other
+	default:
+		c.spend(now, Strange)
+	}
+	return c.ended
+}
+
+// Sent judges a frame that this side sends: a client can have streams reset by breaking rules as well as by asking.
+func (c *Conn) Sent(now time.Duration, f Frame) Why {
+	if f.Kind == Reset {
+		c.spend(now, Resets)
+	}
+	return c.ended
+}
+
+// Due tells when the connection is to be ended if nothing more comes; not ok if it may stay as it is.
+func (c *Conn) Due() (at time.Duration, ok bool) {
+	switch {
+	case c.inHead && c.partial:
+		return min(c.head, c.began) + Whole, true
+	case c.inHead:
+		return c.head + Whole, true
+	case c.partial:
+		return c.began + Whole, true
+	}
+	return 0, false
+}
+
+// Tick judges what is still half there.
+func (c *Conn) Tick(now time.Duration) Why {
+	if at, ok := c.Due(); ok && now >= at {
+		c.end(Halves)
+	}
+	return c.ended
+}
+
+func (c *Conn) fragment(f Frame) {
+	c.fragments++
+	c.bytes += min(f.Length, MostHead+1)
+	if c.fragments > MostFragments || c.bytes > MostHead {
+		c.end(Fragments)
+	}
+	if f.Flags&EndHeaders != 0 {
+		c.inHead = false
+	}
+}
+
+// spend takes one from a budget.
+func (c *Conn) spend(now time.Duration, why Why) {
+	if now > c.at || c.answered > 0 {
+		passed := (now - c.at).Seconds()
+		for of, spent := range c.spent {
+			b := budgets[of]
+			c.spent[of] = max(spent-b.rate*passed-b.credit*c.answered, 0)
+		}
+		c.at, c.answered = max(now, c.at), 0
+	}
+	if c.spent[why]++; c.spent[why] > budgets[why].burst {
+		c.end(why)
+	}
+}
+
+func (c *Conn) end(why Why) {
+	if c.ended == "" {
+		c.ended = why
+	}
+}
+
+// Fair tells whether one of several holders of a common room gets one more: always below the floor while there is any
+// left, and above it as long as it has less than what is free. This is the dynamic threshold of A. Choudhury and
+// E. Hahne ("Dynamic Queue Length Thresholds for Shared-Memory Packet Switches", IEEE/ACM Transactions on Networking
+// 6(2), 1998) with a factor of one: n holders that want all get 1/(n+1) each, nobody needs to know how many there are,
+// and a newcomer always finds room.
+func Fair(limit, total, mine, floor int) bool {
+	return total < limit && (mine < floor || mine < limit-total)
+}
--- /dev/null
+++ b/internal/operator/operator.go
@@ -0,0 +1,204 @@
+// Package operator reads the operator's file: HCL, a block for each part of the program that the platform does not
+// ask for. What no block names is off. Each part declares its own settings as a struct with hcl tags, beside its code;
+// here stand the blocks' names, their defaults and what gohcl cannot check by itself.
+package operator
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+	"github.com/hashicorp/hcl/v2/hclwrite"
+
+	"brassdale/internal/protocol"
+	"brassdale/internal/transport"
+)
+
+// File is what an operator's file switches on; nil stands for off.
+type File struct {
+	Progress *transport.ProgressSettings
+}
+
+// block is a kind of block that a file may hold once.
+type block struct {
+	kind, label string // label is empty where the block has none
+	read        func(*File, *reader)
+	write       func(*File) any // its settings, nil where it is off
+}
+
+func (b block) String() string {
+	if b.label == "" {
+		return b.kind
+	}
+	return fmt.Sprintf("%s %q", b.kind, b.label)
+}
+
+// blocks are all that there are. A further part of the program adds its own and changes nothing else here.
+var blocks = []block{
+	{"front", "progress", readProgress, func(f *File) any { return orNil(f.Progress) }},
+}
+
+// orNil keeps a nil pointer from becoming an interface that holds one.
+func orNil[T any](p *T) any {
+	if p == nil {
+		return nil
+	}
+	return p
+}
+
+// reader reads one block and notes what is wrong with it.
+type reader struct {
+	body  *hclsyntax.Body
+	dir   string // paths in the file count from here
+	diags hcl.Diagnostics
+}
+
+// decode fills settings, which hold the defaults.
+func (r *reader) decode(settings any) bool {
+	diags := gohcl.DecodeBody(r.body, nil, settings)
+	r.diags = append(r.diags, diags...)
+	return !diags.HasErrors()
+}
+
+// bad notes a fault of an attribute, at its value; at the block where it stands nowhere.
+func (r *reader) bad(attribute, format string, a ...any) {
+	at := r.body.MissingItemRange()
+	if attr := r.body.Attributes[attribute]; attr != nil {
+		at = attr.Expr.Range()
+	}
+	r.diags = append(r.diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: "Bad " + attribute, Detail: fmt.Sprintf(format, a...), Subject: &at})
+}
+
+// address checks where a front listens. Off loopback its traffic can be read on the way unless it is encrypted, so an
+// operator has to say that this is meant.
+func (r *reader) address(listen string, encrypted, cleartext bool) {
+	if err := protocol.CheckAddr(listen); err != nil {
+		r.bad("listen", "%v.", err)
+		return
+	}
+	host, _, _ := net.SplitHostPort(listen)
+	if ip := net.ParseIP(host); (ip == nil || !ip.IsLoopback()) && !encrypted && !cleartext {
+		r.bad("listen", "%q is not a loopback address: give a tls block, or cleartext = true if nobody else can read on the way.", listen)
+	}
+}
+
+// atLeast checks a number.
+func (r *reader) atLeast(attribute string, n, least int) {
+	if n < least {
+		r.bad(attribute, "It must be %d or more.", least)
+	}
+}
+
+func readProgress(f *File, r *reader) {
+	s := transport.DefaultProgress()
+	if !r.decode(&s) {
+		return
+	}
+	r.address(s.Listen, false, s.Cleartext)
+	if s.Upstream != "lines" && s.Upstream != "events" {
+		r.bad("upstream", `%q is neither "lines" nor "events".`, s.Upstream)
+	}
+	r.atLeast("jobs", s.Jobs, 1)
+	r.atLeast("keep_mb", s.KeepMB, 1)
+	f.Progress = &s
+}
+
+// Load reads a file. Its error is a Faults where the file can be read.
+func Load(path string) (*File, error) {
+	if strings.EqualFold(filepath.Ext(path), ".toml") {
+		return nil, fmt.Errorf("%s: operators' files are HCL now: put its settings into a block front \"progress\" { ... }, see deploy/operator.hcl", path)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(text, path)
+}
+
+// Parse reads the text of a file; path is its name in faults, and relative paths in it count from the path's folder.
+// All faults that can be found are in the error, which is then a Faults.
+func Parse(text []byte, path string) (*File, error) {
+	parsed, diags := hclsyntax.ParseConfig(text, path, hcl.InitialPos)
+	f := &File{}
+	if body, ok := parsed.Body.(*hclsyntax.Body); ok {
+		for _, attr := range body.Attributes {
+			diags = append(diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: "Unsupported argument",
+				Detail: fmt.Sprintf("%q stands outside any block.", attr.Name), Subject: &attr.NameRange})
+		}
+		seen := map[string]hcl.Range{}
+		for _, b := range body.Blocks {
+			diags = append(diags, f.read(b, filepath.Dir(path), seen)...)
+		}
+	}
+	if diags.HasErrors() {
+		return nil, Faults(diags)
+	}
+	return f, nil
+}
+
+// read reads a block.
+func (f *File) read(b *hclsyntax.Block, dir string, seen map[string]hcl.Range) hcl.Diagnostics {
+	fault := func(summary, detail string) hcl.Diagnostics {
+		at := b.DefRange()
+		return hcl.Diagnostics{{Severity: hcl.DiagError, Summary: summary, Detail: detail, Subject: &at}}
+	}
+	name := b.Type
+	for _, label := range b.Labels {
+		name += fmt.Sprintf(" %q", label)
+	}
+	for _, known := range blocks {
+		if known.String() != name {
+			continue
+		}
+		if first, twice := seen[name]; twice {
+			return fault("Duplicate block", fmt.Sprintf("The block %s stands at %s already.", name, first))
+		}
+		seen[name] = b.DefRange()
+		r := &reader{body: b.Body, dir: dir}
+		known.read(f, r)
+		return r.diags
+	}
+	var names []string
+	for _, known := range blocks {
+		names = append(names, known.String())
+	}
+	return fault("Unsupported block", fmt.Sprintf("There is no block %s; there are: %s.", name, strings.Join(names, ", ")))
+}
+
+// Faults are all that is wrong with a file.
+type Faults hcl.Diagnostics
+
+// Error gives a line for each fault: file, line, column and what is wrong.
+func (f Faults) Error() string {
+	var lines []string
+	for _, d := range f {
+		at := ""
+		if d.Subject != nil {
+			at = fmt.Sprintf("%s:%d:%d: ", d.Subject.Filename, d.Subject.Start.Line, d.Subject.Start.Column)
+		}
+		lines = append(lines, fmt.Sprintf("%s%s: %s", at, d.Summary, strings.ReplaceAll(d.Detail, "\n", " ")))
+	}
+	return strings.Join(lines, "\n")
+}
+
+// String gives what is in force, defaults included, as a file that says the same.
+func (f *File) String() string {
+	out := hclwrite.NewEmptyFile()
+	for _, b := range blocks {
+		settings := b.write(f)
+		if settings == nil {
+			continue
+		}
+		var labels []string
+		if b.label != "" {
+			labels = []string{b.label}
+		}
+		gohcl.EncodeIntoBody(settings, out.Body().AppendNewBlock(b.kind, labels).Body())
+	}
+	return string(out.Bytes())
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"math"
 	"net/http"
@@ -15,6 +14,7 @@
 	"time"
 
 	"brassdale/brain"
+	"brassdale/internal/operator"
 	"brassdale/internal/protocol"
 	"brassdale/internal/routing"
 	"brassdale/internal/transport"
@@ -68,21 +68,23 @@
 	server *http.Server
 }
 
-// Run serves until a signal comes and all is answered. Logs go to out. An operator's file, if one is
-// named, switches the front for progress on. Each of reloads has the platform's file read again.
-func Run(env func(string) string, operator string, out io.Writer, signals, reloads <-chan os.Signal) error {
-	level := slog.LevelInfo
-	if env("BRASSDALE_DEBUG") != "" {
-		level = slog.LevelDebug
-	}
-	log := slog.New(slog.NewTextHandler(out, &slog.HandlerOptions{Level: level}))
+// Options are what the command line tells.
+type Options struct {
+	Operator string // the operator's file; what it has no block for is off
+	Level    slog.Level
+	Handler  func(*slog.HandlerOptions) slog.Handler // of the log
+}
+
+// Run serves until a signal comes and all is answered. Each of reloads has the files read again.
+func Run(env func(string) string, options Options, signals, reloads <-chan os.Signal) error {
+	log := slog.New(options.Handler(&slog.HandlerOptions{Level: options.Level}))
 	cfg, err := protocol.LoadConfig(env("GW_CONFIG"), env)
 	if err != nil {
 		return err
 	}
-	var op *protocol.Operator
-	if operator != "" {
-		if op, err = protocol.LoadOperator(operator); err != nil {
+	op := &operator.File{}
+	if options.Operator != "" {
+		if op, err = operator.Load(options.Operator); err != nil {
 			return err
 		}
 	}
@@ -145,7 +147,7 @@
 }
 
 // build makes all parts, none of which runs yet.
-func (d *dispatcher) build(env func(string) string, cfg *protocol.Config, op *protocol.Operator, pred *predecessor) error {
+func (d *dispatcher) build(env func(string) string, cfg *protocol.Config, op *operator.File, pred *predecessor) error {
 	p, log := d.params, d.log
 	p.Put(&cfg.Settings, func(s brain.Settings) {
 		d.core = routing.NewCore(brain.New(s, cfg.SeedNumber()), routing.NewClock(), log)
@@ -184,9 +186,9 @@
 	}); err != nil {
 		return err
 	}
-	if op != nil {
-		if err := add("progress", op.Listen, func(g *transport.Gate) *front {
-			d.progress = transport.NewProgress(d.core, p, op, g, d.ids, log)
+	if s := op.Progress; s != nil {
+		if err := add("progress", s.Listen, func(g *transport.Gate) *front {
+			d.progress = transport.NewProgress(d.core, p, s, g, d.ids, log)
 			return &front{handler: d.progress}
 		}); err != nil {
 			return err
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -25,12 +25,26 @@
 	eventCost  = 64 // of an event beside its data, in memory
 )
 
+// ProgressSettings are the operator's, in a block front "progress".
+type ProgressSettings struct {
+	Listen    string `hcl:"listen"`             // an address of its own
+	Cleartext bool   `hcl:"cleartext,optional"` // the address may be off loopback
+	Upstream  string `hcl:"upstream,optional"`  // how endpoints are asked to answer: "lines" or "events"
+	Jobs      int    `hcl:"jobs,optional"`      // most jobs remembered at a time
+	KeepMB    int    `hcl:"keep_mb,optional"`   // most memory for their answers
+}
+
+// DefaultProgress holds what an operator leaves out.
+func DefaultProgress() ProgressSettings {
+	return ProgressSettings{Upstream: "lines", Jobs: 2048, KeepMB: 24}
+}
+
 // Progress is the front for progress by server-sent events. A job belongs to its key, not to a
 // connection: it runs on to its deadline when its client's stream drops, and a repeat of the key attaches
 // to it. Its table never starts a key twice while endpoints may remember it.
 type Progress struct {
 	front
-	set   *protocol.Operator
+	set   *ProgressSettings
 	bytes atomic.Int64 // of the events of all jobs in the table
 
 	mu   sync.Mutex
@@ -59,7 +73,7 @@
 }
 
 // NewProgress makes the front.
-func NewProgress(c Core, p *protocol.Live, o *protocol.Operator, g *Gate, ids *OpenIDs, log *slog.Logger) *Progress {
+func NewProgress(c Core, p *protocol.Live, o *ProgressSettings, g *Gate, ids *OpenIDs, log *slog.Logger) *Progress {
 	return &Progress{front: front{core: c, params: p, gate: g, ids: ids, log: log}, set: o, jobs: map[string]*watched{}}
 }
 
