--- /dev/null
+++ b/cmd/brassdale/http2_test.go
@@ -0,0 +1,508 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	h2 "golang.org/x/net/http2"
+	"golang.org/x/net/http2/hpack"
+)
+
+const http2Block = "front \"http2\" {\n  listen = \"127.0.0.1:0\"\n  streams = 100\n}\n"
+
+// h2Client is a client that speaks HTTP/2 in clear, on one connection as long as it can.
+func h2Client(t *testing.T) *http.Client {
+	transport := &http.Transport{Protocols: &http.Protocols{}}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport}
+}
+
+// ask sends a request and gives status and body; 0 where there was no answer.
+func ask(c *http.Client, r *http.Request) (status int, body string, header http.Header) {
+	resp, err := c.Do(r)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	return resp.StatusCode, string(text), resp.Header
+}
+
+// The same jobs get the same answers at both ports.
+func TestHTTP2Serves(t *testing.T) {
+	t.Parallel()
+	n := start(t, http2Block, newBox(t, "a", works))
+	second := h2Client(t)
+	for i, c := range []struct {
+		change func(*http.Request)
+		want   int
+	}{
+		{func(*http.Request) {}, 200},
+		{func(r *http.Request) { r.Header.Del("Req-Id") }, 400},
+		{func(r *http.Request) { r.Header.Del("Idempotency-Key") }, 400},
+		{func(r *http.Request) { r.Header.Add("Req-Id", "twice") }, 400},
+		{func(r *http.Request) { r.Header.Set("Req-Deadline-Ms", "-1") }, 400},
+		{func(r *http.Request) { r.Header.Set("Req-Extra", "slots") }, 400},
+		{func(r *http.Request) { r.URL.Path = "/no-such" }, 404},
+		{func(r *http.Request) { r.Method = "PUT" }, 405},
+		{func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 70000))), 70000
+		}, 413},
+		{func(r *http.Request) { r.Body, r.ContentLength = io.NopCloser(strings.NewReader("no length")), -1 }, 200},
+		{func(r *http.Request) { r.Header.Set("Cookie", "user=7; other=8") }, 200},
+	} {
+		var got [2]string
+		for port, client := range []*http.Client{http.DefaultClient, second} {
+			r := request([]string{n.url, n.h2}[port], fmt.Sprint(port, "-", i))
+			c.change(r)
+			status, body, header := ask(client, r)
+			if status != c.want {
+				t.Errorf("case %d at port %d: %d %s, want %d", i, port, status, body, c.want)
+			}
+			got[port] = fmt.Sprint(body, header.Get("Retry-After"), header.Get("Content-Type"), header.Get("Allow"))
+		}
+		if got[0] != got[1] {
+			t.Errorf("case %d: %q and %q", i, got[0], got[1])
+		}
+	}
+	if status, _, _ := ask(second, must(http.NewRequest("GET", n.h2+"/health/ready", nil))); status != 200 {
+		t.Errorf("ready: %d", status)
+	}
+	// All of it went over one connection, on which a bad stream hurt no other.
+	if got := n.figure("front.http2.connections"); got != 1 {
+		t.Errorf("%d connections", got)
+	}
+}
+
+func must[T any](x T, err error) T {
+	if err != nil {
+		panic(err)
+	}
+	return x
+}
+
+// The id of an open job is taken at both ports.
+func TestHTTP2SharesIDs(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	n := start(t, http2Block, b)
+	first := n.begin(b, "k")
+	if status, _, _ := ask(h2Client(t), request(n.h2, "other", "Req-Id", "id-k")); status != 409 {
+		t.Errorf("the id of a job that is open at the other port: %d", status)
+	}
+	close(release)
+	if status := <-first; status != 200 {
+		t.Errorf("the first: %d", status)
+	}
+}
+
+// peer is a client that writes HTTP/2 frame by frame.
+type peer struct {
+	t    *testing.T
+	conn net.Conn
+	*h2.Framer
+	enc  *hpack.Encoder
+	head bytes.Buffer
+
+	mu     sync.Mutex
+	seen   []string // frames from the other side
+	err    error    // that ended them
+	ended  chan struct{}
+	goAway chan h2.ErrCode // of the first that ends the connection
+}
+
+// wire connects and says hello.
+func (n *node) wire(settings ...h2.Setting) *peer {
+	n.t.Helper()
+	conn, err := net.Dial("tcp", strings.TrimPrefix(n.h2, "http://"))
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.t.Cleanup(func() { conn.Close() })
+	p := &peer{t: n.t, conn: conn, Framer: h2.NewFramer(conn, conn), ended: make(chan struct{}), goAway: make(chan h2.ErrCode, 1)}
+	p.enc = hpack.NewEncoder(&p.head)
+	p.AllowIllegalWrites = true
+	p.ReadMetaHeaders = hpack.NewDecoder(4096, nil)
+	io.WriteString(conn, h2.ClientPreface)
+	p.WriteSettings(settings...)
+	go p.read()
+	return p
+}
+
+func (p *peer) read() {
+	defer close(p.ended)
+	for {
+		f, err := p.ReadFrame()
+		if err != nil {
+			p.mu.Lock()
+			p.err = err
+			p.mu.Unlock()
+			return
+		}
+		text := fmt.Sprint(f.Header().Type, " ", f.Header().StreamID)
+		switch f := f.(type) {
+		case *h2.MetaHeadersFrame:
+			text += " " + f.PseudoValue("status")
+		case *h2.RSTStreamFrame:
+			text += " " + f.ErrCode.String()
+		case *h2.GoAwayFrame:
+			text += fmt.Sprint(" ", f.LastStreamID, " ", f.ErrCode)
+			if f.ErrCode != h2.ErrCodeNo {
+				p.goAway <- f.ErrCode
+			}
+		}
+		p.mu.Lock()
+		p.seen = append(p.seen, text)
+		p.mu.Unlock()
+	}
+}
+
+// got tells whether a frame that begins so has come.
+func (p *peer) got(text string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, s := range p.seen {
+		if strings.HasPrefix(s, text) {
+			return true
+		}
+	}
+	return false
+}
+
+// fields encodes a job's head; further names and values replace the usual ones or come behind them.
+func (p *peer) fields(key string, more ...string) []byte {
+	p.head.Reset()
+	pairs := []string{":method", "POST", ":scheme", "http", ":authority", "api.internal", ":path", "/price-part",
+		"req-id", "id-" + key, "req-kind", "price-part", "req-owner", "taff-marine", "idempotency-key", key, "req-deadline-ms", "5000"}
+next:
+	for i := 0; i < len(more); i += 2 {
+		for j := 0; j < len(pairs); j += 2 {
+			if pairs[j] == more[i] {
+				pairs[j+1] = more[i+1]
+				continue next
+			}
+		}
+		pairs = append(pairs, more[i], more[i+1])
+	}
+	for i := 0; i < len(pairs); i += 2 {
+		p.enc.WriteField(hpack.HeaderField{Name: pairs[i], Value: pairs[i+1]})
+	}
+	return p.head.Bytes()
+}
+
+// job opens a stream with a whole job.
+func (p *peer) job(stream uint32, key string, more ...string) {
+	p.WriteHeaders(h2.HeadersFrameParam{StreamID: stream, BlockFragment: p.fields(key, more...), EndHeaders: true})
+	p.WriteData(stream, true, []byte("drawing"))
+}
+
+// A client gives streams up at each stage of their jobs: one end each, and the other streams of the connection go on.
+func TestHTTP2Cancels(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+		switch key := r.Header.Get("Idempotency-Key"); {
+		case strings.HasPrefix(key, "started"):
+			freezes(`"state":"started"`)(b, c, r)
+		case strings.HasPrefix(key, "silent"):
+			freezes()(b, c, r)
+		case key == "other":
+			<-release
+			works(b, c, r)
+		default:
+			works(b, c, r)
+		}
+	})
+	n := start(t, http2Block, b)
+	p := n.wire()
+	p.job(1, "other")
+	n.waitFor("the other stream's job", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.runs["other"] == 1 })
+	stream := uint32(3)
+	for _, key := range []string{"silent", "started"} {
+		p.job(stream, key)
+		n.waitFor("the job at the endpoint", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.runs[key] == 1 })
+		p.WriteRSTStream(stream, h2.ErrCodeCancel)
+		if id := <-b.closed; id != "id-"+key { // the settings allow a cancel, which is the end of the call's connection
+			t.Errorf("cancelled %s, not %s", id, key)
+		}
+		stream += 2
+	}
+	// Before its body is whole, and at once with it: each may have been taken or not.
+	for i := range 50 {
+		p.WriteHeaders(h2.HeadersFrameParam{StreamID: stream, BlockFragment: p.fields(fmt.Sprint("early-", i)), EndHeaders: true})
+		if i%2 == 1 {
+			p.WriteData(stream, true, []byte("drawing"))
+		}
+		p.WriteRSTStream(stream, h2.ErrCodeCancel)
+		stream += 2
+	}
+	// In the same instant as the end of the job.
+	for i := range 50 {
+		p.job(stream, fmt.Sprint("end-", i))
+		if i%2 == 0 {
+			n.waitFor("the job at the endpoint", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.runs[fmt.Sprint("end-", i)] == 1 })
+		}
+		p.WriteRSTStream(stream, h2.ErrCodeCancel)
+		stream += 2
+	}
+	n.waitFor("the end of all but one", func() bool { return n.figure("concurrent") == 1 })
+	p.job(stream, "last")
+	n.waitFor("a further stream's answer", func() bool { return p.got(fmt.Sprint("HEADERS ", stream, " 200")) })
+	close(release)
+	n.waitFor("the other stream's answer", func() bool { return p.got("HEADERS 1 200") })
+	n.waitFor("nothing open", func() bool { return n.figure("concurrent") == 0 && n.figure("front.http2.streams") == 0 })
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for key, runs := range b.runs {
+		if runs != 1 {
+			t.Errorf("%s ran %d times", key, runs)
+		}
+	}
+}
+
+// What no good client does ends in a mapped answer, a stream's error or a close within 3 s, and good clients on other
+// connections do not notice.
+func TestHTTP2Rude(t *testing.T) {
+	t.Parallel()
+	n := start(t, http2Block, newBox(t, "a", works))
+	head := func(p *peer, stream uint32, more ...string) {
+		p.WriteHeaders(h2.HeadersFrameParam{StreamID: stream, BlockFragment: p.fields("k", more...), EndHeaders: true, EndStream: true})
+	}
+	calm := "ENHANCE_YOUR_CALM"
+	for name, c := range map[string]struct {
+		do   func(p *peer)
+		want string // how a frame that comes begins; a GOAWAY's code; or a close
+	}{
+		"resets": {func(p *peer) {
+			for i := range uint32(20000) {
+				p.WriteHeaders(h2.HeadersFrameParam{StreamID: 2*i + 1, BlockFragment: p.fields(fmt.Sprint("r-", i)), EndHeaders: true})
+				if p.WriteRSTStream(2*i+1, h2.ErrCodeCancel) != nil {
+					return
+				}
+			}
+		}, calm},
+		"pings":    {func(p *peer) { flood(func() error { return p.WritePing(false, [8]byte{}) }) }, calm},
+		"settings": {func(p *peer) { flood(func() error { return p.WriteSettings() }) }, calm},
+		"priority": {func(p *peer) {
+			flood(func() error { return p.WritePriority(1, h2.PriorityParam{StreamDep: 3, Weight: 7}) })
+		}, calm},
+		"windows": {func(p *peer) { flood(func() error { return p.WriteWindowUpdate(0, 1) }) }, calm},
+		"unknown": {func(p *peer) { flood(func() error { return p.WriteRawFrame(0x42, 0, 0, []byte("x")) }) }, calm},
+		"crumbs": {func(p *peer) {
+			p.WriteHeaders(h2.HeadersFrameParam{StreamID: 1, BlockFragment: p.fields("k"), EndHeaders: true})
+			flood(func() error { return p.WriteData(1, false, nil) })
+		}, calm},
+		"fragments": {func(p *peer) {
+			text := bytes.Clone(p.fields("k"))
+			p.WriteHeaders(h2.HeadersFrameParam{StreamID: 1, BlockFragment: text[:1]})
+			for i := 1; i < len(text); i++ {
+				p.WriteContinuation(1, i == len(text)-1, text[i:i+1])
+			}
+		}, calm},
+		"half a head": {func(p *peer) {
+			p.WriteHeaders(h2.HeadersFrameParam{StreamID: 1, BlockFragment: p.fields("k")[:9]})
+		}, calm},
+		"half a frame":  {func(p *peer) { p.conn.Write([]byte{0, 0, 8, 6}) }, calm},
+		"large headers": {func(p *peer) {
+			var more []string
+			for i := range 12 {
+				more = append(more, fmt.Sprint("large-", i), strings.Repeat("x", 1000))
+			}
+			head(p, 1, more...)
+		}, "HEADERS 1 431"},
+		"large header": {func(p *peer) { head(p, 1, "large", strings.Repeat("x", 12000)) }, "COMPRESSION_ERROR"},
+		"wrong length": {func(p *peer) {
+			p.WriteHeaders(h2.HeadersFrameParam{StreamID: 1, BlockFragment: p.fields("k", "content-length", "3"), EndHeaders: true})
+			p.WriteData(1, true, []byte("drawing"))
+		}, "RST_STREAM 1 PROTOCOL_ERROR"},
+		"short length": {func(p *peer) {
+			p.WriteHeaders(h2.HeadersFrameParam{StreamID: 1, BlockFragment: p.fields("k", "content-length", "30"), EndHeaders: true})
+			p.WriteData(1, true, []byte("drawing"))
+		}, "HEADERS 1 400"},
+		"half a body": {func(p *peer) {
+			p.WriteHeaders(h2.HeadersFrameParam{StreamID: 1, BlockFragment: p.fields("k", "content-length", "30"), EndHeaders: true})
+			p.WriteData(1, false, []byte("drawing"))
+		}, "HEADERS 1 400"},
+		"connection":        {func(p *peer) { head(p, 1, "connection", "close") }, "HEADERS 1 400"},
+		"transfer-encoding": {func(p *peer) { head(p, 1, "transfer-encoding", "chunked") }, "HEADERS 1 400"},
+		"uppercase":         {func(p *peer) { head(p, 1, "Req-Odd", "x") }, "RST_STREAM 1 PROTOCOL_ERROR"},
+		"no class":          {func(p *peer) { head(p, 1, ":path", "/no-such") }, "HEADERS 1 404"},
+		"no path":           {func(p *peer) { head(p, 1, ":path", "no-slash") }, "RST_STREAM 1 PROTOCOL_ERROR"},
+		"trailers": {func(p *peer) {
+			p.WriteHeaders(h2.HeadersFrameParam{StreamID: 1, BlockFragment: p.fields("trailed"), EndHeaders: true})
+			p.WriteData(1, false, []byte("drawing"))
+			p.head.Reset()
+			p.enc.WriteField(hpack.HeaderField{Name: "req-id", Value: "another"})
+			p.WriteHeaders(h2.HeadersFrameParam{StreamID: 1, BlockFragment: p.head.Bytes(), EndHeaders: true, EndStream: true})
+		}, "HEADERS 1 200"},
+		"push":         {func(p *peer) { p.WriteRawFrame(h2.FramePushPromise, 4, 1, make([]byte, 8)) }, "PROTOCOL_ERROR"},
+		"many streams": {func(p *peer) { manyStreams(p, 150) }, "RST_STREAM"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := n.wire()
+			good := h2Client(t)
+			begin := time.Now()
+			go c.do(p)
+			code := ""
+			defer func() {
+				if t.Failed() {
+					p.mu.Lock()
+					defer p.mu.Unlock()
+					t.Logf("the last frames: %v, error %v", p.seen[max(len(p.seen)-5, 0):], p.err)
+				}
+			}()
+			n := &node{t: t, h2: n.h2} // waits fail this test, not the one around it
+			n.waitFor(name, func() bool {
+				if status, body, _ := ask(good, request(n.h2, fmt.Sprint(name, time.Now().UnixNano()))); status != 200 {
+					t.Errorf("a good client: %d %s", status, body)
+				}
+				select {
+				case got := <-p.goAway:
+					code = got.String()
+				default:
+				}
+				return code != "" || p.got(c.want)
+			})
+			if took := time.Since(begin); took > 3*time.Second {
+				t.Errorf("took %v", took)
+			}
+			if code != "" {
+				if code != c.want {
+					t.Errorf("ended with %s, want %s", code, c.want)
+				}
+				n.waitFor("the close", func() bool {
+					select {
+					case <-p.ended:
+						return true
+					default:
+						return false
+					}
+				})
+			}
+		})
+	}
+}
+
+// flood sends one frame over and over, until the other side has had enough.
+func flood(frame func() error) {
+	for range 100000 {
+		if frame() != nil {
+			return
+		}
+	}
+}
+
+// manyStreams opens streams that never end by themselves.
+func manyStreams(p *peer, many uint32) {
+	for i := range many {
+		p.WriteHeaders(h2.HeadersFrameParam{StreamID: 2*i + 1, BlockFragment: p.fields(fmt.Sprint("m-", i)), EndHeaders: true})
+	}
+}
+
+// Who never opens the window for its answer loses the stream, and who reads nothing at all the connection; a client
+// beside them is served.
+func TestHTTP2ShutWindow(t *testing.T) {
+	t.Parallel()
+	big := strings.Repeat("x", 60000)
+	n := start(t, http2Block, newBox(t, "a", says(`"state":"started"`, `"state":"done","result":"`+big+`"`)))
+	p := n.wire(h2.Setting{ID: h2.SettingInitialWindowSize, Val: 0})
+	p.job(1, "shut")
+	n.waitFor("the head of the answer", func() bool { return p.got("HEADERS 1 200") })
+	begin := time.Now()
+	n.waitFor("the stream's end", func() bool { return p.got("RST_STREAM 1") })
+	if took := time.Since(begin); took > 3*time.Second {
+		t.Errorf("took %v", took)
+	}
+	if status, body, _ := ask(h2Client(t), request(n.h2, "good")); status != 200 || body != big {
+		t.Errorf("a client beside it: %d", status)
+	}
+	n.waitFor("no stream", func() bool { return n.figure("front.http2.streams") == 0 })
+}
+
+// On SIGTERM a connection hears GOAWAY at once, what it has open is answered, and a new stream is either answered or
+// told by the last GOAWAY's number that it was not begun.
+func TestHTTP2Leaves(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	n := start(t, http2Block, b)
+	p := n.wire()
+	p.job(1, "open")
+	n.waitFor("the job", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.runs["open"] == 1 })
+	n.stop()
+	n.waitFor("the first GOAWAY", func() bool { return p.got("GOAWAY 0 2147483647 NO_ERROR") })
+	p.job(3, "crossing") // as one that was on its way
+	n.waitFor("the job that crossed", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.runs["crossing"] == 1 })
+	n.waitFor("the last GOAWAY", func() bool { return p.got("GOAWAY 0 3 NO_ERROR") })
+	p.job(5, "late")
+	close(release)
+	n.waitFor("both answers", func() bool { return p.got("HEADERS 1 200") && p.got("HEADERS 3 200") })
+	n.ends(time.Now().Add(5 * time.Second))
+	<-p.ended
+	if p.got("HEADERS 5") || b.runs["late"] != 0 {
+		t.Error("the late stream was begun")
+	}
+	if strings.Contains(n.log(), "unanswered") {
+		t.Error("clients were left unanswered")
+	}
+}
+
+// A successor takes the port over: the connections of the old process hear GOAWAY, new ones are the successor's, ids
+// are open once, and no job is lost while clients go on.
+func TestHTTP2Replaced(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+		if r.Header.Get("Idempotency-Key") == "held" {
+			<-release
+		}
+		works(b, c, r)
+	})
+	n := start(t, http2Block, b)
+	p := n.wire()
+	p.job(1, "held")
+	n.waitFor("the job", func() bool { b.mu.Lock(); defer b.mu.Unlock(); return b.runs["held"] == 1 })
+	ctx, stop := context.WithCancel(context.Background())
+	var clients sync.WaitGroup
+	for i := range 4 {
+		client := h2Client(t)
+		clients.Go(func() {
+			for j := 0; ctx.Err() == nil; j++ {
+				if status, body, _ := ask(client, request(n.h2, fmt.Sprint(i, "-", j))); status != 200 {
+					t.Errorf("client %d, job %d: %d %s", i, j, status, body)
+				}
+			}
+		})
+	}
+	m := n.successor(http2Block)
+	if m.h2 != n.h2 {
+		t.Fatalf("serves at %s, not at %s", m.h2, n.h2)
+	}
+	n.passesOn(1)
+	n.waitFor("GOAWAY", func() bool { return p.got("GOAWAY 0 2147483647 NO_ERROR") })
+	if status, _, _ := ask(h2Client(t), request(m.h2, "other", "Req-Id", "id-held")); status != 409 {
+		t.Errorf("an id that is open at the predecessor: %d", status)
+	}
+	n.stop()
+	close(release)
+	n.waitFor("the open job's answer", func() bool { return p.got("HEADERS 1 200") })
+	n.ends(time.Now().Add(5 * time.Second))
+	before := m.figure("replies.price-part.success")
+	n.waitFor("more jobs", func() bool { return m.figure("replies.price-part.success") > before+10 })
+	stop()
+	clients.Wait()
+}
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -206,8 +206,10 @@
 	cmd           *exec.Cmd
 	registry      *registry
 	path, config  string // the platform's file, and its text at the start
+	operator      string // the operator's file
 	tmp           string // $TMPDIR
-	url, progress string // of both fronts
+	url, progress string // of the fronts
+	h2            string
 	admin         string // of the door
 	mu            sync.Mutex
 	text          strings.Builder
@@ -237,6 +239,7 @@
 	n.t.Helper()
 	n.waitFor("both fronts", func() bool {
 		n.url, n.progress, n.admin = n.address("inbound"), n.address("progress"), n.address("admin")
+		n.h2 = n.address("http2")
 		return n.url != "" && strings.Contains(n.log(), "msg=ready")
 	})
 }
@@ -294,6 +297,7 @@
 	if n.tmp == "" {
 		n.tmp = n.t.TempDir()
 	}
+	n.operator = filepath.Join(dir, "operator.hcl")
 	n.cmd.Env = append(os.Environ(), "BRASSDALE_CHILD=1", "GW_CONFIG="+n.path, "TMPDIR="+n.tmp, "GW_ADMIN=127.0.0.1:0")
 	n.cmd.Stderr = n
 	if err := n.cmd.Start(); err != nil {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -4,10 +4,12 @@
 package operator
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 
 	"github.com/hashicorp/hcl/v2"
@@ -17,11 +19,17 @@
 
 	"brassdale/internal/protocol"
 	"brassdale/internal/transport"
+	"brassdale/internal/transport/http2"
 )
 
+// mostStreams is the most concurrent streams of a connection that make sense: more connections serve better.
+const mostStreams = 4096
+
 // File is what an operator's file switches on; nil stands for off.
 type File struct {
+	HTTP2    *http2.Settings
 	Progress *transport.ProgressSettings
+	Accounts *transport.SharesSettings
 }
 
 // block is a kind of block that a file may hold once.
@@ -40,7 +48,9 @@
 
 // blocks are all that there are. A further part of the program adds its own and changes nothing else here.
 var blocks = []block{
+	{"front", "http2", readHTTP2, func(f *File) any { return orNil(f.HTTP2) }},
 	{"front", "progress", readProgress, func(f *File) any { return orNil(f.Progress) }},
+	{"accounts", "", readAccounts, func(f *File) any { return orNil(f.Accounts) }},
 }
 
 // orNil keeps a nil pointer from becoming an interface that holds one.
@@ -66,9 +76,11 @@
 }
 
 // bad notes a fault of an attribute, at its value; at the block where it stands nowhere.
-func (r *reader) bad(attribute, format string, a ...any) {
-	at := r.body.MissingItemRange()
-	if attr := r.body.Attributes[attribute]; attr != nil {
+func (r *reader) bad(attribute, format string, a ...any) { r.badIn(r.body, attribute, format, a...) }
+
+func (r *reader) badIn(body *hclsyntax.Body, attribute, format string, a ...any) {
+	at := body.MissingItemRange()
+	if attr := body.Attributes[attribute]; attr != nil {
 		at = attr.Expr.Range()
 	}
 	r.diags = append(r.diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: "Bad " + attribute, Detail: fmt.Sprintf(format, a...), Subject: &at})
@@ -94,6 +106,74 @@
 	}
 }
 
+// inner gives the first block of a kind in the block.
+func (r *reader) inner(kind string) *hclsyntax.Body {
+	for _, b := range r.body.Blocks {
+		if b.Type == kind {
+			return b.Body
+		}
+	}
+	return r.body
+}
+
+func readHTTP2(f *File, r *reader) {
+	s := http2.Default()
+	if !r.decode(&s) {
+		return
+	}
+	r.address(s.Listen, s.TLS != nil, s.Cleartext)
+	if s.Streams < 1 || s.Streams > mostStreams {
+		r.bad("streams", "It must be between 1 and %d.", mostStreams)
+	}
+	if s.TLS != nil {
+		for _, path := range []*string{&s.TLS.Certificate, &s.TLS.Key, &s.TLS.ClientCA} {
+			if *path != "" && !filepath.IsAbs(*path) {
+				*path = filepath.Join(r.dir, *path)
+			}
+		}
+		wrong := (*http2.FileError)(nil)
+		if err := s.TLS.Check(); errors.As(err, &wrong) {
+			r.badIn(r.inner("tls"), wrong.Field, "%v.", wrong.Err)
+		}
+	}
+	if len(s.Clients) > 0 && (s.TLS == nil || s.TLS.ClientCA == "") {
+		r.badIn(r.inner("client"), "names", "Who a client is can only be told with a client_ca in a tls block.")
+	}
+	if len(s.Clients) == 0 && s.TLS != nil && s.TLS.ClientCA != "" {
+		r.badIn(r.inner("tls"), "client_ca", "Without a client block nobody may hand in a job.")
+	}
+	f.HTTP2 = &s
+}
+
+func readAccounts(f *File, r *reader) {
+	s := transport.SharesSettings{}
+	if !r.decode(&s) {
+		return
+	}
+	r.atLeast("room", s.Room, 1)
+	sum, seen := 0.0, map[string]bool{}
+	for _, b := range r.body.Blocks {
+		name := b.Labels[0]
+		if seen[name] {
+			r.badIn(b.Body, "share", "The account %q has a share already.", name)
+		}
+		seen[name] = true
+		for _, a := range s.Accounts {
+			if a.Name == name && (a.Share <= 0 || a.Share > 1) {
+				r.badIn(b.Body, "share", "It must be above 0 and at most 1.")
+				break
+			}
+		}
+	}
+	for _, a := range s.Accounts {
+		sum += a.Share
+	}
+	if sum > 1+1e-9 {
+		r.bad("room", "The shares add up to %.3g, which is over 1.", sum)
+	}
+	f.Accounts = &s
+}
+
 func readProgress(f *File, r *reader) {
 	s := transport.DefaultProgress()
 	if !r.decode(&s) {
@@ -202,3 +282,25 @@
 	}
 	return string(out.Bytes())
 }
+
+// Later names the blocks of another version of the file whose settings, or some of them, count from the next start on.
+func (f *File) Later(next *File) (later []string) {
+	for _, b := range blocks {
+		now, then := b.write(f), b.write(next)
+		if (now == nil) != (then == nil) || now != nil && !reflect.DeepEqual(f.built(now), f.built(then)) {
+			later = append(later, b.String())
+		}
+	}
+	return later
+}
+
+// built gives what of a block's settings is built in at the start.
+func (f *File) built(settings any) any {
+	switch s := settings.(type) {
+	case *http2.Settings:
+		return []any{s.Listen, s.Streams}
+	case *transport.SharesSettings:
+		return nil
+	}
+	return settings
+}
--- a/internal/program/operations.go
+++ b/internal/program/operations.go
@@ -22,8 +22,14 @@
 	mu sync.Mutex // one call that changes something at a time
 }
 
-func (o *operations) Ready() bool     { return o.d.serving.Load() }
-func (o *operations) Figures() string { return protocol.Figures(o.d.core.Ledger().Figures()) }
+func (o *operations) Ready() bool { return o.d.serving.Load() }
+func (o *operations) Figures() string {
+	figures := protocol.Figures(o.d.core.Ledger().Figures())
+	if o.d.http2 != nil {
+		figures += o.d.http2.Figures()
+	}
+	return figures
+}
 
 func (o *operations) Detach(ctx context.Context, id string) error { return o.put(ctx, id, true) }
 func (o *operations) Attach(ctx context.Context, id string) error { return o.put(ctx, id, false) }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"net"
 	"net/http"
 	"os"
 	"slices"
@@ -18,6 +19,7 @@
 	"brassdale/internal/protocol"
 	"brassdale/internal/routing"
 	"brassdale/internal/transport"
+	"brassdale/internal/transport/http2"
 )
 
 const (
@@ -40,8 +42,10 @@
 	fleet      *transport.Fleet
 	set        *routing.Destinations
 	ids        *transport.OpenIDs
+	accounts   *transport.Shares // nil where accounts have none
 	fronts     []*front
 	progress   *transport.Progress // nil where that front is off
+	http2      *http2.Front        // the same
 	relayed    *http.Server        // takes readers that the other process relays
 	relay      string              // at this path; empty while nobody can
 	reloader   *reloader
@@ -64,8 +68,9 @@
 		Leaving()
 		Passing(bool)
 	}
-	gate   *transport.Gate
-	server *http.Server
+	gate     *transport.Gate
+	listener net.Listener // the gate, or what is around it
+	server   *http.Server
 }
 
 // Options are what the command line tells.
@@ -92,7 +97,7 @@
 	defer stop()
 	d := &dispatcher{ctx: ctx, log: log, params: &protocol.Live{}, ids: &transport.OpenIDs{}, socket: keptFile(env, cfg, ".sock")}
 	pred := d.meet()
-	if err := d.build(env, cfg, op, pred); err != nil {
+	if err := d.build(env, options, cfg, op, pred); err != nil {
 		return err
 	}
 	d.operations = &operations{d: d, file: &detached{path: keptFile(env, cfg, ".detached"), name: cfg.Name}}
@@ -121,7 +126,7 @@
 		log.Info("listening", "front", "admin", "address", gate.Addr().String())
 	}
 	for _, f := range d.fronts {
-		go func() { failed <- f.server.Serve(f.gate) }()
+		go func() { failed <- f.server.Serve(f.listener) }()
 		log.Info("listening", "front", f.name, "address", f.gate.Addr().String())
 	}
 	go d.core.Run(ctx)
@@ -147,7 +152,7 @@
 }
 
 // build makes all parts, none of which runs yet.
-func (d *dispatcher) build(env func(string) string, cfg *protocol.Config, op *operator.File, pred *predecessor) error {
+func (d *dispatcher) build(env func(string) string, options Options, cfg *protocol.Config, op *operator.File, pred *predecessor) error {
 	p, log := d.params, d.log
 	p.Put(&cfg.Settings, func(s brain.Settings) {
 		d.core = routing.NewCore(brain.New(s, cfg.SeedNumber()), routing.NewClock(), log)
@@ -168,28 +173,49 @@
 	discovery := transport.NewDiscovery(cfg.Discovery, p)
 	d.set = routing.NewDestinations(d.core, d.fleet, discovery, saved, log)
 	d.core.Attach(d.fleet, d.set.Subscribe)
-	d.reloader = &reloader{d: d, env: env, discovery: discovery, cfg: cfg}
+	d.reloader = &reloader{d: d, env: env, discovery: discovery, cfg: cfg, path: options.Operator, op: op}
 
-	add := func(name, address string, handler func(*transport.Gate) *front) error {
+	if op.Accounts != nil {
+		d.accounts = transport.NewShares(op.Accounts)
+	}
+	add := func(name, address string, handler func(*net.TCPListener) (*front, error)) error {
 		l, err := pred.listener(name, address)
 		if err != nil {
 			return fmt.Errorf("%s: listen: %w", name, err)
 		}
-		gate := transport.NewGate(l, log)
-		f := handler(gate)
-		f.name, f.gate, f.server = name, gate, transport.Server(f.handler, log)
+		f, err := handler(l)
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		f.name = name
+		if f.server == nil {
+			f.listener, f.server = f.gate, transport.Server(f.handler, log)
+		}
 		d.fronts = append(d.fronts, f)
 		return nil
 	}
-	if err := add("inbound", cfg.Listen, func(g *transport.Gate) *front {
-		return &front{handler: transport.NewInbound(d.core, p, g, d.ids, log)}
+	if err := add("inbound", cfg.Listen, func(l *net.TCPListener) (*front, error) {
+		g := transport.NewGate(l, log)
+		return &front{gate: g, handler: transport.NewInbound(d.core, p, g, d.ids, d.accounts, nil, log)}, nil
 	}); err != nil {
 		return err
 	}
 	if s := op.Progress; s != nil {
-		if err := add("progress", s.Listen, func(g *transport.Gate) *front {
-			d.progress = transport.NewProgress(d.core, p, s, g, d.ids, log)
-			return &front{handler: d.progress}
+		if err := add("progress", s.Listen, func(l *net.TCPListener) (*front, error) {
+			g := transport.NewGate(l, log)
+			d.progress = transport.NewProgress(d.core, p, s, g, d.ids, d.accounts, log)
+			return &front{gate: g, handler: d.progress}, nil
+		}); err != nil {
+			return err
+		}
+	}
+	if s := op.HTTP2; s != nil {
+		if err := add("http2", s.Listen, func(l *net.TCPListener) (f *front, err error) {
+			g := transport.NewMultiplexedGate(l, log)
+			if d.http2, err = http2.New(s, d.core, p, g, d.ids, d.accounts, log); err != nil {
+				return nil, err
+			}
+			return &front{gate: g, handler: d.http2, listener: d.http2.Listener(), server: d.http2.Server(s)}, nil
 		}); err != nil {
 			return err
 		}
@@ -218,6 +244,17 @@
 			f.gate.Close()
 		}
 	}
+	ending, cancel := context.WithDeadline(context.Background(), end.Add(-lastMoment))
+	defer cancel()
+	var wait sync.WaitGroup
+	for _, f := range d.fronts {
+		if f.listener != f.gate { // clients were told to go, and that what they have sent is served: now up to which stream
+			wait.Go(func() {
+				time.Sleep(time.Until(leave.Add(stayOpen)))
+				d.shut(ending, f)
+			})
+		}
+	}
 	// The front brings no client for long, but clients go on using the connections that they have, and perhaps have
 	// nobody else while another dispatcher restarts: then one connection that is refused makes the front give this
 	// one up with all that it could still serve. So the door stays open for as long as answers can be in time.
@@ -229,15 +266,10 @@
 	for _, f := range d.fronts {
 		f.gate.Dismiss() // what has brought no request by now would only hold up the end
 	}
-	ending, cancel := context.WithDeadline(context.Background(), end.Add(-lastMoment))
-	defer cancel()
-	var wait sync.WaitGroup
 	for _, f := range d.fronts {
-		wait.Go(func() {
-			if err := f.server.Shutdown(ending); err != nil {
-				d.log.Error("clients left unanswered", "front", f.name, "err", err)
-			}
-		})
+		if f.listener == f.gate {
+			wait.Go(func() { d.shut(ending, f) })
+		}
 	}
 	if d.relayed != nil {
 		wait.Go(func() { _ = d.relayed.Shutdown(ending) })
@@ -247,3 +279,12 @@
 		kin.Ask(protocol.Note{Last: true}, end.Add(-lastMoment/2))
 	}
 }
+
+// shut ends a front's server behind all answers.
+func (d *dispatcher) shut(ending context.Context, f *front) {
+	err := f.server.Shutdown(ending)
+	// Over HTTP/2 a client may keep a connection on which it is owed nothing.
+	if err != nil && (f.handler != d.http2 || f.gate.Jobs() > 0) {
+		d.log.Error("clients left unanswered", "front", f.name, "err", err)
+	}
+}
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -6,6 +6,7 @@
 	"slices"
 	"sync"
 
+	"brassdale/internal/operator"
 	"brassdale/internal/protocol"
 	"brassdale/internal/transport"
 )
@@ -17,6 +18,8 @@
 	discovery *transport.Discovery // in use
 	mu        sync.Mutex
 	cfg       *protocol.Config // in force
+	path      string           // of the operator's file; empty for none
+	op        *operator.File   // in force, as far as it can be before the next start
 }
 
 // address is that of discovery now.
@@ -44,11 +47,18 @@
 	if err == nil {
 		err = cfg.Follows(r.cfg)
 	}
+	op, put := r.op, func() {}
+	if err == nil && r.path != "" {
+		if op, err = operator.Load(r.path); err == nil {
+			put, err = r.prepare(op)
+		}
+	}
 	if err != nil {
 		r.d.core.Ledger().Reloaded(false)
 		r.d.log.Error("reload refused, the old file stays in force", "err", err)
 		return
 	}
+	put()
 	r.mu.Lock()
 	old := r.cfg
 	r.cfg = cfg
@@ -66,7 +76,8 @@
 		r.discovery.Close()
 		r.discovery = next
 	}
-	var later []string // what is built in at the start
+	later := r.op.Later(op) // what is built in at the start
+	r.op = op
 	for _, f := range []struct {
 		field     string
 		now, then string
@@ -78,3 +89,19 @@
 	r.d.core.Ledger().Reloaded(true)
 	r.d.log.Info("reloaded", "discovery", cfg.Discovery, "classes", len(cfg.Settings.Classes), "from_next_start", later)
 }
+
+// prepare reads what the operator's file names, and gives what puts it in force.
+func (r *reloader) prepare(op *operator.File) (put func(), err error) {
+	keys := func() {}
+	if r.d.http2 != nil && op.HTTP2 != nil {
+		if keys, err = r.d.http2.Prepare(op.HTTP2); err != nil {
+			return nil, err
+		}
+	}
+	return func() {
+		keys()
+		if r.d.accounts != nil && op.Accounts != nil {
+			r.d.accounts.Retune(op.Accounts)
+		}
+	}, nil
+}
--- a/internal/program/shares.go
+++ b/internal/program/shares.go
@@ -16,6 +16,7 @@
 	inbound  int   // connections of each front
 	outbound int   // connections to endpoints
 	bodies   int64 // bytes of requests' bodies at each front
+	streams  int   // jobs open at a front whose connections carry many
 	heap     int64 // bytes that the collector works towards
 	threads  int   // 0 for as many as there are
 }
@@ -25,6 +26,9 @@
 	fixedSockets = ownSockets + transport.MostCallers*11/10 // of each process
 	usualSockets = 1024                                     // where the platform tells no limit
 	bodiesPart   = 10                                       // of the memory, so much for requests' bodies at each front
+	streamsPart  = 6                                        // and so much for streams, beside their bodies, ...
+	streamCosts  = 24 << 10                                 // ... of which one costs so many bytes
+	usualStreams = 8192                                     // where the platform tells no limit
 )
 
 func sharesOf(l protocol.Limits, fronts int) shares {
@@ -33,10 +37,11 @@
 		sockets = usualSockets
 	}
 	left := sockets - fixedSockets
-	s := shares{outbound: left * 45 / 100, bodies: math.MaxInt64, heap: math.MaxInt64}
+	s := shares{outbound: left * 45 / 100, bodies: math.MaxInt64, heap: math.MaxInt64, streams: usualStreams}
 	s.inbound = (left - s.outbound) * 10 / 11 / fronts
 	if l.MemoryMB > 0 {
 		s.bodies, s.heap = int64(l.MemoryMB)<<20/bodiesPart, int64(l.MemoryMB)<<20*6/10
+		s.streams = l.MemoryMB << 20 / streamsPart / streamCosts
 	}
 	if l.Cores > 0 {
 		s.threads = max(int(math.Ceil(l.Cores)), 1)
@@ -50,7 +55,7 @@
 	defer d.mu.Unlock()
 	s := d.shares
 	if d.others != nil {
-		s.bodies, s.heap = s.bodies/2, s.heap/2
+		s.bodies, s.heap, s.streams = s.bodies/2, s.heap/2, s.streams/2
 	}
 	for i, f := range d.fronts {
 		most := s.inbound
@@ -58,6 +63,7 @@
 			most = max(most-d.others.Inbound[i]-fixedSockets/len(d.fronts), 0)
 		}
 		f.gate.Allow(most, s.bodies)
+		f.gate.AllowStreams(s.streams)
 	}
 	if d.others != nil {
 		s.outbound = max(s.outbound-d.others.Outbound, 0)
--- a/internal/protocol/inbound.go
+++ b/internal/protocol/inbound.go
@@ -25,6 +25,7 @@
 	Rules     routing.Rules
 	Window    time.Duration // how long repeats of the class are remembered
 	Key       string        // Idempotency-Key
+	Account   string        // Req-Owner: whose job it is
 	Method    string
 	Target    string // path and query, as the client wrote them
 	Body      []byte
@@ -69,7 +70,8 @@
 	}
 	j := &Job{ID: r.Header.Get("Req-Id"), Class: p.numbers[class], ClassName: name, Window: p.Classes[class].Window.Span(),
 		Rules: routing.Rules{MaxAttempts: p.Limits.MaxAttempts, AnswerSlack: p.Rules.AnswerSlack.Span()}, Key: r.Header.Get("Idempotency-Key"),
-		Method: r.Method, Target: r.URL.RequestURI(), Slots: 1, Pass: http.Header{}}
+		Account: r.Header.Get("Req-Owner"),
+		Method:  r.Method, Target: r.URL.RequestURI(), Slots: 1, Pass: http.Header{}}
 	if kind := r.Header.Get("Req-Kind"); kind != "" && kind != name {
 		if !p.Has(kind) {
 			return nil, reject(http.StatusNotFound, "no class %q", kind)
--- /dev/null
+++ b/internal/transport/front.go
@@ -0,0 +1,186 @@
+package transport
+
+import (
+	"errors"
+	"log/slog"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/protocol"
+	"brassdale/internal/routing"
+)
+
+// A reader that takes nothing for so long is cut off; from the front for progress it may come for the rest.
+const readerWithin = 5 * time.Second
+
+// Core is what the fronts hand requests to.
+type Core interface {
+	Submit(routing.Inbound) brain.RequestID
+	Leave(brain.RequestID)
+	Ledger() *routing.Ledger
+}
+
+// front is what both fronts share: they let requests in and count connections.
+type front struct {
+	core    Core
+	params  *protocol.Live
+	gate    *Gate
+	ids     *OpenIDs
+	leaving atomic.Pointer[time.Time] // since when; nil while it is not
+	passing atomic.Bool               // a successor serves here too: clients are to go there
+	shares  *Shares                   // nil where accounts have none
+	vet     Vet                       // nil where whoever comes may hand in any job
+	log     *slog.Logger
+}
+
+// Vet tells whether who sent a request may hand in its job; an error is a protocol.Reject.
+type Vet func(*http.Request, *protocol.Job) error
+
+// closeBehind has the connection end behind the present answer. Where other streams share it, they end in their own
+// time, and only new ones have to come on another.
+func closeBehind(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
+
+// spoilt has the connection end behind the answer to a request that was not as it should be: the rest of it is not
+// worth reading, nor is what may follow. Over HTTP/2 that is a matter of its stream alone.
+func spoilt(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor < 2 {
+		closeBehind(w)
+	}
+}
+
+// Leaving turns the ready page to 503.
+func (f *front) Leaving() {
+	now := time.Now()
+	f.leaving.Store(&now)
+}
+
+// Passing has clients go to a successor, each behind its next answer: a connection that is closed between requests
+// may cross one that is turned back unheard then.
+func (f *front) Passing(on bool) { f.passing.Store(on) }
+
+// frontLeaves is how long after SIGTERM the platform's front goes on bringing new connections at least.
+const frontLeaves = 250 * time.Millisecond
+
+// tight tells whether one more job would leave clients no free connection here while no new one comes: who then
+// wants one is told that nobody is here, and all that this process could still serve goes unasked.
+func (f *front) tight() bool {
+	since := f.leaving.Load()
+	return since != nil && !f.passing.Load() && time.Since(*since) > frontLeaves && f.gate.Tight()
+}
+
+// admit reads a request. It gives nil where it has answered itself: to what is no job, and to one more than there
+// are descriptors or memory for, past which this process would die with all that it holds. done must be called when
+// the request is over.
+func (f *front) admit(w http.ResponseWriter, r *http.Request) (job *protocol.Job, done func()) {
+	done = func() {}
+	params := f.params.Now() // the rules that the job begins with
+	if !r.ProtoAtLeast(1, 1) || len(r.TransferEncoding) > 0 {
+		// Where the next request would begin is for net/http alone to say: the framing was not followed.
+		closeBehind(w)
+	}
+	// A client that never reads its answer must not keep its connection and goroutine for ever.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(params.LongestDeadline() + readerWithin))
+	if f.passing.Load() || r.ProtoMajor >= 2 && f.leaving.Load() != nil {
+		closeBehind(w)
+	}
+	if r.URL.Path == "/health/ready" || r.URL.Path == "/health/live" {
+		serveHealth(w, r, f.leaving.Load() != nil && !f.passing.Load())
+		return nil, done
+	}
+	size := r.ContentLength
+	if size < 0 || size > protocol.MaxBody { // not told, or cut off at the limit
+		size = protocol.MaxBody
+	}
+	if !f.gate.hold(size) {
+		f.refuse(w, r, protocol.ClassOf(r), "out of room for bodies")
+		return nil, done
+	}
+	letGo := func() { f.gate.letGo(size) }
+	done = letGo
+	job, err := readJob(w, r, params)
+	if err == nil && f.vet != nil {
+		err = f.vet(r, job)
+	}
+	if err != nil {
+		f.rejectJob(w, r, err)
+		if class := protocol.ClassOf(r); !params.Has(class) {
+			f.core.Ledger().Unheard(class, routing.Failed) // perhaps of a class that was dropped
+		}
+		return nil, done
+	}
+	switch {
+	case f.gate.Full():
+		f.refuse(w, r, job.ClassName, "out of connections")
+		return nil, done
+	case f.tight():
+		f.failFast(w, r, job.ClassName, "leaving, the last free connections")
+		return nil, done
+	case !take(r):
+		f.failFast(w, r, job.ClassName, "the connection has its part of the streams")
+		return nil, done
+	}
+	done = func() { letGo(); leave(r) }
+	free, ok := f.shares.take(job.Account)
+	if !ok {
+		f.failFast(w, r, job.ClassName, "the account has its share")
+		return nil, done
+	}
+	done = func() { free(); leave(r); letGo() }
+	return job, done
+}
+
+// refuse is a fail-fast for want of room: the connection gives up its own.
+func (f *front) refuse(w http.ResponseWriter, r *http.Request, class, why string) {
+	spoilt(w, r)
+	f.failFast(w, r, class, why)
+}
+
+// failFast is a refusal by the front itself, before the module has seen the request.
+func (f *front) failFast(w http.ResponseWriter, r *http.Request, class, why string) {
+	f.log.Warn("fail-fast", "why", why, "id", r.Header.Get("Req-Id"))
+	f.core.Ledger().Unheard(class, routing.Refused)
+	writeAnswer(w, routing.Answer{Verdict: routing.Refused, RetryAfter: f.params.Now().Limits.MaxRetryAfter.Span()})
+}
+
+// serveHealth answers the pages that tell whether this process runs and wants work.
+func serveHealth(w http.ResponseWriter, r *http.Request, leaving bool) {
+	switch {
+	case r.Method != http.MethodGet && r.Method != http.MethodHead:
+		w.Header().Set("Allow", "GET, HEAD")
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	case leaving && r.URL.Path == "/health/ready":
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		w.WriteHeader(http.StatusOK)
+	}
+}
+
+var errIDInUse = &protocol.Reject{Status: http.StatusConflict, Why: "Req-Id is of a request that is open"}
+
+// readJob reads and decodes a request. A body that does not come whole in time ends in an error; after that
+// the server must be free to notice that the client leaves.
+func readJob(w http.ResponseWriter, r *http.Request, p *protocol.Params) (*protocol.Job, error) {
+	now := time.Now()
+	c := http.NewResponseController(w)
+	_ = c.SetReadDeadline(wholeBy(r))
+	job, err := protocol.DecodeInbound(r, p, now)
+	if err == nil {
+		_ = c.SetReadDeadline(time.Time{})
+	}
+	return job, err
+}
+
+func (f *front) rejectJob(w http.ResponseWriter, r *http.Request, err error) {
+	status := http.StatusBadRequest
+	if why := (*protocol.Reject)(nil); errors.As(err, &why) {
+		status = why.Status
+	}
+	if status == http.StatusMethodNotAllowed {
+		w.Header().Set("Allow", http.MethodPost)
+	}
+	spoilt(w, r)
+	f.log.Debug("inbound rejected", "status", status, "err", err, "id", r.Header.Get("Req-Id"))
+	http.Error(w, err.Error(), status)
+}
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"brassdale/internal/decisions/streams"
 )
 
 const (
@@ -26,6 +28,8 @@
 	youngAge   = 20 * time.Millisecond
 	stalledAge = 500 * time.Millisecond
 
+	surelyStreams = 4 // a connection may have so many streams while there is any room
+
 	reserveShare = 10 // of the connections, one in so many more to refuse on
 )
 
@@ -40,10 +44,14 @@
 	bodies atomic.Int64 // that are being read, or held for their jobs
 	log    *slog.Logger
 
+	multiplexed bool // a connection carries many requests at a time
+
 	mu      sync.Mutex
+	streams int           // most jobs of all connections together, where they are multiplexed
+	jobs    int           // that are open now
 	most    int           // connections; a tenth more to refuse on
 	paused  chan struct{} // closed when connections are taken again; nil while they are
-	conns   map[*inConn]struct{}
+	conns   map[*Conn]struct{}
 	evicted int // since the last line of the log
 	said    time.Time
 }
@@ -58,8 +66,8 @@
 	serving              // a job has been taken: its answer is owed
 )
 
-// inConn is a client's connection.
-type inConn struct {
+// Conn is a client's connection, as the gate knows it.
+type Conn struct {
 	*net.TCPConn
 	gate    *Gate
 	framing framing
@@ -69,6 +77,7 @@
 	since  time.Time // of the phase; while it is reading, of the last bytes
 	client bool      // it has brought a job
 	began  time.Time // when it was taken, or the first byte of the present request came
+	jobs   int       // open on it, where it is multiplexed
 }
 
 // Listen listens at a front's address. While a program is replaced, two processes may do so.
@@ -97,7 +106,29 @@
 
 // NewGate makes the gate of a front. It lets nothing in before Allow.
 func NewGate(l *net.TCPListener, log *slog.Logger) *Gate {
-	return &Gate{TCPListener: l, log: log, conns: map[*inConn]struct{}{}}
+	return &Gate{TCPListener: l, log: log, conns: map[*Conn]struct{}{}}
+}
+
+// NewMultiplexedGate makes the gate of a front whose connections carry many requests at a time. It gives their bytes as
+// they come: whoever knows the protocol follows them.
+func NewMultiplexedGate(l *net.TCPListener, log *slog.Logger) *Gate {
+	g := NewGate(l, log)
+	g.multiplexed = true
+	return g
+}
+
+// AllowStreams sets how many jobs all connections of a multiplexed gate may have open together.
+func (g *Gate) AllowStreams(most int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.streams = most
+}
+
+// Jobs is how many jobs the connections of a multiplexed gate have open.
+func (g *Gate) Jobs() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.jobs
 }
 
 // Allow sets how many connections the front may hold, a tenth more to refuse on, and how many bytes of bodies:
@@ -158,7 +189,7 @@
 			return nil, err
 		}
 		now := time.Now()
-		c := &inConn{TCPConn: conn, gate: g, since: now, began: now}
+		c := &Conn{TCPConn: conn, gate: g, since: now, began: now}
 		if g.admit(c) {
 			return c, nil
 		}
@@ -167,7 +198,7 @@
 }
 
 // admit enters a connection and tells whether there was room even for a refusal.
-func (g *Gate) admit(c *inConn) bool {
+func (g *Gate) admit(c *Conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if len(g.conns) >= g.most {
@@ -189,8 +220,8 @@
 }
 
 // spare finds the connection that is missed least.
-func (g *Gate) spare(now time.Time) *inConn {
-	rank := func(c *inConn) int {
+func (g *Gate) spare(now time.Time) *Conn {
+	rank := func(c *Conn) int {
 		switch {
 		case c.phase == silent && now.Sub(c.since) > youngAge:
 			return 6
@@ -208,7 +239,7 @@
 		return 0
 	}
 	for {
-		var worst *inConn
+		var worst *Conn
 		for c := range g.conns {
 			if r := rank(c); r > 0 && (worst == nil || r > rank(worst) || r == rank(worst) && c.since.Before(worst.since)) {
 				worst = c
@@ -222,7 +253,7 @@
 }
 
 // unread tells whether bytes wait on the connection.
-func (c *inConn) unread() bool {
+func (c *Conn) unread() bool {
 	n := 0
 	if raw, err := c.SyscallConn(); err == nil {
 		_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
@@ -231,7 +262,10 @@
 }
 
 // heard notes that bytes of a request came; the gate is locked.
-func (c *inConn) heard(now time.Time) {
+func (c *Conn) heard(now time.Time) {
+	if c.gate.multiplexed && c.phase != silent { // how far its requests are is not told by bytes
+		return
+	}
 	switch c.phase {
 	case idle:
 		c.began = now
@@ -245,7 +279,11 @@
 }
 
 // Dismiss closes the connections that owe nothing: those that are idle, and those that have brought no whole request.
+// Where connections are multiplexed it does nothing: their protocol has a word for it.
 func (g *Gate) Dismiss() {
+	if g.multiplexed {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.conns {
@@ -257,7 +295,7 @@
 }
 
 // Close forgets the connection.
-func (c *inConn) Close() error {
+func (c *Conn) Close() error {
 	c.gate.mu.Lock()
 	delete(c.gate.conns, c)
 	c.gate.mu.Unlock()
@@ -265,7 +303,7 @@
 }
 
 // Read hands net/http what came, less what may not reach it.
-func (c *inConn) Read(b []byte) (int, error) {
+func (c *Conn) Read(b []byte) (int, error) {
 	for {
 		if f := &c.framing; f.spoilt > 0 && len(b) > 0 {
 			b[0] = spoiler[len(spoiler)-f.spoilt]
@@ -278,6 +316,9 @@
 			c.heard(time.Now())
 			c.gate.mu.Unlock()
 		}
+		if c.gate.multiplexed {
+			return n, err
+		}
 		if n = c.framing.pass(b[:n]); n > 0 || err != nil || len(b) == 0 {
 			return n, err
 		}
@@ -285,12 +326,49 @@
 }
 
 // enter notes what the connection is at.
-func (c *inConn) enter(p phase) {
+func (c *Conn) enter(p phase) {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	c.phase, c.since, c.client = p, time.Now(), c.client || p == serving
 }
 
+// take enters a job that the connection brings, and tells whether it may have one more: where connections are
+// multiplexed, one of them must not take all that there is room for.
+func (c *Conn) take() bool {
+	g := c.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.multiplexed {
+		if !streams.Fair(g.streams, g.jobs, c.jobs, surelyStreams) {
+			return false
+		}
+		c.jobs++
+		g.jobs++
+	}
+	c.phase, c.since, c.client = serving, time.Now(), true
+	return true
+}
+
+// leave ends a job that was taken. Where the connection carries one at a time, net/http tells when it is idle again.
+func (c *Conn) leave() {
+	g := c.gate
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.multiplexed {
+		return
+	}
+	g.jobs--
+	if c.jobs--; c.jobs == 0 {
+		c.phase, c.since = idle, time.Now()
+	}
+}
+
+// Ready tells that a multiplexed connection can carry requests from now on.
+func (c *Conn) Ready() { c.enter(idle) }
+
+// Gated gives the connection: what is wrapped around it has the same method.
+func (c *Conn) Gated() *Conn { return c }
+
 // Full tells whether jobs hold more than the front's part of the descriptors.
 func (g *Gate) Full() bool {
 	g.mu.Lock()
@@ -339,17 +417,43 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// ConnOf gives the connection of a request as its listener gave it; nil where there is none.
+func ConnOf(r *http.Request) net.Conn {
+	c, _ := r.Context().Value(connKey{}).(net.Conn)
+	return c
+}
+
+// gated gives the connection of a request as its gate knows it; nil where it came through none.
+func gated(r *http.Request) *Conn {
+	if c, ok := ConnOf(r).(interface{ Gated() *Conn }); ok {
+		return c.Gated()
+	}
+	return nil
+}
+
 // enter notes what a request's connection is at.
 func enter(r *http.Request, p phase) {
-	if c, ok := r.Context().Value(connKey{}).(*inConn); ok {
+	if c := gated(r); c != nil {
 		c.enter(p)
 	}
 }
 
+// take enters a request's job at its connection, and tells whether there was room; leave ends it.
+func take(r *http.Request) bool {
+	c := gated(r)
+	return c == nil || c.take()
+}
+
+func leave(r *http.Request) {
+	if c := gated(r); c != nil {
+		c.leave()
+	}
+}
+
 // wholeBy is when a request must be here whole.
 func wholeBy(r *http.Request) time.Time {
-	c, ok := r.Context().Value(connKey{}).(*inConn)
-	if !ok {
+	c := gated(r)
+	if c == nil || c.gate.multiplexed { // its head had its own time, and is whole
 		return time.Now().Add(wholeWithin)
 	}
 	c.gate.mu.Lock()
@@ -359,7 +463,7 @@
 
 // watch is an http.Server's ConnState.
 func watch(conn net.Conn, s http.ConnState) {
-	if c, ok := conn.(*inConn); ok {
+	if c, ok := conn.(*Conn); ok {
 		if s == http.StateIdle {
 			c.enter(idle)
 		}
--- a/internal/transport/gate_test.go
+++ b/internal/transport/gate_test.go
@@ -19,7 +19,7 @@
 	defer l.Close()
 	g := NewGate(l, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	now := time.Now()
-	add := func(p phase, age time.Duration, client bool) (*inConn, net.Conn) {
+	add := func(p phase, age time.Duration, client bool) (*Conn, net.Conn) {
 		far, err := net.Dial("tcp", l.Addr().String())
 		if err != nil {
 			t.Fatal(err)
@@ -29,7 +29,7 @@
 			t.Fatal(err)
 		}
 		t.Cleanup(func() { far.Close(); near.Close() })
-		c := &inConn{TCPConn: near, gate: g, phase: p, since: now.Add(-age), client: client}
+		c := &Conn{TCPConn: near, gate: g, phase: p, since: now.Add(-age), client: client}
 		g.conns[c] = struct{}{}
 		return c, far
 	}
@@ -48,7 +48,7 @@
 	stalled, _ := add(reading, time.Second, false)
 	asked, _ := add(idle, time.Second, false)
 	mute, _ := add(silent, 100*time.Millisecond, false)
-	for i, want := range []*inConn{mute, asked, stalled, longer, idler, justCome, goesOn, unread, nil} {
+	for i, want := range []*Conn{mute, asked, stalled, longer, idler, justCome, goesOn, unread, nil} {
 		got := g.spare(now)
 		if got != want {
 			t.Fatalf("%d: phase %v", i, got)
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -73,8 +73,8 @@
 }
 
 // NewProgress makes the front.
-func NewProgress(c Core, p *protocol.Live, o *ProgressSettings, g *Gate, ids *OpenIDs, log *slog.Logger) *Progress {
-	return &Progress{front: front{core: c, params: p, gate: g, ids: ids, log: log}, set: o, jobs: map[string]*watched{}}
+func NewProgress(c Core, p *protocol.Live, o *ProgressSettings, g *Gate, ids *OpenIDs, shares *Shares, log *slog.Logger) *Progress {
+	return &Progress{front: front{core: c, params: p, gate: g, ids: ids, shares: shares, log: log}, set: o, jobs: map[string]*watched{}}
 }
 
 func (f *Progress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -103,10 +103,10 @@
 	j, fresh, err := f.find(job, digest, again != "")
 	switch {
 	case err == errFull:
-		f.refuse(w, job.ClassName, "out of remembered jobs")
+		f.refuse(w, r, job.ClassName, "out of remembered jobs")
 		return
 	case err != nil:
-		f.rejectJob(w, err)
+		f.rejectJob(w, r, err)
 		return
 	case j.digest != digest:
 		http.Error(w, "Idempotency-Key was used for another job", http.StatusUnprocessableEntity)
--- a/internal/transport/relay.go
+++ b/internal/transport/relay.go
@@ -36,7 +36,7 @@
 			Rewrite:       func(r *httputil.ProxyRequest) { r.SetURL(&url.URL{Scheme: "http", Host: r.In.Host}) },
 			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true},
 			FlushInterval: -1, // each event at once
-			ErrorHandler:  func(w http.ResponseWriter, _ *http.Request, _ error) { f.rejectJob(w, errUnknown) },
+			ErrorHandler:  func(w http.ResponseWriter, r *http.Request, _ error) { f.rejectJob(w, r, errUnknown) },
 		}}
 	}
 	f.mu.Lock()
