--- a/cmd/brassdale/http2_test.go
+++ b/cmd/brassdale/http2_test.go
@@ -205,7 +205,7 @@
 
 // job opens a stream with a whole job.
 func (p *peer) job(stream uint32, key string, more ...string) {
-	p.WriteHeaders(h2.HeadersFrameParam{StreamID: stream, BlockFragment: p.fields(key, more...), EndHeaders: true})
+	p.WriteHeaders(h2.HeadersFrameParam{StreamID: stream, BlockFragment: p.fields(key, append(more, "content-length", "7")...), EndHeaders: true})
 	p.WriteData(stream, true, []byte("drawing"))
 }
 
--- a/cmd/brassdale/progress_test.go
+++ b/cmd/brassdale/progress_test.go
@@ -12,7 +12,7 @@
 )
 
 func operator(upstream string) string {
-	return fmt.Sprintf("front \"progress\" {\n  listen = \"127.0.0.1:0\"\n  upstream = %q\n  jobs = 8\n}\n", upstream)
+	return fmt.Sprintf("front \"progress\" {\n  listen = \"127.0.0.1:0\"\n  upstream = %q\n}\nkeys {\n  jobs = 8\n}\n", upstream)
 }
 
 // stream is a client's stream of one job.
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -2,10 +2,28 @@
 # `brassdale check FILE` tells what is wrong with a file, or what would be in force; start with
 # `brassdale serve --operator deploy/operator.hcl`.
 
+# Clients that speak HTTP/2, on an address of its own. docs/http2.md has the rest of its settings.
+front "http2" {
+  listen  = "127.0.0.1:8481" # off loopback only with a tls block, or cleartext = true
+  streams = 128              # concurrent on one connection
+}
+
 # Server-sent events for clients that watch their jobs.
 front "progress" {
   listen   = "127.0.0.1:8480" # an address of its own; off loopback only with cleartext = true
   upstream = "lines"          # how endpoints tell of a job: "lines" (the platform's JSON) or "events"
-  jobs     = 2048             # most jobs remembered at a time; past it new ones are refused
-  keep_mb  = 24               # and most memory for their answers
 }
+
+# What is remembered of Idempotency-Keys, over all fronts: who comes with the key of a job that is known joins it.
+keys {
+  jobs    = 8192 # most at a time; past it new ones are refused
+  keep_mb = 24   # and most memory for their answers
+}
+
+# Accounts' shares of the jobs that are open at a time, over all fronts. Off without the block.
+#
+# accounts {
+#   room = 256
+#   account "deeside-aero" { share = 0.23 }
+#   account "gwent-pumps" { share = 0.19 }
+# }
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -29,9 +29,20 @@
 type File struct {
 	HTTP2    *http2.Settings
 	Progress *transport.ProgressSettings
+	Keys     *transport.KeysSettings
 	Accounts *transport.SharesSettings
 }
 
+// Keyed gives the settings of the table of keys; nil where there is none. Fronts beside the platform's need it: a key
+// may come in at any of them.
+func (f *File) Keyed() *transport.KeysSettings {
+	if f.Keys == nil && (f.HTTP2 != nil || f.Progress != nil) {
+		s := transport.DefaultKeys()
+		return &s
+	}
+	return f.Keys
+}
+
 // block is a kind of block that a file may hold once.
 type block struct {
 	kind, label string // label is empty where the block has none
@@ -50,6 +61,7 @@
 var blocks = []block{
 	{"front", "http2", readHTTP2, func(f *File) any { return orNil(f.HTTP2) }},
 	{"front", "progress", readProgress, func(f *File) any { return orNil(f.Progress) }},
+	{"keys", "", readKeys, func(f *File) any { return orNil(f.Keyed()) }},
 	{"accounts", "", readAccounts, func(f *File) any { return orNil(f.Accounts) }},
 }
 
@@ -183,9 +195,17 @@
 	if s.Upstream != "lines" && s.Upstream != "events" {
 		r.bad("upstream", `%q is neither "lines" nor "events".`, s.Upstream)
 	}
+	f.Progress = &s
+}
+
+func readKeys(f *File, r *reader) {
+	s := transport.DefaultKeys()
+	if !r.decode(&s) {
+		return
+	}
 	r.atLeast("jobs", s.Jobs, 1)
 	r.atLeast("keep_mb", s.KeepMB, 1)
-	f.Progress = &s
+	f.Keys = &s
 }
 
 // Load reads a file. Its error is a Faults where the file can be read.
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -10,11 +10,11 @@
 // Each fault is told with its place, and all of them at once.
 func TestFaults(t *testing.T) {
 	for _, c := range []struct{ text, want string }{
-		{"front \"progress\" {\n  listen = \"here\"\n  jobs = 0\n}", "f.hcl:2:12: Bad listen|f.hcl:3:10: Bad jobs"},
+		{"front \"progress\" {\n  listen = \"here\"\n}\nkeys {\n  jobs = 0\n}", "f.hcl:2:12: Bad listen|f.hcl:5:10: Bad jobs"},
 		{"front \"progress\" {\n  listen = \"10.0.0.1:80\"\n}", "f.hcl:2:12: Bad listen: \"10.0.0.1:80\" is not a loopback address"},
 		{"front \"progress\" {\n  listen = \"127.0.0.1:0\"\n  upstream = \"soap\"\n}", "f.hcl:3:14: Bad upstream"},
 		{"front \"progress\" {\n  listen = \"127.0.0.1:0\"\n  keep = 1\n}", "f.hcl:3:3: Unsupported argument"},
-		{"front \"progress\" {\n  listen = \"127.0.0.1:0\"\n  jobs = \"many\"\n}", "f.hcl:3:11: Unsuitable value type"},
+		{"keys {\n  jobs = \"many\"\n}", "f.hcl:2:11: Unsuitable value type"},
 		{"front \"progress\" {\n}", "f.hcl:1:18: Missing required argument"},
 		{"front \"progress\" {\n  listen = \"127.0.0.1:0\"\n}\nfront \"progress\" {\n  listen = \"127.0.0.1:0\"\n}", "f.hcl:4:1: Duplicate block"},
 		{"front \"soap\" {\n}\nlisten = 1", "f.hcl:3:1: Unsupported argument|f.hcl:1:1: Unsupported block: There is no block front \"soap\"; there are: "},
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -42,6 +42,7 @@
 	fleet      *transport.Fleet
 	set        *routing.Destinations
 	ids        *transport.OpenIDs
+	keys       *transport.Keys   // nil where each request is a job of its own
 	accounts   *transport.Shares // nil where accounts have none
 	fronts     []*front
 	progress   *transport.Progress // nil where that front is off
@@ -175,6 +176,9 @@
 	d.core.Attach(d.fleet, d.set.Subscribe)
 	d.reloader = &reloader{d: d, env: env, discovery: discovery, cfg: cfg, path: options.Operator, op: op}
 
+	if s := op.Keyed(); s != nil {
+		d.keys = transport.NewKeys(s, d.ids)
+	}
 	if op.Accounts != nil {
 		d.accounts = transport.NewShares(op.Accounts)
 	}
@@ -196,14 +200,14 @@
 	}
 	if err := add("inbound", cfg.Listen, func(l *net.TCPListener) (*front, error) {
 		g := transport.NewGate(l, log)
-		return &front{gate: g, handler: transport.NewInbound(d.core, p, g, d.ids, d.accounts, nil, log)}, nil
+		return &front{gate: g, handler: transport.NewInbound(d.core, p, g, d.ids, d.keys, d.accounts, nil, log)}, nil
 	}); err != nil {
 		return err
 	}
 	if s := op.Progress; s != nil {
 		if err := add("progress", s.Listen, func(l *net.TCPListener) (*front, error) {
 			g := transport.NewGate(l, log)
-			d.progress = transport.NewProgress(d.core, p, s, g, d.ids, d.accounts, log)
+			d.progress = transport.NewProgress(d.core, p, s, g, d.ids, d.keys, d.accounts, log)
 			return &front{gate: g, handler: d.progress}, nil
 		}); err != nil {
 			return err
@@ -212,7 +216,7 @@
 	if s := op.HTTP2; s != nil {
 		if err := add("http2", s.Listen, func(l *net.TCPListener) (f *front, err error) {
 			g := transport.NewMultiplexedGate(l, log)
-			if d.http2, err = http2.New(s, d.core, p, g, d.ids, d.accounts, log); err != nil {
+			if d.http2, err = http2.New(s, d.core, p, g, d.ids, d.keys, d.accounts, log); err != nil {
 				return nil, err
 			}
 			return &front{gate: g, handler: d.http2, listener: d.http2.Listener(), server: d.http2.Server(s)}, nil
--- a/internal/program/replace.go
+++ b/internal/program/replace.go
@@ -92,7 +92,7 @@
 	learned.Classes = d.params.Number(p.handover.Classes)
 	d.core.Succeed(learned) // behind the list, which was told when it was made
 	d.takeHeld(&protocol.Held{Outbound: d.shares.outbound / 2})
-	d.besideProgress(p.kin, p.handover.Relay, true)
+	d.besideKeys(p.kin, p.handover.Relay, true)
 	go func() {
 		p.kin.Run(func(n protocol.Note) {
 			switch {
@@ -100,8 +100,8 @@
 				d.takeHeld(n.Held)
 			case n.Last:
 				p.kin.Tell(protocol.Note{Answer: n.Ask, Yes: true})
-			case n.Remembered != nil && d.progress != nil:
-				d.progress.Remember(n.Remembered)
+			case n.Remembered != nil && d.keys != nil:
+				d.keys.Remember(n.Remembered)
 			case n.Worker != "":
 				d.keepFor(p.kin, n)
 			}
@@ -173,7 +173,7 @@
 			case n.Serving:
 				d.passOn(kin, n.Relay)
 			case n.Key != "":
-				kin.Tell(protocol.Note{Answer: n.Ask, Yes: d.progress != nil && d.progress.Has(n.Key)})
+				kin.Tell(protocol.Note{Answer: n.Ask, Yes: d.keys != nil && d.keys.Has(n.Key)})
 			case n.Take != "":
 				kin.Tell(protocol.Note{Answer: n.Ask, Yes: d.ids.Take(n.Take, kin)})
 			case n.Free != "":
@@ -203,7 +203,7 @@
 // passOn leaves new clients to the successor, and tells it what is still held here until the end.
 func (d *dispatcher) passOn(kin *transport.Kin, relay string) {
 	d.passed.Store(true)
-	d.besideProgress(kin, relay, false)
+	d.besideKeys(kin, relay, false)
 	for _, f := range d.fronts {
 		f.gate.Pause()
 		f.handler.Passing(true)
@@ -233,16 +233,18 @@
 
 // takeRelayed serves those who come to the other process for a job of this one.
 func (d *dispatcher) takeRelayed() {
-	if d.progress == nil {
+	if d.keys == nil {
 		return
 	}
 	path := fmt.Sprintf("%s.%d.progress", d.socket, os.Getpid())
 	l, err := transport.ListenPrivate(path)
 	if err != nil {
-		d.log.Warn("jobs of the front for progress are not known beyond a replacement", "err", err)
+		d.log.Warn("jobs are not known by their keys beyond a replacement", "err", err)
 		return
 	}
-	d.relay, d.relayed = path, transport.Server(d.progress, d.log)
+	// Whoever is relayed was admitted where it came in: its account's share counts there.
+	whole := transport.NewInbound(d.core, d.params, d.fronts[0].gate, d.ids, d.keys, nil, nil, d.log)
+	d.relay, d.relayed = path, transport.Server(transport.Relayed{Whole: whole, Stream: d.progress}, d.log)
 	go func() { _ = d.relayed.Serve(l) }()
 }
 
@@ -262,13 +264,13 @@
 		return
 	}
 	d.core.Shared(1)
-	d.besideProgress(nil, "", false)
+	d.besideKeys(nil, "", false)
 }
 
-// besideProgress has the front for progress, if it is on, go on beside another process's; nil for none.
-func (d *dispatcher) besideProgress(kin *transport.Kin, relay string, older bool) {
-	if d.progress != nil {
-		d.progress.Beside(kin, relay, older)
+// besideKeys has the table of keys, if there is one, go on beside another process's; nil for none.
+func (d *dispatcher) besideKeys(kin *transport.Kin, relay string, older bool) {
+	if d.keys != nil {
+		d.keys.Beside(kin, relay, older)
 	}
 }
 
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -30,6 +30,7 @@
 	ids     *OpenIDs
 	leaving atomic.Pointer[time.Time] // since when; nil while it is not
 	passing atomic.Bool               // a successor serves here too: clients are to go there
+	keys    *Keys                     // nil where each request is a job of its own
 	shares  *Shares                   // nil where accounts have none
 	vet     Vet                       // nil where whoever comes may hand in any job
 	log     *slog.Logger
@@ -110,6 +111,10 @@
 		}
 		return nil, done
 	}
+	if kept := int64(len(job.Body)); kept < size { // its length was not told
+		f.gate.letGo(size - kept)
+		size = kept
+	}
 	switch {
 	case f.gate.Full():
 		f.refuse(w, r, job.ClassName, "out of connections")
--- a/internal/transport/http2/front.go
+++ b/internal/transport/http2/front.go
@@ -64,9 +64,9 @@
 }
 
 // New makes the front behind a multiplexed gate. Its files are read: an error names the one at fault.
-func New(s *Settings, core transport.Core, p *protocol.Live, gate *transport.Gate, ids *transport.OpenIDs, accounts *transport.Shares, log *slog.Logger) (*Front, error) {
+func New(s *Settings, core transport.Core, p *protocol.Live, gate *transport.Gate, ids *transport.OpenIDs, keys *transport.Keys, accounts *transport.Shares, log *slog.Logger) (*Front, error) {
 	f := &Front{log: log, gate: gate, conns: map[*conn]struct{}{}, calms: map[streams.Why]int{}}
-	f.Inbound = transport.NewInbound(core, p, gate, ids, accounts, f.vet, log)
+	f.Inbound = transport.NewInbound(core, p, gate, ids, keys, accounts, f.vet, log)
 	put, err := f.Prepare(s)
 	if err != nil {
 		return nil, err
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -14,9 +14,9 @@
 // Inbound is the front for the platform's protocol.
 type Inbound struct{ front }
 
-// NewInbound makes the front. shares and vet may be nil.
-func NewInbound(c Core, p *protocol.Live, g *Gate, ids *OpenIDs, shares *Shares, vet Vet, log *slog.Logger) *Inbound {
-	return &Inbound{front{core: c, params: p, gate: g, ids: ids, shares: shares, vet: vet, log: log}}
+// NewInbound makes the front. keys, shares and vet may be nil.
+func NewInbound(c Core, p *protocol.Live, g *Gate, ids *OpenIDs, keys *Keys, shares *Shares, vet Vet, log *slog.Logger) *Inbound {
+	return &Inbound{front{core: c, params: p, gate: g, ids: ids, keys: keys, shares: shares, vet: vet, log: log}}
 }
 
 // Server makes the server for a front's handler. A connection that brings no whole head in time is closed, and
@@ -32,6 +32,10 @@
 	if job == nil {
 		return
 	}
+	if f.keys != nil && job.Key != "" {
+		f.whole(w, r, job)
+		return
+	}
 	if !f.ids.take(job.ID) {
 		f.rejectJob(w, r, errIDInUse)
 		return
@@ -41,15 +45,20 @@
 	id := f.core.Submit(inboundOf(job, client))
 	select {
 	case a := <-client:
-		if r.ProtoMajor >= 2 { // with its window shut, a reader holds a stream and what is to be sent on it
-			_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(wholeWithin))
-		}
-		writeAnswer(w, a)
+		f.write(w, r, a)
 	case <-r.Context().Done():
 		f.core.Leave(id)
 	}
 }
 
+// write writes an answer. Over HTTP/2 a reader with its window shut holds a stream and what is to be sent on it.
+func (f *front) write(w http.ResponseWriter, r *http.Request, a routing.Answer) {
+	if r.ProtoMajor >= 2 {
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(wholeWithin))
+	}
+	writeAnswer(w, a)
+}
+
 // inboundOf gives a job in the core's terms.
 func inboundOf(j *protocol.Job, c routing.Client) routing.Inbound {
 	return routing.Inbound{Class: j.Class, ClassName: j.ClassName, Rules: j.Rules, Slots: j.Slots, Key: j.Subject, Deadline: j.Deadline, Job: j, Client: c}
--- /dev/null
+++ b/internal/transport/keys.go
@@ -0,0 +1,170 @@
+package transport
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/decisions/repeats"
+	"brassdale/internal/protocol"
+	"brassdale/internal/routing"
+)
+
+// KeysSettings are the operator's, in a block keys.
+type KeysSettings struct {
+	Jobs   int `hcl:"jobs,optional"`    // most jobs remembered at a time
+	KeepMB int `hcl:"keep_mb,optional"` // most memory for their answers
+}
+
+// DefaultKeys holds what an operator leaves out.
+func DefaultKeys() KeysSettings { return KeysSettings{Jobs: 8192, KeepMB: 24} }
+
+// Keys remembers the job of each Idempotency-Key, at whichever front it came in: while it is open, and for the key's
+// window after its end, which ends later than the one in which endpoints drop a repeat. Who comes with the key joins
+// it; so no key is started twice while endpoints may remember it.
+type Keys struct {
+	set   *KeysSettings
+	ids   *OpenIDs
+	bytes atomic.Int64 // of the events and answers of all jobs
+
+	mu   sync.Mutex
+	jobs map[string]*watched // by key
+	peer *peer               // the other process while one replaces the other
+}
+
+// NewKeys makes the table.
+func NewKeys(s *KeysSettings, ids *OpenIDs) *Keys {
+	return &Keys{set: s, ids: ids, jobs: map[string]*watched{}}
+}
+
+// errUnknown: the job is known to another dispatcher, or was to this one before a restart. It may run or have run
+// elsewhere, so a run from here could be one too many.
+var errUnknown = &protocol.Reject{Status: http.StatusBadGateway, Why: "the job of this Idempotency-Key is not known here; nothing was started"}
+
+var errAnother = &protocol.Reject{Status: http.StatusUnprocessableEntity, Why: "Idempotency-Key was used for another job"}
+
+// find gives the job of a request's key, the one that is known or a fresh one, with the request as one of its readers;
+// or it answers the request itself. kept tells that the job is to go on without readers.
+func (f *front) find(w http.ResponseWriter, r *http.Request, job *protocol.Job, again, kept bool) (j *watched, fresh, ok bool) {
+	digest := sha256.Sum256([]byte(job.Target + "\n" + job.Account + "\n" + string(job.Body)))
+	k := f.keys
+	k.mu.Lock()
+	j = k.jobs[job.Key]
+	if job.Key == "" {
+		j = nil
+	}
+	var known *repeats.Known
+	if j != nil {
+		known = &repeats.Known{Refused: j.refused(), Same: j.digest == digest}
+	}
+	verdict := repeats.Judge(known, again, len(k.jobs) < k.set.Jobs && k.bytes.Load() < int64(k.set.KeepMB)<<20)
+	if verdict == repeats.Begin {
+		j = &watched{keys: k, key: job.Key, id: job.ID, digest: digest, changed: make(chan struct{}),
+			window: job.Window, release: sync.OnceFunc(func() { k.ids.free(job.ID) })}
+	}
+	taken := verdict != repeats.Begin || k.ids.Take(job.ID, nil) // the predecessor is asked when nothing is held up by it
+	if ok = taken && (verdict == repeats.Begin || verdict == repeats.Join); ok {
+		j.readers++
+		j.kept = j.kept || kept && job.Key != ""
+		if verdict == repeats.Begin && job.Key != "" {
+			k.jobs[job.Key] = j
+		}
+	}
+	k.mu.Unlock()
+	if ok && verdict == repeats.Begin && !k.ids.confirm(job.ID) {
+		j.end(routing.Answer{Verdict: routing.Refused}) // for who joined meanwhile: it never ran
+		taken, ok = false, false
+	}
+	switch {
+	case !taken:
+		f.rejectJob(w, r, errIDInUse)
+	case verdict == repeats.Full:
+		f.refuse(w, r, job.ClassName, "out of remembered jobs")
+	case verdict == repeats.Unknown:
+		f.rejectJob(w, r, errUnknown)
+	case verdict == repeats.Another:
+		f.rejectJob(w, r, errAnother)
+	}
+	return j, verdict == repeats.Begin, ok
+}
+
+// submitted notes a job's number at the core.
+func (k *Keys) submitted(j *watched, id brain.RequestID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	j.request = id
+}
+
+// abandon notes that a reader has left before the end. With the last one the job is given up, unless it is to go on.
+func (f *front) abandon(j *watched) {
+	f.keys.mu.Lock()
+	j.readers--
+	ended := j.ended()
+	over := !ended && repeats.GiveUp(j.readers, j.kept)
+	if over && f.keys.jobs[j.key] == j {
+		delete(f.keys.jobs, j.key) // whoever comes now begins anew
+	}
+	id := j.request
+	f.keys.mu.Unlock()
+	if over {
+		f.core.Leave(id)
+		f.keys.forget(j)
+		j.release()
+	}
+}
+
+// whole answers a request with its key's job in one piece.
+func (f *front) whole(w http.ResponseWriter, r *http.Request, job *protocol.Job) {
+	if f.elsewhere(w, r, job, inOnePiece) {
+		return
+	}
+	j, fresh, ok := f.find(w, r, job, false, false)
+	if !ok {
+		return
+	}
+	if fresh {
+		f.keys.submitted(j, f.core.Submit(inboundOf(job, j)))
+	} else {
+		if !f.ids.take(job.ID) { // also where it is that of the job itself
+			f.abandon(j)
+			f.rejectJob(w, r, errIDInUse)
+			return
+		}
+		defer f.ids.free(job.ID)
+	}
+	late := time.NewTimer(time.Until(job.Deadline) + job.Rules.AnswerSlack)
+	defer late.Stop()
+	for {
+		_, final, changed, _ := j.after(0)
+		if final != nil {
+			f.write(w, r, *final)
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			f.abandon(j)
+			return
+		case <-late.C: // only of one that joined a job of a later deadline: the core answers all others in time
+			if fresh {
+				continue
+			}
+			f.abandon(j)
+			f.write(w, r, routing.Answer{Verdict: routing.Failed, Expired: true})
+			return
+		}
+	}
+}
+
+// forget drops a job whose window has passed, unless its key has a newer one.
+func (k *Keys) forget(j *watched) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.jobs[j.key] == j {
+		delete(k.jobs, j.key)
+	}
+	k.bytes.Add(-j.bytes.Swap(0))
+}
--- a/internal/transport/openids.go
+++ b/internal/transport/openids.go
@@ -65,10 +65,10 @@
 	return o.pred
 }
 
-func (o *OpenIDs) take(id string) bool {
-	if !o.Take(id, nil) {
-		return false
-	}
+func (o *OpenIDs) take(id string) bool { return o.Take(id, nil) && o.confirm(id) }
+
+// confirm has a predecessor agree to an id that was taken here; if it does not, the id is free again.
+func (o *OpenIDs) confirm(id string) bool {
 	if pred := o.predecessor(); pred != nil {
 		yes, heard := pred.Ask(protocol.Note{Take: id}, time.Now().Add(kinAnswers))
 		switch {
--- a/internal/transport/relay.go
+++ b/internal/transport/relay.go
@@ -16,7 +16,13 @@
 	"brassdale/internal/protocol"
 )
 
-// peer is the other process's front for progress. A job is at one of both: who comes to the other one for it is
+// The header by which one process tells the other how a relayed reader wants its answer.
+const (
+	relayedAs  = "Brassdale-Relayed-As"
+	inOnePiece = "whole"
+)
+
+// peer is the other process's table of keys. A job is at one of both: who comes to the other one for it is
 // relayed, through a Unix socket, and what has ended at the predecessor goes to the successor's table.
 type peer struct {
 	kin   *Kin
@@ -26,7 +32,7 @@
 
 // Beside goes on beside another process, whose front takes relayed readers at a path; with none, alone. older tells
 // whether that one is the predecessor; else it is handed what is remembered here.
-func (f *Progress) Beside(kin *Kin, path string, older bool) {
+func (f *Keys) Beside(kin *Kin, path string, older bool) {
 	var p *peer
 	if kin != nil && path != "" {
 		dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
@@ -36,7 +42,9 @@
 			Rewrite:       func(r *httputil.ProxyRequest) { r.SetURL(&url.URL{Scheme: "http", Host: r.In.Host}) },
 			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true},
 			FlushInterval: -1, // each event at once
-			ErrorHandler:  func(w http.ResponseWriter, r *http.Request, _ error) { f.rejectJob(w, r, errUnknown) },
+			ErrorHandler: func(w http.ResponseWriter, _ *http.Request, _ error) {
+				http.Error(w, errUnknown.Why, errUnknown.Status)
+			},
 		}}
 	}
 	f.mu.Lock()
@@ -53,7 +61,7 @@
 
 // elsewhere gives the other process's front if that one has the job of a key: the predecessor if it knows the key,
 // the successor for all keys that are not known here.
-func (f *Progress) elsewhere(key string) *peer {
+func (f *Keys) elsewhere(key string) *peer {
 	f.mu.Lock()
 	p, known := f.peer, f.jobs[key] != nil
 	f.mu.Unlock()
@@ -70,22 +78,42 @@
 }
 
 // Has tells whether the job of a key is known here. One that was refused may be tried anew anywhere.
-func (f *Progress) Has(key string) bool {
+func (f *Keys) Has(key string) bool {
 	f.mu.Lock()
 	j := f.jobs[key]
 	f.mu.Unlock()
 	return j != nil && !j.refused()
 }
 
-// relay has the other process answer.
-func (p *peer) relay(w http.ResponseWriter, r *http.Request, job *protocol.Job) {
+// elsewhere has the other process answer a request whose job it has, and tells whether that is so.
+func (f *front) elsewhere(w http.ResponseWriter, r *http.Request, job *protocol.Job, as string) bool {
+	p := f.keys.elsewhere(job.Key)
+	if p == nil {
+		return false
+	}
 	r.Body, r.ContentLength, r.TransferEncoding = io.NopCloser(bytes.NewReader(job.Body)), int64(len(job.Body)), nil
 	r.Header.Set("Req-Deadline-Ms", strconv.FormatInt(max(time.Until(job.Deadline).Milliseconds(), 1), 10))
+	r.Header.Set(relayedAs, as)
 	p.proxy.ServeHTTP(w, r)
+	return true
+}
+
+// Relayed is the handler for the readers that the other process relays. Both ways of answering go by one table.
+type Relayed struct {
+	Whole  *Inbound
+	Stream *Progress // nil where that front is off
+}
+
+func (f Relayed) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if f.Stream != nil && r.Header.Get(relayedAs) != inOnePiece {
+		f.Stream.ServeHTTP(w, r)
+		return
+	}
+	f.Whole.ServeHTTP(w, r)
 }
 
 // hand gives an ended job to the successor.
-func (f *Progress) hand(j *watched) {
+func (f *Keys) hand(j *watched) {
 	f.mu.Lock()
 	p := f.peer
 	f.mu.Unlock()
@@ -101,12 +129,12 @@
 }
 
 // Remember takes an ended job over from the predecessor.
-func (f *Progress) Remember(r *protocol.Remembered) {
+func (f *Keys) Remember(r *protocol.Remembered) {
 	left := time.Until(r.Forget)
 	if left <= 0 || len(r.Digest) != sha256.Size {
 		return
 	}
-	j := &watched{front: f, key: r.Key, id: r.ID, digest: [sha256.Size]byte(r.Digest), release: sync.OnceFunc(func() {}),
+	j := &watched{keys: f, key: r.Key, id: r.ID, digest: [sha256.Size]byte(r.Digest), release: sync.OnceFunc(func() {}),
 		events: r.Events, started: r.Started, final: &r.Answer, forget: r.Forget, changed: make(chan struct{})}
 	size := int64(0)
 	for _, ev := range r.Events {
