Frames to a client go out together; retired keys share one timer

A profile showed a call to the system for nearly each frame (11%), timers for each ended job (8%) and four words a request to net/http's one goroutine a connection for deadlines. Now a writer takes all frames that have come since its last call in one, keys are forgotten by a heap with one timer, and a stream's deadlines are said only when they pass.

Also found: net/http resets a stream whose deadline is set as it ends, 2.6 s after its answer; that is why deadlines are said late, and the answer is flushed inside the handler so that a shut window is bounded for small answers too.

--- a/cmd/brassdale/http2_test.go
+++ b/cmd/brassdale/http2_test.go
@@ -111,7 +111,7 @@
 
 // peer is a client that writes HTTP/2 frame by frame.
 type peer struct {
-	t    *testing.T
+	t    testing.TB
 	conn net.Conn
 	*h2.Framer
 	enc  *hpack.Encoder
@@ -315,7 +315,7 @@
 		"half a head": {func(p *peer) {
 			p.WriteHeaders(h2.HeadersFrameParam{StreamID: 1, BlockFragment: p.fields("k")[:9]})
 		}, calm},
-		"half a frame":  {func(p *peer) { p.conn.Write([]byte{0, 0, 8, 6}) }, calm},
+		"half a frame": {func(p *peer) { p.conn.Write([]byte{0, 0, 8, 6}) }, calm},
 		"large headers": {func(p *peer) {
 			var more []string
 			for i := range 12 {
@@ -421,9 +421,10 @@
 	n := start(t, http2Block, newBox(t, "a", says(`"state":"started"`, `"state":"done","result":"`+big+`"`)))
 	p := n.wire(h2.Setting{ID: h2.SettingInitialWindowSize, Val: 0})
 	p.job(1, "shut")
-	n.waitFor("the head of the answer", func() bool { return p.got("HEADERS 1 200") })
+	p.WriteHeaders(h2.HeadersFrameParam{StreamID: 3, BlockFragment: p.fields("none", ":path", "/no-such"), EndHeaders: true, EndStream: true})
+	n.waitFor("the heads of the answers", func() bool { return p.got("HEADERS 1 200") && p.got("HEADERS 3 404") })
 	begin := time.Now()
-	n.waitFor("the stream's end", func() bool { return p.got("RST_STREAM 1") })
+	n.waitFor("the streams' ends", func() bool { return p.got("RST_STREAM 1") && p.got("RST_STREAM 3") })
 	if took := time.Since(begin); took > 3*time.Second {
 		t.Errorf("took %v", took)
 	}
--- a/cmd/brassdale/progress_test.go
+++ b/cmd/brassdale/progress_test.go
@@ -17,7 +17,7 @@
 
 // stream is a client's stream of one job.
 type stream struct {
-	t    *testing.T
+	t    testing.TB
 	resp *http.Response
 	in   *protocol.EventReader
 }
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -47,7 +47,7 @@
 	closed          chan string    // Req-Id of each job whose connection the dispatcher closed
 }
 
-func newBox(t *testing.T, id string, script func(*box, net.Conn, *http.Request)) *box {
+func newBox(t testing.TB, id string, script func(*box, net.Conn, *http.Request)) *box {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -202,7 +202,8 @@
 
 // node is the program under test.
 type node struct {
-	t             *testing.T
+	t             testing.TB
+	binary        string // the program's, empty for this one
 	cmd           *exec.Cmd
 	registry      *registry
 	path, config  string // the platform's file, and its text at the start
@@ -225,13 +226,19 @@
 func startWith(t *testing.T, operator string, change func(string) string, boxes ...*box) *node {
 	t.Helper()
 	n := &node{t: t, registry: &registry{revision: 1, boxes: boxes, changed: make(chan struct{})}, exited: make(chan struct{})}
+	n.startHere(operator, change)
+	return n
+}
+
+// startHere starts discovery and the program.
+func (n *node) startHere(operator string, change func(string) string) {
+	n.t.Helper()
 	discovery := httptest.NewServer(n.registry)
-	t.Cleanup(discovery.CloseClientConnections)
+	n.t.Cleanup(discovery.CloseClientConnections)
 	config := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
 		discovery.Listener.Addr(), n.registry.list(), settings)
 	n.launch(change(config), operator)
 	n.serves(operator)
-	return n
 }
 
 // serves waits until the program takes clients.
@@ -287,7 +294,10 @@
 func (n *node) launch(config, operator string) {
 	dir := n.t.TempDir()
 	n.path, n.config = filepath.Join(dir, "config.json"), config
-	n.cmd = exec.Command(os.Args[0])
+	if n.binary == "" {
+		n.binary = os.Args[0]
+	}
+	n.cmd = exec.Command(n.binary)
 	if operator != "" {
 		file := filepath.Join(dir, "operator.hcl")
 		n.write(file, operator)
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -177,7 +177,7 @@
 	d.reloader = &reloader{d: d, env: env, discovery: discovery, cfg: cfg, path: options.Operator, op: op}
 
 	if s := op.Keyed(); s != nil {
-		d.keys = transport.NewKeys(s, d.ids)
+		d.keys = transport.NewKeys(s, d.ids, op.Progress != nil)
 	}
 	if op.Accounts != nil {
 		d.accounts = transport.NewShares(op.Accounts)
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -4,6 +4,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -81,8 +82,11 @@
 		// Where the next request would begin is for net/http alone to say: the framing was not followed.
 		closeBehind(w)
 	}
-	// A client that never reads its answer must not keep its connection and goroutine for ever.
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(params.LongestDeadline() + readerWithin))
+	if r.ProtoMajor < 2 {
+		// A client that never reads its answer must not keep its connection and goroutine for ever. Over HTTP/2 it could
+		// keep a stream, see boundReader.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(params.LongestDeadline() + readerWithin))
+	}
 	if f.passing.Load() || r.ProtoMajor >= 2 && f.leaving.Load() != nil {
 		closeBehind(w)
 	}
@@ -136,6 +140,41 @@
 	return job, done
 }
 
+// within has a stream's deadline pass if what the caller does takes longer; the caller must call over when it is done.
+// Over HTTP/2 each word to a stream's deadlines goes through the one goroutine that serves the connection, and one that
+// comes there behind the stream's end resets it all the same: so it is said only where it is needed, and not too late.
+func within(span time.Duration, pass func(time.Time) error) (over func()) {
+	var mu sync.Mutex
+	done := false
+	late := time.AfterFunc(span, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !done {
+			_ = pass(time.Now())
+		}
+	})
+	return func() {
+		late.Stop()
+		mu.Lock()
+		defer mu.Unlock()
+		done = true
+	}
+}
+
+// boundReader bounds how long a reader may take with an answer; sent must be called when it is written. Over HTTP/2 one
+// with its window shut holds a stream, and what is to be sent on it.
+func boundReader(w http.ResponseWriter, r *http.Request) (sent func()) {
+	if r.ProtoMajor < 2 {
+		return func() {}
+	}
+	c := http.NewResponseController(w)
+	over := within(wholeWithin, c.SetWriteDeadline)
+	return func() {
+		_ = c.Flush() // what is written behind the handler's end has no bound
+		over()
+	}
+}
+
 // refuse is a fail-fast for want of room: the connection gives up its own.
 func (f *front) refuse(w http.ResponseWriter, r *http.Request, class, why string) {
 	spoilt(w, r)
@@ -146,11 +185,13 @@
 func (f *front) failFast(w http.ResponseWriter, r *http.Request, class, why string) {
 	f.log.Warn("fail-fast", "why", why, "id", r.Header.Get("Req-Id"))
 	f.core.Ledger().Unheard(class, routing.Refused)
+	defer boundReader(w, r)()
 	writeAnswer(w, routing.Answer{Verdict: routing.Refused, RetryAfter: f.params.Now().Limits.MaxRetryAfter.Span()})
 }
 
 // serveHealth answers the pages that tell whether this process runs and wants work.
 func serveHealth(w http.ResponseWriter, r *http.Request, leaving bool) {
+	defer boundReader(w, r)()
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodHead:
 		w.Header().Set("Allow", "GET, HEAD")
@@ -169,6 +210,10 @@
 func readJob(w http.ResponseWriter, r *http.Request, p *protocol.Params) (*protocol.Job, error) {
 	now := time.Now()
 	c := http.NewResponseController(w)
+	if r.ProtoMajor >= 2 {
+		defer within(time.Until(wholeBy(r)), c.SetReadDeadline)()
+		return protocol.DecodeInbound(r, p, now)
+	}
 	_ = c.SetReadDeadline(wholeBy(r))
 	job, err := protocol.DecodeInbound(r, p, now)
 	if err == nil {
@@ -186,6 +231,7 @@
 		w.Header().Set("Allow", http.MethodPost)
 	}
 	spoilt(w, r)
+	defer boundReader(w, r)()
 	f.log.Debug("inbound rejected", "status", status, "err", err, "id", r.Header.Get("Req-Id"))
 	http.Error(w, err.Error(), status)
 }
--- a/internal/transport/http2/conn.go
+++ b/internal/transport/http2/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"encoding/binary"
 	"io"
 	"net"
 	"sync"
@@ -13,18 +12,8 @@
 	"brassdale/internal/transport"
 )
 
-const (
-	preface   = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"
-	frameHead = 9 // bytes
-
-	// lingers is how long a connection that was told to end is still read, so that the word is not lost to a reset.
-	lingers = 250 * time.Millisecond
-
-	lastOfAll = 1<<31 - 1 // a GOAWAY with this one says that no new stream is wanted and none is turned away yet
-
-	codeNone = 0x0
-	codeCalm = 0xb // ENHANCE_YOUR_CALM
-)
+// lingers is how long a connection that was told to end is still read, so that the word is not lost to a reset.
+const lingers = 250 * time.Millisecond
 
 // conn is a client's connection. Both ways its frames are followed by their heads alone: net/http speaks the protocol,
 // the judge says when it has been enough.
@@ -43,72 +32,17 @@
 	alarm *time.Timer // runs from when something is half there until it is found whole
 	last  uint32      // the highest stream that a client opened
 
-	writing sync.Mutex // guards what follows, and a frame from being cut by another
-	out     follower
-	pending []byte // frames of this package that wait for the end of one of net/http's
-
+	out   writer
 	ended atomic.Bool // told to end: nothing more goes on to net/http
 }
 
-// follower finds the heads of frames in a stream of bytes.
-type follower struct {
-	ahead int // bytes of the preface that are to come
-	head  [frameHead]byte
-	got   int    // of the head
-	left  uint32 // of the frame behind its head
-}
-
-// step takes bytes up to the next event: the first byte of a frame, the end of its head, its end. A frame that has
-// nothing behind its head ends with it.
-func (f *follower) step(b []byte) (n int, ev event) {
-	switch {
-	case f.ahead > 0:
-		n = min(f.ahead, len(b))
-		if f.ahead -= n; f.ahead == 0 {
-			ev = greeted
-		}
-	case f.left > 0:
-		n = int(min(f.left, uint32(len(b))))
-		if f.left -= uint32(n); f.left == 0 {
-			ev = whole
-		}
-	case f.got == 0:
-		f.head[0], f.got, n, ev = b[0], 1, 1, begun
-	default:
-		n = copy(f.head[f.got:], b)
-		if f.got += n; f.got == frameHead {
-			f.got, f.left = 0, uint32(f.head[0])<<16|uint32(f.head[1])<<8|uint32(f.head[2])
-			ev = headed
-		}
-	}
-	return n, ev
-}
-
-type event uint8
-
-const (
-	nothing event = iota
-	greeted       // the preface is whole
-	begun         // the first byte of a frame
-	headed        // the head of a frame is whole; the frame is too if left is 0
-	whole         // the frame is whole
-)
-
-func (f *follower) frame() streams.Frame {
-	return streams.Frame{Kind: streams.Kind(f.head[3]), Flags: f.head[4], Stream: binary.BigEndian.Uint32(f.head[5:]) & lastOfAll, Length: f.left}
-}
-
-// between tells whether another frame may be put in here.
-func (f *follower) between() bool { return f.got == 0 && f.left == 0 && f.ahead == 0 }
-
 func newConn(front *Front, gated *transport.Conn, config *tls.Config) *conn {
 	c := &conn{Conn: gated, gated: gated, front: front, taken: time.Now(), judge: streams.New(0), in: follower{ahead: len(preface)}}
-	// The first frame out must be net/http's: until one has begun, this side is not between two.
-	c.out.ahead = 1
 	if config != nil {
 		c.tls = tls.Server(gated, config)
 		c.Conn = c.tls
 	}
+	c.out.start(c.Conn, gated.Close, c.sent)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.alarm = time.AfterFunc(streams.Whole, c.look)
@@ -196,85 +130,6 @@
 	}
 }
 
-// Write takes net/http's frames. Those that this package has to send go between two of them.
-func (c *conn) Write(b []byte) (int, error) {
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	if c.out.ahead > 0 && len(b) > 0 {
-		c.out.ahead = 0
-	}
-	why := streams.Why("")
-	done, seen := 0, 0
-	for seen < len(b) {
-		if c.pending != nil && c.out.between() && seen > 0 {
-			n, err := c.Conn.Write(b[done:seen])
-			if done += n; err != nil {
-				return done, err
-			}
-			if err := c.flush(); err != nil {
-				return done, err
-			}
-		}
-		n, ev := c.out.step(b[seen:])
-		seen += n
-		if ev == headed {
-			if w := c.sent(c.out.frame()); w != "" {
-				why = w
-			}
-		}
-	}
-	n, err := c.Conn.Write(b[done:])
-	done += n
-	if err == nil && c.pending != nil && c.out.between() {
-		err = c.flush()
-	}
-	if why != "" {
-		go c.end(why)
-	}
-	return done, err
-}
-
-// sent has the judge see a frame that goes out.
-func (c *conn) sent(f streams.Frame) streams.Why {
-	answered := (f.Kind == streams.Data || f.Kind == streams.Headers) && f.Flags&streams.EndStream != 0
-	if !answered && f.Kind != streams.Reset {
-		return ""
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if answered {
-		c.judge.Answered()
-	}
-	return c.judge.Sent(time.Since(c.taken), f)
-}
-
-// flush writes what waits; c.writing is held.
-func (c *conn) flush() error {
-	b := c.pending
-	c.pending = nil
-	_, err := c.Conn.Write(b)
-	return err
-}
-
-// goAway tells the client that streams above the last one are not served here. It waits while the client takes nothing.
-func (c *conn) goAway(last, code uint32, debug string) {
-	b := goAwayFrame(last, code, debug)
-	c.writing.Lock()
-	defer c.writing.Unlock()
-	c.pending = append(c.pending, b...)
-	if c.out.between() {
-		_ = c.flush() // whoever reads notices that the connection is gone
-	}
-}
-
-func goAwayFrame(last, code uint32, debug string) []byte {
-	n := 8 + len(debug)
-	b := []byte{byte(n >> 16), byte(n >> 8), byte(n), byte(streams.GoAway), 0, 0, 0, 0, 0}
-	b = binary.BigEndian.AppendUint32(b, last)
-	b = binary.BigEndian.AppendUint32(b, code)
-	return append(b, debug...)
-}
-
 // end ends the connection for a reason: the client is told, and what it still sends is not looked at.
 func (c *conn) end(why streams.Why) {
 	if c.ended.Swap(true) {
@@ -284,26 +139,7 @@
 	c.mu.Lock()
 	last := c.last
 	c.mu.Unlock()
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(lingers))
-	c.writing.Lock()
-	if c.out.ahead > 0 { // net/http had no time for its first frame, which must be one of settings: an empty one will do
-		c.out.ahead = 0
-		c.pending = []byte{0, 0, 0, byte(streams.Settings), 0, 0, 0, 0, 0}
-	}
-	c.writing.Unlock()
-	c.goAway(last, codeCalm, string(why))
-	c.writing.Lock()
-	told := c.pending == nil
-	c.writing.Unlock()
-	if told {
-		c.finish()
-	} else { // behind the rest of a frame of net/http's, which is on its way
-		time.AfterFunc(lingers/2, c.finish)
-	}
-}
-
-// finish ends this side of the connection, and in a while all of it.
-func (c *conn) finish() {
+	c.out.last(goAwayFrame(last, codeCalm, string(why)), time.Now().Add(lingers))
 	if c.tls != nil {
 		_ = c.tls.CloseWrite()
 	}
@@ -311,6 +147,32 @@
 	_ = c.Conn.SetReadDeadline(time.Now().Add(lingers))
 }
 
+// Write takes net/http's frames.
+func (c *conn) Write(b []byte) (int, error) { return c.out.write(b) }
+
+// SetWriteDeadline does nothing: how long a write may take is the writer's matter.
+func (c *conn) SetWriteDeadline(time.Time) error { return nil }
+
+// SetDeadline sets the one for reading.
+func (c *conn) SetDeadline(t time.Time) error { return c.Conn.SetReadDeadline(t) }
+
+// sent has the judge see a frame that goes out.
+func (c *conn) sent(f streams.Frame) {
+	answered := (f.Kind == streams.Data || f.Kind == streams.Headers) && f.Flags&streams.EndStream != 0
+	if !answered && f.Kind != streams.Reset {
+		return
+	}
+	c.mu.Lock()
+	if answered {
+		c.judge.Answered()
+	}
+	why := c.judge.Sent(time.Since(c.taken), f)
+	c.mu.Unlock()
+	if why != "" {
+		go c.end(why) // the writer is held here
+	}
+}
+
 // Close ends the connection for good.
 func (c *conn) Close() error {
 	c.mu.Lock()
@@ -319,6 +181,7 @@
 	}
 	c.mu.Unlock()
 	c.front.forget(c)
+	c.out.last(nil, time.Now().Add(lingers))
 	if c.tls != nil {
 		return c.tls.Close()
 	}
--- a/internal/transport/http2/front.go
+++ b/internal/transport/http2/front.go
@@ -37,7 +37,6 @@
 	mostHeaders  = 8 << 10  // bytes of a request's header list
 	streamWindow = 64 << 10 // bytes that a client may send ahead on a stream: a whole body
 	connWindow   = 256 << 10
-	stuck        = 2500 * time.Millisecond // a connection that takes not one byte for so long is closed
 )
 
 // Front is the front.
@@ -117,7 +116,7 @@
 	server.Protocols = &http.Protocols{}
 	server.Protocols.SetUnencryptedHTTP2(true) // TLS, where there is any, has been taken off below
 	server.HTTP2 = &http.HTTP2Config{MaxConcurrentStreams: s.Streams, MaxDecoderHeaderTableSize: 4 << 10, MaxEncoderHeaderTableSize: 4 << 10,
-		MaxReadFrameSize: 16 << 10, MaxReceiveBufferPerStream: streamWindow, MaxReceiveBufferPerConnection: connWindow, WriteByteTimeout: stuck}
+		MaxReadFrameSize: 16 << 10, MaxReceiveBufferPerStream: streamWindow, MaxReceiveBufferPerConnection: connWindow}
 	return server
 }
 
@@ -144,7 +143,7 @@
 	leaving := l.front.leaving
 	l.front.mu.Unlock()
 	if leaving {
-		c.goAway(lastOfAll, codeNone, "") // goes out behind net/http's first frame
+		c.out.put(goAwayFrame(lastOfAll, codeNone, "")) // goes out behind net/http's first frame
 	}
 	return c, nil
 }
@@ -198,7 +197,7 @@
 	f.leaving = on
 	if on {
 		for c := range f.conns {
-			go c.goAway(lastOfAll, codeNone, "") // one that takes nothing must not hold up the others
+			c.out.put(goAwayFrame(lastOfAll, codeNone, ""))
 		}
 	}
 }
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -51,11 +51,9 @@
 	}
 }
 
-// write writes an answer. Over HTTP/2 a reader with its window shut holds a stream and what is to be sent on it.
+// write writes an answer.
 func (f *front) write(w http.ResponseWriter, r *http.Request, a routing.Answer) {
-	if r.ProtoMajor >= 2 {
-		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(wholeWithin))
-	}
+	defer boundReader(w, r)()
 	writeAnswer(w, a)
 }
 
--- a/internal/transport/keys.go
+++ b/internal/transport/keys.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"container/heap"
 	"crypto/sha256"
 	"net/http"
 	"sync"
@@ -26,18 +27,67 @@
 // window after its end, which ends later than the one in which endpoints drop a repeat. Who comes with the key joins
 // it; so no key is started twice while endpoints may remember it.
 type Keys struct {
-	set   *KeysSettings
-	ids   *OpenIDs
-	bytes atomic.Int64 // of the events and answers of all jobs
+	set     *KeysSettings
+	ids     *OpenIDs
+	streams bool         // a front streams jobs' events: they are kept too
+	bytes   atomic.Int64 // of the events and answers of all jobs
 
 	mu   sync.Mutex
 	jobs map[string]*watched // by key
 	peer *peer               // the other process while one replaces the other
+	old  []retired           // jobs that have ended, a heap by when they are forgotten
+	look *time.Timer         // nil while none has
 }
 
-// NewKeys makes the table.
-func NewKeys(s *KeysSettings, ids *OpenIDs) *Keys {
-	return &Keys{set: s, ids: ids, jobs: map[string]*watched{}}
+// retired is a job that has ended and is forgotten at a time.
+type retired struct {
+	job *watched
+	at  time.Time
+}
+
+type byAge []retired
+
+func (o byAge) Len() int           { return len(o) }
+func (o byAge) Less(i, j int) bool { return o[i].at.Before(o[j].at) }
+func (o byAge) Swap(i, j int)      { o[i], o[j] = o[j], o[i] }
+func (o *byAge) Push(x any)        { *o = append(*o, x.(retired)) }
+func (o *byAge) Pop() any {
+	last := (*o)[len(*o)-1]
+	(*o)[len(*o)-1] = retired{}
+	*o = (*o)[:len(*o)-1]
+	return last
+}
+
+// forgetEvery is how much longer than its window a job may be remembered: a timer for each would cost more than the job.
+const forgetEvery = 100 * time.Millisecond
+
+// retire has a job forgotten behind its window, unless its key has a newer one by then.
+func (k *Keys) retire(j *watched, window time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	heap.Push((*byAge)(&k.old), retired{j, time.Now().Add(window)})
+	if k.look == nil {
+		k.look = time.AfterFunc(window, k.sweep)
+	}
+}
+
+// sweep forgets what is due.
+func (k *Keys) sweep() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := time.Now()
+	for len(k.old) > 0 && !k.old[0].at.After(now) {
+		k.drop(heap.Pop((*byAge)(&k.old)).(retired).job)
+	}
+	k.look = nil
+	if len(k.old) > 0 {
+		k.look = time.AfterFunc(max(k.old[0].at.Sub(now), forgetEvery), k.sweep)
+	}
+}
+
+// NewKeys makes the table. streams tells that there is a front that streams jobs' events.
+func NewKeys(s *KeysSettings, ids *OpenIDs, streams bool) *Keys {
+	return &Keys{set: s, ids: ids, streams: streams, jobs: map[string]*watched{}}
 }
 
 // errUnknown: the job is known to another dispatcher, or was to this one before a restart. It may run or have run
@@ -135,8 +185,13 @@
 		}
 		defer f.ids.free(job.ID)
 	}
-	late := time.NewTimer(time.Until(job.Deadline) + job.Rules.AnswerSlack)
-	defer late.Stop()
+	// Only one that joined may have a deadline before the job's: the core answers all others in time.
+	var late <-chan time.Time
+	if !fresh {
+		timer := time.NewTimer(time.Until(job.Deadline))
+		defer timer.Stop()
+		late = timer.C
+	}
 	for {
 		_, final, changed, _ := j.after(0)
 		if final != nil {
@@ -148,10 +203,7 @@
 		case <-r.Context().Done():
 			f.abandon(j)
 			return
-		case <-late.C: // only of one that joined a job of a later deadline: the core answers all others in time
-			if fresh {
-				continue
-			}
+		case <-late:
 			f.abandon(j)
 			f.write(w, r, routing.Answer{Verdict: routing.Failed, Expired: true})
 			return
@@ -159,10 +211,15 @@
 	}
 }
 
-// forget drops a job whose window has passed, unless its key has a newer one.
+// forget drops a job that was given up.
 func (k *Keys) forget(j *watched) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.drop(j)
+}
+
+// drop forgets a job; k.mu is held.
+func (k *Keys) drop(j *watched) {
 	if k.jobs[j.key] == j {
 		delete(k.jobs, j.key)
 	}
--- a/internal/transport/relay.go
+++ b/internal/transport/relay.go
@@ -141,12 +141,13 @@
 		size += int64(len(ev.Data)) + eventCost
 	}
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	if f.jobs[r.Key] != nil || len(f.jobs) >= f.set.Jobs || f.bytes.Load()+size > int64(f.set.KeepMB)<<20 {
+		f.mu.Unlock()
 		return
 	}
 	j.bytes.Store(size)
 	f.bytes.Add(size)
 	f.jobs[r.Key] = j
-	time.AfterFunc(left, func() { f.forget(j) })
+	f.mu.Unlock()
+	f.retire(j, left)
 }
--- a/internal/transport/watched.go
+++ b/internal/transport/watched.go
@@ -68,6 +68,12 @@
 
 // add appends an event; j.mu is held.
 func (j *watched) add(name string, retry time.Duration, data any) {
+	if !j.keys.streams {
+		if j.final != nil {
+			close(j.changed)
+		}
+		return
+	}
 	text, err := json.Marshal(data)
 	if err != nil { // of plain values: cannot be
 		text = []byte("{}")
@@ -116,7 +122,13 @@
 	j.keys.hand(j)
 }
 
+// end gives the job its answer.
 func (j *watched) end(a routing.Answer) {
+	j.conclude(a)
+	j.keys.retire(j, j.window)
+}
+
+func (j *watched) conclude(a routing.Answer) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.final = &a
@@ -136,5 +148,4 @@
 		}
 		j.add("failed", 0, news{ID: j.id, Reason: reason})
 	}
-	time.AfterFunc(j.window, func() { j.keys.forget(j) })
 }
