The bench of both ports can name the binaries that it compares

Need: compared with the binary before, the tests' own binary is another build. Change: BRASSDALE_BINARY.

--- a/cmd/brassdale/ports_bench_test.go
+++ b/cmd/brassdale/ports_bench_test.go
@@ -240,12 +240,14 @@
 	return x[len(x)/2]
 }
 
-// BenchmarkPorts compares the ports of one program, and with BRASSDALE_BASE the platform's port of another binary:
+// BenchmarkPorts compares the ports of one program, and with BRASSDALE_BASE the platform's port of another binary
+// (then BRASSDALE_BINARY should name this one):
 // jobs that endpoints answer at once, on one core of the dispatcher's.
 func BenchmarkPorts(b *testing.B) {
 	debug.SetGCPercent(400) // of the load's own
 	boxes := benchBoxes(b)
-	with, without := benchNode(b, os.Args[0], http2Block+"keys {\n  jobs = 200000\n}\n", boxes), benchNode(b, os.Args[0], "", boxes)
+	binary := os.Getenv("BRASSDALE_BINARY") // as it is built for service; else the tests' own
+	with, without := benchNode(b, binary, http2Block+"keys {\n  jobs = 200000\n}\n", boxes), benchNode(b, binary, "", boxes)
 	names := []string{"HTTP/1.1, no operator's file", "HTTP/1.1", "HTTP/2, 1 connection", "HTTP/2, 4 connections"}
 	loads := []func(time.Time) *round{
 		func(u time.Time) *round { return over1(b, without.inbound, u) },
@@ -277,7 +279,7 @@
 func BenchmarkStreams(b *testing.B) {
 	release := make(chan struct{})
 	boxes := benchBoxesThat(b, 250, func(x *box, c net.Conn, r *http.Request) { <-release; quick(x, c, r) })
-	n := benchNode(b, os.Args[0], "front \"http2\" {\n  listen = \"127.0.0.1:0\"\n  streams = 250\n}\n", boxes)
+	n := benchNode(b, "", "front \"http2\" {\n  listen = \"127.0.0.1:0\"\n  streams = 250\n}\n", boxes)
 	before := n.resident()
 	until := time.Now().Add(2 * time.Second)
 	var wait sync.WaitGroup
