--- a/cmd/brassdale/http2_test.go
+++ b/cmd/brassdale/http2_test.go
@@ -507,3 +507,64 @@
 	stop()
 	clients.Wait()
 }
+
+// A drain that is told while streams wait for room: none of them goes to that endpoint, and all are answered.
+func TestHTTP2Drain(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	holds := func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) }
+	a, other := newBox(t, "a", holds), newBox(t, "b", holds)
+	n := start(t, http2Block, a, other)
+	p := n.wire()
+	for i := range uint32(40) {
+		p.job(2*i+1, fmt.Sprint("drain-", i))
+	}
+	jobs := func(b *box) int { _, jobs := b.count(); return jobs }
+	n.waitFor("jobs at both", func() bool { return jobs(a) > 0 && jobs(other) > 0 })
+	n.registry.set(func() { a.phase = "leaving" })
+	n.waitFor("the news", func() bool { return strings.Count(n.log(), "destination set") >= 1 })
+	n.waitFor("the end of the grace", func() bool { return time.Since(n.told()) > 500*time.Millisecond })
+	had := jobs(a)
+	close(release)
+	n.waitFor("all answers", func() bool { return n.figure("concurrent") == 0 && n.figure("front.http2.streams") == 0 })
+	if now := jobs(a); now != had {
+		t.Errorf("%d jobs reached the draining endpoint", now-had)
+	}
+	n.waitFor("a head for each", func() bool {
+		for i := range 40 {
+			if !p.got(fmt.Sprint("HEADERS ", 2*i+1, " ")) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// told is when the program last logged news of the destination set.
+func (n *node) told() time.Time {
+	text := n.log()
+	at := strings.LastIndex(text, "msg=\"destination set\"")
+	text = text[:at]
+	text = text[strings.LastIndex(text, "time=")+len("time="):]
+	when, _, _ := strings.Cut(text, " ")
+	return must(time.Parse(time.RFC3339Nano, when))
+}
+
+// A class that is dropped at SIGHUP while streams of it are open: they end by the rules that they began with, and new
+// ones are answered 404 on the same connection.
+func TestHTTP2ClassDropped(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	n := start(t, http2Block, b)
+	p := n.wire()
+	p.job(1, "open")
+	n.waitFor("the job", func() bool { return b.ran("open") == 1 })
+	n.reload(strings.Replace(n.config, `"name":"price-part"`, `"name":"price-all"`, 1))
+	n.waitFor("the reload", func() bool { return n.figure("reload_success") == 1 })
+	p.job(3, "dropped")
+	p.job(5, "new", ":path", "/price-all", "req-kind", "price-all")
+	n.waitFor("404", func() bool { return p.got("HEADERS 3 404") })
+	close(release)
+	n.waitFor("both answers", func() bool { return p.got("HEADERS 1 200") && p.got("HEADERS 5 200") })
+}
--- /dev/null
+++ b/cmd/brassdale/mixed_bench_test.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// arrival is a job of a recorded stretch of traffic.
+type arrival struct {
+	at      time.Duration
+	account string
+}
+
+// customers have their shares of the works; the first sends five times its own.
+var customers = []struct {
+	name  string
+	share float64
+}{{"deeside-aero", 0.23}, {"gwent-pumps", 0.19}, {"taff-marine", 0.18}, {"cwm-trailers", 0.18}, {"bryn-fixtures", 0.14}, {"ogwen-tools", 0.08}}
+
+// recorded is traffic of 400 jobs/s at the shares, and the greedy account's surplus.
+func recorded(span time.Duration) (trace []arrival) {
+	random := rand.New(rand.NewPCG(7, 7))
+	for i, c := range customers {
+		rate := 400 * c.share
+		if i == 0 {
+			rate *= 5
+		}
+		for at := time.Duration(0); at < span; {
+			at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
+			trace = append(trace, arrival{at, c.name})
+		}
+	}
+	slices.SortFunc(trace, func(a, b arrival) int { return int(a.at - b.at) })
+	return trace
+}
+
+const goodWithin = 400 * time.Millisecond
+
+// play hands the traffic in, each job at its time whatever became of those before, and gives the parts of each account's
+// jobs, and of all, that were served in time.
+func play(trace []arrival, send func(i int, account string) int) map[string]float64 {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	asked, good := map[string]float64{}, map[string]float64{}
+	begin := time.Now()
+	for i, a := range trace {
+		time.Sleep(time.Until(begin.Add(a.at)))
+		wait.Go(func() {
+			status := send(i, a.account)
+			mu.Lock()
+			defer mu.Unlock()
+			for _, of := range []string{a.account, "all"} {
+				asked[of]++
+				if status == 200 && time.Since(begin) < a.at+goodWithin {
+					good[of]++
+				}
+			}
+		})
+	}
+	wait.Wait()
+	for of := range asked {
+		good[of] /= asked[of]
+	}
+	return good
+}
+
+// BenchmarkMixed plays the same traffic over HTTP/1.1, over HTTP/2 and half and half, in turns: 12 endpoints of 5 slots
+// and 100 ms a job can do 600 jobs/s of the 770 that come, and what is too much is one account's.
+func BenchmarkMixed(b *testing.B) {
+	slots := sync.Map{}
+	boxes := benchBoxesThat(b, 12, func(x *box, c net.Conn, r *http.Request) {
+		free, _ := slots.LoadOrStore(x, make(chan struct{}, 5))
+		free.(chan struct{}) <- struct{}{}
+		time.Sleep(100 * time.Millisecond)
+		<-free.(chan struct{})
+		quick(x, c, r)
+	})
+	operator := "front \"http2\" {\n  listen = \"127.0.0.1:0\"\n}\naccounts {\n  room = 90\n"
+	for _, c := range customers {
+		operator += fmt.Sprintf("  account %q { share = %v }\n", c.name, c.share)
+	}
+	n := benchNode(b, "", operator+"}\n", boxes)
+	transport := &http.Transport{Protocols: &http.Protocols{}}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	clients := []*http.Client{{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}, {Transport: transport}}
+	urls := []string{"http://" + n.inbound, "http://" + n.http2}
+	trace := recorded(4 * time.Second)
+	modes := []string{"HTTP/1.1", "HTTP/2", "half and half"}
+	parts := map[string][][]float64{} // by account, by mode, a figure for each round
+	for round := range 6 {
+		for mode := range modes {
+			good := play(trace, func(i int, account string) int {
+				port := mode
+				if mode == 2 {
+					port = i % 2
+				}
+				status, _, _ := ask(clients[port], request(urls[port], fmt.Sprint("mixed-", round, mode, "-", i), "Req-Owner", account))
+				return status
+			})
+			if round == 0 { // connections and the module's knowledge are new
+				continue
+			}
+			for of, part := range good {
+				if parts[of] == nil {
+					parts[of] = make([][]float64, len(modes))
+				}
+				parts[of][mode] = append(parts[of][mode], part)
+			}
+		}
+	}
+	for _, of := range []string{"all", "deeside-aero", "gwent-pumps", "taff-marine", "cwm-trailers", "bryn-fixtures", "ogwen-tools"} {
+		text := fmt.Sprintf("%-14s", of)
+		for mode, name := range modes {
+			x := parts[of][mode]
+			text += fmt.Sprintf("  %s %.3f (%.3f to %.3f)", name, median(x), slices.Min(x), slices.Max(x))
+		}
+		b.Log(text)
+	}
+}
--- /dev/null
+++ b/internal/layers_test.go
@@ -0,0 +1,107 @@
+package internal
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// imports gives what the files of a folder import, tests left out, and the calls of package time in them.
+func imports(t *testing.T, dir string) (paths, calls []string) {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join(dir, "*.go"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") {
+			continue
+		}
+		file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, spec := range file.Imports {
+			path, _ := strconv.Unquote(spec.Path.Value)
+			paths = append(paths, path)
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			switch n := n.(type) {
+			case *ast.GoStmt:
+				calls = append(calls, "go")
+			case *ast.SelectorExpr:
+				if x, ok := n.X.(*ast.Ident); ok && x.Name == "time" {
+					calls = append(calls, "time."+n.Sel.Name)
+				}
+			}
+			return true
+		})
+	}
+	return paths, calls
+}
+
+// pure is all that a module that decides may import, beside others of its kind.
+var pure = []string{"bytes", "cmp", "container/heap", "container/list", "encoding/binary", "errors", "fmt", "hash/fnv", "iter", "maps",
+	"math", "math/bits", "math/rand", "math/rand/v2", "slices", "sort", "strconv", "strings", "time", "github.com/cespare/xxhash/v2"}
+
+// clocks are what a module that decides may not ask of package time.
+var clocks = []string{"time.Now", "time.Since", "time.Until", "time.After", "time.AfterFunc", "time.NewTimer", "time.NewTicker", "time.Sleep", "time.Tick", "go"}
+
+func TestDecisionsArePure(t *testing.T) {
+	dirs := []string{"../brain"}
+	_ = filepath.WalkDir("decisions", func(path string, d fs.DirEntry, err error) error {
+		if err == nil && d.IsDir() && d.Name() != "testdata" {
+			dirs = append(dirs, path)
+		}
+		return err
+	})
+	for _, dir := range dirs {
+		paths, calls := imports(t, dir)
+		for _, path := range paths {
+			if !slices.Contains(pure, path) && path != "brassdale/brain" && !strings.HasPrefix(path, "brassdale/internal/decisions/") {
+				t.Errorf("%s imports %s", dir, path)
+			}
+		}
+		for _, call := range calls {
+			if slices.Contains(clocks, call) {
+				t.Errorf("%s uses %s", dir, call)
+			}
+		}
+	}
+}
+
+// The core knows no wire, and what is below knows nothing of what is above.
+func TestLayers(t *testing.T) {
+	own := func(paths []string) (own []string) {
+		for _, path := range paths {
+			if strings.HasPrefix(path, "brassdale/") {
+				own = append(own, strings.TrimPrefix(path, "brassdale/"))
+			}
+		}
+		return own
+	}
+	above := map[string][]string{ // by folder, what it may import of the project
+		"routing":         {"brain", "internal/decisions/"},
+		"protocol":        {"brain", "internal/routing"},
+		"transport":       {"brain", "internal/routing", "internal/protocol", "internal/decisions/"},
+		"transport/http2": {"brain", "internal/routing", "internal/protocol", "internal/decisions/", "internal/transport"},
+		"operator":        {"internal/protocol", "internal/transport"},
+	}
+	for dir, may := range above {
+		paths, _ := imports(t, dir)
+		for _, path := range own(paths) {
+			if !slices.ContainsFunc(may, func(prefix string) bool { return strings.HasPrefix(path, prefix) }) {
+				t.Errorf("%s imports %s", dir, path)
+			}
+		}
+	}
+	if paths, _ := imports(t, "routing"); slices.Contains(paths, "net") || slices.Contains(paths, "net/http") {
+		t.Error("the core knows a wire")
+	}
+}
--- /dev/null
+++ b/internal/protocol/inbound_test.go
@@ -0,0 +1,55 @@
+package protocol
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"brassdale/brain"
+)
+
+// FuzzDecodeInbound feeds whole requests as they come: each is a job with a deadline within its class's and a body within
+// the bound, whose words can be passed on, or is turned away with a status of a client's fault.
+func FuzzDecodeInbound(f *testing.F) {
+	head := "POST /price-part?sheet=7 HTTP/1.1\r\nHost: h\r\nReq-Id: a\r\nIdempotency-Key: k\r\n"
+	f.Add([]byte(head + "Req-Deadline-Ms: 300\r\nReq-Kind: price-part\r\nReq-Owner: o\r\nReq-Extra: slots=2,memory=1.5\r\nCookie: user=7\r\nContent-Length: 3\r\n\r\nabc"))
+	f.Add([]byte(head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"))
+	f.Add([]byte(head + "Req-Id: b\r\n\r\n"))
+	f.Add([]byte(head + "Req-Deadline-Ms: 99999999999999999999\r\n\r\n"))
+	f.Add([]byte("GET /none HTTP/1.1\r\nHost: h\r\n\r\n"))
+	p := &Params{}
+	if err := json.Unmarshal([]byte(`{"classes":[{"name":"price-part","effect":"keyed","deadline":5000000}],"limits":{"maxAttempts":4}}`), p); err != nil {
+		f.Fatal(err)
+	}
+	(&Live{}).Put(p, func(brain.Settings) {})
+	now := time.Unix(1e9, 0)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(text)))
+		if err != nil {
+			return
+		}
+		job, err := DecodeInbound(r, p, now)
+		if err != nil {
+			why := (*Reject)(nil)
+			if !errors.As(err, &why) || why.Status < 400 || why.Status > 499 {
+				t.Fatalf("turned away with %v", err)
+			}
+			return
+		}
+		if job.Deadline.Before(now) || job.Deadline.After(now.Add(5*time.Second)) || len(job.Body) > MaxBody || job.ID == "" || job.Slots <= 0 {
+			t.Fatalf("%+v", job)
+		}
+		again, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(job.Encode("endpoint:1", now))))
+		if err != nil {
+			t.Fatalf("cannot be passed on: %v", err)
+		}
+		if again.Header.Get("Req-Id") != strings.TrimSpace(job.ID) || again.RequestURI != job.Target || again.ContentLength != int64(len(job.Body)) {
+			t.Fatalf("passed on as %v", again)
+		}
+	})
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -38,6 +38,7 @@
 type Inbound struct {
 	Class     int
 	ClassName string // for the figures
+	Name      string // for the log: how its client calls it
 	Slots     float64
 	Rules     Rules
 	Key       uint64 // what the job needs at an endpoint: jobs of one key belong together; 0 when not told
@@ -352,7 +353,7 @@
 // request here that would else stay open for ever.
 func (c *Core) overdue(id brain.RequestID) {
 	if r := c.requests[id]; r != nil && !r.answered {
-		c.log.Error("request overdue: failed by the core", "request", id)
+		c.log.Error("request overdue: failed by the core", "request", id, "id", r.Name)
 		c.answer(r, Answer{Verdict: Failed})
 		c.feed(brain.Left{ID: id})
 		c.forget(id, r)
