--- a/brain/api.go
+++ b/brain/api.go
@@ -103,6 +103,7 @@
 	Kind   int
 	Weight float64
 	Since  Clock // when it last started; 0 for long ago
+	Sure   bool  // Since holds also where it is earlier than what was told before
 }
 
 // Listed brings news of the workers.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -192,7 +192,7 @@
 		} else if in.Since > w.Since { // restarted
 			d.anew(w)
 		}
-		in.Since = max(in.Since, w.Since) // an older list does not make it older
+		in.Since = w.since(in) // an older list does not make it older
 		w.WorkerInfo = in
 		w.listed = in.State == Ready
 	}
--- a/brain/state.go
+++ b/brain/state.go
@@ -136,6 +136,7 @@
 type WorkerExperience struct {
 	Since                         Clock
 	Total, Increment, Lag, JobsOf float64
+	Heard                         Clock // the last sign of life
 }
 
 // Experience gives what was learned so far.
@@ -146,7 +147,7 @@
 	}
 	for _, w := range d.workers {
 		if w.State != Gone {
-			e.Workers[w.ID] = WorkerExperience{w.Since, w.total, w.increment, w.lag, w.jobs}
+			e.Workers[w.ID] = WorkerExperience{w.Since, w.total, w.increment, w.lag, w.jobs, w.heard}
 		}
 	}
 	return e
@@ -154,7 +155,9 @@
 
 // adopt begins with what another has learned, of the workers that are listed and have not started anew since.
 func (d *Dispatcher) adopt(e Experience) {
-	d.allow, d.stay, d.mean = e.Allow, e.Stay, e.Mean
+	if len(e.Classes) > 0 { // else it tells of workers alone
+		d.allow, d.stay, d.mean = e.Allow, e.Stay, e.Mean
+	}
 	for i, c := range e.Classes {
 		if i < len(d.classes) {
 			d.classes[i] = classState{scale: c.Scale, usual: c.Usual, jobs: c.Jobs}
@@ -263,6 +266,15 @@
 	w.health, w.classes = health{}, make([]health, len(d.classes))
 }
 
+// since gives when a worker started, by what a list says: the latest start that was told, unless this list is sure and
+// operators have not put the worker back since.
+func (w *worker) since(in WorkerInfo) Clock {
+	if in.Sure && !w.back {
+		return in.Since
+	}
+	return max(in.Since, w.Since)
+}
+
 // Knows tells whether the list ever named the worker, or it is out by hand.
 func (d *Dispatcher) Knows(id WorkerID) bool { return d.byID[id] != nil || d.out[id] }
 
--- a/cmd/brassdale/mixed_bench_test.go
+++ b/cmd/brassdale/mixed_bench_test.go
@@ -1,10 +1,12 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -40,6 +42,14 @@
 	return trace
 }
 
+// gone tells whether the other side has closed a connection on which nothing is to come.
+func gone(c net.Conn) bool {
+	_ = c.SetReadDeadline(time.Now().Add(50 * time.Microsecond))
+	defer c.SetReadDeadline(time.Time{})
+	_, err := c.Read(make([]byte, 1))
+	return !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 const goodWithin = 400 * time.Millisecond
 
 // play hands the traffic in, each job at its time whatever became of those before, and gives the parts of each account's
@@ -77,8 +87,11 @@
 	boxes := benchBoxesThat(b, 12, func(x *box, c net.Conn, r *http.Request) {
 		free, _ := slots.LoadOrStore(x, make(chan struct{}, 5))
 		free.(chan struct{}) <- struct{}{}
+		defer func() { <-free.(chan struct{}) }()
+		if gone(c) { // a copy was called off while it waited: boxes drop those
+			return
+		}
 		time.Sleep(100 * time.Millisecond)
-		<-free.(chan struct{})
 		quick(x, c, r)
 	})
 	operator := "front \"http2\" {\n  listen = \"127.0.0.1:0\"\n}\naccounts {\n  room = 90\n"
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -18,6 +18,7 @@
 	"github.com/hashicorp/hcl/v2/hclwrite"
 
 	"brassdale/internal/protocol"
+	"brassdale/internal/savedlist"
 	"brassdale/internal/transport"
 	"brassdale/internal/transport/http2"
 )
@@ -31,6 +32,7 @@
 	Progress *transport.ProgressSettings
 	Keys     *transport.KeysSettings
 	Accounts *transport.SharesSettings
+	Saved    *savedlist.Settings
 }
 
 // Keyed gives the settings of the table of keys; nil where there is none. Fronts beside the platform's need it: a key
@@ -63,6 +65,7 @@
 	{"front", "progress", readProgress, func(f *File) any { return orNil(f.Progress) }},
 	{"keys", "", readKeys, func(f *File) any { return orNil(f.Keyed()) }},
 	{"accounts", "", readAccounts, func(f *File) any { return orNil(f.Accounts) }},
+	{"saved_list", "", readSaved, func(f *File) any { return orNil(f.Saved) }},
 }
 
 // orNil keeps a nil pointer from becoming an interface that holds one.
@@ -186,6 +189,28 @@
 	f.Accounts = &s
 }
 
+func readSaved(f *File, r *reader) {
+	s := savedlist.Default()
+	if !r.decode(&s) {
+		return
+	}
+	if s.Directory == "" {
+		r.bad("directory", "It must name a folder.")
+	} else if !filepath.IsAbs(s.Directory) {
+		s.Directory = filepath.Join(r.dir, s.Directory)
+	}
+	if err := savedlist.CheckFolder(s.Directory); err != nil {
+		r.bad("directory", "%v.", err)
+	}
+	if oldest, err := s.OldestAge(); err != nil || oldest <= 0 {
+		r.bad("oldest", `%q is no duration above 0, such as "72h".`, s.Oldest)
+	}
+	if !(s.Shrink >= 0 && s.Shrink <= 1) {
+		r.bad("shrink", "It must be between 0 and 1.")
+	}
+	f.Saved = &s
+}
+
 func readProgress(f *File, r *reader) {
 	s := transport.DefaultProgress()
 	if !r.decode(&s) {
--- a/internal/program/detached.go
+++ b/internal/program/detached.go
@@ -18,6 +18,8 @@
 
 	mu  sync.Mutex
 	ids []string
+
+	none bool // there was no file
 }
 
 type detachedFile struct {
@@ -29,6 +31,7 @@
 func (f *detached) load() error {
 	text, err := os.ReadFile(f.path)
 	if errors.Is(err, os.ErrNotExist) {
+		f.none = true
 		return nil
 	}
 	if err != nil {
--- a/internal/program/operations.go
+++ b/internal/program/operations.go
@@ -28,6 +28,9 @@
 	if o.d.http2 != nil {
 		figures += o.d.http2.Figures()
 	}
+	if o.d.saved != nil {
+		figures += o.d.saved.figures()
+	}
 	return figures
 }
 
@@ -73,5 +76,8 @@
 		return err
 	}
 	o.d.core.Put(brain.WorkerID(id), out)
+	if o.d.saved != nil {
+		o.d.saved.keeper.Out(o.file.list())
+	}
 	return nil
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -47,6 +47,7 @@
 	fronts     []*front
 	progress   *transport.Progress // nil where that front is off
 	http2      *http2.Front        // the same
+	saved      *saved              // nil where no list is kept
 	relayed    *http.Server        // takes readers that the other process relays
 	relay      string              // at this path; empty while nobody can
 	reloader   *reloader
@@ -108,6 +109,9 @@
 	} else if err := d.operations.file.load(); err != nil {
 		log.Warn("workers that were out by hand are not known", "err", err)
 	}
+	if d.saved != nil && d.saved.loaded != nil && pred == nil && d.operations.file.none { // $TMPDIR does not outlast the machine
+		d.operations.file.take(d.saved.loaded.Out)
+	}
 	d.putOut(d.operations.file.list())
 	d.takeRelayed()
 	if pred != nil {
@@ -130,6 +134,9 @@
 		go func() { failed <- f.server.Serve(f.listener) }()
 		log.Info("listening", "front", f.name, "address", f.gate.Addr().String())
 	}
+	if d.saved != nil {
+		d.saved.keep(ctx)
+	}
 	go d.core.Run(ctx)
 	go d.set.Run(ctx)
 	d.serving.Store(true)
@@ -154,25 +161,44 @@
 
 // build makes all parts, none of which runs yet.
 func (d *dispatcher) build(env func(string) string, options Options, cfg *protocol.Config, op *operator.File, pred *predecessor) error {
-	p, log := d.params, d.log
+	p, log, clock := d.params, d.log, routing.NewClock()
 	p.Put(&cfg.Settings, func(s brain.Settings) {
-		d.core = routing.NewCore(brain.New(s, cfg.SeedNumber()), routing.NewClock(), log)
+		d.core = routing.NewCore(brain.New(s, cfg.SeedNumber()), clock, log)
 	})
 	d.register(&cfg.Settings)
 	d.fleet = transport.NewFleet(d.ctx, p, d.core, log)
-	saved := routing.Update{}
+	known, source := routing.Update{}, routing.Source{Name: "none"}
 	if cfg.Known != nil {
-		saved = transport.Update(cfg.Known, p.Now())
+		known, source.Name = transport.Update(cfg.Known, p.Now()), "known"
+	}
+	if op.Saved != nil {
+		d.saved = d.openSaved(op.Saved, cfg.Name, p.Now())
 	}
-	if pred != nil { // it knows the list as of now
+	var from *routing.FromSaved
+	if pred != nil && !pred.handover.Unsure { // it knows the list as of now
 		if u, err := pred.handover.Update(cfg.Discovery, p.Now()); err == nil {
-			saved = u
+			known, source = u, routing.Source{Name: "predecessor", Told: time.Now()}
 		} else {
 			log.Warn("the predecessor's list is of no use", "err", err)
 		}
+	} else if d.saved != nil {
+		if from = d.saved.from(clock); from != nil && !from.Trust.Usable() {
+			age, _ := from.Trust.Age()
+			log.Warn("the saved list is too old to be used", "age", age)
+			from = nil
+		}
+	}
+	if from != nil {
+		known = routing.Update{}
 	}
 	discovery := transport.NewDiscovery(cfg.Discovery, p)
-	d.set = routing.NewDestinations(d.core, d.fleet, discovery, saved, log)
+	d.set = routing.NewDestinations(d.core, d.fleet, discovery, known, log)
+	d.set.SetSource(source)
+	if from != nil {
+		d.set.StartFrom(from)
+		age, ok := from.Trust.Age()
+		log.Info("starting from the saved list", "boxes", len(from.Destinations), "age", age, "age_known", ok)
+	}
 	d.core.Attach(d.fleet, d.set.Subscribe)
 	d.reloader = &reloader{d: d, env: env, discovery: discovery, cfg: cfg, path: options.Operator, op: op}
 
--- a/internal/program/replace.go
+++ b/internal/program/replace.go
@@ -157,7 +157,7 @@
 	if err != nil {
 		return false
 	}
-	h := &protocol.Handover{Discovery: d.reloader.address(), Revision: known.Revision, Relay: d.relay,
+	h := &protocol.Handover{Unsure: d.set.Source().Name == "saved", Discovery: d.reloader.address(), Revision: known.Revision, Relay: d.relay,
 		Experience: learned, Classes: d.params.ByName(learned),
 		Members: protocol.KnownMembers(known.Destinations, d.params.Now())}
 	var gates []*transport.Gate
--- /dev/null
+++ b/internal/program/saved.go
@@ -0,0 +1,119 @@
+package program
+
+import (
+	"context"
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/decisions/savedlist"
+	"brassdale/internal/protocol"
+	"brassdale/internal/routing"
+	store "brassdale/internal/savedlist"
+)
+
+// saved is the part of the program that keeps the list on disk and starts from it.
+type saved struct {
+	d      *dispatcher
+	rules  savedlist.Rules
+	store  *store.Store
+	loaded *store.Saved // nil where there is none
+	keeper *store.Keeper
+}
+
+// openSaved opens the folder. One that is of no use costs a line of the log and no more.
+func (d *dispatcher) openSaved(s *store.Settings, name string, p *protocol.Params) *saved {
+	oldest, _ := s.OldestAge() // was checked
+	sv := &saved{d: d, rules: savedlist.Rules{Oldest: oldest, Shrink: s.Shrink, Cold: p.Rules.Cold.Span(),
+		StartCapacity: p.Rules.StartCapacity, Probing: p.Limits.Probing}}
+	files, err := store.Folder(s.Directory, name)
+	if err != nil {
+		d.log.Warn("saved list cannot be kept, serving on without", "err", err)
+		return nil
+	}
+	sv.store = store.NewStore(files, name)
+	var notes []string
+	sv.loaded, notes = sv.store.Load()
+	for _, note := range notes {
+		d.log.Warn("saved list", "fault", note)
+	}
+	return sv
+}
+
+// from gives a start from what was loaded; nil where that is of no use.
+func (sv *saved) from(clock routing.Clock) *routing.FromSaved {
+	s := sv.loaded
+	if s == nil || len(s.Members) == 0 {
+		return nil
+	}
+	p := sv.d.params.Now()
+	out := map[string]bool{}
+	for _, id := range s.Out {
+		out[id] = true
+	}
+	f := &routing.FromSaved{Destinations: map[brain.WorkerID]routing.Destination{}, Learned: s.Experience(),
+		Pulled: p.LoadReport.Via == "pull"}
+	f.Learned.Classes = sv.d.params.Number(s.Classes)
+	for _, c := range f.Learned.Classes {
+		usual := math.NaN()
+		if c.Jobs > 0 {
+			usual = c.Usual
+		}
+		f.Usual = append(f.Usual, usual)
+	}
+	list := savedlist.List{Made: clock.At(s.Made()), Revision: s.Revision}
+	for i, d := range s.List().Destinations(p) {
+		f.Destinations[d.ID] = d
+		w := savedlist.Worker{ID: d.ID, State: d.State, Out: out[string(d.ID)], Since: d.Since}
+		if ms := s.Members[i].HeardMS; ms > 0 {
+			w.Heard = time.Duration(ms) * time.Millisecond
+		}
+		list.Workers = append(list.Workers, w)
+	}
+	f.Trust = savedlist.New(clock.Now(), list, sv.rules)
+	return f
+}
+
+// keep has the list kept from now on.
+func (sv *saved) keep(ctx context.Context) {
+	sv.keeper = store.NewKeeper(sv.store, sv.loaded, sv, sv.d.reloader.address, sv.d.params.Now, sv.d.log)
+	sv.d.set.Keep(sv.keeper)
+	go sv.keeper.Run(ctx)
+}
+
+// Experience gives what the module has learned.
+func (sv *saved) Experience(ctx context.Context) (brain.Experience, map[string]brain.ClassExperience, error) {
+	e, err := sv.d.core.Experience(ctx)
+	return e, sv.d.params.ByName(e), err
+}
+
+// figures are those of the list, a line each.
+func (sv *saved) figures() string {
+	src := sv.d.set.Source()
+	var b strings.Builder
+	fmt.Fprintf(&b, "list_source=%s\n", src.Name)
+	if !src.Told.IsZero() {
+		fmt.Fprintf(&b, "list_age_s=%d\n", int(time.Since(src.Told).Seconds()))
+	}
+	if src.Name == "saved" {
+		fmt.Fprintf(&b, "list_doubted=%d\n", oneIf(src.Doubting))
+		for stage, name := range []string{"unheard", "foreign", "absent", "heard", "proven", "barred"} {
+			fmt.Fprintf(&b, "boxes_%s=%d\n", name, src.Stages[stage])
+		}
+	}
+	k := sv.keeper.State()
+	fmt.Fprintf(&b, "saved_snapshots=%d\nsaved_records=%d\nsaved_faults=%d\n", k.Snapshots, k.Records, k.Faults)
+	if !k.Last.IsZero() {
+		fmt.Fprintf(&b, "saved_age_s=%d\n", int(time.Since(k.Last).Seconds()))
+	}
+	return b.String()
+}
+
+func oneIf(is bool) int {
+	if is {
+		return 1
+	}
+	return 0
+}
--- a/internal/protocol/config.go
+++ b/internal/protocol/config.go
@@ -98,7 +98,7 @@
 		names[class.Name] = true
 	}
 	if c.Known != nil {
-		if err := c.Known.check(); err != nil {
+		if err := c.Known.Check(); err != nil {
 			return bad("known", err.Error())
 		}
 	}
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -29,7 +29,10 @@
 	UpSinceMS int64   `json:"up_since_ms"`
 }
 
-var phases = map[string]brain.WorkerState{"active": brain.Ready, "leaving": brain.Draining, "left": brain.Gone}
+// Left is the phase of a member that is gone.
+const Left = "left"
+
+var phases = map[string]brain.WorkerState{"active": brain.Ready, "leaving": brain.Draining, Left: brain.Gone}
 
 // ParseList decodes an answer of discovery.
 func ParseList(text []byte) (*List, error) {
@@ -37,11 +40,11 @@
 	if err := json.Unmarshal(text, l); err != nil {
 		return nil, err
 	}
-	return l, l.check()
+	return l, l.Check()
 }
 
-// check refuses a list as a whole: of one that is half understood nobody could say what was told.
-func (l *List) check() error {
+// Check refuses a list as a whole: of one that is half understood nobody could say what was told.
+func (l *List) Check() error {
 	for i, m := range l.Members {
 		if _, ok := phases[m.Phase]; !ok {
 			return fmt.Errorf("members[%d].phase: unknown %q", i, m.Phase)
--- a/internal/protocol/succession.go
+++ b/internal/protocol/succession.go
@@ -57,6 +57,7 @@
 	Members   []Known  `json:"members"`
 	Out       []string `json:"out"` // workers that are out by hand
 	Relay     string   `json:"relay,omitempty"`
+	Unsure    bool     `json:"unsure,omitempty"` // the list is saved, and nobody told a newer one
 
 	Experience brain.Experience                 `json:"experience"` // classes are by name, beside it
 	Classes    map[string]brain.ClassExperience `json:"classes"`
@@ -70,6 +71,14 @@
 
 // KnownMembers gives destinations in the words of discovery, whose numbers of zones and kinds are each process's own.
 func KnownMembers(ds []routing.Destination, p *Params) (known []Known) {
+	for i, m := range Members(ds, p) {
+		known = append(known, Known{Member: m, Told: ds[i].Told})
+	}
+	return known
+}
+
+// Members gives destinations in the words of discovery.
+func Members(ds []routing.Destination, p *Params) (members []Member) {
 	name := func(names []string, i int) string {
 		if i < 0 || i >= len(names) {
 			return ""
@@ -77,16 +86,16 @@
 		return names[i]
 	}
 	for _, d := range ds {
-		k := Known{Told: d.Told, Member: Member{ID: string(d.ID), HostPort: d.Address, Cell: d.Cell, Size: d.Weight,
-			Locality: name(p.Zones, d.Zone), Flavor: name(p.Flavors, d.Kind), UpSinceMS: d.Since.Milliseconds()}}
+		m := Member{ID: string(d.ID), HostPort: d.Address, Cell: d.Cell, Size: d.Weight,
+			Locality: name(p.Zones, d.Zone), Flavor: name(p.Flavors, d.Kind), UpSinceMS: d.Since.Milliseconds()}
 		for phase, state := range phases {
 			if state == d.State {
-				k.Phase = phase
+				m.Phase = phase
 			}
 		}
-		known = append(known, k)
+		members = append(members, m)
 	}
-	return known
+	return members
 }
 
 // Update gives the predecessor's list in the core's terms. Its revision counts only where both ask the same discovery.
@@ -95,7 +104,7 @@
 	for _, k := range s.Members {
 		l.Members = append(l.Members, k.Member)
 	}
-	if err := l.check(); err != nil {
+	if err := l.Check(); err != nil {
 		return routing.Update{}, err
 	}
 	u := routing.Update{Revision: s.Revision, Complete: true, Destinations: l.Destinations(p)}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"cmp"
 	"container/heap"
 	"context"
 	"log/slog"
@@ -108,6 +109,7 @@
 	box       *Mailbox[any]
 	lastID    atomic.Uint64
 	ledger    Ledger
+	witness   atomic.Pointer[Witness]
 
 	// Owned by Run.
 	now      brain.Clock
@@ -125,8 +127,24 @@
 }
 
 type call struct {
-	endpoint brain.WorkerID
-	out      bool
+	endpoint    brain.WorkerID
+	out         bool
+	sent, began brain.Clock // began is 0 until its job has
+}
+
+// Witness hears what comes from endpoints, beside the module. No method blocks.
+type Witness interface {
+	Probed(id brain.WorkerID, o brain.Outcome, report bool)
+	Worked(id brain.WorkerID, class int, took time.Duration) // a job of the class was served
+}
+
+// Watch has a witness hear of endpoints from now on; nil for nobody.
+func (c *Core) Watch(w Witness) {
+	if w == nil {
+		c.witness.Store(nil)
+		return
+	}
+	c.witness.Store(&w)
 }
 
 // The messages of the module's actor, beside the module's own events Listed and Probed.
@@ -195,6 +213,9 @@
 
 // Probed answers a probe.
 func (c *Core) Probed(id brain.WorkerID, o brain.Outcome, r *brain.Report) {
+	if w := c.witness.Load(); w != nil {
+		(*w).Probed(id, o, r != nil)
+	}
 	c.box.Post(brain.Probed{Worker: id, Outcome: o, Report: r})
 }
 
@@ -292,6 +313,7 @@
 		}
 	case began:
 		if r, a := c.call(m.id); a != nil {
+			a.began = c.now
 			if !r.answered {
 				r.Client.Began(m.id.Attempt)
 			}
@@ -342,6 +364,9 @@
 	r.out--
 	r.timedOut = r.timedOut || end.Outcome == brain.TimedOut
 	if end.Outcome == brain.Served {
+		if w := c.witness.Load(); w != nil {
+			(*w).Worked(a.endpoint, r.Class, c.now-cmp.Or(a.began, a.sent))
+		}
 		c.answer(r, Answer{Verdict: Served, Result: end.Result})
 	}
 	c.feed(brain.Finished{ID: id.Request, Attempt: id.Attempt, Worker: a.endpoint, Outcome: end.Outcome,
@@ -422,7 +447,7 @@
 		return
 	}
 	id.Attempt = len(r.calls)
-	r.calls = append(r.calls, call{endpoint: a.Worker, out: true})
+	r.calls = append(r.calls, call{endpoint: a.Worker, out: true, sent: c.now})
 	r.out++
 	if r.answered || c.now >= r.expires || r.Rules.MaxAttempts > 0 && id.Attempt >= r.Rules.MaxAttempts {
 		c.Finished(id, End{Outcome: brain.NeverSent})
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -4,9 +4,11 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"brassdale/brain"
+	"brassdale/internal/decisions/savedlist"
 )
 
 // Update is an answer of discovery.
@@ -40,6 +42,9 @@
 	known      map[brain.WorkerID]Destination
 	subscribed bool // the module has asked once: it wants to know
 	watching   bool
+	start      *FromSaved // nil unless this process started from a saved list and nobody told a newer one
+	keeper     Keeper     // nil for none
+	source     atomic.Pointer[Source]
 	call       int                // number of the latest call; what an older one brings is void
 	stop       context.CancelFunc // ends that call
 }
@@ -82,11 +87,18 @@
 
 // Run is the actor's life.
 func (s *Destinations) Run(ctx context.Context) {
+	alarm := time.NewTimer(time.Hour)
+	defer alarm.Stop()
+	s.trust(func(now brain.Clock) []savedlist.Verdict { return s.start.Trust.Look(now) })
 	for {
+		if at, ok := s.due(); ok {
+			alarm.Reset(time.Until(s.core.clock.Time(at)))
+		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.box.Signal():
+		case <-alarm.C:
 		}
 		for _, m := range s.box.Take() {
 			switch m := m.(type) {
@@ -109,12 +121,16 @@
 					u.Destinations = append(u.Destinations, d)
 				}
 				m.answer <- u // has room
+			case sign:
+				s.heard(m)
 			case watched:
 				if m.call == s.call {
 					s.take(ctx, m)
 				}
 			}
 		}
+		s.trust(func(now brain.Clock) []savedlist.Verdict { return s.start.Trust.Look(now) })
+		s.expire()
 	}
 }
 
@@ -135,6 +151,9 @@
 }
 
 func (s *Destinations) take(ctx context.Context, m watched) {
+	if m.err == nil && s.start.foreign(m.update) {
+		m.err = errForeign
+	}
 	if m.err != nil {
 		if ctx.Err() == nil {
 			s.log.Warn("discovery failed, the old list holds", "revision", s.revision, "err", m.err)
@@ -148,7 +167,18 @@
 	if m.update.Complete {
 		kind = brain.ListFull
 	}
+	if again, doubted := s.judge(&m.update); doubted {
+		s.apply(m.update, brain.ListChange)
+		s.revision = Whole
+		s.watch(ctx, again)
+		return
+	}
 	s.apply(m.update, kind)
+	s.handOver()
+	if s.keeper != nil {
+		s.keeper.Listed(m.update)
+	}
+	s.source.Store(&Source{Name: "discovery", Told: time.Now()})
 	next := time.Now()
 	if !fresh {
 		next = next.Add(watchPause)
--- /dev/null
+++ b/internal/savedlist/format.go
@@ -0,0 +1,221 @@
+package savedlist
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"brassdale/brain"
+	"brassdale/internal/protocol"
+)
+
+// Version is the form of snapshots that are written. The one before it is read too: it was a list in discovery's words
+// and the time when it was made, with nothing learned.
+const Version = 2
+
+// Saved is a list as it was kept: the last whole snapshot and what its journal adds.
+type Saved struct {
+	Dispatcher string                           `json:"dispatcher"`
+	MadeMS     int64                            `json:"made_ms"` // Unix time at which it was last known to be true
+	Revision   int64                            `json:"revision"`
+	Discovery  string                           `json:"discovery"`
+	Members    []Member                         `json:"members"`
+	Out        []string                         `json:"out"`     // by hand
+	Classes    map[string]brain.ClassExperience `json:"classes"` // what was learned, by name
+	Allow      float64                          `json:"allow"`
+	Stay       float64                          `json:"stay"`
+	Mean       float64                          `json:"mean"`
+}
+
+// Member is a worker as it was known last.
+type Member struct {
+	protocol.Member
+	HeardMS int64                   `json:"heard_ms"` // Unix time of the last sign of life; 0 for none
+	Learned *brain.WorkerExperience `json:"learned,omitempty"`
+}
+
+// Made gives when the list was last known to be true.
+func (s *Saved) Made() time.Time { return time.UnixMilli(s.MadeMS) }
+
+// Experience gives what was learned, but for the classes, which are by name.
+func (s *Saved) Experience() brain.Experience {
+	e := brain.Experience{Allow: s.Allow, Stay: s.Stay, Mean: s.Mean, Workers: map[brain.WorkerID]brain.WorkerExperience{}}
+	for _, m := range s.Members {
+		if m.Learned != nil {
+			e.Workers[brain.WorkerID(m.ID)] = *m.Learned
+		}
+	}
+	return e
+}
+
+// List gives the members in discovery's words.
+func (s *Saved) List() *protocol.List {
+	l := &protocol.List{Revision: s.Revision, Complete: true}
+	for _, m := range s.Members {
+		l.Members = append(l.Members, m.Member)
+	}
+	return l
+}
+
+// A snapshot is a line of text that names form, length and checksum, and a JSON document. Length and sum cover the line's
+// version too, so that none of it can change unseen.
+const magic = "brassdale-saved-list"
+
+var errDamaged = errors.New("damaged")
+
+func encode(s *Saved) ([]byte, error) {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	return seal(Version, body), nil
+}
+
+func seal(version int, body []byte) []byte {
+	return append(fmt.Appendf(nil, "%s %d %d %016x\n", magic, version, len(body), sum(version, body)), body...)
+}
+
+func sum(version int, body []byte) uint64 {
+	h := xxhash.New()
+	h.WriteString(strconv.Itoa(version) + " " + strconv.Itoa(len(body)) + "\n")
+	h.Write(body)
+	return h.Sum64()
+}
+
+// decode reads a snapshot. One byte of it that is not as it was written makes it an error.
+func decode(text []byte) (*Saved, error) {
+	line, body, ok := bytes.Cut(text, []byte("\n"))
+	parts := strings.Split(string(line), " ")
+	if !ok || len(parts) != 4 || parts[0] != magic {
+		return nil, fmt.Errorf("%w: no snapshot", errDamaged)
+	}
+	version, err := strconv.Atoi(parts[1])
+	if err != nil {
+		return nil, fmt.Errorf("%w: version %q", errDamaged, parts[1])
+	}
+	if parts[1] != strconv.Itoa(version) || parts[2] != strconv.Itoa(len(body)) || parts[3] != fmt.Sprintf("%016x", sum(version, body)) {
+		return nil, fmt.Errorf("%w: length or checksum", errDamaged)
+	}
+	read, ok := versions[version]
+	if !ok {
+		return nil, fmt.Errorf("version %d is not known to this program", version)
+	}
+	s, err := read(body)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %v", errDamaged, err)
+	}
+	return s, s.check()
+}
+
+// versions read each form that there was.
+var versions = map[int]func([]byte) (*Saved, error){
+	1: func(body []byte) (*Saved, error) {
+		var old struct {
+			Dispatcher string        `json:"dispatcher"`
+			MadeMS     int64         `json:"made_ms"`
+			List       protocol.List `json:"list"`
+		}
+		if err := json.Unmarshal(body, &old); err != nil {
+			return nil, err
+		}
+		s := &Saved{Dispatcher: old.Dispatcher, MadeMS: old.MadeMS, Revision: old.List.Revision}
+		for _, m := range old.List.Members {
+			s.Members = append(s.Members, Member{Member: m})
+		}
+		return s, nil
+	},
+	2: func(body []byte) (*Saved, error) {
+		s := &Saved{}
+		return s, json.Unmarshal(body, s)
+	},
+}
+
+// check refuses what no process of this program wrote, whatever its sum.
+func (s *Saved) check() error { return s.List().Check() }
+
+// A change is a record of the journal: four bytes of length, eight of checksum, a JSON document. The sum covers the
+// number of the record, so that none can stand in another's place.
+type change struct {
+	AtMS     int64             `json:"at_ms"`
+	Revision int64             `json:"revision"`
+	Members  []protocol.Member `json:"members,omitempty"`
+	Out      *[]string         `json:"out,omitempty"` // all that are out by hand from now on
+}
+
+const (
+	recordHead = 12
+	mostRecord = 16 << 20 // bytes; more is no record
+)
+
+func encodeChange(n uint64, c *change) ([]byte, error) {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	b := binary.BigEndian.AppendUint32(nil, uint32(len(body)))
+	b = binary.BigEndian.AppendUint64(b, recordSum(n, body))
+	return append(b, body...), nil
+}
+
+func recordSum(n uint64, body []byte) uint64 {
+	h := xxhash.New()
+	h.Write(binary.BigEndian.AppendUint64(nil, n))
+	h.Write(binary.BigEndian.AppendUint32(nil, uint32(len(body))))
+	h.Write(body)
+	return h.Sum64()
+}
+
+// decodeChanges reads a journal up to the first record that is not whole, and tells how many bytes that were.
+func decodeChanges(text []byte) (changes []change, good int) {
+	for n := uint64(0); ; n++ {
+		rest := text[good:]
+		if len(rest) < recordHead {
+			return changes, good
+		}
+		size := binary.BigEndian.Uint32(rest)
+		if size > mostRecord || int(size) > len(rest)-recordHead {
+			return changes, good
+		}
+		body := rest[recordHead : recordHead+int(size)]
+		c := change{}
+		if binary.BigEndian.Uint64(rest[4:]) != recordSum(n, body) || json.Unmarshal(body, &c) != nil ||
+			(&protocol.List{Members: c.Members}).Check() != nil {
+			return changes, good
+		}
+		changes, good = append(changes, c), good+recordHead+int(size)
+	}
+}
+
+// apply adds a change to a list.
+func (s *Saved) apply(c change) {
+	s.MadeMS, s.Revision = max(s.MadeMS, c.AtMS), c.Revision
+	at := map[string]int{}
+	for i, m := range s.Members {
+		at[m.ID] = i
+	}
+	for _, m := range c.Members {
+		i, known := at[m.ID]
+		if !known {
+			at[m.ID] = len(s.Members)
+			s.Members = append(s.Members, Member{Member: m})
+			continue
+		}
+		if m.HostPort == "" {
+			m.HostPort = s.Members[i].HostPort
+		}
+		if m.UpSinceMS > s.Members[i].UpSinceMS { // started anew: nothing of it holds
+			s.Members[i] = Member{}
+		}
+		s.Members[i].Member = m
+	}
+	if c.Out != nil {
+		s.Out = *c.Out
+	}
+}
--- /dev/null
+++ b/internal/savedlist/store.go
@@ -0,0 +1,232 @@
+// Package savedlist keeps the list of workers on disk, for a start while nobody can be asked for it: generations, each
+// a snapshot that is replaced whole and a journal of what came behind it. Whether and how far such a list is trusted is
+// decided in internal/decisions/savedlist; here it is only kept and read, damaged as it may be.
+package savedlist
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+const (
+	snapshotName = "snapshot-" // and the generation's number in hexadecimal
+	journalName  = "journal-"
+	damagedName  = "damaged-" // put before the name of a file that is kept aside
+
+	keepGenerations = 3
+	keepDamaged     = 4
+)
+
+// Store is a dispatcher's part of the folder. It is of one goroutine.
+type Store struct {
+	files      Files
+	dispatcher string
+
+	generation uint64 // that is written; 0 for none
+	records    uint64 // in its journal
+	torn       bool   // its journal may end in a part of a record: nothing more may follow there
+}
+
+// NewStore makes a store on files.
+func NewStore(files Files, dispatcher string) *Store {
+	return &Store{files: files, dispatcher: dispatcher}
+}
+
+// Generation is one generation as it was found.
+type Generation struct {
+	Number  uint64
+	Saved   *Saved // nil where it is damaged
+	Err     error  // why
+	Records int    // of the journal that were whole
+	Torn    int    // bytes behind them
+}
+
+// Generations reads all that there are, the newest first. Its error tells that the folder cannot be read.
+func (s *Store) Generations() ([]Generation, error) {
+	names, err := s.files.Names()
+	if err != nil {
+		return nil, err
+	}
+	var found []Generation
+	for _, name := range names {
+		n, ok := number(name, snapshotName)
+		if !ok {
+			continue
+		}
+		g := Generation{Number: n}
+		text, err := s.files.Read(name)
+		if err == nil {
+			g.Saved, err = decode(text)
+		}
+		if err == nil && g.Saved.Dispatcher != s.dispatcher {
+			err = fmt.Errorf("it is of dispatcher %q", g.Saved.Dispatcher)
+		}
+		if err != nil {
+			g.Saved, g.Err = nil, err
+			found = append(found, g)
+			continue
+		}
+		if text, err := s.files.Read(fileName(journalName, n)); err == nil {
+			changes, good := decodeChanges(text)
+			for _, c := range changes {
+				g.Saved.apply(c)
+			}
+			g.Records, g.Torn = len(changes), len(text)-good
+		} else if !errors.Is(err, fs.ErrNotExist) {
+			g.Err = err
+		}
+		found = append(found, g)
+	}
+	slices.SortFunc(found, func(a, b Generation) int {
+		if a.Number < b.Number {
+			return 1
+		}
+		return -1
+	})
+	return found, nil
+}
+
+// Load gives the newest generation that is whole; nil where there is none. Those that are not are kept aside. What was
+// found wrong is in notes, a line each.
+func (s *Store) Load() (saved *Saved, notes []string) {
+	found, err := s.Generations()
+	if err != nil {
+		return nil, []string{err.Error()}
+	}
+	for _, g := range found {
+		if g.Err != nil {
+			notes = append(notes, fmt.Sprintf("generation %d: %v", g.Number, g.Err))
+		}
+		if g.Saved == nil && errors.Is(g.Err, errDamaged) {
+			s.putAside(g.Number)
+		}
+		if g.Torn > 0 {
+			notes = append(notes, fmt.Sprintf("generation %d: the journal ends in %d bytes that are no record", g.Number, g.Torn))
+		}
+		if g.Saved != nil && saved == nil {
+			saved = g.Saved
+		}
+	}
+	return saved, notes
+}
+
+// putAside keeps a damaged generation for inspection, and drops the oldest of those.
+func (s *Store) putAside(n uint64) {
+	for _, kind := range []string{snapshotName, journalName} {
+		name := fileName(kind, n)
+		_ = s.files.Rename(name, damagedName+name) // the journal may not be there
+	}
+	names, err := s.files.Names()
+	if err != nil {
+		return
+	}
+	var aside []string
+	for _, name := range names { // by kind, then by number
+		if strings.HasPrefix(name, damagedName+snapshotName) {
+			aside = append(aside, name)
+		}
+	}
+	for _, name := range aside[:max(len(aside)-keepDamaged, 0)] {
+		_ = s.files.Remove(name)
+		_ = s.files.Remove(damagedName + journalName + strings.TrimPrefix(name, damagedName+snapshotName))
+	}
+}
+
+// Snapshot begins a generation. Another process of the same name may write beside this one: each generation has a
+// number that no file had.
+func (s *Store) Snapshot(saved *Saved) error {
+	saved.Dispatcher = s.dispatcher
+	text, err := encode(saved)
+	if err != nil {
+		return err
+	}
+	names, err := s.files.Names()
+	if err != nil {
+		return err
+	}
+	last := s.generation
+	for _, name := range names {
+		name = strings.TrimPrefix(name, damagedName)
+		for _, kind := range []string{snapshotName, journalName} {
+			if n, ok := number(name, kind); ok {
+				last = max(last, n)
+			}
+		}
+	}
+	if err := s.files.Replace(fileName(snapshotName, last+1), text); err != nil {
+		return err
+	}
+	s.generation, s.records, s.torn = last+1, 0, false
+	_, _ = s.Prune(keepGenerations)
+	return nil
+}
+
+// errNoGeneration tells that a change has no snapshot to follow.
+var errNoGeneration = errors.New("no generation to add to")
+
+// Add puts a change behind the generation. It is on disk when this returns. After an error only a snapshot helps.
+func (s *Store) Add(c *change) error {
+	if s.generation == 0 || s.torn {
+		return errNoGeneration
+	}
+	record, err := encodeChange(s.records, c)
+	if err != nil {
+		return err
+	}
+	if err := s.files.Append(fileName(journalName, s.generation), record); err != nil {
+		s.torn = true
+		return err
+	}
+	s.records++
+	return nil
+}
+
+// Prune removes all but the newest generations that are whole, and what is left of older ones. It tells how many files
+// it removed.
+func (s *Store) Prune(keep int) (removed int, err error) {
+	names, err := s.files.Names()
+	if err != nil {
+		return 0, err
+	}
+	var numbers []uint64
+	for _, name := range names {
+		if n, ok := number(name, snapshotName); ok {
+			numbers = append(numbers, n)
+		}
+	}
+	slices.Sort(numbers)
+	if len(numbers) <= keep {
+		return 0, nil
+	}
+	oldest := numbers[len(numbers)-keep]
+	for _, name := range names {
+		n, ok := number(name, snapshotName)
+		if !ok {
+			n, ok = number(name, journalName)
+		}
+		if ok && n < oldest {
+			if e := s.files.Remove(name); e != nil {
+				err = errors.Join(err, e)
+				continue
+			}
+			removed++
+		}
+	}
+	return removed, err
+}
+
+func fileName(kind string, n uint64) string { return fmt.Sprintf("%s%016x", kind, n) }
+
+// number gives the generation of a file of a kind.
+func number(name, kind string) (uint64, bool) {
+	digits, ok := strings.CutPrefix(name, kind)
+	if !ok || len(digits) != 16 {
+		return 0, false
+	}
+	n, err := strconv.ParseUint(digits, 16, 64)
+	return n, err == nil
+}
