Tests of the saved list with the real program: old names, kills, clocks, flapping discovery

Need: the start from a saved list stood only on tests of its parts. Found by them: a doubted list still dropped whom it did not name, and an empty list was believed the second time.

--- /dev/null
+++ b/cmd/brassdale/saved_test.go
@@ -0,0 +1,488 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/protocol"
+	"brassdale/internal/savedlist"
+)
+
+func savedBlock(dir string) string { return fmt.Sprintf("saved_list {\n  directory = %q\n}\n", dir) }
+
+// keep puts a list into a folder as a dispatcher would have left it, so long ago.
+func keep(t *testing.T, dir string, ago time.Duration, change func(*savedlist.Saved), boxes ...*box) {
+	t.Helper()
+	files, err := savedlist.Folder(dir, "n0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	made := time.Now().Add(-ago)
+	s := &savedlist.Saved{MadeMS: made.UnixMilli(), Revision: 40, Allow: 0.5, Stay: 0.02, Mean: 0.02,
+		Classes: map[string]brain.ClassExperience{"price-part": {Scale: 0.02, Usual: -3.9, Jobs: 500}}} // jobs of 20 ms
+	for _, b := range boxes {
+		cell := 1
+		fmt.Sscan(b.cell, &cell)
+		s.Members = append(s.Members, savedlist.Member{HeardMS: made.UnixMilli(), Member: protocol.Member{ID: b.id, HostPort: b.ln.Addr().String(),
+			Locality: "llanelli", Flavor: "new-box", Cell: cell, Phase: b.phase, Size: 1}, Learned: &brain.WorkerExperience{Total: 5, JobsOf: 50}})
+	}
+	if change != nil {
+		change(s)
+	}
+	if err := savedlist.NewStore(files, "n0").Snapshot(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// takes is an endpoint whose jobs take so long.
+func takes(d time.Duration) func(*box, net.Conn, *http.Request) {
+	return func(b *box, c net.Conn, r *http.Request) {
+		head(c, "application/json")
+		chunk(c, line(r.Header.Get("Req-Id"), `"state":"started"`))
+		time.Sleep(d)
+		chunk(c, line(r.Header.Get("Req-Id"), `"state":"done","result":"priced"`))
+		last(c)
+	}
+}
+
+// noKnown drops the list that the platform's file brings.
+func noKnown(config string) string {
+	before, rest, _ := strings.Cut(config, `"known":`)
+	_, after, _ := strings.Cut(rest, `,"settings"`)
+	return before + `"settings"` + after
+}
+
+// alone starts the program with no list but the saved one. discovery answers as the handler does; nil for nobody there.
+func alone(t *testing.T, dir string, discovery http.Handler) *node {
+	t.Helper()
+	n := &node{t: t, registry: &registry{revision: 1, changed: make(chan struct{})}, exited: make(chan struct{})}
+	n.startHere(savedBlock(dir), func(config string) string {
+		config = noKnown(config)
+		if discovery == nil {
+			return strings.Replace(config, discoveryOf(config), "127.0.0.1:1", 1)
+		}
+		server := httptest.NewServer(discovery)
+		t.Cleanup(server.CloseClientConnections)
+		return strings.Replace(config, discoveryOf(config), server.Listener.Addr().String(), 1)
+	})
+	return n
+}
+
+func discoveryOf(config string) string {
+	_, rest, _ := strings.Cut(config, `"discovery":"`)
+	address, _, _ := strings.Cut(rest, `"`)
+	return address
+}
+
+// text gives a figure that is no number.
+func (n *node) vars(name string) string {
+	_, text := n.call("GET", "/_vars", "")
+	_, rest, _ := strings.Cut("\n"+text, "\n"+name+"=")
+	value, _, _ := strings.Cut(rest, "\n")
+	return value
+}
+
+// serve sends jobs until one is served.
+func (n *node) served(key string) {
+	n.t.Helper()
+	i := 0
+	n.waitFor("a job that is served", func() bool {
+		i++
+		status, _, _ := n.do(request(n.url, fmt.Sprint(key, "-", i), "Req-Deadline-Ms", "1000"))
+		return status == 200
+	})
+}
+
+// Whatever becomes of discovery, a start on the saved list serves.
+func TestSavedStart(t *testing.T) {
+	t.Parallel()
+	answers := func(status int, body string) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { w.WriteHeader(status); io.WriteString(w, body) })
+	}
+	for name, discovery := range map[string]http.Handler{
+		"refused":   nil,
+		"silent":    http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }),
+		"503":       answers(503, ""),
+		"cut":       answers(200, `{"revision":50,"complete":true,"members":[{"id":"a","host_p`),
+		"empty":     answers(200, `{"revision":50,"complete":true,"members":[]}`),
+		"no list":   answers(200, `<html>`),
+		"elsewhere": answers(200, `{"revision":50,"complete":true,"members":[{"id":"x","host_port":"127.0.0.1:1","locality":"swansea","flavor":"new-box","cell":1,"phase":"active","size":1}]}`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			a, b := newBox(t, "a", takes(20*time.Millisecond)), newBox(t, "b", takes(20*time.Millisecond))
+			dir := t.TempDir()
+			keep(t, dir, time.Hour, nil, a, b)
+			n := alone(t, dir, discovery)
+			n.served("first")
+			if !strings.Contains(n.log(), "starting from the saved list") || n.vars("list_source") != "saved" || n.figure("list_age_s") < 3600 {
+				t.Errorf("source %q, age %d", n.vars("list_source"), n.figure("list_age_s"))
+			}
+			n.waitFor("both to be heard", func() bool { return n.figure("boxes_heard")+n.figure("boxes_proven") == 2 })
+			n.warm(2)
+		})
+	}
+}
+
+// A list of two days ago: one box drained, at one's address is another box now, at one's a web page, at one's no HTTP at
+// all, one is off, one says nothing. No job reaches any of them, and all are served.
+func TestSavedOldNames(t *testing.T) {
+	t.Parallel()
+	script := takes(20 * time.Millisecond)
+	good, drained, off := newBox(t, "good", script), newBox(t, "drained", script), newBox(t, "off", script)
+	drained.phase = "leaving"
+	off.ln.Close()
+	var mu sync.Mutex
+	jobs := 0
+	foreign := func(id string, answer func(net.Conn)) *box {
+		ln := must(net.Listen("tcp", "127.0.0.1:0"))
+		t.Cleanup(func() { ln.Close() })
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					buf := make([]byte, 4096)
+					n, _ := c.Read(buf)
+					if strings.HasPrefix(string(buf[:n]), "POST") {
+						mu.Lock()
+						jobs++
+						mu.Unlock()
+					}
+					answer(c)
+				}()
+			}
+		}()
+		return &box{id: id, cell: "1", phase: "active", ln: ln}
+	}
+	page := foreign("page", func(c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 6\r\n\r\n<html>")
+	})
+	missing := foreign("missing", func(c net.Conn) { io.WriteString(c, "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n") })
+	other := foreign("other", func(c net.Conn) { io.WriteString(c, "220 mail ready\r\n"); c.Close() })
+	silent := foreign("silent", func(net.Conn) {})
+	dir := t.TempDir()
+	keep(t, dir, 48*time.Hour, nil, drained, page, missing, other, silent, off, good)
+	n := alone(t, dir, nil)
+	for i := range 30 {
+		if status, _, _ := n.do(request(n.url, fmt.Sprint("k-", i))); status != 200 {
+			t.Errorf("job %d: %d", i, status)
+		}
+	}
+	// The port of the one that is off may be another's by now.
+	n.waitFor("the foreign ones", func() bool { return n.figure("boxes_foreign") >= 3 && n.figure("boxes_barred") == 1 })
+	mu.Lock()
+	defer mu.Unlock()
+	if _, reached := drained.count(); jobs != 0 || reached != 0 {
+		t.Errorf("%d jobs reached what is no box now, %d one that drained", jobs, reached)
+	}
+	if got := n.figure("targets"); got != 1 {
+		t.Errorf("%d boxes told to the module", got)
+	}
+}
+
+// What the program itself keeps: a drain told a moment before it is killed, who is out by hand, and what it learned. The
+// next process has all of it, in another $TMPDIR.
+func TestSavedOutlivesAKill(t *testing.T) {
+	t.Parallel()
+	script := takes(20 * time.Millisecond)
+	a, b, c := newBox(t, "a", script), newBox(t, "b", script), newBox(t, "c", script)
+	dir := t.TempDir()
+	n := start(t, savedBlock(dir), a, b, c)
+	n.waitFor("discovery's list", func() bool { return n.vars("list_source") == "discovery" })
+	for i := range 10 {
+		n.do(request(n.url, fmt.Sprint("k-", i)))
+	}
+	n.waitFor("a snapshot", func() bool { return n.figure("saved_snapshots") >= 1 })
+	if status, _ := n.call("POST", "/_workers/detach", "b"); status != 200 {
+		t.Fatalf("detach: %d", status)
+	}
+	n.registry.set(func() { a.phase = "leaving" })
+	n.waitFor("both on disk", func() bool { return n.figure("saved_records") >= 2 })
+	n.cmd.Process.Kill()
+	<-n.exited
+	_, before := a.count()
+	_, beforeB := b.count()
+
+	m := alone(t, dir, nil)
+	m.served("after")
+	for i := range 20 {
+		m.do(request(m.url, fmt.Sprint("after-k-", i)))
+	}
+	if _, now := a.count(); now != before {
+		t.Errorf("%d jobs at the one that drains", now-before)
+	}
+	if _, now := b.count(); now != beforeB {
+		t.Errorf("%d jobs at the one that is out by hand", now-beforeB)
+	}
+	code, out, _ := run(t, "saved", "show", dir)
+	if code != 0 || !strings.Contains(out, "leaving") || !strings.Contains(out, "out by hand") {
+		t.Errorf("saved show: %d\n%s", code, out)
+	}
+	if code, out, _ := run(t, "saved", "verify", dir); code != 0 || !strings.Contains(out, "whole") {
+		t.Errorf("saved verify: %d\n%s", code, out)
+	}
+	// A damaged generation is told by verify, kept aside by a start, and the one before it serves.
+	names, _ := filepath.Glob(filepath.Join(dir, "n0", "snapshot-*"))
+	keep(t, dir, time.Minute, nil, c)
+	newest, _ := filepath.Glob(filepath.Join(dir, "n0", "snapshot-*"))
+	path := newest[len(newest)-1]
+	if len(newest) != len(names)+1 {
+		t.Fatalf("%v, then %v", names, newest)
+	}
+	text := must(os.ReadFile(path))
+	if err := os.WriteFile(path, text[:len(text)-9], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, out, errors := run(t, "saved", "verify", dir); code != 1 || !strings.Contains(out, "damaged") {
+		t.Errorf("saved verify: %d\n%s%s", code, out, errors)
+	}
+	o := alone(t, dir, nil)
+	o.served("third")
+	if _, err := os.Stat(filepath.Join(dir, "n0", "damaged-"+filepath.Base(path))); err != nil || !strings.Contains(o.log(), "damaged") {
+		t.Errorf("the damaged one: %v", err)
+	}
+	if code, out, _ := run(t, "saved", "prune", dir, "--keep", "1"); code != 0 || !strings.Contains(out, "files removed") {
+		t.Errorf("saved prune: %d\n%s", code, out)
+	}
+}
+
+// The machine's clock is a day behind the file's, or a list is too old: the first serves, the second begins as without.
+func TestSavedClock(t *testing.T) {
+	t.Parallel()
+	a := newBox(t, "a", takes(20*time.Millisecond))
+	future, old := t.TempDir(), t.TempDir()
+	keep(t, future, -24*time.Hour, nil, a)
+	keep(t, old, 73*time.Hour, nil, a)
+	n := alone(t, future, nil)
+	n.served("k")
+	if !strings.Contains(n.log(), "age_known=false") {
+		t.Error("the age of a list from the future is known")
+	}
+	m := alone(t, old, nil)
+	m.waitFor("the line", func() bool { return strings.Contains(m.log(), "too old") })
+	if status, _, after := m.do(request(m.url, "k", "Req-Deadline-Ms", "300")); status != 503 || after == "" {
+		t.Errorf("with no list at all: %d, Retry-After %q", status, after)
+	}
+	if m.vars("list_source") != "none" {
+		t.Errorf("source %q", m.vars("list_source"))
+	}
+}
+
+// A folder of no use stops no job; one that others may write stops the start, with its place.
+func TestSavedFolder(t *testing.T) {
+	t.Parallel()
+	a := newBox(t, "a", works)
+	useless := t.TempDir()
+	if err := os.WriteFile(filepath.Join(useless, "n0"), nil, 0o600); err != nil { // where its own folder would be
+		t.Fatal(err)
+	}
+	n := start(t, savedBlock(useless), a)
+	if status, _, _ := n.do(request(n.url, "k")); status != 200 || !strings.Contains(n.log(), "saved list cannot be kept") {
+		t.Errorf("with a folder of no use: %d", status)
+	}
+	open := t.TempDir()
+	if err := os.Chmod(open, 0o777); err != nil {
+		t.Fatal(err)
+	}
+	m := &node{t: t, exited: make(chan struct{})}
+	m.launch(n.config, savedBlock(open))
+	<-m.exited
+	if text := m.log(); m.cmd.ProcessState.ExitCode() != 1 || !strings.Contains(text, "operator.hcl:2:15: Bad directory") {
+		t.Errorf("exit code %d, %s", m.cmd.ProcessState.ExitCode(), text)
+	}
+}
+
+// warm sends so many jobs at a time that each box gets some, until all are proven.
+func (n *node) warm(boxes int) {
+	n.t.Helper()
+	round := 0
+	n.waitFor("all to be proven", func() bool {
+		round++
+		var wait sync.WaitGroup
+		for i := range 8 * boxes {
+			wait.Go(func() { ask(http.DefaultClient, request(n.url, fmt.Sprint("warm-", round, "-", i))) })
+		}
+		wait.Wait()
+		return n.figure("boxes_proven") == boxes
+	})
+}
+
+// returning starts on a saved list with discovery down, has all boxes proven, and gives what brings discovery back.
+func returning(t *testing.T, boxes ...*box) (n *node, back func(revision int, listed ...*box)) {
+	dir := t.TempDir()
+	keep(t, dir, time.Hour, nil, boxes...)
+	g := &registry{revision: 1, fail: true, changed: make(chan struct{})}
+	n = alone(t, dir, g)
+	n.registry = g
+	n.warm(len(boxes))
+	return n, func(revision int, listed ...*box) {
+		g.set(func() { g.fail, g.boxes, g.revision = false, listed, revision-1 })
+	}
+}
+
+// Discovery returns with all: nothing is started over, and the module goes on with what it knew.
+func TestSavedHandover(t *testing.T) {
+	t.Parallel()
+	script := takes(20 * time.Millisecond)
+	a, b := newBox(t, "a", script), newBox(t, "b", script)
+	n, back := returning(t, a, b)
+	back(50, a, b)
+	n.waitFor("discovery's list", func() bool { return n.vars("list_source") == "discovery" })
+	if !strings.Contains(n.log(), "discovery's list is in force\" known=2 same=2") {
+		t.Error("what was learned does not hold")
+	}
+	n.served("k")
+}
+
+// A box that the returned list does not name gets nothing new, and its running job ends where it is; one that is named
+// as leaving the same.
+func TestSavedHandoverWithout(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	script := func(b *box, c net.Conn, r *http.Request) {
+		if r.Header.Get("Idempotency-Key") == "held" {
+			<-release
+			works(b, c, r)
+			return
+		}
+		takes(20*time.Millisecond)(b, c, r)
+	}
+	a, b, c, d := newBox(t, "a", script), newBox(t, "b", script), newBox(t, "c", script), newBox(t, "d", script)
+	n, back := returning(t, a, b, c, d)
+	held := make(chan int, 1)
+	go func() {
+		status, _, _ := n.do(request(n.url, "held"))
+		held <- status
+	}()
+	var at *box
+	n.waitFor("the job", func() bool {
+		for _, x := range []*box{a, b, c, d} {
+			if x.ran("held") == 1 {
+				at = x
+				return true
+			}
+		}
+		return false
+	})
+	var rest []*box
+	for _, x := range []*box{a, b, c, d} {
+		if x != at {
+			rest = append(rest, x)
+		}
+	}
+	rest[0].phase = "leaving"
+	back(50, rest...)
+	n.waitFor("discovery's list", func() bool { return n.vars("list_source") == "discovery" })
+	n.waitFor("the end of the grace", func() bool { return time.Since(n.told()) > 500*time.Millisecond })
+	_, before := at.count()
+	_, leaving := rest[0].count()
+	for i := range 20 {
+		if status, _, _ := n.do(request(n.url, fmt.Sprint("after-", i))); status != 200 {
+			t.Errorf("job %d: %d", i, status)
+		}
+	}
+	if _, now := at.count(); now != before {
+		t.Errorf("%d jobs at the one that is gone", now-before)
+	}
+	if _, now := rest[0].count(); now != leaving {
+		t.Errorf("%d jobs at the one that leaves", now-leaving)
+	}
+	close(release)
+	if status := <-held; status != 200 {
+		t.Errorf("the running job: %d", status)
+	}
+}
+
+// Discovery comes back with nothing, then a third at a lower revision, then all: it flaps, and all jobs go on being served
+// by the boxes that answer.
+func TestSavedHandoverFlaps(t *testing.T) {
+	t.Parallel()
+	script := takes(20 * time.Millisecond)
+	a, b, c, d := newBox(t, "a", script), newBox(t, "b", script), newBox(t, "c", script), newBox(t, "d", script)
+	n, back := returning(t, a, b, c, d)
+	serve := func(what string) {
+		t.Helper()
+		for i := range 10 {
+			if status, _, _ := n.do(request(n.url, fmt.Sprint(what, "-", i))); status != 200 {
+				t.Errorf("%s, job %d: %d", what, i, status)
+			}
+		}
+	}
+	back(50)
+	n.waitFor("the doubt", func() bool { return n.figure("list_doubted") == 1 })
+	serve("nothing listed")
+	if n.figure("targets") != 4 {
+		t.Errorf("%d targets", n.figure("targets"))
+	}
+	back(3, a) // below half of four, and older
+	serve("a quarter listed")
+	back(60, a, b, c, d)
+	n.waitFor("discovery's list", func() bool { return n.vars("list_source") == "discovery" && n.figure("targets") == 4 })
+	serve("all listed")
+	if lines := strings.Count(n.log(), "lacks much of the saved one"); lines < 1 {
+		t.Errorf("%d lines of doubt", lines)
+	}
+}
+
+// A short list that is told twice counts.
+func TestSavedHandoverTwice(t *testing.T) {
+	t.Parallel()
+	script := takes(20 * time.Millisecond)
+	a, b, c := newBox(t, "a", script), newBox(t, "b", script), newBox(t, "c", script)
+	n, back := returning(t, a, b, c)
+	back(50, a)
+	n.waitFor("the doubt", func() bool { return n.figure("list_doubted") == 1 })
+	n.waitFor("discovery's list", func() bool { return n.vars("list_source") == "discovery" && n.figure("targets") == 1 })
+	n.served("k")
+}
+
+// A box that is named with a later start is new, and cold; one whose id and address are new too.
+func TestSavedReused(t *testing.T) {
+	t.Parallel()
+	script := takes(20 * time.Millisecond)
+	a, b := newBox(t, "a", script), newBox(t, "b", script)
+	n, back := returning(t, a, b)
+	a.since, b.id = time.Now().UnixMilli(), "b2"
+	back(50, a, b)
+	n.waitFor("discovery's list", func() bool { return n.vars("list_source") == "discovery" })
+	if !strings.Contains(n.log(), "in force\" known=2 same=0") {
+		t.Error("something was taken for what it was")
+	}
+	n.served("k")
+}
+
+// While one process replaces another that still trusts its saved list, the successor begins from that too, and neither
+// tears the other's files.
+func TestSavedReplaced(t *testing.T) {
+	t.Parallel()
+	a := newBox(t, "a", takes(20*time.Millisecond))
+	dir := t.TempDir()
+	keep(t, dir, time.Hour, nil, a)
+	n := alone(t, dir, nil)
+	n.served("first")
+	m := n.successor(savedBlock(dir))
+	if m.vars("list_source") != "saved" {
+		t.Errorf("source %q", m.vars("list_source"))
+	}
+	n.passesOn(1)
+	n.cmd.Process.Signal(syscall.SIGTERM)
+	n.ends(time.Now().Add(5 * time.Second))
+	m.served("second")
+	if code, out, _ := run(t, "saved", "verify", dir); code != 0 {
+		t.Errorf("saved verify: %s", out)
+	}
+}
--- a/internal/decisions/savedlist/savedlist.go
+++ b/internal/decisions/savedlist/savedlist.go
@@ -18,7 +18,8 @@
 //  7. A list from discovery counts at once, but for one case: a first whole list that lacks more than Rules.Shrink allows
 //     of what was trusted, is empty, or is older than the saved one by its revision. What that one has as ready,
 //     draining or gone counts at once; whom it does not name is kept, if it was heard, until a second whole list,
-//     asked for Second later or more, agrees, and for no longer than Longest.
+//     asked for Second later or more, agrees, and for no longer than Longest. Of an empty one no second is believed:
+//     a site that has no workers has no jobs either.
 //  8. A worker that discovery has as started when the saved list had it is what it was, and what was learned of it holds;
 //     one that started later is new.
 package savedlist
@@ -349,11 +350,11 @@
 		return Judgement{}
 	case t.doubted == 0:
 		t.doubted, t.kept = now, lacking
-	case now >= t.doubted+Second: // a second one: whom it does not name either is gone
+	case now >= t.doubted+Second && len(named) > 0: // a second one: whom it does not name either is gone
 		t.over = true
 		return Judgement{}
 	}
-	return Judgement{Keep: lacking, Again: max(now, t.doubted+Second)}
+	return Judgement{Keep: lacking, Again: max(now+Second/2, t.doubted+Second)}
 }
 
 // Left tells that discovery has named a worker as draining or gone by itself: it is neither kept nor told any more.
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -168,6 +168,7 @@
 		kind = brain.ListFull
 	}
 	if again, doubted := s.judge(&m.update); doubted {
+		m.update.Complete = false
 		s.apply(m.update, brain.ListChange)
 		s.revision = Whole
 		s.watch(ctx, again)
