--- a/cmd/brassdale/saved_test.go
+++ b/cmd/brassdale/saved_test.go
@@ -22,7 +22,7 @@
 func savedBlock(dir string) string { return fmt.Sprintf("saved_list {\n  directory = %q\n}\n", dir) }
 
 // keep puts a list into a folder as a dispatcher would have left it, so long ago.
-func keep(t *testing.T, dir string, ago time.Duration, change func(*savedlist.Saved), boxes ...*box) {
+func keep(t testing.TB, dir string, ago time.Duration, change func(*savedlist.Saved), boxes ...*box) {
 	t.Helper()
 	files, err := savedlist.Folder(dir, "n0")
 	if err != nil {
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -20,6 +20,14 @@
   keep_mb = 24   # and most memory for their answers
 }
 
+# The list of workers on disk, for a start while discovery cannot be reached (docs/saved-list.md). Off without the block.
+#
+# saved_list {
+#   directory = "/var/lib/brassdale"
+#   oldest    = "72h"
+#   shrink    = 0.5
+# }
+
 # Accounts' shares of the jobs that are open at a time, over all fronts. Off without the block.
 #
 # accounts {
--- a/internal/transport/http2/writer.go
+++ b/internal/transport/http2/writer.go
@@ -127,10 +127,7 @@
 	for len(w.waiting) > 0 && w.failed == nil {
 		b := w.waiting
 		w.waiting, w.spare = w.spare[:0], nil
-		by := w.by
-		w.mu.Unlock()
-		err := w.writeOut(b, by)
-		w.mu.Lock()
+		err := w.writeOut(b)
 		w.spare, w.failed = b, err
 		w.changed.Broadcast()
 	}
@@ -143,17 +140,20 @@
 	w.changed.Broadcast()
 }
 
-// writeOut writes for as long as the client takes anything.
-func (w *writer) writeOut(b []byte, by time.Time) error {
+// writeOut writes for as long as the client takes anything, and no longer than there is time. w.mu is held but while it
+// writes.
+func (w *writer) writeOut(b []byte) error {
 	for len(b) > 0 {
-		until := by
+		until := w.by
 		if until.IsZero() {
 			until = time.Now().Add(stuck)
 		}
-		_ = w.conn.SetWriteDeadline(until)
+		_ = w.conn.SetWriteDeadline(until) // under the lock: last sets an earlier one
+		w.mu.Unlock()
 		n, err := w.conn.Write(b)
+		w.mu.Lock()
 		b = b[n:]
-		if err != nil && (n == 0 || !by.IsZero() || !errors.Is(err, os.ErrDeadlineExceeded)) {
+		if err != nil && (n == 0 || !w.by.IsZero() || !errors.Is(err, os.ErrDeadlineExceeded)) {
 			return err
 		}
 	}
