Accounts share one room with the process that is replaced

Need: while one process replaces another, both gave out the whole room for open jobs to accounts. Change: the old one tells how many it has open with what else it still holds, and the new one gives out the rest; accounts_room and accounts_open at /_vars.

--- a/cmd/brassdale/keys_test.go
+++ b/cmd/brassdale/keys_test.go
@@ -262,3 +262,41 @@
 	close(release)
 	n.waitFor("the end", func() bool { return n.figure("front.http2.streams") == 0 })
 }
+
+// While one process replaces the other, accounts share one room: what the old one has open is not given out again.
+func TestAccountsReplaced(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	long := func(config string) string {
+		return strings.Replace(config, `"deadline":5000000`, `"deadline":60000000`, 1)
+	}
+	operator := http2Block + "accounts {\n  room = 10\n  account \"a\" { share = 0.5 }\n  account \"b\" { share = 0.5 }\n}\n"
+	n := startWith(t, operator, long, manyBoxes(t, 6, func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })...)
+	answers := make(chan int, 20)
+	hand := func(to *node, account string, many int) {
+		t.Helper()
+		before := to.figure("concurrent")
+		for i := range many {
+			go func() {
+				status, _, _ := ask(&http.Client{Transport: &http.Transport{}}, request(to.url, fmt.Sprint(account, "-", i), "Req-Owner", account, "Req-Deadline-Ms", "60000"))
+				answers <- status
+			}()
+		}
+		to.waitFor("the jobs", func() bool { return to.figure("concurrent") == before+many })
+	}
+	hand(n, "a", 5)
+	m := n.successor(operator)
+	n.passesOn(1)
+	m.waitFor("word of the old one's jobs", func() bool { return m.figure("accounts_room") == 5 })
+	hand(m, "b", 3) // its share of five, and what is left free beside as much
+	status, _, after := n.do(request(m.url, "one-more", "Req-Owner", "b"))
+	if status != 503 || after == "" {
+		t.Errorf("past the room: %d", status)
+	}
+	close(release)
+	for range 8 {
+		if status := <-answers; status != 200 {
+			t.Errorf("a job that was taken: %d", status)
+		}
+	}
+}
--- a/internal/decisions/shares/shares.go
+++ b/internal/decisions/shares/shares.go
@@ -65,6 +65,9 @@
 	}
 }
 
+// Total is how many jobs are open.
+func (t *Table) Total() int { return t.total }
+
 // Open tells how many jobs of a pot are open, and how many it may always have.
 func (t *Table) Open(pot string) (open, share int) { return t.open[pot], t.floor(pot) }
 
--- a/internal/program/operations.go
+++ b/internal/program/operations.go
@@ -28,6 +28,9 @@
 	if o.d.http2 != nil {
 		figures += o.d.http2.Figures()
 	}
+	if o.d.accounts != nil {
+		figures += o.d.accounts.Figures()
+	}
 	if o.d.saved != nil {
 		figures += o.d.saved.figures()
 	}
--- a/internal/program/replace.go
+++ b/internal/program/replace.go
@@ -214,10 +214,13 @@
 		for tick := time.NewTicker(heldEvery); ; {
 			held := protocol.Held{Outbound: d.fleet.Held() + spareOfHeld}
 			d.fleet.Allow(held.Outbound)
+			if d.accounts != nil {
+				held.Jobs = d.accounts.Open()
+			}
 			for _, f := range d.fronts {
 				held.Inbound = append(held.Inbound, f.gate.Held())
 			}
-			if held.Outbound != last.Outbound || !slices.Equal(held.Inbound, last.Inbound) {
+			if held.Outbound != last.Outbound || held.Jobs != last.Jobs || !slices.Equal(held.Inbound, last.Inbound) {
 				kin.Tell(protocol.Note{Held: &held})
 				last = held
 			}
--- a/internal/program/shares.go
+++ b/internal/program/shares.go
@@ -69,6 +69,13 @@
 		s.outbound = max(s.outbound-d.others.Outbound, 0)
 	}
 	d.fleet.Allow(s.outbound)
+	if d.accounts != nil {
+		open := 0
+		if d.others != nil {
+			open = d.others.Jobs
+		}
+		d.accounts.Beside(open)
+	}
 	debug.SetMemoryLimit(s.heap) // well before the limit at which the platform kills
 	if s.threads > 0 {
 		runtime.GOMAXPROCS(s.threads)
--- a/internal/protocol/succession.go
+++ b/internal/protocol/succession.go
@@ -47,6 +47,7 @@
 type Held struct {
 	Inbound  []int `json:"inbound"` // by front
 	Outbound int   `json:"outbound"`
+	Jobs     int   `json:"jobs"` // open ones, where accounts have shares of the room
 }
 
 // Handover is what a successor begins with.
--- a/internal/transport/shares.go
+++ b/internal/transport/shares.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"fmt"
 	"sync"
 
 	"brassdale/internal/decisions/shares"
@@ -9,6 +10,8 @@
 // Shares deals out the room for jobs among accounts, over all fronts together. A nil one has room for all.
 type Shares struct {
 	mu    sync.Mutex
+	set   *SharesSettings
+	other int // jobs that another process has open which acts as the same dispatcher
 	table *shares.Table
 }
 
@@ -34,14 +37,40 @@
 
 // NewShares makes the table.
 func NewShares(s *SharesSettings) *Shares {
-	return &Shares{table: shares.New(s.Room, s.parts())}
+	return &Shares{set: s, table: shares.New(s.Room, s.parts())}
 }
 
 // Retune changes the shares; what is open stays open.
 func (s *Shares) Retune(to *SharesSettings) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.Retune(to.Room, to.parts())
+	s.set = to
+	s.tune()
+}
+
+// Beside leaves room for the jobs that another process has open; 0 while there is none.
+func (s *Shares) Beside(open int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.other = open
+	s.tune()
+}
+
+// tune puts the settings in force; s.mu is held.
+func (s *Shares) tune() { s.table.Retune(max(s.set.Room-s.other, 0), s.set.parts()) }
+
+// Figures gives the numbers, a line each.
+func (s *Shares) Figures() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return fmt.Sprintf("accounts_room=%d\naccounts_open=%d\n", max(s.set.Room-s.other, 0), s.table.Total())
+}
+
+// Open is how many jobs are open.
+func (s *Shares) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table.Total()
 }
 
 // take takes a job of an account and gives what ends it, or tells that there is no room.
