--- /dev/null
+++ b/internal/emulator/audit.go
@@ -0,0 +1,146 @@
+package emulator
+
+import (
+	"fmt"
+	"time"
+
+	"brassdale/brain"
+)
+
+// Breach is a rule that was broken.
+type Breach struct {
+	Rule    string
+	Request uint64
+	Box     brain.WorkerID // where one was concerned
+	At      time.Duration  // since the start
+	Why     string
+}
+
+func (b Breach) String() string {
+	at := ""
+	if b.Box != "" {
+		at = " at box " + string(b.Box)
+	}
+	return fmt.Sprintf("%s: request %d%s, %v: %s", b.Rule, b.Request, at, b.At, b.Why)
+}
+
+// The rules.
+const (
+	RuleAnswer = "one final answer before give-up"
+	RuleRepeat = "repeats only as the class allows"
+	RuleDrain  = "nothing new to a draining box after the grace"
+	RuleCold   = "no cold box pushed over"
+)
+
+// auditor holds the rules over all that happens. It knows nothing of how anybody decides.
+type auditor struct {
+	s       *Scenario
+	base    time.Duration
+	breach  []Breach
+	tries   map[uint64]*tried
+	drained map[drainKey]time.Duration // when a dispatcher was told
+}
+
+type drainKey struct {
+	dispatcher int
+	box        brain.WorkerID
+}
+
+// tried is what was done for a request.
+type tried struct {
+	answers int
+	sends   []sending
+}
+
+type sending struct {
+	at    time.Duration
+	bay   int
+	box   brain.WorkerID
+	out   bool
+	never bool // it is known not to have run
+}
+
+func newAuditor(s *Scenario, base time.Duration) *auditor {
+	return &auditor{s: s, base: base, tries: map[uint64]*tried{}, drained: map[drainKey]time.Duration{}}
+}
+
+func (a *auditor) broken(rule string, now time.Duration, request uint64, box brain.WorkerID, format string, args ...any) {
+	a.breach = append(a.breach, Breach{rule, request, box, now - a.base, fmt.Sprintf(format, args...)})
+}
+
+func (a *auditor) of(request uint64) *tried {
+	t := a.tries[request]
+	if t == nil {
+		t = &tried{}
+		a.tries[request] = t
+	}
+	return t
+}
+
+// answered takes a final answer.
+func (a *auditor) answered(now time.Duration, request uint64) {
+	t := a.of(request)
+	if t.answers++; t.answers > 1 {
+		a.broken(RuleAnswer, now, request, "", "answer number %d", t.answers)
+	}
+}
+
+// gaveUp tells that a client waits no longer.
+func (a *auditor) gaveUp(now time.Duration, request uint64) {
+	if a.of(request).answers == 0 {
+		a.broken(RuleAnswer, now, request, "", "none came")
+	}
+}
+
+// sent takes an attempt, when its first byte leaves.
+func (a *auditor) sent(now time.Duration, dispatcher int, request uint64, box brain.WorkerID, bay int) {
+	t := a.of(request)
+	if len(t.sends) >= a.s.Rules.MaxAttempts {
+		a.broken(RuleRepeat, now, request, box, "attempt number %d", len(t.sends)+1)
+	}
+	for _, was := range t.sends {
+		switch tr := &a.s.Traffic; {
+		case was.never:
+		case was.out && !a.s.Rules.MayCopy:
+			a.broken(RuleRepeat, now, request, box, "a copy while one is out at %s", was.box)
+		case tr.Effect == brain.Unsafe:
+			a.broken(RuleRepeat, now, request, box, "it may have run at %s", was.box)
+		case tr.Effect == brain.Keyed && was.bay != bay:
+			a.broken(RuleRepeat, now, request, box, "it may have run at %s of another bay", was.box)
+		case tr.Effect == brain.Keyed && now >= was.at+tr.Window:
+			a.broken(RuleRepeat, now, request, box, "it may have run at %s, and the window is over", was.box)
+		}
+	}
+	t.sends = append(t.sends, sending{at: now, bay: bay, box: box, out: true})
+	if told, is := a.drained[(drainKey{dispatcher, box})]; is && now > told+a.s.Rules.DrainGrace {
+		a.broken(RuleDrain, now, request, box, "%v after it was told", now-told)
+	}
+}
+
+// ended takes the outcome of an attempt.
+func (a *auditor) ended(request uint64, attempt int, o brain.Outcome) {
+	if t := a.of(request); attempt < len(t.sends) {
+		t.sends[attempt].out = false
+		t.sends[attempt].never = o == brain.NeverSent || o == brain.NoConnect || o == brain.Full || o == brain.Rejected
+	}
+}
+
+// told notes what a dispatcher was told of a box.
+func (a *auditor) told(now time.Duration, dispatcher int, box brain.WorkerID, s brain.WorkerState) {
+	key := drainKey{dispatcher, box}
+	if _, is := a.drained[key]; s == brain.Ready {
+		delete(a.drained, key)
+	} else if !is {
+		a.drained[key] = now
+	}
+}
+
+// pushed takes how much a cold box was sent lately, as a multiple of what it can do.
+func (a *auditor) pushed(now time.Duration, box brain.WorkerID, request uint64, load, most float64) {
+	if load > most {
+		a.broken(RuleCold, now, request, box, "sent %.2f times what it can do", load)
+	}
+}
+
+// forget drops what is known of a request that is over.
+func (a *auditor) forget(request uint64) { delete(a.tries, request) }
--- /dev/null
+++ b/internal/emulator/box.go
@@ -0,0 +1,258 @@
+package emulator
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"brassdale/brain"
+)
+
+// box is a costing box: slots that work jobs off in the order they came, each at the box's speed. What it leaves out: the
+// memory that jobs need beside slots, backfilling, and connections.
+type box struct {
+	w       *world
+	id      brain.WorkerID
+	kind    int
+	bay     int
+	slots   int
+	speed   float64
+	started time.Duration // 0 for long ago
+	state   brain.WorkerState
+	down    bool // it has fallen over, is starting or is gone
+	life    int  // a restart begins another: what was under way in the one before never ends
+
+	frozen, silent, slow, late int // how many faults of the kind it has now
+
+	busy    int
+	queue   []*run
+	held    []func()              // what would have been said while it is frozen
+	has     map[int]time.Duration // what it keeps of a subject, and when that was used last
+	pending []*run                // started
+	figures [8]brain.Report       // reports as they were, the newest last
+	when    [8]time.Duration      // and since when
+	pushed  []push                // work sent to it lately, while cold
+	chance  *rand.Rand
+}
+
+type push struct {
+	at   time.Duration
+	work float64
+}
+
+// run is an attempt at a box.
+type run struct {
+	job     *job
+	id      brain.RequestID
+	attempt int
+	box     brain.WorkerID
+	from    *dispatcher
+	life    int
+	work    float64 // seconds at speed 1
+	began   bool
+	over    bool // ended, or called off
+}
+
+// repeats are the keys that the boxes of a bay remember.
+type repeats map[uint64]time.Duration
+
+// warmth is the share of its speed that the box has now.
+func (b *box) warmth() float64 {
+	c := &b.w.s.Cold
+	if b.started == 0 || c.For <= 0 {
+		return 1
+	}
+	age := float64(b.w.now-b.started) / float64(c.For)
+	return min(c.Capacity+(1-c.Capacity)*age, 1)
+}
+
+// take takes an attempt. What is refused or dropped is said at once.
+func (b *box) take(r *run) {
+	b.weigh(r)
+	if b.down {
+		b.w.reply(r, brain.NoConnect)
+		return
+	}
+	if r.job.key != 0 {
+		bay := b.w.bays[b.bay]
+		if until, had := bay[r.job.key]; had && b.w.now < until {
+			return // dropped as a repeat: it is not answered, as the first one is
+		}
+		bay[r.job.key] = b.w.now + b.w.s.Traffic.Window
+	}
+	r.life = b.life
+	b.queue = append(b.queue, r)
+	b.next()
+}
+
+// weigh counts what is sent to a cold box, and has it fall over if that was too much.
+func (b *box) weigh(r *run) {
+	c := &b.w.s.Cold
+	if b.started == 0 || c.Tip <= 0 || b.warmth() >= 1 {
+		return
+	}
+	b.pushed = append(b.pushed, push{b.w.now, r.work})
+	for len(b.pushed) > 0 && b.pushed[0].at < b.w.now-c.Fall {
+		b.pushed = b.pushed[1:]
+	}
+	sum := 0.0
+	for _, p := range b.pushed {
+		sum += p.work
+	}
+	load := sum / (float64(b.slots) * b.speed * b.warmth() * c.Fall.Seconds())
+	b.w.audit.pushed(b.w.now, b.id, r.job.id, load, c.Tip)
+	if load > c.Tip && !b.down {
+		b.w.note("%v %s falls over at %.2f times what it can do", b.w.now, b.id, load)
+		b.lose()
+		b.down = true
+	}
+}
+
+// next starts what there are slots for.
+func (b *box) next() {
+	for b.busy < b.slots && len(b.queue) > 0 && b.silent == 0 && b.frozen == 0 && !b.down {
+		r := b.queue[0]
+		b.queue = b.queue[1:]
+		if r.over {
+			continue
+		}
+		b.busy++
+		r.began = true
+		b.pending = append(b.pending, r)
+		b.w.began(r)
+		b.fetch(r.job.subject, func() { b.work(r) })
+	}
+}
+
+// fetch gets what a job is about, if the box does not have it, and goes on.
+func (b *box) fetch(subject int, then func()) {
+	s := &b.w.s.Store
+	if subject == 0 || s.Fetch <= 0 {
+		then()
+		return
+	}
+	if used, ok := b.has[subject]; ok && b.w.now-used < s.Keep {
+		b.has[subject] = b.w.now
+		then()
+		return
+	}
+	b.w.store.enter(time.Duration(b.chance.ExpFloat64()*s.Fetch*float64(time.Second)), func() {
+		b.has[subject] = b.w.now
+		then()
+	})
+}
+
+// work runs a job to its end.
+func (b *box) work(r *run) {
+	speed := b.speed * b.warmth()
+	if b.slow > 0 {
+		speed /= 3
+	}
+	b.w.after(time.Duration(r.work/speed*float64(time.Second)), func() { b.finish(r) })
+}
+
+// finish ends a job, or, while the box stands still, has that wait until it goes on.
+func (b *box) finish(r *run) {
+	if r.life != b.life {
+		return // of a life that is over
+	}
+	if b.frozen > 0 {
+		b.held = append(b.held, func() { b.finish(r) })
+		return
+	}
+	b.busy--
+	for i, p := range b.pending {
+		if p == r {
+			b.pending = append(b.pending[:i], b.pending[i+1:]...)
+			break
+		}
+	}
+	b.w.worked += r.work
+	if !r.over {
+		r.over = true
+		b.w.reply(r, brain.Served)
+	} else {
+		b.w.wasted += r.work
+	}
+	b.next()
+}
+
+// cancel calls an attempt off: one that waits is dropped, one that runs goes on to its end for nobody.
+func (b *box) cancel(r *run) { r.over = true }
+
+// lose loses all that the box has.
+func (b *box) lose() {
+	b.life++
+	for _, r := range append(b.pending, b.queue...) {
+		if !r.over {
+			r.over = true
+			b.w.reply(r, brain.Reset)
+		}
+	}
+	b.pending, b.queue, b.held, b.busy, b.has = nil, nil, nil, 0, map[int]time.Duration{}
+}
+
+// refresh has the box's figures made anew, now and then.
+func (b *box) refresh() {
+	copy(b.figures[:], b.figures[1:])
+	copy(b.when[:], b.when[1:])
+	last := len(b.when) - 1
+	b.figures[last] = brain.Report{Busy: float64(b.busy) / float64(b.slots), Requests: -1, FreeSlots: float64(b.slots - b.busy)}
+	b.when[last] = b.w.now
+	every := b.w.s.Reports.Every
+	b.w.after(every/2+time.Duration(b.chance.Int64N(int64(every)+1)), b.refresh)
+}
+
+// report gives the figures as a probe finds them.
+func (b *box) report() *brain.Report {
+	from := b.w.now
+	if b.late > 0 {
+		from -= 3 * time.Second
+	}
+	for i := len(b.when) - 1; i >= 0; i-- {
+		if b.when[i] <= from {
+			r := b.figures[i]
+			return &r
+		}
+	}
+	r := b.figures[0]
+	return &r
+}
+
+// probe answers a probe, as far as the box is there.
+func (b *box) probe(answer func(brain.Outcome, *brain.Report)) {
+	switch {
+	case b.down:
+		answer(brain.NoConnect, nil)
+	case b.frozen > 0: // nobody hears anything: the dispatcher's own time runs out
+	default:
+		answer(brain.Served, b.report())
+	}
+}
+
+// queueOf is a place where so many are served at a time, in the order they came.
+type queueOf struct {
+	w     *world
+	slots int // 0 for any number
+	busy  int
+	wait  []func()
+}
+
+func (q *queueOf) enter(span time.Duration, then func()) {
+	start := func() {
+		q.busy++
+		q.w.after(span, func() {
+			q.busy--
+			if len(q.wait) > 0 {
+				next := q.wait[0]
+				q.wait = q.wait[1:]
+				next()
+			}
+			then()
+		})
+	}
+	if q.slots > 0 && q.busy >= q.slots {
+		q.wait = append(q.wait, start)
+		return
+	}
+	start()
+}
--- /dev/null
+++ b/internal/emulator/dispatcher.go
@@ -0,0 +1,172 @@
+package emulator
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"brassdale/brain"
+)
+
+// Policy decides, as the module does: events in, actions out. The actions are read before the next call.
+type Policy interface {
+	Handle(now brain.Clock, ev brain.Event) []brain.Action
+}
+
+// dispatcher carries a policy's actions out, as routing.Core does: it lets nothing through that the core would not.
+type dispatcher struct {
+	w          *world
+	n          int
+	policy     Policy
+	open       map[brain.RequestID]*open
+	subscribed bool
+	chance     *rand.Rand
+}
+
+type open struct {
+	job      *job
+	expires  time.Duration
+	answered bool
+	runs     []*run
+	out      []bool
+	left     int // attempts without an outcome
+}
+
+// feed tells the policy an event. Nothing in here feeds again: what an action brings about comes later.
+func (d *dispatcher) feed(ev brain.Event) {
+	for _, a := range d.policy.Handle(d.w.now, ev) {
+		switch a := a.(type) {
+		case brain.Send:
+			d.send(a)
+		case brain.Cancel:
+			if o := d.open[a.ID]; o != nil && a.Attempt < len(o.runs) && o.out[a.Attempt] {
+				r := o.runs[a.Attempt]
+				d.w.after(d.w.delay(d.chance), func() { d.w.boxOf(r).cancel(r) })
+				d.w.after(0, func() { d.ended(a.ID, a.Attempt, brain.Cancelled) })
+			}
+		case brain.Refuse:
+			d.answer(a.ID, refused, a.RetryAfter)
+		case brain.Fail:
+			d.answer(a.ID, failed, 0)
+		case brain.Probe:
+			d.probe(a.Worker)
+		case brain.Subscribe:
+			if !d.subscribed {
+				d.subscribed = true
+				d.w.after(d.w.late(d.chance), func() { d.listed(brain.ListFull, d.w.list()) })
+			}
+		case brain.Wake:
+			d.w.after(a.After, func() { d.feed(brain.Woke{Token: a.Token}) })
+		case brain.Log:
+			d.w.note("%v dispatcher %d: %s", d.w.now-d.w.base, d.n, a.Text)
+		}
+	}
+}
+
+// arrived takes a client's request.
+func (d *dispatcher) arrived(j *job, id brain.RequestID, expires time.Duration) {
+	d.open[id] = &open{job: j, expires: expires}
+	d.w.after(expires-d.w.now, func() { d.expired(id) })
+	d.feed(brain.Arrived{ID: id, Slots: 1, Key: uint64(j.subject), Expires: expires})
+}
+
+// expired ends what is out when a client gives up.
+func (d *dispatcher) expired(id brain.RequestID) {
+	o := d.open[id]
+	if o == nil {
+		return
+	}
+	for i := range o.runs {
+		if o.out[i] {
+			r := o.runs[i]
+			d.w.after(d.w.delay(d.chance), func() { d.w.boxOf(r).cancel(r) })
+			d.ended(id, i, brain.TimedOut)
+		}
+	}
+}
+
+func (d *dispatcher) send(a brain.Send) {
+	o := d.open[a.ID]
+	if o == nil {
+		return
+	}
+	b := d.w.byID[a.Worker]
+	attempt := len(o.runs)
+	r := &run{job: o.job, attempt: attempt, from: d, work: o.job.work}
+	r.box = a.Worker
+	o.runs, o.out = append(o.runs, r), append(o.out, true)
+	o.left++
+	if o.answered || d.w.now >= o.expires || attempt >= d.w.s.Rules.MaxAttempts || b == nil {
+		d.w.after(0, func() { d.ended(a.ID, attempt, brain.NeverSent) })
+		return
+	}
+	r.id = a.ID
+	d.w.sends++
+	d.w.audit.sent(d.w.now, d.n, uint64(a.ID), b.id, b.bay)
+	d.w.after(d.w.delay(d.chance), func() {
+		if !r.over {
+			b.take(r)
+		}
+	})
+}
+
+// ended ends an attempt, once.
+func (d *dispatcher) ended(id brain.RequestID, attempt int, out brain.Outcome) {
+	o := d.open[id]
+	if o == nil || !o.out[attempt] {
+		return
+	}
+	o.out[attempt] = false
+	o.left--
+	d.w.audit.ended(uint64(id), attempt, out)
+	if out == brain.Served {
+		d.answer(id, served, 0)
+	}
+	d.feed(brain.Finished{ID: id, Attempt: attempt, Worker: o.runs[attempt].box, Outcome: out, Final: o.answered})
+	d.forget(id)
+}
+
+// answer gives the final answer. Whether there was one before is the auditor's to see.
+func (d *dispatcher) answer(id brain.RequestID, v verdict, after time.Duration) {
+	o := d.open[id]
+	if o == nil || o.answered && v == served { // a second result is dropped
+		return
+	}
+	o.answered = true
+	d.w.audit.answered(d.w.now, uint64(id))
+	d.w.answered(o.job, id, v, after)
+	d.w.after(0, func() { d.forget(id) })
+}
+
+func (d *dispatcher) forget(id brain.RequestID) {
+	if o := d.open[id]; o != nil && o.answered && o.left == 0 {
+		delete(d.open, id)
+		d.w.audit.forget(uint64(id))
+	}
+}
+
+// listed tells the policy of the list.
+func (d *dispatcher) listed(kind brain.ListKind, ws []brain.WorkerInfo) {
+	for _, w := range ws {
+		d.w.audit.told(d.w.now, d.n, w.ID, w.State)
+	}
+	d.feed(brain.Listed{Kind: kind, Workers: ws})
+}
+
+// probe asks a box, and takes its silence for an answer after a while.
+func (d *dispatcher) probe(id brain.WorkerID) {
+	b := d.w.byID[id]
+	d.w.probes++
+	over := false
+	answer := func(o brain.Outcome, r *brain.Report) {
+		if !over {
+			over = true
+			d.feed(brain.Probed{Worker: id, Outcome: o, Report: r})
+		}
+	}
+	d.w.after(probeWithin, func() { answer(brain.TimedOut, nil) })
+	d.w.after(d.w.delay(d.chance), func() {
+		b.probe(func(o brain.Outcome, r *brain.Report) { d.w.after(d.w.delay(d.chance), func() { answer(o, r) }) })
+	})
+}
+
+const probeWithin = 300 * time.Millisecond
--- /dev/null
+++ b/internal/emulator/emulator_test.go
@@ -0,0 +1,206 @@
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/emulator/policy"
+)
+
+func module(s brain.Settings, seed uint64) Policy { return brain.New(s, seed) }
+
+func plain(name string) func(brain.Settings, uint64) Policy {
+	return func(_ brain.Settings, seed uint64) Policy { return policy.New(name, seed) }
+}
+
+func mustRun(t testing.TB, s Scenario, p func(brain.Settings, uint64) Policy) *Result {
+	t.Helper()
+	r, err := Run(s, p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// trouble is a day on which all kinds of faults come.
+func trouble(seed uint64) Scenario {
+	s := LlanelliWorks(seed)
+	s.Span = 30 * time.Second
+	for i := range Unheard + 1 {
+		s.Faults = append(s.Faults, Fault{At: time.Duration(2+4*i) * time.Second, For: 3 * time.Second, Kind: i, Share: 0.1})
+	}
+	return s
+}
+
+// The same seed gives the same result, whatever else the machine does; another seed another.
+func TestSameSeed(t *testing.T) {
+	first := fmt.Sprintf("%+v", *mustRun(t, trouble(7), module))
+	for _, cores := range []int{1, 4} {
+		old := runtime.GOMAXPROCS(cores)
+		again := fmt.Sprintf("%+v", *mustRun(t, trouble(7), module))
+		runtime.GOMAXPROCS(old)
+		if again != first {
+			t.Errorf("on %d cores:\n%s\nnot\n%s", cores, again, first)
+		}
+	}
+	if other := fmt.Sprintf("%+v", *mustRun(t, trouble(8), module)); other == first {
+		t.Error("another seed gives the same")
+	}
+}
+
+// The module keeps the rules through all faults, and serves what it should on a calm day.
+func TestModule(t *testing.T) {
+	calm := mustRun(t, LlanelliWorks(3), module)
+	if calm.Service < 0.9 || calm.Jobs < 9000 || len(calm.Breaches) > 0 {
+		t.Errorf("calm: %+v", calm)
+	}
+	if bad := mustRun(t, LlanelliWorks(3), plain("random")); bad.Service >= calm.Service {
+		t.Errorf("random choice serves %.3f, the module %.3f", bad.Service, calm.Service)
+	}
+	for seed := range uint64(3) {
+		r := mustRun(t, trouble(seed), module)
+		for _, b := range r.Breaches {
+			t.Errorf("seed %d: %s", seed, b)
+		}
+		if r.Served+r.Late+r.Refused+r.Failed < r.Jobs {
+			t.Errorf("seed %d: %d jobs, %+v", seed, r.Jobs, r)
+		}
+	}
+}
+
+// queue is a site of one dispatcher and one box, without anything but waiting in line.
+func queue(seed uint64, slots int, load float64) Scenario {
+	return Scenario{Seed: seed, Span: 1500 * time.Second, Dispatchers: 1, Bays: 1,
+		Traffic: Traffic{Rate: load * float64(slots) / 0.1, Work: 0.1, Aim: time.Hour, GiveUp: time.Hour, Effect: brain.Safe},
+		Kinds:   []Kind{{"one", 1, slots, 1, 1}}, Discovery: time.Millisecond, Rules: Rules{MaxAttempts: 1}}
+}
+
+// erlangC is the chance that a job has to wait with so many slots and so much offered to them (A. K. Erlang, 1917).
+func erlangC(slots int, offered float64) float64 {
+	sum, term := 0.0, 1.0
+	for k := range slots {
+		sum += term
+		term *= offered / float64(k+1)
+	}
+	last := term * float64(slots) / (float64(slots) - offered)
+	return last / (sum + last)
+}
+
+// Against closed forms: the mean time at M/M/1 and M/M/c, within what ten runs scatter.
+func TestAgainstErlang(t *testing.T) {
+	for _, c := range []struct {
+		slots int
+		load  float64
+	}{{1, 0.5}, {1, 0.8}, {5, 0.8}, {20, 0.9}} {
+		var means []float64
+		for seed := range uint64(10) {
+			s := queue(seed, c.slots, c.load)
+			s.Span /= time.Duration(c.slots)
+			means = append(means, mustRun(t, s, plain("random")).Mean.Seconds())
+		}
+		mean, spread := 0.0, 0.0
+		for _, x := range means {
+			mean += x / float64(len(means))
+		}
+		for _, x := range means {
+			spread += (x - mean) * (x - mean) / float64(len(means)-1)
+		}
+		offered := c.load * float64(c.slots)
+		want := 0.1 + erlangC(c.slots, offered)*0.1/(float64(c.slots)-offered)
+		if bound := 3.25 * math.Sqrt(spread/float64(len(means))); math.Abs(mean-want) > bound { // t of 9, 0.99
+			t.Errorf("%d slots at %.1f: %.4f s, by Erlang %.4f s, bound %.4f", c.slots, c.load, mean, want, bound)
+		}
+	}
+}
+
+// meddler is a policy that breaks a rule on purpose.
+type meddler struct {
+	Policy
+	meddle func(brain.Event, []brain.Action) []brain.Action
+}
+
+func (m meddler) Handle(now brain.Clock, ev brain.Event) []brain.Action {
+	return m.meddle(ev, m.Policy.Handle(now, ev))
+}
+
+// The auditor finds each of the four rules broken, and names the request, the box and the moment.
+func TestAuditor(t *testing.T) {
+	base := LlanelliWorks(1)
+	base.Span, base.Traffic.Rate = 8*time.Second, 40
+	all := func(s Scenario, meddle func(brain.Event, []brain.Action) []brain.Action) *Result {
+		return mustRun(t, s, func(set brain.Settings, seed uint64) Policy { return meddler{plain("round-robin")(set, seed), meddle} })
+	}
+	drains := base
+	drains.Faults = []Fault{{At: time.Second, For: 6 * time.Second, Kind: Drain, Share: 0.2}}
+	starts := base
+	starts.Faults = []Fault{{At: time.Second, For: 1, Kind: Restart, Share: 0.01}}
+	starts.Traffic.Rate = 400
+	var listed []brain.WorkerID
+	hear := func(ev brain.Event) {
+		if l, is := ev.(brain.Listed); is && l.Kind == brain.ListSaved {
+			listed = nil
+			for _, w := range l.Workers {
+				listed = append(listed, w.ID)
+			}
+		}
+	}
+	for rule, r := range map[string]*Result{
+		RuleAnswer: all(base, func(_ brain.Event, acts []brain.Action) []brain.Action { // swallows all failures and refusals; and sends nothing
+			var kept []brain.Action
+			for _, a := range acts {
+				if _, is := a.(brain.Send); !is {
+					kept = append(kept, a)
+				}
+			}
+			return kept
+		}),
+		RuleAnswer + ", twice": all(base, func(ev brain.Event, acts []brain.Action) []brain.Action {
+			if f, is := ev.(brain.Finished); is && f.Outcome == brain.Served {
+				acts = append(acts, brain.Fail{ID: f.ID})
+			}
+			return acts
+		}),
+		RuleRepeat: all(base, func(ev brain.Event, acts []brain.Action) []brain.Action { // tries twice, wherever it comes
+			hear(ev)
+			for i, a := range acts {
+				if s, is := a.(brain.Send); is {
+					acts = append(acts, brain.Send{ID: s.ID, Worker: listed[(i+int(s.ID))%len(listed)]})
+				}
+			}
+			return acts
+		}),
+		RuleDrain: all(drains, func(ev brain.Event, acts []brain.Action) []brain.Action { // goes by the first list
+			hear(ev)
+			for i, a := range acts {
+				if s, is := a.(brain.Send); is {
+					acts[i] = brain.Send{ID: s.ID, Worker: listed[int(s.ID)%len(listed)]}
+				}
+			}
+			return acts
+		}),
+		RuleCold: all(starts, func(_ brain.Event, acts []brain.Action) []brain.Action { return acts }),
+	} {
+		rule, _, _ = strings.Cut(rule, ",")
+		found := false
+		for _, b := range r.Breaches {
+			if b.Rule == rule && b.Request > 0 && b.At > 0 && (rule == RuleAnswer || b.Box != "") {
+				found = true
+			}
+		}
+		if !found {
+			t.Errorf("%s: not found among %d breaches", rule, len(r.Breaches))
+		}
+	}
+}
+
+// BenchmarkBusyDay: a minute of 170 jobs/s, on one core.
+func BenchmarkBusyDay(b *testing.B) {
+	for b.Loop() {
+		mustRun(b, LlanelliWorks(1), module)
+	}
+}
--- /dev/null
+++ b/internal/emulator/policy/policy.go
@@ -0,0 +1,152 @@
+// Package policy holds plain ways to pick a worker, to compare the module with. Each has the module's interface. Only the
+// emulator links them.
+//
+// They send each request once, to a worker that is listed as ready, and fail what does not come back; none looks at cold
+// workers, keys or silence. What they know is what a textbook lets them know.
+package policy
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"brassdale/brain"
+)
+
+// Names are the policies that there are.
+func Names() []string {
+	return []string{"random", "round-robin", "least-outstanding", "two-choices", "lud"}
+}
+
+// New makes a policy by its name; nil where there is none of the name.
+func New(name string, seed uint64) *Plain {
+	p := &Plain{rng: rand.New(rand.NewPCG(seed, 0)), workers: map[brain.WorkerID]*worker{}}
+	pick, ok := map[string]func(*Plain) *worker{
+		"random":            (*Plain).random,
+		"round-robin":       (*Plain).robin,
+		"least-outstanding": func(p *Plain) *worker { return p.least(func(w *worker) float64 { return float64(w.out) }) },
+		"two-choices":       (*Plain).two,
+		"lud":               func(p *Plain) *worker { return p.least(func(w *worker) float64 { return w.value }) },
+	}[name]
+	if !ok {
+		return nil
+	}
+	p.pick = pick
+	return p
+}
+
+// Plain is a policy.
+type Plain struct {
+	pick    func(*Plain) *worker
+	rng     *rand.Rand
+	workers map[brain.WorkerID]*worker
+	ready   []*worker // by id
+	turn    int
+	open    map[brain.RequestID]bool
+	asked   bool
+}
+
+type worker struct {
+	id    brain.WorkerID
+	size  float64
+	out   int
+	value float64 // LUD: the load that it told of last, and what was pushed since
+}
+
+const probeEvery = 1e9 // of each worker, where reports come by probes
+
+// Handle is the module's.
+func (p *Plain) Handle(_ brain.Clock, ev brain.Event) (acts []brain.Action) {
+	switch e := ev.(type) {
+	case brain.Listed:
+		p.listed(e)
+		if !p.asked {
+			p.asked = true
+			acts = append(acts, brain.Subscribe{}, brain.Wake{After: probeEvery})
+		}
+	case brain.Woke:
+		for _, w := range p.ready {
+			acts = append(acts, brain.Probe{Worker: w.id})
+		}
+		acts = append(acts, brain.Wake{After: probeEvery})
+	case brain.Probed:
+		// Least Used with Degradation: a report sets the value, each push raises it by what one job takes.
+		if w := p.workers[e.Worker]; w != nil && e.Report != nil && e.Report.Busy >= 0 {
+			w.value = e.Report.Busy
+		}
+	case brain.Arrived:
+		if len(p.ready) == 0 {
+			return []brain.Action{brain.Refuse{ID: e.ID}}
+		}
+		w := p.pick(p)
+		w.out++
+		w.value += 1 / max(w.size, 1)
+		return []brain.Action{brain.Send{ID: e.ID, Worker: w.id}}
+	case brain.Finished:
+		if w := p.workers[e.Worker]; w != nil {
+			w.out--
+		}
+		switch {
+		case e.Final:
+		case e.Outcome == brain.Full || e.Outcome == brain.NoConnect || e.Outcome == brain.NeverSent:
+			return []brain.Action{brain.Refuse{ID: e.ID}}
+		default:
+			return []brain.Action{brain.Fail{ID: e.ID}}
+		}
+	}
+	return acts
+}
+
+func (p *Plain) listed(e brain.Listed) {
+	if e.Kind == brain.ListFailed {
+		return
+	}
+	if e.Kind != brain.ListChange {
+		p.ready = nil
+	}
+	for _, in := range e.Workers {
+		w := p.workers[in.ID]
+		if w == nil {
+			w = &worker{id: in.ID, size: in.Weight}
+			p.workers[in.ID] = w
+		}
+		p.ready = slices.DeleteFunc(p.ready, func(o *worker) bool { return o == w })
+		if in.State == brain.Ready {
+			p.ready = append(p.ready, w)
+		}
+	}
+	slices.SortFunc(p.ready, func(a, b *worker) int {
+		if a.id < b.id {
+			return -1
+		}
+		return 1
+	})
+}
+
+func (p *Plain) random() *worker { return p.ready[p.rng.IntN(len(p.ready))] }
+
+func (p *Plain) robin() *worker {
+	p.turn++
+	return p.ready[p.turn%len(p.ready)]
+}
+
+// two is the better of two drawn at random (M. Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing",
+// 1996).
+func (p *Plain) two() *worker {
+	a, b := p.random(), p.random()
+	if b.out < a.out {
+		return b
+	}
+	return a
+}
+
+// least gives the worker of the least value; ties go round robin.
+func (p *Plain) least(value func(*worker) float64) *worker {
+	p.turn++
+	best := p.ready[p.turn%len(p.ready)]
+	for i := range p.ready {
+		if w := p.ready[(p.turn+i)%len(p.ready)]; value(w) < value(best) {
+			best = w
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/emulator/result.go
@@ -0,0 +1,73 @@
+package emulator
+
+import (
+	"slices"
+	"time"
+)
+
+// Result is what came of a run.
+type Result struct {
+	Jobs     int
+	Service  float64 // work answered in time, of the work asked for
+	Worst    float64 // the same of the account served worst
+	Served   int
+	Late     int
+	Refused  int
+	Failed   int
+	Mean     time.Duration // of what was served, from when it was asked for first
+	P50      time.Duration
+	P99      time.Duration
+	Sends    float64 // a job
+	Probes   float64 // a job
+	Wasted   float64 // work done for nobody, of all that was done
+	Accounts []AccountResult
+	Breaches []Breach
+	Notes    []string
+}
+
+// AccountResult is what came of an account's jobs.
+type AccountResult struct {
+	Name    string
+	Jobs    int
+	Service float64
+	Refused int
+}
+
+func (w *world) result() *Result {
+	r := &Result{Breaches: w.audit.breach, Notes: w.notes, Worst: 1}
+	asked, good := 0.0, 0.0
+	for i, t := range w.tallies {
+		r.Jobs, r.Served, r.Late, r.Refused, r.Failed = r.Jobs+t.jobs, r.Served+t.served, r.Late+t.late, r.Refused+t.refused, r.Failed+t.failed
+		asked, good = asked+t.asked, good+t.good
+		a := AccountResult{Jobs: t.jobs, Refused: t.refused}
+		if i < len(w.s.Traffic.Accounts) {
+			a.Name = w.s.Traffic.Accounts[i].Name
+		}
+		if t.asked > 0 {
+			a.Service = t.good / t.asked
+			r.Worst = min(r.Worst, a.Service)
+		}
+		r.Accounts = append(r.Accounts, a)
+	}
+	if asked > 0 {
+		r.Service = good / asked
+	}
+	if r.Jobs > 0 {
+		r.Sends, r.Probes = float64(w.sends)/float64(r.Jobs), float64(w.probes)/float64(r.Jobs)
+	}
+	if w.worked > 0 {
+		r.Wasted = w.wasted / w.worked
+	}
+	slices.Sort(w.times)
+	sum := 0.0
+	for _, t := range w.times {
+		sum += t
+	}
+	if n := len(w.times); n > 0 {
+		at := func(p float64) time.Duration {
+			return time.Duration(w.times[min(int(p*float64(n)), n-1)] * float64(time.Second))
+		}
+		r.Mean, r.P50, r.P99 = time.Duration(sum/float64(n)*float64(time.Second)), at(0.5), at(0.99)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/emulator/scenario.go
@@ -0,0 +1,162 @@
+// Package emulator is a model of the systems that brassdale serves: boxes, discovery, clients, the network between, and
+// what goes wrong with them. It runs in virtual time, in one goroutine and with one source of chance for each thing that
+// has any: the same scenario gives the same events, byte for byte, on any machine.
+//
+// It is a model, not a measurement of real boxes. Each part says in its comment what it leaves out.
+package emulator
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"brassdale/brain"
+)
+
+// Scenario is a works, its traffic and its troubles.
+type Scenario struct {
+	Seed        uint64
+	Span        time.Duration // in which clients send; all is then run to its end
+	Dispatchers int
+	Traffic     Traffic
+	Kinds       []Kind
+	Bays        int // boxes are dealt out among them; one drops repeats of a key
+	Network     Network
+	Discovery   time.Duration // how late a change of the list is told, on average
+	Reports     Reports
+	Cold        Cold
+	Store       Store
+	Faults      []Fault
+	Rules       Rules
+}
+
+// Traffic is what clients send.
+type Traffic struct {
+	Rate     float64 // jobs a second of all clients together
+	Work     float64 // mean seconds of a job at a slot of speed 1
+	Spread   float64 // of the logarithm of a job's work; 0 for exponentially distributed work
+	Aim      time.Duration
+	Stretch  float64 // an answer counts within Aim + Stretch x the job's work
+	GiveUp   time.Duration
+	Effect   brain.Effect
+	Window   time.Duration // for which a bay drops repeats of a key
+	Subjects int           // that jobs are about: a box keeps what it fetched for one; 0 for none
+	Accounts []Account
+	Retries  float64 // share of refused jobs whose client tries once more
+}
+
+// Account is a customer.
+type Account struct {
+	Name  string
+	Share float64 // of the rate; shares count against each other
+}
+
+// Kind is a kind of box.
+type Kind struct {
+	Name     string
+	Count    int
+	Slots    int
+	SpeedMin float64 // of a slot, drawn evenly for each box
+	SpeedMax float64
+}
+
+// Network is between dispatchers and boxes. Connections are not modelled: their cost is in Setup.
+type Network struct {
+	Delay time.Duration // one way, on average; exponentially distributed about half of it, and half fixed
+}
+
+// Reports are what a probe brings.
+type Reports struct {
+	Every time.Duration // a box's figures are refreshed so often
+	Cost  time.Duration // of a slot's time, for each probe
+}
+
+// Cold is how a box starts.
+type Cold struct {
+	Capacity float64       // a box begins at this share of its speed
+	For      time.Duration // and is warm after so long
+	Tip      float64       // sent more than this multiple of what it can do ...
+	Fall     time.Duration // ... for so long, it falls over and stays down
+}
+
+// Store is where boxes fetch what a job is about.
+type Store struct {
+	Fetch float64       // mean seconds; 0 for nothing to fetch
+	Slots int           // fetches at a time; 0 for any number
+	Keep  time.Duration // a box keeps it for so long since it used it last
+}
+
+// Trouble is a kind of fault.
+type Trouble uint8
+
+const (
+	Freeze  Trouble = iota // takes jobs and probes, answers nothing; goes on afterwards where it stood
+	Silent                 // answers probes, starts no job
+	Slow                   // at a third of its speed
+	Restart                // loses all it has, and comes back cold after one second
+	Drain                  // is listed as leaving, finishes what it has, and is gone at the end
+	Unheard                // reports come late by three seconds
+)
+
+// Fault befalls some boxes for a while.
+type Fault struct {
+	At    time.Duration
+	For   time.Duration
+	Kind  Trouble
+	Share float64 // of the boxes, at least one
+}
+
+// Rules are the limits that the dispatchers are told of and that the auditor holds.
+type Rules struct {
+	MaxAttempts int
+	Slack       time.Duration // an answer so long after its client gave up still counts
+	DrainGrace  time.Duration
+	MayCopy     bool
+	MayCancel   bool
+}
+
+// LlanelliWorks is a works like the one that brassdale was made for, on a calm day.
+func LlanelliWorks(seed uint64) Scenario {
+	return Scenario{
+		Seed: seed, Span: time.Minute, Dispatchers: 2, Bays: 3,
+		Traffic: Traffic{Rate: 170, Work: 0.2, Spread: 0.7, Aim: 200 * time.Millisecond, Stretch: 2.5, GiveUp: 5 * time.Second,
+			Effect: brain.Keyed, Window: 7500 * time.Millisecond, Subjects: 400, Retries: 0.5,
+			Accounts: []Account{{"deeside-aero", 0.23}, {"gwent-pumps", 0.19}, {"taff-marine", 0.18}, {"cwm-trailers", 0.18}, {"bryn-fixtures", 0.14}, {"ogwen-tools", 0.08}}},
+		Kinds:     []Kind{{"new-box", 9, 5, 0.85, 1.1}, {"old-box", 4, 4, 0.64, 0.86}},
+		Network:   Network{Delay: 500 * time.Microsecond},
+		Discovery: time.Second,
+		Reports:   Reports{Every: 700 * time.Millisecond, Cost: time.Millisecond},
+		Cold:      Cold{Capacity: 0.14, For: 24 * time.Second, Tip: 3, Fall: 1500 * time.Millisecond},
+		Store:     Store{Fetch: 0.05, Slots: 40, Keep: 30 * time.Second},
+		Rules:     Rules{MaxAttempts: 4, Slack: 8 * time.Millisecond, DrainGrace: 500 * time.Millisecond, MayCopy: true, MayCancel: true},
+	}
+}
+
+// Check tells what is wrong with a scenario.
+func (s *Scenario) Check() error {
+	boxes := 0
+	for i, k := range s.Kinds {
+		if k.Count < 0 || k.Slots < 1 || k.SpeedMin <= 0 || k.SpeedMax < k.SpeedMin {
+			return fmt.Errorf("kinds[%d]: needs slots, and speeds above 0 in order", i)
+		}
+		boxes += k.Count
+	}
+	for i, f := range s.Faults {
+		if f.At < 0 || f.For <= 0 || f.Share <= 0 || f.Share > 1 || f.Kind > Unheard {
+			return fmt.Errorf("faults[%d]: needs a time, a span and a share between 0 and 1", i)
+		}
+	}
+	switch {
+	case boxes == 0:
+		return errors.New("no box")
+	case s.Dispatchers < 1:
+		return errors.New("no dispatcher")
+	case s.Span <= 0 || s.Traffic.Rate <= 0 || s.Traffic.Work <= 0 || s.Traffic.GiveUp <= 0:
+		return errors.New("span, rate, work and give-up must be above 0")
+	case s.Bays < 1:
+		return errors.New("no bay")
+	case s.Rules.MaxAttempts < 1:
+		return errors.New("no attempt allowed")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/emulator/world.go
@@ -0,0 +1,315 @@
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"brassdale/brain"
+)
+
+// world is a run of a scenario.
+type world struct {
+	engine
+	s           *Scenario
+	base        time.Duration // the time at the start: clocks count from long before
+	boxes       []*box
+	byID        map[brain.WorkerID]*box
+	bays        []repeats
+	store       *queueOf
+	dispatchers []*dispatcher
+	audit       *auditor
+	lastID      brain.RequestID
+	clients     *rand.Rand
+
+	sends, probes  int
+	worked, wasted float64
+	tallies        []tally // by account
+	times          []float64
+	notes          []string
+}
+
+// job is what a client wants, over its tries.
+type job struct {
+	id      uint64
+	account int
+	work    float64
+	key     uint64
+	subject int
+	asked   time.Duration
+	tries   int
+	done    bool
+}
+
+type verdict uint8
+
+const (
+	served verdict = iota
+	refused
+	failed
+)
+
+type tally struct {
+	jobs                          int
+	asked, good                   float64 // work
+	served, late, refused, failed int
+}
+
+// epoch is how long before the start clocks began.
+const epoch = time.Hour
+
+// Run plays a scenario with a policy for each dispatcher. It ends when all is answered and every box is idle, or Settle
+// after the last job came.
+func Run(s Scenario, policy func(brain.Settings, uint64) Policy) (*Result, error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	w := &world{s: &s, base: epoch, byID: map[brain.WorkerID]*box{}, tallies: make([]tally, max(len(s.Traffic.Accounts), 1))}
+	w.now = epoch
+	w.audit = newAuditor(&s, epoch)
+	w.clients = w.source(1)
+	w.store = &queueOf{w: w, slots: s.Store.Slots}
+	for range s.Bays {
+		w.bays = append(w.bays, repeats{})
+	}
+	chance := w.source(2)
+	for kind, k := range s.Kinds {
+		for range k.Count {
+			n := len(w.boxes)
+			b := &box{w: w, id: brain.WorkerID(fmt.Sprintf("s-%06x", chance.Uint32()>>8)), kind: kind, bay: n % s.Bays, slots: k.Slots,
+				speed: k.SpeedMin + (k.SpeedMax-k.SpeedMin)*chance.Float64(), has: map[int]time.Duration{}, chance: w.source(uint64(1000 + n))}
+			for w.byID[b.id] != nil {
+				b.id += "x"
+			}
+			w.boxes = append(w.boxes, b)
+			w.byID[b.id] = b
+			for i := range b.figures {
+				b.figures[i] = brain.Report{Requests: -1, FreeSlots: float64(b.slots)}
+			}
+			if s.Reports.Every > 0 {
+				b.refresh()
+			}
+		}
+	}
+	for n := range s.Dispatchers {
+		d := &dispatcher{w: w, n: n, open: map[brain.RequestID]*open{}, chance: w.source(uint64(100 + n))}
+		d.policy = policy(w.settings(n), d.chance.Uint64())
+		w.dispatchers = append(w.dispatchers, d)
+		w.after(0, func() { d.listed(brain.ListSaved, w.list()) })
+	}
+	for i, f := range s.Faults {
+		w.after(f.At, func() { w.befall(f, w.source(uint64(10+i))) })
+	}
+	w.after(warmUp, w.arrive)
+	w.run(epoch + warmUp + s.Span + s.Traffic.GiveUp + Settle)
+	return w.result(), nil
+}
+
+const (
+	// Settle is how long a run goes on behind the last client's give-up.
+	Settle = 2 * time.Second
+
+	warmUp = 100 * time.Millisecond // in which dispatchers hear of the boxes
+)
+
+// source gives a source of chance of its own to each thing that has any, so that one more draw of the one changes
+// nothing for the others.
+func (w *world) source(of uint64) *rand.Rand { return rand.New(rand.NewPCG(w.s.Seed, of)) }
+
+// settings are what a dispatcher is told.
+func (w *world) settings(n int) brain.Settings {
+	t, r := &w.s.Traffic, &w.s.Rules
+	return brain.Settings{Me: n, Dispatchers: w.s.Dispatchers, Ask: true, ReportsPulled: true, TellsStart: true, MayProbe: true,
+		MayCancel: r.MayCancel, MayCopy: r.MayCopy, AdviseRetry: true, MaxAttempts: r.MaxAttempts, MaxRetryAfter: 2 * time.Second,
+		AnswerSlack: r.Slack, AskWithin: 10 * time.Second, Cold: w.s.Cold.For, StartCapacity: w.s.Cold.Capacity, TipMultiple: w.s.Cold.Tip,
+		Fall: w.s.Cold.Fall, WorthByWork: true,
+		Classes: []brain.Class{{Aim: t.Aim, Stretch: t.Stretch, Deadline: t.GiveUp, Worth: 1, Effect: t.Effect, Scope: brain.ScopeCell, Window: t.Window, Kind: -1}}}
+}
+
+// list is the list of boxes as it is now.
+func (w *world) list() (ws []brain.WorkerInfo) {
+	for _, b := range w.boxes {
+		ws = append(ws, b.info())
+	}
+	return ws
+}
+
+func (b *box) info() brain.WorkerInfo {
+	return brain.WorkerInfo{ID: b.id, State: b.state, Cell: b.bay, Kind: b.kind, Weight: float64(b.slots), Since: b.started}
+}
+
+// changed tells all dispatchers of a box, late.
+func (w *world) changed(b *box) {
+	info := b.info()
+	for _, d := range w.dispatchers {
+		w.after(w.late(d.chance), func() { d.listed(brain.ListChange, []brain.WorkerInfo{info}) })
+	}
+}
+
+// delay is a way through the network.
+func (w *world) delay(chance *rand.Rand) time.Duration {
+	half := float64(w.s.Network.Delay) / 2
+	return time.Duration(half + chance.ExpFloat64()*half)
+}
+
+// late is how late the list tells something.
+func (w *world) late(chance *rand.Rand) time.Duration {
+	return time.Duration((0.5 + chance.Float64()) * float64(w.s.Discovery))
+}
+
+func (w *world) boxOf(r *run) *box { return w.byID[r.box] }
+
+// reply tells a dispatcher how an attempt ended.
+func (w *world) reply(r *run, o brain.Outcome) {
+	w.after(w.delay(r.from.chance), func() { r.from.ended(r.id, r.attempt, o) })
+}
+
+// began tells a dispatcher that a job has started.
+func (w *world) began(r *run) {
+	w.after(w.delay(r.from.chance), func() {
+		if o := r.from.open[r.id]; o != nil && o.out[r.attempt] {
+			r.from.feed(brain.Began{ID: r.id, Attempt: r.attempt, Worker: r.box})
+		}
+	})
+}
+
+// arrive brings a job and sees to the next.
+func (w *world) arrive() {
+	t := &w.s.Traffic
+	j := &job{id: uint64(w.lastID) + 1, asked: w.now, work: t.Work * w.clients.ExpFloat64(), key: w.clients.Uint64() | 1}
+	if t.Spread > 0 { // of the same mean
+		j.work = t.Work * math.Exp(t.Spread*w.clients.NormFloat64()-t.Spread*t.Spread/2)
+	}
+	if t.Subjects > 0 {
+		j.subject = 1 + w.clients.IntN(t.Subjects)
+	}
+	pick, sum := w.clients.Float64(), 0.0
+	for _, a := range t.Accounts {
+		sum += a.Share
+	}
+	for i, a := range t.Accounts {
+		if pick -= a.Share / sum; pick < 0 {
+			j.account = i
+			break
+		}
+	}
+	ta := &w.tallies[j.account]
+	ta.jobs++
+	ta.asked += j.work
+	w.try(j)
+	if next := time.Duration(w.clients.ExpFloat64() / t.Rate * float64(time.Second)); w.now+next < epoch+warmUp+w.s.Span {
+		w.after(next, w.arrive)
+	}
+}
+
+// try hands a job to some dispatcher.
+func (w *world) try(j *job) {
+	w.lastID++
+	id, expires := w.lastID, w.now+w.s.Traffic.GiveUp
+	j.tries++
+	d := w.dispatchers[w.clients.IntN(len(w.dispatchers))]
+	w.after(w.s.Traffic.GiveUp+w.s.Rules.Slack, func() {
+		if o := d.open[id]; o != nil && !o.answered {
+			w.audit.gaveUp(w.now, uint64(id))
+			o.answered = true
+			w.done(j, failed)
+			d.feed(brain.Left{ID: id})
+			d.forget(id)
+		}
+	})
+	d.arrived(j, id, expires)
+}
+
+// answered takes a client's final answer to one try.
+func (w *world) answered(j *job, _ brain.RequestID, v verdict, after time.Duration) {
+	if v == refused && j.tries == 1 && w.clients.Float64() < w.s.Traffic.Retries {
+		w.after(max(after, 100*time.Millisecond), func() { w.try(j) })
+		return
+	}
+	w.done(j, v)
+}
+
+// done ends a job for its client.
+func (w *world) done(j *job, v verdict) {
+	if j.done {
+		return
+	}
+	j.done = true
+	t := &w.tallies[j.account]
+	took := (w.now - j.asked).Seconds()
+	switch v {
+	case served:
+		t.served++
+		w.times = append(w.times, took)
+		if took <= w.s.Traffic.Aim.Seconds()+w.s.Traffic.Stretch*j.work {
+			t.good += j.work
+		} else {
+			t.late++
+		}
+	case refused:
+		t.refused++
+	default:
+		t.failed++
+	}
+}
+
+// befall has a fault come over some boxes, and go.
+func (w *world) befall(f Fault, chance *rand.Rand) {
+	some := slices.Clone(w.boxes)
+	chance.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
+	for _, b := range some[:max(int(f.Share*float64(len(some))), 1)] {
+		b.befall(f.Kind)
+		w.after(f.For, func() { b.recover(f.Kind) })
+	}
+}
+
+func (b *box) befall(t Trouble) {
+	switch t {
+	case Freeze:
+		b.frozen++
+	case Silent:
+		b.silent++
+	case Slow:
+		b.slow++
+	case Unheard:
+		b.late++
+	case Drain:
+		b.state = brain.Draining
+		b.w.changed(b)
+	case Restart:
+		b.lose()
+		b.down = true
+		b.w.after(time.Second, func() {
+			b.down, b.started, b.pushed = false, b.w.now, nil
+			b.w.changed(b)
+		})
+	}
+}
+
+func (b *box) recover(t Trouble) {
+	switch t {
+	case Freeze:
+		if b.frozen--; b.frozen == 0 {
+			held := b.held
+			b.held = nil
+			for _, say := range held {
+				say()
+			}
+		}
+	case Silent:
+		b.silent--
+	case Slow:
+		b.slow--
+	case Unheard:
+		b.late--
+	case Drain: // it goes, whatever it still has
+		b.lose()
+		b.state, b.down = brain.Gone, true
+		b.w.changed(b)
+	}
+	b.next()
+}
+
+func (w *world) note(format string, a ...any) { w.notes = append(w.notes, fmt.Sprintf(format, a...)) }
--- /dev/null
+++ b/internal/transport/http2/front_test.go
@@ -0,0 +1,167 @@
+package http2
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math"
+	"net"
+	"net/http"
+	"testing"
+
+	"brassdale/brain"
+	"brassdale/internal/decisions/streams"
+	"brassdale/internal/protocol"
+	"brassdale/internal/routing"
+	"brassdale/internal/transport"
+)
+
+// atOnce is a core that answers each job as it comes.
+type atOnce struct{ ledger routing.Ledger }
+
+func (c *atOnce) Submit(in routing.Inbound) brain.RequestID {
+	in.Client.Answered(routing.Answer{Verdict: routing.Served, Result: []byte("priced")})
+	return 1
+}
+func (c *atOnce) Leave(brain.RequestID)   {}
+func (c *atOnce) Ledger() *routing.Ledger { return &c.ledger }
+
+// BenchmarkFronts tells what a job costs at each front, without the module and endpoints. The client costs nothing that
+// is counted.
+func BenchmarkFronts(b *testing.B) {
+	params := &protocol.Live{}
+	p := &protocol.Params{}
+	if err := json.Unmarshal([]byte(`{"classes":[{"name":"price-part","effect":"keyed","deadline":5000000,"window":1000}],"limits":{"maxAttempts":4}}`), p); err != nil {
+		b.Fatal(err)
+	}
+	params.Put(p, func(brain.Settings) {})
+	log := slog.New(slog.DiscardHandler)
+	listen := func() *net.TCPListener {
+		l, err := transport.Listen("127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		return l
+	}
+	serve := func(server *http.Server, l net.Listener) {
+		go func() { _ = server.Serve(l) }()
+		b.Cleanup(func() { server.Close() })
+	}
+	b.Run("HTTP/1.1", func(b *testing.B) {
+		gate := transport.NewGate(listen(), log)
+		gate.Allow(100, math.MaxInt64)
+		serve(transport.Server(transport.NewInbound(&atOnce{}, params, gate, &transport.OpenIDs{}, nil, nil, nil, log), log), gate)
+		conn, err := net.Dial("tcp", gate.Addr().String())
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer conn.Close()
+		job := []byte("POST /price-part HTTP/1.1\r\nHost: api.internal\r\nReq-Id: a\r\nReq-Kind: price-part\r\nReq-Owner: o\r\nIdempotency-Key: k\r\nReq-Deadline-Ms: 5000\r\nContent-Length: 7\r\n\r\ndrawing")
+		in := bufio.NewReader(conn)
+		b.ReportAllocs()
+		for b.Loop() {
+			if _, err := conn.Write(job); err != nil {
+				b.Fatal(err)
+			}
+			for {
+				line, err := in.ReadSlice('\n')
+				if err != nil {
+					b.Fatal(err)
+				}
+				if len(line) == 2 {
+					break
+				}
+			}
+			if _, err := in.Discard(len("priced")); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("HTTP/2", func(b *testing.B) {
+		gate := transport.NewMultiplexedGate(listen(), log)
+		gate.Allow(100, math.MaxInt64)
+		gate.AllowStreams(1000)
+		s := Default()
+		front, err := New(&s, &atOnce{}, params, gate, &transport.OpenIDs{}, nil, nil, log)
+		if err != nil {
+			b.Fatal(err)
+		}
+		serve(front.Server(&s), front.Listener())
+		conn, err := net.Dial("tcp", gate.Addr().String())
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer conn.Close()
+		fmt.Fprintf(conn, "%s\x00\x00\x00\x04\x00\x00\x00\x00\x00\x00\x00\x00\x04\x01\x00\x00\x00\x00", preface)
+		var block []byte
+		block = append(block, 0x83, 0x86)
+		for _, f := range [...][2]string{{":path", "/price-part"}, {":authority", "api.internal"}, {"req-id", "a"}, {"req-kind", "price-part"}, {"req-owner", "o"},
+			{"idempotency-key", "k"}, {"req-deadline-ms", "5000"}, {"content-length", "7"}} {
+			block = append(append(block, 0, byte(len(f[0]))), f[0]...)
+			block = append(append(block, byte(len(f[1]))), f[1]...)
+		}
+		job := []byte{0, 0, byte(len(block)), 1, 4, 0, 0, 0, 0}
+		job = append(append(job, block...), 0, 0, 7, 0, 1, 0, 0, 0, 0)
+		data := len(job) - 4
+		job = append(job, "drawing"...)
+		window := binary.BigEndian.AppendUint32([]byte{0, 0, 4, 8, 0, 0, 0, 0, 0}, 6)
+		in, head := bufio.NewReader(conn), make([]byte, frameHead)
+		stream := uint32(1)
+		b.ReportAllocs()
+		for b.Loop() {
+			binary.BigEndian.PutUint32(job[5:], stream)
+			binary.BigEndian.PutUint32(job[data:], stream)
+			if _, err := conn.Write(job); err != nil {
+				b.Fatal(err)
+			}
+			for {
+				if _, err := io.ReadFull(in, head); err != nil {
+					b.Fatal(err)
+				}
+				if _, err := in.Discard(int(head[1])<<8 | int(head[2])); err != nil {
+					b.Fatal(err)
+				}
+				if head[3] == byte(streams.Data) && head[4]&streams.EndStream != 0 {
+					break
+				}
+			}
+			if _, err := conn.Write(window); err != nil {
+				b.Fatal(err)
+			}
+			stream += 2
+		}
+	})
+}
+
+// The follower finds the same frames however the bytes are cut.
+func FuzzFollower(f *testing.F) {
+	f.Add([]byte("\x00\x00\x03\x00\x01\x00\x00\x00\x01abc\x00\x00\x00\x04\x00\x00\x00\x00\x00"), uint8(1))
+	f.Add([]byte("\x00\x00\x08\x07\x00\x00\x00\x00\x00\x00\x00"), uint8(3))
+	f.Fuzz(func(t *testing.T, text []byte, cut uint8) {
+		frames := func(size int) (found []streams.Frame, between bool) {
+			var in follower
+			for rest := text; len(rest) > 0; {
+				piece := rest[:min(size, len(rest))]
+				rest = rest[len(piece):]
+				for len(piece) > 0 {
+					n, ev := in.step(piece)
+					if n == 0 {
+						t.Fatal("no way on")
+					}
+					if piece = piece[n:]; ev == headed {
+						found = append(found, in.frame())
+					}
+				}
+			}
+			return found, in.between()
+		}
+		whole, end := frames(len(text) + 1)
+		pieces, endOfPieces := frames(int(cut) + 1)
+		if fmt.Sprint(whole, end) != fmt.Sprint(pieces, endOfPieces) {
+			t.Fatalf("%v %v, in pieces of %d %v %v", whole, end, cut, pieces, endOfPieces)
+		}
+	})
+}
