Experiments on the model: variants and seeds side by side, with tables, charts and intervals

Need: what the module does beside other policies, with greedy accounts or at fifty times the size could not be asked. Change: internal/experiment reads an experiment in HCL, plays all variants with the same seeds on all cores, compares seed by seed and keeps rows, tables and charts; brassdale-lab is a binary of its own. The model's first answers showed two mistakes of its own: copies dropped unanswered, and boxes counted as pushed over by dispatchers that had not been told.

--- /dev/null
+++ b/cmd/brassdale-lab/main.go
@@ -0,0 +1,115 @@
+// Brassdale-lab plays experiments on a model of the works. It is a binary of its own so that the dispatcher does not carry
+// what it links.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime/debug"
+	"time"
+
+	"github.com/schollz/progressbar/v3"
+	"github.com/spf13/cobra"
+
+	"brassdale/internal/experiment"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	root := &cobra.Command{Use: "brassdale-lab", Short: "Experiments on a model of the works", SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(run(), report())
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, "brassdale-lab:", err)
+		os.Exit(1)
+	}
+}
+
+func run() *cobra.Command {
+	var out string
+	var seeds int
+	c := &cobra.Command{Use: "experiment FILE", Short: "Play an experiment and keep its results in a folder", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			f, err := experiment.Load(args[0])
+			if err != nil {
+				return err
+			}
+			if seeds > 0 {
+				f.Seeds = seeds
+			}
+			bar := progressbar.NewOptions(f.Seeds*len(f.Variants), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetDescription(f.Title),
+				progressbar.OptionSetVisibility(terminal(os.Stderr)), progressbar.OptionClearOnFinish(), progressbar.OptionShowCount())
+			rows, err := experiment.Run(c.Context(), f, build(), func() { _ = bar.Add(1) })
+			_ = bar.Finish()
+			if errors.Is(err, context.Canceled) && len(rows) > 0 {
+				fmt.Fprintf(os.Stderr, "stopped: %d of %d runs are kept\n", len(rows), f.Seeds*len(f.Variants))
+			} else if err != nil {
+				return err
+			}
+			if out == "" {
+				out = filepath.Join("results", time.Now().UTC().Format("2006-01-02T150405"))
+			}
+			if err := experiment.Save(out, f.Title, rows); err != nil {
+				return err
+			}
+			return tell(c, out, rows, err)
+		}}
+	c.Flags().StringVar(&out, "out", "", "the folder for the results (results/ and the time if left out)")
+	c.Flags().IntVar(&seeds, "seeds", 0, "so many seeds instead of the file's")
+	return c
+}
+
+func report() *cobra.Command {
+	return &cobra.Command{Use: "report DIR", Short: "Draw tables and charts of kept results again", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			title, rows, err := experiment.Read(args[0])
+			if err == nil {
+				err = experiment.Draw(args[0], title, rows)
+			}
+			if err != nil {
+				return err
+			}
+			return tell(c, args[0], rows, nil)
+		}}
+}
+
+// tell prints the table, and every rule that was broken: with one, the command fails.
+func tell(c *cobra.Command, dir string, rows []experiment.Row, err error) error {
+	if e := experiment.Table(c.OutOrStdout(), rows); e != nil {
+		return e
+	}
+	fmt.Fprintf(c.OutOrStdout(), "kept in %s\n", dir)
+	breaches := experiment.Breaches(rows)
+	for i, b := range breaches {
+		if i == 20 {
+			fmt.Fprintf(os.Stderr, "and %d more\n", len(breaches)-i)
+			break
+		}
+		fmt.Fprintln(os.Stderr, b)
+	}
+	if len(breaches) > 0 {
+		err = errors.Join(err, fmt.Errorf("rules were broken %d times", len(breaches)))
+	}
+	return err
+}
+
+func terminal(f *os.File) bool {
+	info, err := f.Stat()
+	return err == nil && info.Mode()&os.ModeCharDevice != 0
+}
+
+// build names what the rows were made with.
+func build() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value[:min(len(s.Value), 12)]
+			}
+		}
+	}
+	return "unknown"
+}
--- a/internal/emulator/audit.go
+++ b/internal/emulator/audit.go
@@ -77,9 +77,16 @@
 	return t
 }
 
-// answered takes a final answer.
-func (a *auditor) answered(now time.Duration, request uint64) {
+// answered takes a final answer. A refusal says that a further try is harmless, which it is not where one may have run.
+func (a *auditor) answered(now time.Duration, request uint64, refused bool) {
 	t := a.of(request)
+	if refused && a.s.Traffic.Effect != brain.Safe {
+		for _, was := range t.sends {
+			if !was.never {
+				a.broken(RuleRepeat, now, request, was.box, "refused though it may have run there")
+			}
+		}
+	}
 	if t.answers++; t.answers > 1 {
 		a.broken(RuleAnswer, now, request, "", "answer number %d", t.answers)
 	}
--- a/internal/emulator/box.go
+++ b/internal/emulator/box.go
@@ -8,7 +8,8 @@
 )
 
 // box is a costing box: slots that work jobs off in the order they came, each at the box's speed. What it leaves out: the
-// memory that jobs need beside slots, backfilling, and connections.
+// memory that jobs need beside slots, backfilling, and connections. That a bay saves a repeat's quote only once is not seen
+// here: a copy takes its slot and answers as the first does. Whether a copy was allowed is the auditor's matter.
 type box struct {
 	w       *world
 	id      brain.WorkerID
@@ -37,6 +38,7 @@
 type push struct {
 	at   time.Duration
 	work float64
+	told bool // by a dispatcher that had been told of the box's start
 }
 
 // run is an attempt at a box.
@@ -52,9 +54,6 @@
 	over    bool // ended, or called off
 }
 
-// repeats are the keys that the boxes of a bay remember.
-type repeats map[uint64]time.Duration
-
 // warmth is the share of its speed that the box has now.
 func (b *box) warmth() float64 {
 	c := &b.w.s.Cold
@@ -72,13 +71,6 @@
 		b.w.reply(r, brain.NoConnect)
 		return
 	}
-	if r.job.key != 0 {
-		bay := b.w.bays[b.bay]
-		if until, had := bay[r.job.key]; had && b.w.now < until {
-			return // dropped as a repeat: it is not answered, as the first one is
-		}
-		bay[r.job.key] = b.w.now + b.w.s.Traffic.Window
-	}
 	r.life = b.life
 	b.queue = append(b.queue, r)
 	b.next()
@@ -90,16 +82,20 @@
 	if b.started == 0 || c.Tip <= 0 || b.warmth() >= 1 {
 		return
 	}
-	b.pushed = append(b.pushed, push{b.w.now, r.work})
+	b.pushed = append(b.pushed, push{b.w.now, r.work, r.from.told[b.id] >= b.started})
 	for len(b.pushed) > 0 && b.pushed[0].at < b.w.now-c.Fall {
 		b.pushed = b.pushed[1:]
 	}
-	sum := 0.0
+	sum, told := 0.0, 0.0
 	for _, p := range b.pushed {
-		sum += p.work
+		if sum += p.work; p.told {
+			told += p.work
+		}
 	}
 	load := sum / (float64(b.slots) * b.speed * b.warmth() * c.Fall.Seconds())
-	b.w.audit.pushed(b.w.now, b.id, r.job.id, load, c.Tip)
+	if !b.down && told >= sum*2/3 { // else nobody could know
+		b.w.audit.pushed(b.w.now, b.id, uint64(r.id), load, c.Tip)
+	}
 	if load > c.Tip && !b.down {
 		b.w.note("%v %s falls over at %.2f times what it can do", b.w.now, b.id, load)
 		b.lose()
--- a/internal/emulator/dispatcher.go
+++ b/internal/emulator/dispatcher.go
@@ -18,6 +18,7 @@
 	n          int
 	policy     Policy
 	open       map[brain.RequestID]*open
+	told       map[brain.WorkerID]time.Duration // of which start of a box
 	subscribed bool
 	chance     *rand.Rand
 }
@@ -132,7 +133,7 @@
 		return
 	}
 	o.answered = true
-	d.w.audit.answered(d.w.now, uint64(id))
+	d.w.audit.answered(d.w.now, uint64(id), v == refused)
 	d.w.answered(o.job, id, v, after)
 	d.w.after(0, func() { d.forget(id) })
 }
@@ -148,6 +149,7 @@
 func (d *dispatcher) listed(kind brain.ListKind, ws []brain.WorkerInfo) {
 	for _, w := range ws {
 		d.w.audit.told(d.w.now, d.n, w.ID, w.State)
+		d.told[w.ID] = max(d.told[w.ID], w.Since)
 	}
 	d.feed(brain.Listed{Kind: kind, Workers: ws})
 }
--- /dev/null
+++ b/internal/experiment/experiment_test.go
@@ -0,0 +1,120 @@
+package experiment
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const small = `title = "small"
+seeds = 4
+world {
+  span = "3s"
+  rate = 60
+}
+variant "module" {}
+variant "random" { policy = "random" }
+`
+
+// The same file gives the same rows, whatever the order in which the cores take them; what is kept can be drawn again.
+func TestRun(t *testing.T) {
+	f, err := Parse([]byte(small), "small.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	steps := 0
+	rows, err := Run(context.Background(), f, "b", func() { steps++ })
+	if err != nil || len(rows) != 8 || steps != 8 {
+		t.Fatalf("%d rows, %d steps, %v", len(rows), steps, err)
+	}
+	again, _ := Run(context.Background(), f, "b", func() {})
+	if fmt.Sprint(again) != fmt.Sprint(rows) {
+		t.Error("the same file gives other rows")
+	}
+	dir := t.TempDir()
+	if err := Save(dir, f.Title, rows); err != nil {
+		t.Fatal(err)
+	}
+	title, kept, err := Read(dir)
+	if err != nil || title != "small" || fmt.Sprint(kept) != fmt.Sprint(rows) {
+		t.Errorf("kept %q, %v, %v", title, kept, err)
+	}
+	before, _ := os.ReadFile(filepath.Join(dir, "table.txt"))
+	if err := Draw(dir, title, kept); err != nil {
+		t.Fatal(err)
+	}
+	after, _ := os.ReadFile(filepath.Join(dir, "table.txt"))
+	if !bytes.Equal(before, after) || !strings.Contains(string(after), "against module") {
+		t.Errorf("drawn again:\n%s", after)
+	}
+	if chart, err := os.ReadFile(filepath.Join(dir, "p99_ms.svg")); err != nil || !strings.Contains(string(chart), "<svg") {
+		t.Errorf("no chart: %v", err)
+	}
+}
+
+// Stopped on the way, what was played is given.
+func TestStopped(t *testing.T) {
+	f, err := Parse([]byte(strings.Replace(small, "seeds = 4", "seeds = 1000", 1)), "small.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	played := 0
+	rows, err := Run(ctx, f, "b", func() {
+		if played++; played == 6 {
+			stop()
+		}
+	})
+	if err != context.Canceled || len(rows) < 6 || len(rows) > 100 {
+		t.Errorf("%d rows, %v", len(rows), err)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for _, c := range []struct{ from, to, want string }{
+		{`seeds = 4`, `seeds = 0`, "x.hcl:2:9: Bad experiment: seeds"},
+		{`policy = "random"`, `policy = "luck"`, `x.hcl:8:1: Bad experiment: There is no policy "luck"`},
+		{`variant "random"`, `variant "module"`, `x.hcl:8:1: Bad experiment: There are two variants`},
+		{`rate = 60`, `rate = -1`, "x.hcl:7:1: Bad experiment: span, rate"},
+		{`rate = 60`, `speed = 1`, "x.hcl:5:3: Unsupported argument"},
+		{`span = "3s"`, `span = "long"`, "x.hcl:7:1: Bad experiment: span: time"},
+	} {
+		text := strings.Replace(small, c.from, c.to, 1)
+		if _, err := Parse([]byte(text), "x.hcl"); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %s", c.to, err, c.want)
+		}
+	}
+}
+
+// Two variants that are the same differ by no more than chance; a difference that is there is seen.
+func TestDifference(t *testing.T) {
+	var a, b, c []Row
+	for seed := range uint64(20) {
+		x := float64(seed%7) / 10
+		a, b, c = append(a, Row{Seed: seed, Service: x}), append(b, Row{Seed: seed, Service: x + float64(seed%2)/100 - 0.005}), append(c, Row{Seed: seed, Service: x + 0.1 + float64(seed%3)/100})
+	}
+	service := func(r Row) float64 { return r.Service }
+	if s, sure := Difference(a, b, service); sure {
+		t.Errorf("nothing: %+v", s)
+	}
+	if s, sure := Difference(a, c, service); !sure || s.Mean < 0.1 || s.N != 20 {
+		t.Errorf("0.11: %+v, %v", s, sure)
+	}
+}
+
+// The files that come with the program can be played.
+func TestScenarios(t *testing.T) {
+	files, _ := filepath.Glob("../../scenarios/*.hcl")
+	if len(files) < 3 {
+		t.Fatalf("found %v", files)
+	}
+	for _, path := range files {
+		if _, err := Load(path); err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/experiment/file.go
@@ -0,0 +1,238 @@
+// Package experiment plays scenarios of the emulator over variants and seeds, and keeps what came of them as rows, tables
+// and charts.
+package experiment
+
+import (
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+
+	"brassdale/brain"
+	"brassdale/internal/emulator"
+	"brassdale/internal/emulator/policy"
+)
+
+// File is an experiment as an operator writes it.
+type File struct {
+	Title    string    `hcl:"title"`
+	Seeds    int       `hcl:"seeds"`
+	First    int       `hcl:"first_seed,optional"`
+	World    *World    `hcl:"world,block"` // what differs from the works at Llanelli
+	Kinds    []Kind    `hcl:"kind,block"`
+	Faults   []Fault   `hcl:"fault,block"`
+	Variants []Variant `hcl:"variant,block"`
+}
+
+// World is what a scenario may set; what it leaves out is as at Llanelli.
+type World struct {
+	Rate        *float64 `hcl:"rate"`
+	Span        *string  `hcl:"span"`
+	Dispatchers *int     `hcl:"dispatchers"`
+	Bays        *int     `hcl:"bays"`
+	Work        *float64 `hcl:"work"`
+	Spread      *float64 `hcl:"spread"`
+	Subjects    *int     `hcl:"subjects"`
+	Fetch       *float64 `hcl:"fetch"`
+	Retries     *float64 `hcl:"retries"`
+	Delay       *string  `hcl:"delay"`
+	Discovery   *string  `hcl:"discovery"`
+	Reports     *string  `hcl:"reports"`
+	Greedy      *float64 `hcl:"greedy"` // the first account sends so many times its share
+}
+
+// Kind is a kind of box.
+type Kind struct {
+	Name  string    `hcl:"name,label"`
+	Count int       `hcl:"count"`
+	Slots int       `hcl:"slots"`
+	Speed []float64 `hcl:"speed"` // least and most
+}
+
+// Fault befalls some boxes.
+type Fault struct {
+	Kind  string  `hcl:"kind,label"`
+	At    string  `hcl:"at"`
+	For   string  `hcl:"for"`
+	Share float64 `hcl:"share"`
+}
+
+// Variant is a way to play it.
+type Variant struct {
+	Name   string   `hcl:"name,label"`
+	Policy string   `hcl:"policy,optional"` // "module", if left out, or one to compare it with
+	Scale  *float64 `hcl:"scale"`           // boxes and rate times this
+	Set    *World   `hcl:"set,block"`
+}
+
+var troubles = map[string]emulator.Trouble{"freeze": emulator.Freeze, "silent": emulator.Silent, "slow": emulator.Slow,
+	"restart": emulator.Restart, "drain": emulator.Drain, "unheard": emulator.Unheard}
+
+// Load reads and checks an experiment. An error names all faults with file, line and column.
+func Load(path string) (*File, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(text, path)
+}
+
+// Parse reads the text of an experiment; path is its name in errors.
+func Parse(text []byte, path string) (*File, error) {
+	parsed, diags := hclsyntax.ParseConfig(text, path, hcl.InitialPos)
+	f := &File{First: 1}
+	if !diags.HasErrors() {
+		diags = append(diags, gohcl.DecodeBody(parsed.Body, nil, f)...)
+	}
+	if !diags.HasErrors() {
+		diags = append(diags, f.check(parsed.Body.(*hclsyntax.Body))...)
+	}
+	if diags.HasErrors() {
+		var lines []string
+		for _, d := range diags {
+			at := path
+			if d.Subject != nil {
+				at = fmt.Sprintf("%s:%d:%d", d.Subject.Filename, d.Subject.Start.Line, d.Subject.Start.Column)
+			}
+			lines = append(lines, fmt.Sprintf("%s: %s: %s", at, d.Summary, d.Detail))
+		}
+		return nil, fmt.Errorf("%s", strings.Join(lines, "\n"))
+	}
+	return f, nil
+}
+
+// check finds what gohcl cannot: each variant must be a scenario that can be played.
+func (f *File) check(body *hclsyntax.Body) (diags hcl.Diagnostics) {
+	bad := func(at hcl.Range, format string, a ...any) {
+		diags = append(diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: "Bad experiment", Detail: fmt.Sprintf(format, a...), Subject: &at})
+	}
+	blocks := map[string][]*hclsyntax.Block{}
+	for _, b := range body.Blocks {
+		blocks[b.Type] = append(blocks[b.Type], b)
+	}
+	if f.Seeds < 1 {
+		bad(body.Attributes["seeds"].Expr.Range(), "seeds must be 1 or more.")
+	}
+	if len(f.Variants) == 0 {
+		bad(body.MissingItemRange(), "There is no variant.")
+	}
+	names := map[string]bool{}
+	for i, v := range f.Variants {
+		at := blocks["variant"][i].DefRange()
+		if names[v.Name] {
+			bad(at, "There are two variants %q.", v.Name)
+		}
+		names[v.Name] = true
+		if v.Policy != "" && v.Policy != "module" && !slices.Contains(policy.Names(), v.Policy) {
+			bad(at, "There is no policy %q; there are module, %s.", v.Policy, strings.Join(policy.Names(), ", "))
+		}
+		if s, err := f.Scenario(v, 1); err != nil {
+			bad(at, "%v.", err)
+		} else if err := s.Check(); err != nil {
+			bad(at, "%v.", err)
+		}
+	}
+	return diags
+}
+
+// Scenario gives a variant's for a seed.
+func (f *File) Scenario(v Variant, seed uint64) (emulator.Scenario, error) {
+	s := emulator.LlanelliWorks(seed)
+	if len(f.Kinds) > 0 {
+		s.Kinds = nil
+	}
+	for _, k := range f.Kinds {
+		if len(k.Speed) != 2 {
+			return s, fmt.Errorf("kind %q: speed must be [least, most]", k.Name)
+		}
+		s.Kinds = append(s.Kinds, emulator.Kind{Name: k.Name, Count: k.Count, Slots: k.Slots, SpeedMin: k.Speed[0], SpeedMax: k.Speed[1]})
+	}
+	for _, in := range f.Faults {
+		kind, ok := troubles[in.Kind]
+		if !ok {
+			return s, fmt.Errorf("there is no fault %q", in.Kind)
+		}
+		at, err := time.ParseDuration(in.At)
+		if err != nil {
+			return s, fmt.Errorf("fault %q: %w", in.Kind, err)
+		}
+		span, err := time.ParseDuration(in.For)
+		if err != nil {
+			return s, fmt.Errorf("fault %q: %w", in.Kind, err)
+		}
+		s.Faults = append(s.Faults, emulator.Fault{At: at, For: span, Kind: kind, Share: in.Share})
+	}
+	for _, w := range []*World{f.World, v.Set} {
+		if err := w.apply(&s); err != nil {
+			return s, err
+		}
+	}
+	if v.Scale != nil {
+		s.Traffic.Rate *= *v.Scale
+		s.Store.Slots = int(float64(s.Store.Slots) * *v.Scale)
+		for i := range s.Kinds {
+			s.Kinds[i].Count = int(float64(s.Kinds[i].Count)**v.Scale + 0.5)
+		}
+	}
+	return s, nil
+}
+
+// apply sets what is given.
+func (w *World) apply(s *emulator.Scenario) error {
+	if w == nil {
+		return nil
+	}
+	set := func(to *float64, from *float64) {
+		if from != nil {
+			*to = *from
+		}
+	}
+	setInt := func(to *int, from *int) {
+		if from != nil {
+			*to = *from
+		}
+	}
+	set(&s.Traffic.Rate, w.Rate)
+	set(&s.Traffic.Work, w.Work)
+	set(&s.Traffic.Spread, w.Spread)
+	set(&s.Traffic.Retries, w.Retries)
+	set(&s.Store.Fetch, w.Fetch)
+	setInt(&s.Dispatchers, w.Dispatchers)
+	setInt(&s.Bays, w.Bays)
+	setInt(&s.Traffic.Subjects, w.Subjects)
+	if w.Greedy != nil && len(s.Traffic.Accounts) > 0 {
+		// The rate grows by what the first account sends beyond its share.
+		first := &s.Traffic.Accounts[0]
+		more := first.Share * (*w.Greedy - 1)
+		s.Traffic.Rate *= 1 + more
+		first.Share += more
+	}
+	for _, d := range []struct {
+		to   *time.Duration
+		from *string
+		name string
+	}{{&s.Span, w.Span, "span"}, {&s.Network.Delay, w.Delay, "delay"}, {&s.Discovery, w.Discovery, "discovery"}, {&s.Reports.Every, w.Reports, "reports"}} {
+		if d.from == nil {
+			continue
+		}
+		span, err := time.ParseDuration(*d.from)
+		if err != nil {
+			return fmt.Errorf("%s: %w", d.name, err)
+		}
+		*d.to = span
+	}
+	return nil
+}
+
+// decider gives what decides in a variant.
+func (v Variant) decider() func(brain.Settings, uint64) emulator.Policy {
+	if v.Policy == "" || v.Policy == "module" {
+		return func(s brain.Settings, seed uint64) emulator.Policy { return brain.New(s, seed) }
+	}
+	return func(_ brain.Settings, seed uint64) emulator.Policy { return policy.New(v.Policy, seed) }
+}
--- /dev/null
+++ b/internal/experiment/run.go
@@ -0,0 +1,273 @@
+package experiment
+
+import (
+	"cmp"
+	"context"
+	"encoding/csv"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strconv"
+	"sync"
+	"text/tabwriter"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"brassdale/internal/emulator"
+)
+
+// Row is one run: a variant with a seed.
+type Row struct {
+	Variant  string   `json:"variant"`
+	Seed     uint64   `json:"seed"`
+	Build    string   `json:"build"`
+	Jobs     int      `json:"jobs"`
+	Service  float64  `json:"service"`
+	Worst    float64  `json:"worst_account"`
+	Late     float64  `json:"late"`    // share of the jobs
+	Refused  float64  `json:"refused"` // the same
+	Failed   float64  `json:"failed"`  // the same
+	P50MS    float64  `json:"p50_ms"`
+	P99MS    float64  `json:"p99_ms"`
+	Sends    float64  `json:"sends"`  // a job
+	Probes   float64  `json:"probes"` // a job
+	Wasted   float64  `json:"wasted"` // share of the work
+	Breaches []string `json:"breaches,omitempty"`
+}
+
+// measures are the columns that are compared.
+var measures = []struct {
+	name string
+	of   func(Row) float64
+	more bool // more of it is better
+}{
+	{"service", func(r Row) float64 { return r.Service }, true},
+	{"worst_account", func(r Row) float64 { return r.Worst }, true},
+	{"late", func(r Row) float64 { return r.Late }, false},
+	{"refused", func(r Row) float64 { return r.Refused }, false},
+	{"failed", func(r Row) float64 { return r.Failed }, false},
+	{"p50_ms", func(r Row) float64 { return r.P50MS }, false},
+	{"p99_ms", func(r Row) float64 { return r.P99MS }, false},
+	{"sends", func(r Row) float64 { return r.Sends }, false},
+	{"probes", func(r Row) float64 { return r.Probes }, false},
+	{"wasted", func(r Row) float64 { return r.Wasted }, false},
+}
+
+// Run plays all variants with all seeds, the variants of a seed beside each other, on all cores. step is called behind
+// each run. When the context ends, what was played by then is given with its error.
+func Run(ctx context.Context, f *File, build string, step func()) ([]Row, error) {
+	type task struct{ seed, variant int }
+	tasks := make(chan task)
+	go func() {
+		defer close(tasks)
+		for seed := range f.Seeds {
+			for variant := range f.Variants {
+				select {
+				case tasks <- task{seed, variant}:
+				case <-ctx.Done():
+					return
+				}
+			}
+		}
+	}()
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	var rows []Row
+	var failed error
+	for range runtime.GOMAXPROCS(0) {
+		wait.Go(func() {
+			for t := range tasks {
+				v, seed := f.Variants[t.variant], uint64(f.First+t.seed)
+				s, err := f.Scenario(v, seed)
+				var r *emulator.Result
+				if err == nil {
+					r, err = emulator.Run(s, v.decider())
+				}
+				mu.Lock()
+				if err != nil {
+					failed = cmp.Or(failed, fmt.Errorf("variant %q, seed %d: %w", v.Name, seed, err))
+				} else {
+					rows = append(rows, rowOf(v.Name, seed, build, r))
+				}
+				step()
+				mu.Unlock()
+			}
+		})
+	}
+	wait.Wait()
+	order := map[string]int{}
+	for i, v := range f.Variants {
+		order[v.Name] = i
+	}
+	slices.SortFunc(rows, func(a, b Row) int {
+		return cmp.Or(cmp.Compare(order[a.Variant], order[b.Variant]), cmp.Compare(a.Seed, b.Seed))
+	})
+	return rows, cmp.Or(failed, ctx.Err())
+}
+
+func rowOf(variant string, seed uint64, build string, r *emulator.Result) Row {
+	part := func(n int) float64 { return float64(n) / float64(max(r.Jobs, 1)) }
+	row := Row{Variant: variant, Seed: seed, Build: build, Jobs: r.Jobs, Service: r.Service, Worst: r.Worst, Late: part(r.Late), Refused: part(r.Refused),
+		Failed: part(r.Failed), P50MS: float64(r.P50.Microseconds()) / 1000, P99MS: float64(r.P99.Microseconds()) / 1000, Sends: r.Sends, Probes: r.Probes, Wasted: r.Wasted}
+	for _, b := range r.Breaches {
+		row.Breaches = append(row.Breaches, b.String())
+	}
+	return row
+}
+
+// Breaches gives the rules that were broken, with the run that broke them.
+func Breaches(rows []Row) (all []string) {
+	for _, r := range rows {
+		for _, b := range r.Breaches {
+			all = append(all, fmt.Sprintf("variant %q, seed %d: %s", r.Variant, r.Seed, b))
+		}
+	}
+	return all
+}
+
+// Summary is a variant's figure with the half width of its 95% interval (Student's t).
+type Summary struct {
+	Mean, Half float64
+	N          int
+}
+
+// interval gives the mean of figures and how sure it is.
+func interval(x []float64) Summary {
+	s := Summary{N: len(x), Mean: stat.Mean(x, nil)}
+	if len(x) > 1 {
+		t := distuv.StudentsT{Sigma: 1, Nu: float64(len(x) - 1)}
+		s.Half = t.Quantile(0.975) * stat.StdDev(x, nil) / math.Sqrt(float64(len(x)))
+	}
+	return s
+}
+
+// variants gives the rows by variant, in their order.
+func variants(rows []Row) (names []string, by map[string][]Row) {
+	by = map[string][]Row{}
+	for _, r := range rows {
+		if by[r.Variant] == nil {
+			names = append(names, r.Variant)
+		}
+		by[r.Variant] = append(by[r.Variant], r)
+	}
+	return names, by
+}
+
+// Table writes the means, and what differs from the first variant by more than chance: seeds are paired, since both
+// played the same traffic and faults.
+func Table(out io.Writer, rows []Row) error {
+	names, by := variants(rows)
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(w, "variant\truns\t")
+	for _, m := range measures {
+		fmt.Fprintf(w, "%s\t", m.name)
+	}
+	fmt.Fprintln(w)
+	for _, name := range names {
+		fmt.Fprintf(w, "%s\t%d\t", name, len(by[name]))
+		for _, m := range measures {
+			var x []float64
+			for _, r := range by[name] {
+				x = append(x, m.of(r))
+			}
+			s := interval(x)
+			fmt.Fprintf(w, "%.3f ±%.3f\t", s.Mean, s.Half)
+		}
+		fmt.Fprintln(w)
+	}
+	if err := w.Flush(); err != nil || len(names) < 2 {
+		return err
+	}
+	fmt.Fprintf(out, "\nagainst %s, seed by seed (95%%); * is more than chance\n", names[0])
+	w = tabwriter.NewWriter(out, 0, 4, 2, ' ', tabwriter.AlignRight)
+	for _, name := range names[1:] {
+		fmt.Fprintf(w, "%s\t", name)
+		for _, m := range measures {
+			s, sure := Difference(by[names[0]], by[name], m.of)
+			mark := " "
+			if sure {
+				mark = "*"
+			}
+			fmt.Fprintf(w, "%s %+.3f ±%.3f%s\t", m.name, s.Mean, s.Half, mark)
+		}
+		fmt.Fprintln(w)
+	}
+	return w.Flush()
+}
+
+// Difference gives by how much a figure of one variant is above another's, over the seeds that both played, and whether
+// that is more than chance.
+func Difference(first, second []Row, of func(Row) float64) (Summary, bool) {
+	was := map[uint64]float64{}
+	for _, r := range first {
+		was[r.Seed] = of(r)
+	}
+	var x []float64
+	for _, r := range second {
+		if y, ok := was[r.Seed]; ok {
+			x = append(x, of(r)-y)
+		}
+	}
+	if len(x) == 0 {
+		return Summary{}, false
+	}
+	s := interval(x)
+	return s, s.N > 1 && math.Abs(s.Mean) > s.Half
+}
+
+// Save keeps rows in a folder: as CSV, as JSON, as a table and as charts.
+func Save(dir, title string, rows []Row) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(struct {
+		Title string `json:"title"`
+		Rows  []Row  `json:"rows"`
+	}{title, rows}, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "rows.json"), text, 0o644); err != nil {
+		return err
+	}
+	return Draw(dir, title, rows)
+}
+
+// Read gives the rows that were kept in a folder.
+func Read(dir string) (title string, rows []Row, err error) {
+	text, err := os.ReadFile(filepath.Join(dir, "rows.json"))
+	if err != nil {
+		return "", nil, err
+	}
+	var kept struct {
+		Title string
+		Rows  []Row
+	}
+	err = json.Unmarshal(text, &kept)
+	return kept.Title, kept.Rows, err
+}
+
+// writeCSV writes a line for each run.
+func writeCSV(out io.Writer, rows []Row) error {
+	w := csv.NewWriter(out)
+	head := []string{"variant", "seed", "build", "jobs"}
+	for _, m := range measures {
+		head = append(head, m.name)
+	}
+	_ = w.Write(append(head, "breaches"))
+	for _, r := range rows {
+		line := []string{r.Variant, strconv.FormatUint(r.Seed, 10), r.Build, strconv.Itoa(r.Jobs)}
+		for _, m := range measures {
+			line = append(line, strconv.FormatFloat(m.of(r), 'g', -1, 64))
+		}
+		_ = w.Write(append(line, strconv.Itoa(len(r.Breaches))))
+	}
+	w.Flush()
+	return w.Error()
+}
--- /dev/null
+++ b/scenarios/greedy.hcl
@@ -0,0 +1,20 @@
+# One account sends a multiple of its share while all boxes are well used.
+title = "one greedy account"
+seeds = 20
+
+world {
+  span = "30s"
+  rate = 200
+}
+
+variant "as agreed" {}
+variant "twice its share" {
+  set { greedy = 2 }
+}
+variant "five times its share" {
+  set { greedy = 5 }
+}
+variant "five times, random" {
+  policy = "random"
+  set { greedy = 5 }
+}
