--- a/cmd/brassdale/ports_bench_test.go
+++ b/cmd/brassdale/ports_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -54,31 +55,17 @@
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
 
-// over1 keeps jobs open over HTTP/1.1, one on each connection.
-func over1(b *testing.B, address string, until time.Time) *round {
+// gather runs so many of one load side by side and adds up what came of them.
+func gather(b *testing.B, many int, load func() (*round, error)) *round {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	all := &round{}
 	begin := time.Now()
-	for range openJobs {
+	for range many {
 		wait.Go(func() {
-			conn, err := net.Dial("tcp", address)
+			mine, err := load()
 			if err != nil {
 				b.Error(err)
-				return
-			}
-			defer conn.Close()
-			in := bufio.NewReader(conn)
-			mine := round{}
-			for time.Now().Before(until) {
-				key := strconv.FormatInt(benchKeys.Add(1), 16)
-				sent := time.Now()
-				fmt.Fprintf(conn, "POST /price-part HTTP/1.1\r\nHost: api.internal\r\nReq-Id: id-%s\r\nReq-Kind: price-part\r\nReq-Owner: taff-marine\r\nIdempotency-Key: %s\r\nReq-Deadline-Ms: 5000\r\nContent-Length: 7\r\n\r\ndrawing", key, key)
-				if !answered1(in) {
-					b.Error("no 200")
-					return
-				}
-				mine.times = append(mine.times, time.Since(sent))
 			}
 			mu.Lock()
 			defer mu.Unlock()
@@ -91,6 +78,32 @@
 	return all
 }
 
+// over1 keeps jobs open over HTTP/1.1, one on each connection.
+func over1(b *testing.B, address string, until time.Time) *round {
+	return gather(b, openJobs, func() (*round, error) { return load1(address, until) })
+}
+
+// load1 sends one job after the other on a connection.
+func load1(address string, until time.Time) (*round, error) {
+	mine := &round{}
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return mine, err
+	}
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for time.Now().Before(until) {
+		key := strconv.FormatInt(benchKeys.Add(1), 16)
+		sent := time.Now()
+		fmt.Fprintf(conn, "POST /price-part HTTP/1.1\r\nHost: api.internal\r\nReq-Id: id-%s\r\nReq-Kind: price-part\r\nReq-Owner: taff-marine\r\nIdempotency-Key: %s\r\nReq-Deadline-Ms: 5000\r\nContent-Length: 7\r\n\r\ndrawing", key, key)
+		if !answered1(in) {
+			return mine, errors.New("no 200")
+		}
+		mine.times = append(mine.times, time.Since(sent))
+	}
+	return mine, nil
+}
+
 // answered1 reads an answer of a few bytes.
 func answered1(in *bufio.Reader) bool {
 	status, err := in.ReadSlice('\n')
@@ -116,25 +129,7 @@
 
 // over2 keeps jobs open over HTTP/2, as streams of so many connections.
 func over2(b *testing.B, address string, conns int, until time.Time) *round {
-	var mu sync.Mutex
-	var wait sync.WaitGroup
-	all := &round{}
-	begin := time.Now()
-	for range conns {
-		wait.Go(func() {
-			mine, err := load2(address, openJobs/conns, until)
-			if err != nil {
-				b.Error(err)
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			all.jobs += len(mine.times)
-			all.times = append(all.times, mine.times...)
-		})
-	}
-	wait.Wait()
-	all.took = time.Since(begin)
-	return all
+	return gather(b, conns, func() (*round, error) { return load2(address, openJobs/conns, until) })
 }
 
 // load2 keeps streams open on one connection. Heads are literal fields, so that they cost this side nothing.
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
 	"brassdale/brain"
+	"brassdale/internal/diag"
 	"brassdale/internal/emulator"
 	"brassdale/internal/emulator/policy"
 )
@@ -93,15 +94,7 @@
 		diags = append(diags, f.check(parsed.Body.(*hclsyntax.Body))...)
 	}
 	if diags.HasErrors() {
-		var lines []string
-		for _, d := range diags {
-			at := path
-			if d.Subject != nil {
-				at = fmt.Sprintf("%s:%d:%d", d.Subject.Filename, d.Subject.Start.Line, d.Subject.Start.Column)
-			}
-			lines = append(lines, fmt.Sprintf("%s: %s: %s", at, d.Summary, d.Detail))
-		}
-		return nil, fmt.Errorf("%s", strings.Join(lines, "\n"))
+		return nil, diag.Faults(diags)
 	}
 	return f, nil
 }
@@ -109,7 +102,7 @@
 // check finds what gohcl cannot: each variant must be a scenario that can be played.
 func (f *File) check(body *hclsyntax.Body) (diags hcl.Diagnostics) {
 	bad := func(at hcl.Range, format string, a ...any) {
-		diags = append(diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: "Bad experiment", Detail: fmt.Sprintf(format, a...), Subject: &at})
+		diags = append(diags, diag.At(at, "Bad experiment", format, a...))
 	}
 	blocks := map[string][]*hclsyntax.Block{}
 	for _, b := range body.Blocks {
@@ -182,29 +175,26 @@
 	return s, nil
 }
 
+// set sets what is given.
+func set[T any](to, from *T) {
+	if from != nil {
+		*to = *from
+	}
+}
+
 // apply sets what is given.
 func (w *World) apply(s *emulator.Scenario) error {
 	if w == nil {
 		return nil
 	}
-	set := func(to *float64, from *float64) {
-		if from != nil {
-			*to = *from
-		}
-	}
-	setInt := func(to *int, from *int) {
-		if from != nil {
-			*to = *from
-		}
-	}
 	set(&s.Traffic.Rate, w.Rate)
 	set(&s.Traffic.Work, w.Work)
 	set(&s.Traffic.Spread, w.Spread)
 	set(&s.Traffic.Retries, w.Retries)
 	set(&s.Store.Fetch, w.Fetch)
-	setInt(&s.Dispatchers, w.Dispatchers)
-	setInt(&s.Bays, w.Bays)
-	setInt(&s.Traffic.Subjects, w.Subjects)
+	set(&s.Dispatchers, w.Dispatchers)
+	set(&s.Bays, w.Bays)
+	set(&s.Traffic.Subjects, w.Subjects)
 	if w.Greedy != nil && len(s.Traffic.Accounts) > 0 {
 		// The rate grows by what the first account sends beyond its share.
 		first := &s.Traffic.Accounts[0]
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -91,7 +91,8 @@
 		"protocol":        {"brain", "internal/routing"},
 		"transport":       {"brain", "internal/routing", "internal/protocol", "internal/decisions/"},
 		"transport/http2": {"brain", "internal/routing", "internal/protocol", "internal/decisions/", "internal/transport"},
-		"operator":        {"internal/protocol", "internal/transport", "internal/savedlist"},
+		"operator":        {"internal/diag", "internal/protocol", "internal/transport", "internal/savedlist"},
+		"emulator":        {"brain"},
 		"savedlist":       {"brain", "internal/routing", "internal/protocol"},
 	}
 	for dir, may := range above {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 	"github.com/hashicorp/hcl/v2/hclwrite"
 
+	"brassdale/internal/diag"
 	"brassdale/internal/protocol"
 	"brassdale/internal/savedlist"
 	"brassdale/internal/transport"
@@ -98,7 +99,7 @@
 	if attr := body.Attributes[attribute]; attr != nil {
 		at = attr.Expr.Range()
 	}
-	r.diags = append(r.diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: "Bad " + attribute, Detail: fmt.Sprintf(format, a...), Subject: &at})
+	r.diags = append(r.diags, diag.At(at, "Bad "+attribute, format, a...))
 }
 
 // address checks where a front listens. Off loopback its traffic can be read on the way unless it is encrypted, so an
@@ -233,7 +234,7 @@
 	f.Keys = &s
 }
 
-// Load reads a file. Its error is a Faults where the file can be read.
+// Load reads a file. Its error is a diag.Faults where the file can be read.
 func Load(path string) (*File, error) {
 	if strings.EqualFold(filepath.Ext(path), ".toml") {
 		return nil, fmt.Errorf("%s: operators' files are HCL now: put its settings into a block front \"progress\" { ... }, see deploy/operator.hcl", path)
@@ -246,14 +247,13 @@
 }
 
 // Parse reads the text of a file; path is its name in faults, and relative paths in it count from the path's folder.
-// All faults that can be found are in the error, which is then a Faults.
+// All faults that can be found are in the error, which is then a diag.Faults.
 func Parse(text []byte, path string) (*File, error) {
 	parsed, diags := hclsyntax.ParseConfig(text, path, hcl.InitialPos)
 	f := &File{}
 	if body, ok := parsed.Body.(*hclsyntax.Body); ok {
 		for _, attr := range body.Attributes {
-			diags = append(diags, &hcl.Diagnostic{Severity: hcl.DiagError, Summary: "Unsupported argument",
-				Detail: fmt.Sprintf("%q stands outside any block.", attr.Name), Subject: &attr.NameRange})
+			diags = append(diags, diag.At(attr.NameRange, "Unsupported argument", "%q stands outside any block.", attr.Name))
 		}
 		seen := map[string]hcl.Range{}
 		for _, b := range body.Blocks {
@@ -261,16 +261,15 @@
 		}
 	}
 	if diags.HasErrors() {
-		return nil, Faults(diags)
+		return nil, diag.Faults(diags)
 	}
 	return f, nil
 }
 
 // read reads a block.
 func (f *File) read(b *hclsyntax.Block, dir string, seen map[string]hcl.Range) hcl.Diagnostics {
-	fault := func(summary, detail string) hcl.Diagnostics {
-		at := b.DefRange()
-		return hcl.Diagnostics{{Severity: hcl.DiagError, Summary: summary, Detail: detail, Subject: &at}}
+	fault := func(summary, format string, a ...any) hcl.Diagnostics {
+		return hcl.Diagnostics{diag.At(b.DefRange(), summary, format, a...)}
 	}
 	name := b.Type
 	for _, label := range b.Labels {
@@ -281,7 +280,7 @@
 			continue
 		}
 		if first, twice := seen[name]; twice {
-			return fault("Duplicate block", fmt.Sprintf("The block %s stands at %s already.", name, first))
+			return fault("Duplicate block", "The block %s stands at %s already.", name, first)
 		}
 		seen[name] = b.DefRange()
 		r := &reader{body: b.Body, dir: dir}
@@ -292,23 +291,7 @@
 	for _, known := range blocks {
 		names = append(names, known.String())
 	}
-	return fault("Unsupported block", fmt.Sprintf("There is no block %s; there are: %s.", name, strings.Join(names, ", ")))
-}
-
-// Faults are all that is wrong with a file.
-type Faults hcl.Diagnostics
-
-// Error gives a line for each fault: file, line, column and what is wrong.
-func (f Faults) Error() string {
-	var lines []string
-	for _, d := range f {
-		at := ""
-		if d.Subject != nil {
-			at = fmt.Sprintf("%s:%d:%d: ", d.Subject.Filename, d.Subject.Start.Line, d.Subject.Start.Column)
-		}
-		lines = append(lines, fmt.Sprintf("%s%s: %s", at, d.Summary, strings.ReplaceAll(d.Detail, "\n", " ")))
-	}
-	return strings.Join(lines, "\n")
+	return fault("Unsupported block", "There is no block %s; there are: %s.", name, strings.Join(names, ", "))
 }
 
 // String gives what is in force, defaults included, as a file that says the same.
