--- a/internal/transport/endpoint_test.go
+++ b/internal/transport/endpoint_test.go
@@ -26,6 +26,7 @@
 // newIdle makes an endpoint's actor that does not run, and a wire for it with its far end.
 func newIdle(t *testing.T, told time.Time) (*endpoint, sink, *wire, net.Conn) {
 	p := &protocol.Params{}
+	p.Limits.ConnectTimeout = protocol.Micros(time.Minute / time.Microsecond)
 	p.Rules.DrainGrace = 500000
 	ends := make(sink, 4)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -109,6 +110,12 @@
 // attempt of its job. Idle connections elsewhere make room at once, and who waits too long ends unsent.
 func TestOutOfConnections(t *testing.T) {
 	e, ends, _, _ := newIdle(t, time.Time{})
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // a connection that never came up would be given back at any moment
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	e.dest.Address = ln.Addr().String()
 	f := e.fleet
 	f.members["other"], f.members["this"] = newEndpoint(f, routing.Destination{}), e
 	f.Allow(1)
