Read again: the keeper stands before the doors open; stages are counted as they change

Cause: a call at the door between its opening and the keeper's start found none, so /_vars and detach of an installation with a saved list could fail in that moment; and the stages of all boxes were counted anew with each answer to a probe, some hundreds a second over 20,000 boxes at the very start. Change: the keeper is made before any door or predecessor can call; the trust counts a box where it moves it. No change of what is decided.

--- a/internal/decisions/savedlist/savedlist.go
+++ b/internal/decisions/savedlist/savedlist.go
@@ -130,6 +130,7 @@
 	age     time.Duration // of the list at the start; below 0 where it cannot be told
 	workers map[brain.WorkerID]*worker
 	order   []*worker // by when they are asked first
+	stages  [Barred + 1]int
 	pace    time.Duration
 	over    bool // discovery's list is in force
 
@@ -163,8 +164,9 @@
 			continue
 		}
 		w := &worker{Worker: in, next: now}
+		t.stages[Unheard]++
 		if in.State != brain.Ready || in.Out {
-			w.stage = Barred
+			t.move(w, Barred)
 		} else {
 			t.order = append(t.order, w)
 		}
@@ -192,11 +194,13 @@
 func (t *Trust) Doubting() bool { return t.doubted != 0 }
 
 // Stages counts the workers by stage.
-func (t *Trust) Stages() (n [Barred + 1]int) {
-	for _, w := range t.workers {
-		n[w.stage]++
-	}
-	return n
+func (t *Trust) Stages() [Barred + 1]int { return t.stages }
+
+// move puts a worker into another stage.
+func (t *Trust) move(w *worker, to Stage) {
+	t.stages[w.stage]--
+	w.stage = to
+	t.stages[to]++
 }
 
 // Look gives what is due by now.
@@ -255,7 +259,7 @@
 	case Answered:
 		return []Verdict{t.hear(w, now)}
 	case Strange:
-		w.stage = Foreign
+		t.move(w, Foreign)
 	}
 	t.failed(w, now)
 	return nil
@@ -263,7 +267,8 @@
 
 // hear has a worker told as cold.
 func (t *Trust) hear(w *worker, now brain.Clock) Verdict {
-	w.stage, w.told = Heard, now
+	t.move(w, Heard)
+	w.told = now
 	return Verdict{Tell: &Told{ID: w.ID, Since: max(now, 1)}}
 }
 
@@ -272,7 +277,7 @@
 	w.next = now + min(FirstWait<<min(w.fails, 16), MostWait)
 	w.fails++
 	if w.stage == Unheard && w.fails >= goneProbes && now >= t.begun+GoneAfter {
-		w.stage = Absent
+		t.move(w, Absent)
 	}
 }
 
@@ -292,7 +297,7 @@
 	if w.weight < t.needed(w) {
 		return nil
 	}
-	w.stage = Proven
+	t.move(w, Proven)
 	return []Verdict{{Tell: &Told{ID: w.ID, Since: w.Since, Sure: true}}}
 }
 
@@ -360,7 +365,7 @@
 // Left tells that discovery has named a worker as draining or gone by itself: it is neither kept nor told any more.
 func (t *Trust) Left(id brain.WorkerID) {
 	if w := t.workers[id]; w != nil {
-		w.stage = Barred
+		t.move(w, Barred)
 	}
 }
 
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -103,6 +103,9 @@
 		return err
 	}
 	d.operations = &operations{d: d, file: &detached{path: keptFile(env, cfg, ".detached"), name: cfg.Name}}
+	if d.saved != nil { // before anybody can call at a door, this one's or the predecessor's
+		d.saved.keep(ctx)
+	}
 	if pred != nil {
 		pred.close()
 		d.operations.file.take(pred.handover.Out)
@@ -134,9 +137,6 @@
 		go func() { failed <- f.server.Serve(f.listener) }()
 		log.Info("listening", "front", f.name, "address", f.gate.Addr().String())
 	}
-	if d.saved != nil {
-		d.saved.keep(ctx)
-	}
 	go d.core.Run(ctx)
 	go d.set.Run(ctx)
 	d.serving.Store(true)
