--- a/brain/brain.go
+++ b/brain/brain.go
@@ -861,7 +861,7 @@
 	case d.now >= r.expires+r.set.AnswerSlack/2:
 		d.do(Fail{ID: r.id})
 		d.finish(r)
-	case c.Effect == Safe && late && !begun && d.set.TellsStart: // its turn comes too late: refused in time
+	case late && !begun && d.set.TellsStart: // its turn comes too late: given up in time
 		d.answer(r)
 	case c.Effect == Unsafe || last.canceled || begun && sound || len(r.attempts)+1 >= r.set.MaxAttempts:
 	case r.set.MayCopy && r.set.MayCancel:
--- a/brain/loss_test.go
+++ b/brain/loss_test.go
@@ -165,3 +165,28 @@
 		t.Errorf("after 20 slow jobs %v", drag)
 	}
 }
+
+// A keyed job that nobody has begun when its answer can be worth nothing is given up: called off, so that it is no
+// longer in the way of others in the worker's queue, and answered. It once stayed there to its deadline: on a fleet
+// short of room for seconds all queues filled with such jobs, and what was begun was late already.
+func TestLateQueuedIsGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		class int
+		worth float64
+		began bool
+		want  bool
+	}{{1, 0, false, true}, {2, 0, false, true}, {1, 0.5, false, false}, {1, 0, true, false}} {
+		s := plain()
+		s.Classes[c.class].LateWorth = c.worth
+		v := newDriver(t, s)
+		v.list(workers(1)...)
+		v.arrive(1, c.class)
+		if c.began {
+			v.give(Began{ID: 1})
+		}
+		acts := v.pass(time.Second) // of two; its aim is 0.2 s
+		if got := count[Cancel](acts) == 1 && count[Fail](acts) == 1; got != c.want {
+			t.Errorf("%+v: called off %d, failed %d", c, count[Cancel](acts), count[Fail](acts))
+		}
+	}
+}
