--- a/brain/brain.go
+++ b/brain/brain.go
@@ -43,13 +43,13 @@
 	classMemory = 0.97                   // and in a class's mean work: about thirty jobs
 	workShare   = 0.5                    // most jobs are well under the mean work of their class
 
-	crowdDoubt = 10  // jobs for each unit of size that are assumed beside those counted
+	crowdDoubt = 20  // jobs for each unit of size that all dispatchers assume beside those counted
 	homesOfKey = 2   // workers at which a key is at home: one has too few slots, three fetch too often
 	awayValue  = 1e3 // more than any place in the rotation of a key
 
 	nearAll   = 3                // all workers are drawn from if all get an own job within so many seconds, ...
 	nearLeast = 4                // else this many at least, ...
-	nearSpan  = 0.5              // and as many as there are own jobs in so many seconds
+	nearSpan  = 0.5              // as many as own jobs come in so many seconds, and two dispatchers a worker
 	nearRings = 4                // orders in which workers are dealt out to dispatchers
 	nearFresh = time.Second      // between choices
 	rateSpan  = 10 * time.Second // the own job rate is taken over this
@@ -66,8 +66,9 @@
 	idleLeast    = 200 * time.Millisecond // a connection used since is open
 	idleMemory   = 15 * time.Second       // how long a lost idle connection is remembered
 
-	probeEvery = time.Second // where reports come by probe
-	coldShare  = 0.6         // part of the cold budget that is used: work is known by its mean only
+	probeEvery  = time.Second // where reports come by probe ...
+	probersMost = 2           // ... from so many dispatchers at most; of more each asks less often
+	coldShare   = 0.6         // part of the cold budget that is used: work is known by its mean only
 
 	firstAsk            = 500 * time.Millisecond // asking for the list anew: first wait, doubled up to the last
 	lastAsk             = 4 * time.Second
@@ -240,16 +241,15 @@
 	d.do(Wake{Token: askToken, After: time.Duration(float64(wait)*(0.2+0.8*d.rng.Float64())) + 1})
 }
 
-// choose picks the workers that jobs are drawn to. On a fleet that is large against the own job rate
-// these are few: of too many a dispatcher hears so seldom that it knows none, and its own jobs are no
-// share of their load. All deal the workers of a zone out along the same few rings, each from a place
-// that follows from its number, so every worker is drawn from by about as many. The window goes on past
-// workers that are shunned, cold or leave, so it is wide enough at once when members fail.
+// choose picks the workers that jobs are drawn to. Where jobs have keys it is all: what a key needs is at
+// its homes, the same for every dispatcher. Else, on a fleet large against the own job rate, it is few: of
+// too many a dispatcher hears so seldom that it knows none. All deal the workers of a zone out along the same
+// few rings, each from a place by its number, so every worker is drawn from by about as many. The window goes
+// on past workers that are shunned, cold or leave.
 func (d *Dispatcher) choose() {
 	d.chosen = d.now
 	d.near = d.near[:0]
 	d.size = 0
-	want := max(nearLeast, int(math.Ceil(nearSpan*d.rate)))
 	var zones [2][]*worker // the own zone, and all others
 	for _, w := range d.workers {
 		if z := oneIf(w.Zone != d.set.Zone); w.listed && !w.out {
@@ -258,17 +258,15 @@
 		}
 	}
 	all := float64(len(zones[0]) + len(zones[1]))
-	want = max(want, int(math.Ceil(2*all/float64(d.set.Dispatchers)))) // two dispatchers a worker at least
-	if d.small = all <= max(nearAll*d.rate, float64(want)); d.small {
+	want := int(math.Ceil(max(nearLeast, nearSpan*d.rate, 2*all/float64(d.set.Dispatchers))))
+	if d.small = all <= max(nearAll*d.rate, float64(want)); d.small || d.keyed {
 		d.near = append(d.near, d.workers...)
-	} else {
-		d.window(zones[0], want)
-		d.window(zones[1], want)
-	}
-	d.cursor %= max(len(d.near), 1)
-	if !d.small {
-		d.cursor = 0
+		d.cursor %= max(len(d.near), 1)
+		return
 	}
+	d.window(zones[0], want)
+	d.window(zones[1], want)
+	d.cursor = 0
 }
 
 // window adds so many sound, warm workers along the ring, and the cold ones that this dispatcher owns.
@@ -300,8 +298,7 @@
 	return slots * w.increment
 }
 
-// slots is the estimated number of slots: the most seen free on the worker or on another machine of
-// its kind (one that is always busy never shows all of its own); 0 without a figure.
+// slots is the estimated number of slots: the most seen free on the worker or another of its kind; or 0.
 func (d *Dispatcher) slots(w *worker) float64 { return max(w.total, d.kindTop[w.Kind]) }
 
 // value is the load value: the reported load less our own jobs of that time, and a bump for each job
@@ -405,13 +402,12 @@
 	return (d.value(w)+d.share(w, slots-roundDown))*d.drag(w) <= 1+allow+tieBand
 }
 
-// unheard tells whether a job is needed to hear of a worker. Such trials are about one a worker at a
-// time from all dispatchers together, or they would fill a fleet that has no room left.
+// unheard tells whether a job is needed to hear of a worker: one at a time from all dispatchers, about.
 func (d *Dispatcher) unheard(w *worker) bool {
 	return !d.set.ReportsPulled && d.now-w.reported > silentLeast
 }
 
-// pick gives the worker with the lowest load value among those that may take the request, or nil.
+// pick gives the worker of the lowest load value among those that may take the request, or nil.
 func (d *Dispatcher) pick(r *request, allow float64) *worker {
 	fit := func(w *worker) bool { return d.sound(w, r.class) && !r.tried(w) }
 	can := func(w *worker) bool { return d.may(r, w) && fit(w) }
@@ -504,6 +500,7 @@
 	left := e.Expires - d.now
 	c.span = max(c.span, left)
 	d.seq++
+	d.keyed = d.keyed || e.Key != 0
 	r := &request{
 		id: e.ID, set: d.set, class: class, slots: e.Slots, key: e.Key,
 		hint: max(e.Work, 0), expires: e.Expires, seq: d.seq,
@@ -542,9 +539,8 @@
 	return min(r.born+in, r.expires-run) - d.now
 }
 
-// place pushes what is held, as far as there is room: what can still be in time before what
-// cannot, more worth for its work first, the youngest first (under overload the old ones are
-// nearly lost, and serving them first would make all late).
+// place pushes what is held, as far as there is room: what can still be in time first, then by worth for its
+// work, then the youngest (under overload the old ones are nearly lost, and would make all late).
 func (d *Dispatcher) place() {
 	if len(d.held) == 0 {
 		return
@@ -578,8 +574,10 @@
 }
 
 // crowd is how far a worker's part of the recent jobs is over the part that its size makes fair; 1 at least.
+// The own ones are a sample of all.
 func (d *Dispatcher) crowd(w *worker) float64 {
-	return max((w.recent.at(d.now)+crowdDoubt)/(d.recent.at(d.now)/max(d.size, 1e-3)+crowdDoubt), 1)
+	doubt := crowdDoubt / float64(max(d.set.Dispatchers, 2))
+	return max((w.recent.at(d.now)+doubt)/(d.recent.at(d.now)/max(d.size, 1e-3)+doubt), 1)
 }
 
 // home tells whether the worker is one of the first in the rotation of the request's key.
@@ -655,8 +653,7 @@
 	d.callOff(r, func(b *attempt) bool { return b != a && b.began == 0 })
 }
 
-// learnWait moves the allowance: up while requests are held here though jobs start soon, down where they
-// wait. It answers overload and wrong estimates; may hurt for moments after a jam at a few workers only.
+// learnWait moves the allowance: up while requests are held here though jobs start soon; down where they wait
 func (d *Dispatcher) learnWait(r *request, a *attempt) {
 	if d.now == d.stalled {
 		return
@@ -825,10 +822,17 @@
 	if d.now-d.chosen >= nearFresh {
 		d.choose()
 	}
+	pause := float64(probeEvery) * max(float64(d.set.Dispatchers)/probersMost, 1)
+	if len(d.near) < len(d.workers) { // else every dispatcher asks every worker
+		pause = float64(probeEvery)
+	}
 	for _, w := range d.near {
+		if w.nextProbe == 0 { // many dispatchers that start, or hear of it, at once would overrun it
+			w.nextProbe = d.now + time.Duration(d.rng.Float64()*(pause-float64(probeEvery)))
+		}
 		if d.set.ReportsPulled && d.set.MayProbe && w.listed && !w.out && !w.probing && d.now >= w.nextProbe {
 			// Spread, so that not all workers are known equally late, nor all dispatchers at once.
-			w.probing, w.nextProbe = true, d.now+time.Duration((0.75+d.rng.Float64()/2)*float64(probeEvery))
+			w.probing, w.nextProbe = true, d.now+time.Duration((0.75+d.rng.Float64()/2)*pause)
 			d.do(Probe{Worker: w.ID})
 		}
 	}
@@ -839,10 +843,9 @@
 	return a.out && a.began == 0 && d.set.TellsStart && d.now-a.sent > grace
 }
 
-// review looks at one open request. Where copies are allowed, one that has not begun soon gets another
-// at the next worker; the first to begin calls the others off, so a waiting copy takes no slot. Guards
-// against all that keeps one job from its start: chance in what others send, slow, dead and silent
-// workers, lost connections. It may hurt where workers do not drop what waits.
+// review looks at one open request. Where copies are allowed, one that has not begun soon gets another at the
+// next worker; the first to begin calls the others off. Guards against all that keeps one job from its start:
+// chance, slow, dead and silent workers, lost connections. May hurt where workers do not drop what waits.
 func (d *Dispatcher) review(r *request) {
 	var last *attempt
 	begun, sound := false, false
@@ -896,8 +899,7 @@
 	h.until = d.now + d.shunTime(h)
 }
 
-// lost counts a connection that broke or never came up. One alone is chance where the network is bad, and to
-// shun its worker costs all the work that it could do; none of several in a row shows a sign of life between.
+// lost counts a connection that broke or never came up; one alone, with signs of life about it, is chance.
 func (d *Dispatcher) lost(w *worker) {
 	if w.fails++; w.fails >= lossesToShun {
 		d.shun(w, &w.health, 0, "unreachable")
@@ -915,10 +917,9 @@
 // heard notes a sign of life.
 func (d *Dispatcher) heard(w *worker) { w.heard, w.used, w.strikes, w.fails = d.now, d.now, 0, 0 }
 
-// checkAttempt looks for silence: of a worker from which nothing at all is heard, and of a single job at
-// a worker that lives, and by a later report has a free slot. That job is lost: an idle connection was
-// dropped unseen, or the worker leaves its class unanswered. It holds no slot. May hurt where reports
-// tell too little load: then a class is shunned at a worker where it only waits.
+// checkAttempt looks for silence: of a worker from which nothing at all is heard, and of a single job at a
+// worker that lives, and by a later report has a free slot. That job is lost: an idle connection was dropped
+// unseen, or the worker leaves its class unanswered. May hurt where reports tell too little load.
 func (d *Dispatcher) checkAttempt(r *request, a *attempt) {
 	w := a.w
 	limit := max(time.Duration(silentRuns*float64(d.set.Progress))+silentSlack, silentLeast)
--- /dev/null
+++ b/brain/fleet_test.go
@@ -0,0 +1,89 @@
+package brain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// asked is many dispatchers at one list of workers, as the settings tell each.
+func asked(t *testing.T, dispatchers, n int) (vs []*driver) {
+	for me := range dispatchers {
+		s := plain()
+		s.Me, s.Dispatchers, s.ReportsPulled, s.MayProbe = me, dispatchers, true, true
+		v := newDriver(t, s)
+		v.list(workers(n)...)
+		vs = append(vs, v)
+	}
+	return vs
+}
+
+// Where there are many dispatchers, each with few jobs, a key still has the same homes at all. Each dispatcher once
+// drew its jobs to a few workers of its own, whatever their keys: every worker fetched what eighty dispatchers' keys
+// need, on 60 workers for most of the jobs, and kept none of it.
+func TestKeysGoHomeFromAllOfMany(t *testing.T) {
+	vs := asked(t, 80, 60)
+	for _, v := range vs {
+		v.give(Arrived{ID: 1, Slots: 1, Key: 1, Expires: v.now + 4*time.Second}) // from now on it knows of keys
+		v.served(1, nil)
+		v.now += 2 * nearFresh
+		v.pass(nearFresh)
+	}
+	away := 0
+	for key := uint64(2); key < 22; key++ {
+		homes := map[WorkerID]int{}
+		for _, v := range vs {
+			homes[sentTo(v.give(Arrived{ID: RequestID(key), Slots: 1, Key: key, Expires: v.now + 4*time.Second}))]++
+			v.served(RequestID(key), nil)
+			v.now += 500 * ms
+		}
+		most := 0
+		for _, n := range homes {
+			most = max(most, n)
+		}
+		away += len(vs) - most
+	}
+	if away > 20*len(vs)/10 {
+		t.Errorf("%d of %d jobs went elsewhere than most of their key", away, 20*len(vs))
+	}
+}
+
+// A key with a large part of all jobs is at more homes, by how much it is: one dispatcher's jobs are few, but a sample.
+func TestHotKeySpreads(t *testing.T) {
+	v := asked(t, 80, 60)[0]
+	to := map[WorkerID]int{}
+	for id := RequestID(1); id <= 40; id++ { // a job in 300 ms, each ended before the next
+		to[sentTo(v.give(Arrived{ID: id, Slots: 1, Key: 7, Expires: v.now + 4*time.Second}))]++
+		v.served(id, nil)
+		v.now += 300 * ms
+	}
+	if len(to) < 4 {
+		t.Errorf("all jobs of the only key went to %v", to)
+	}
+}
+
+// Workers bear so many probes, however many dispatchers ask: with 80 that each asked every worker once a second, each
+// worker would answer 80 a second.
+func TestProbesGoByDispatchers(t *testing.T) {
+	for _, dispatchers := range []int{2, 10, 80} {
+		t.Run(fmt.Sprint(dispatchers), func(t *testing.T) {
+			const n, span = 60, 80 * time.Second
+			v := asked(t, dispatchers, n)[0]
+			v.give(Arrived{ID: 1, Slots: 1, Key: 1, Expires: v.now + 4*time.Second})
+			v.served(1, nil)
+			probes := 0
+			for end := v.now + span; v.now < end; v.now += 50 * ms {
+				for _, a := range v.give(Woke{Token: tickToken}) {
+					if p, ok := a.(Probe); ok {
+						probes++
+						v.give(Probed{Worker: p.Worker, Report: report(0.5, 2)})
+					}
+				}
+			}
+			each := float64(probes*dispatchers) / n / span.Seconds()
+			if each < 1 || each > 2.5 {
+				t.Errorf("%.1f probes a second at each worker", each)
+			}
+		})
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -101,7 +101,8 @@
 	cursor, seq   int        // round robin; number of the last request
 	trials, asks  int        // trial attempts that are out; failed calls for the list
 	ticking       bool
-	small         bool  // all workers are drawn from
+	small         bool  // all workers are drawn from, and known well
+	keyed         bool  // jobs have keys
 	tickAt        Clock // when the next look is due
 
 	first, last, chosen Clock           // first event, last arrival, last choice of near
