--- a/brain/brain.go
+++ b/brain/brain.go
@@ -69,6 +69,7 @@
 	probeEvery  = time.Second // where reports come by probe ...
 	probersMost = 2           // ... from so many dispatchers at most; of more each asks less often
 	coldShare   = 0.6         // part of the cold budget that is used: work is known by its mean only
+	jamMost     = 0.3         // part of the recent jobs that waited: beyond it cold workers get theirs first
 
 	firstAsk            = 500 * time.Millisecond // asking for the list anew: first wait, doubled up to the last
 	lastAsk             = 4 * time.Second
@@ -94,9 +95,7 @@
 func (d *Dispatcher) Handle(now Clock, ev Event) []Action {
 	d.now = max(d.now, now)
 	d.acts = d.acts[:0]
-	if d.first == 0 {
-		d.first = d.now
-	}
+	d.first = cmp.Or(d.first, d.now)
 	// After a standstill of this process, machine or network all that came is found at once: nobody was
 	// silent while nobody listened, and what ends now ended earlier. A worker's death is found later.
 	if d.ticking && d.now > d.tickAt+stallLeast && d.now != d.stalled {
@@ -301,10 +300,10 @@
 // slots is the estimated number of slots: the most seen free on the worker or another of its kind; or 0.
 func (d *Dispatcher) slots(w *worker) float64 { return max(w.total, d.kindTop[w.Kind]) }
 
-// value is the load value: the reported load less our own jobs of that time, and a bump for each job
-// known to be out now. Departures: a reset never wipes a known job, an answer takes its bump back, and
-// others' part fades as jobs end, or all herd on the worker that was idle when last heard of: towards
-// the fleet's mean where all are known, else towards the worker's own, which tells slow and small ones.
+// value is the load value: the reported load less our own jobs of that time, and a bump for each job known
+// to be out now. Departures: an answer takes its bump back, and others' part fades as jobs end, or all herd
+// on the worker that was idle when last heard of: towards the fleet's mean where all are known, else towards
+// the worker's own, which tells slow and small ones.
 func (d *Dispatcher) value(w *worker) float64 {
 	mean, keep := w.usual, 0.0
 	if w.reported > 0 { // one that has just joined is no part of the mean yet
@@ -432,14 +431,13 @@
 		if w.Zone != d.set.Zone {
 			v += crossing
 		}
-		if w.back && w.own == 0 { // put back by hand: it is to be seen at work soon, though it is cold
+		if w.own == 0 && (w.back || d.jam > jamMost && d.warmth(w) < 1) { // put back by hand, or of use now
 			v -= 2 * awayValue
 		}
 		if r.key != 0 {
 			// Departure where jobs have keys: workers with a free slot count as ties, the more so the lower
-			// their value, and the rotation starts at the key's own place. What a job must fetch takes about
-			// its own time again, and a worker that ran the key before has it still. May hurt where nothing is
-			// fetched and loads are known well. One that got more than its part of late keeps fewer keys.
+			// their value, and the rotation starts at the key's own place: one that ran the key before still
+			// has what others fetch. May hurt where nothing is fetched. One that got too much keeps fewer.
 			if v > -awayValue && (v+d.share(w, r.slots-roundDown))*d.drag(w) <= 1 {
 				v = w.homes(r.key)*(1+v)*d.crowd(w) - awayValue
 			}
@@ -658,6 +656,7 @@
 	if d.now == d.stalled {
 		return
 	}
+	d.waited(d.now-a.sent > copyGrace)
 	spare := d.slack(r) + d.now - r.born
 	step := allowStep
 	if d.small {
@@ -748,12 +747,12 @@
 	if d.now == d.stalled || run <= 0 {
 		return
 	}
-	d.stay += (1 - classMemory) * ((d.now - a.sent).Seconds() - d.stay)
-	d.mean += (1 - classMemory) * (run*r.slots - d.mean)
+	d.jobs++
+	learn(&d.stay, d.jobs, (d.now - a.sent).Seconds())
+	learn(&d.mean, d.jobs, run*r.slots)
 	c.jobs++
-	weight := max(1/float64(c.jobs), 1-classMemory)
-	c.scale += weight * (run/unit - c.scale)
-	c.usual += weight * (math.Log(run/unit) - c.usual)
+	learn(&c.scale, c.jobs, run/unit)
+	learn(&c.usual, c.jobs, math.Log(run/unit))
 	late := d.lateness(r, a)
 	d.kindLag[a.w.Kind] += (1 - classMemory) * (late - d.kindLag[a.w.Kind])
 	a.w.lag = a.w.lag*slowMemory + late
@@ -865,6 +864,7 @@
 		d.do(Fail{ID: r.id})
 		d.finish(r)
 	case late && !begun && d.set.TellsStart: // its turn comes too late: given up in time
+		d.waited(true)
 		d.answer(r)
 	case c.Effect == Unsafe || last.canceled || begun && sound || len(r.attempts)+1 >= r.set.MaxAttempts:
 	case r.set.MayCopy && r.set.MayCancel:
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 )
@@ -87,3 +88,65 @@
 		})
 	}
 }
+
+// A dispatcher that has seen few jobs knows what they are in the mean, though none of them is certain. The mean once
+// rose from nothing by a thirtieth with each, so of a cold worker's budget each had a part smaller than a job: at 80
+// dispatchers nobody sent to cold workers for the first minute, and a fleet that was replaced stood idle.
+func TestColdBudgetFromFewJobs(t *testing.T) {
+	const dispatchers, n, jobs = 80, 60, 8
+	sent := 0
+	for _, v := range asked(t, dispatchers, n) {
+		for id := RequestID(1); id <= jobs; id++ {
+			v.arrive(id, 0)
+			v.give(Began{ID: id})
+			v.pass(250 * ms)
+			v.served(id, nil)
+		}
+		cold := workers(n)
+		for i := range cold {
+			cold[i].ID, cold[i].Since = WorkerID(fmt.Sprint("new-", i)), v.now-v.d.set.Cold/10
+		}
+		v.list(cold...) // all of them are replaced
+		for i := range n {
+			for _, a := range v.give(Arrived{ID: RequestID(100 + i), Slots: 1, Key: uint64(i), Expires: v.now + 4*time.Second}) {
+				if s, ok := a.(Send); ok && s.ID >= 100 {
+					sent++
+				}
+			}
+		}
+	}
+	// 0.6 of three times what 0.28 of a slot does in a second, in jobs of a quarter of a second, at each worker.
+	if most := int(math.Round(n * 0.6 * 3 * 0.28 / 0.25)); sent < most/2 || sent > most {
+		t.Errorf("%d jobs sent to %d cold workers within their window, want up to %d", sent, n, most)
+	}
+}
+
+// Where jobs wait for their start at the warm workers, those who own a part of a cold one's budget use it first. Its
+// keys' homes alone brought it next to nothing of a dispatcher's few jobs, while the warm ones' queues were full.
+func TestColdHelpsWhileJobsWait(t *testing.T) {
+	for _, wait := range []time.Duration{10 * ms, 300 * ms} {
+		s := plain()
+		s.Classes[0].LateWorth = 1
+		v := newDriver(t, s)
+		ws := workers(8)
+		v.list(ws...)
+		for id := RequestID(1); id <= 12; id++ {
+			v.give(Arrived{ID: id, Slots: 1, Key: uint64(id), Expires: v.now + 4*time.Second})
+			v.pass(wait)
+			v.give(Began{ID: id})
+			v.pass(100 * ms)
+			v.served(id, nil)
+		}
+		ws[0].Since = v.now - s.Cold/2
+		v.list(ws...)
+		first := 0 // of the keys whose next job goes to the cold one
+		for key := uint64(20); key < 24; key++ {
+			first += oneIf(sentTo(v.give(Arrived{ID: RequestID(key), Slots: 1, Key: key, Expires: v.now + 4*time.Second})) == ws[0].ID)
+			v.served(RequestID(key), nil)
+			v.now += s.Fall
+		}
+		if jammed := wait > copyGrace; jammed != (first == 4) {
+			t.Errorf("after waits of %v: %d of 4 to the cold worker", wait, first)
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -11,6 +11,8 @@
 
 // The state that the decisions of brain.go are made on; nothing is decided here.
 
+const jamMemory = 10 // jobs
+
 // health tells whether jobs may go to a worker, or those of one class.
 type health struct {
 	fails, strikes int
@@ -101,9 +103,11 @@
 	cursor, seq   int        // round robin; number of the last request
 	trials, asks  int        // trial attempts that are out; failed calls for the list
 	ticking       bool
-	small         bool  // all workers are drawn from, and known well
-	keyed         bool  // jobs have keys
-	tickAt        Clock // when the next look is due
+	small         bool    // all workers are drawn from, and known well
+	keyed         bool    // jobs have keys
+	jobs          int     // that were served
+	jam           float64 // part of the recent jobs that waited for their start
+	tickAt        Clock   // when the next look is due
 
 	first, last, chosen Clock           // first event, last arrival, last choice of near
 	processes           int             // that act as this dispatcher
@@ -161,6 +165,7 @@
 	}
 	for i, c := range e.Classes {
 		if i < len(d.classes) {
+			d.jobs += c.Jobs
 			d.classes[i] = classState{scale: c.Scale, usual: c.Usual, jobs: c.Jobs}
 		}
 	}
@@ -174,6 +179,13 @@
 
 // ---- Helpers ----
 
+// learn moves a mean by its n-th value. The first few weigh alike: moved by as little as later ones, it would be too
+// low for as many jobs as it remembers, which a dispatcher among many does not see within a minute.
+func learn(mean *float64, n int, x float64) { *mean += max(1/float64(n), 1-classMemory) * (x - *mean) }
+
+// waited notes whether a job waited for its start.
+func (d *Dispatcher) waited(is bool) { d.jam += (float64(oneIf(is)) - d.jam) / jamMemory }
+
 // usable gives settings as the decisions take them.
 func (s Settings) usable() *Settings {
 	s.Dispatchers, s.Me = max(s.Dispatchers, s.Me+1, 1), max(s.Me, 0)
