--- a/brain/brain.go
+++ b/brain/brain.go
@@ -34,7 +34,9 @@
 	tieBand     = 1e-9                   // load values closer than this are ties
 	ownMemory   = 500 * time.Millisecond // how far back a report looks, about: one refresh and its delay
 	startGrace  = 150 * time.Millisecond // a job pushed to a free slot starts sooner than this
-	copyGrace   = 100 * time.Millisecond // where a job is copied: sooner, the copy fetches more than it saves
+	copyGrace   = 50 * time.Millisecond  // so soon a job is copied; sooner, copies fetch more than they save ...
+	jamGrace    = 200 * time.Millisecond // ... and so much later if all wait: a copy is one more in a queue
+	waitGrace   = 100 * time.Millisecond // a job that starts later has waited
 	zoneWeight  = 15                     // load a crossing must save, for each unit of its price, ...
 	vagueWeight = 3                      // and where few workers are known, so that loads are known roughly
 	slowFrom    = 1.5                    // slower than peers by this factor counts; below it is chance
@@ -96,8 +98,7 @@
 	d.now = max(d.now, now)
 	d.acts = d.acts[:0]
 	d.first = cmp.Or(d.first, d.now)
-	// After a standstill of this process, machine or network all that came is found at once: nobody was
-	// silent while nobody listened, and what ends now ended earlier. A worker's death is found later.
+	// After a standstill of this process or machine all that came is found at once: nobody was silent.
 	if d.ticking && d.now > d.tickAt+stallLeast && d.now != d.stalled {
 		d.stalled = d.now
 		for _, w := range d.workers {
@@ -656,7 +657,7 @@
 	if d.now == d.stalled {
 		return
 	}
-	d.waited(d.now-a.sent > copyGrace)
+	d.waited(d.now-a.sent > waitGrace)
 	spare := d.slack(r) + d.now - r.born
 	step := allowStep
 	if d.small {
@@ -868,7 +869,7 @@
 		d.answer(r)
 	case c.Effect == Unsafe || last.canceled || begun && sound || len(r.attempts)+1 >= r.set.MaxAttempts:
 	case r.set.MayCopy && r.set.MayCancel:
-		if !d.stuck(last, copyGrace) && d.sound(last.w, r.class) {
+		if !d.stuck(last, copyGrace+seconds(d.jam*jamGrace.Seconds())) && d.sound(last.w, r.class) {
 			return
 		}
 		if w := d.pick(r, d.allow); w != nil && !r.tried(w) {
@@ -938,8 +939,7 @@
 	}
 }
 
-// idleLoss tells whether an attempt was lost with an idle connection, and notes for how long one may be
-// idle: from then on older ones are dropped before they are used.
+// idleLoss tells whether an attempt was lost with an idle connection: older ones are then dropped before use.
 func (d *Dispatcher) idleLoss(a *attempt) bool {
 	if a.idle < idleLeast || a.began > 0 {
 		return false
--- a/brain/example_test.go
+++ b/brain/example_test.go
@@ -30,6 +30,6 @@
 		Report: &brain.Report{Busy: 0.1, Requests: -1, FreeSlots: 3}})
 	// Output:
 	// brain.Send{ID:1 Worker:a}
-	// brain.Wake{Token:1 After:101ms}
+	// brain.Wake{Token:1 After:51ms}
 	// brain.Send{ID:1 Worker:b}
 }
--- a/brain/large_test.go
+++ b/brain/large_test.go
@@ -268,6 +268,24 @@
 	}
 }
 
+// The more jobs wait for their start, the later a copy follows: where all queues are full it only makes them longer.
+func TestCopiesHoldBackInAJam(t *testing.T) {
+	for jam, want := range map[float64]time.Duration{0: copyGrace, 0.5: copyGrace + jamGrace/2} {
+		s := plain()
+		s.MayCopy = true
+		v := newDriver(t, s)
+		v.list(fleet(3, 1)...)
+		v.d.jam = jam
+		v.arrive(1, 1)
+		if got := count[Send](v.pass(want - 10*ms)); got != 0 {
+			t.Errorf("jam %v: copied before %v", jam, want)
+		}
+		if got := count[Send](v.pass(copyGrace + 20*ms)); got != 1 {
+			t.Errorf("jam %v: %d copies after %v", jam, got, want)
+		}
+	}
+}
+
 // Clients that come with little time left were taken for old repeats and refused at once.
 func TestImpatientClientIsNoRepeat(t *testing.T) {
 	v := newDriver(t, plain())
