Calls to discovery spread by the dispatchers' number; a faulty list is logged once and holds

Cause: brain.ask spread first calls over 15 ms a dispatcher, 67 a second. Change: 50 ms, bounded as before by half of askWithin; at two dispatchers 40 to 200 ms after the start. Beside it, watches went on at once in step: each change was answered to all and all called within 1 ms; the next call now comes up to 150 ms later by chance, 4 ms for each dispatcher, inside the gap of 200 ms (internal/decisions/pacing).

Hard cases: a whole list with a member twice is refused (the config's saved list is taken as it is); the same fault is logged once, and how many calls failed when discovery answers again. Tests against the program with 60 and 5,000 lines, malformed, doubled, half and empty; of the spread in brain and pacing.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -75,7 +75,7 @@
 
 	firstAsk            = 500 * time.Millisecond // asking for the list anew: first wait, doubled up to the last
 	lastAsk             = 4 * time.Second
-	askSpread           = 15 * time.Millisecond  // for each dispatcher: so wide are the calls of all spread
+	askSpread           = 50 * time.Millisecond  // for each dispatcher: so wide are the calls of all spread
 	tickMost            = 20 * time.Millisecond  // pause between looks while something is held
 	tickIdle            = 200 * time.Millisecond // and while nothing is open
 	stallLeast          = 100 * time.Millisecond // a turn that comes so late: this process stood still
--- a/brain/large_test.go
+++ b/brain/large_test.go
@@ -327,6 +327,36 @@
 	}
 }
 
+// Eighty that are killed in a release and start together are a burst for a list service that bears some twenty calls a
+// second and turns away what has waited for two: their first calls are spread over seconds, two dispatchers' are not.
+// With a fifteenth of a second for four of them, half were turned away, and had an old list for as long again.
+func TestRestartDoesNotOverrunDiscovery(t *testing.T) {
+	for dispatchers, most := range map[int]time.Duration{2: 250 * ms, 80: 5 * time.Second} {
+		var at []time.Duration
+		for i := range dispatchers {
+			s := plain()
+			s.Ask, s.AskWithin, s.Me, s.Dispatchers = true, 10*time.Second, i, dispatchers
+			for _, a := range New(s, uint64(i)).Handle(start, Listed{Kind: ListSaved, Workers: fleet(1, 1)}) {
+				if w, ok := a.(Wake); ok && w.Token == askToken {
+					at = append(at, w.After)
+				}
+			}
+		}
+		slices.Sort(at)
+		free, away := time.Duration(0), 0 // the service works through calls in turn, each for 50 ms
+		for _, t := range at {
+			if free = max(free, t); free-t > 2*time.Second {
+				away++
+				continue
+			}
+			free += 50 * ms
+		}
+		if away > 0 || len(at) != dispatchers || at[len(at)-1] > most {
+			t.Errorf("%d dispatchers: %d calls, the last after %v, %d turned away", dispatchers, len(at), at[len(at)-1], away)
+		}
+	}
+}
+
 // Settings and lists that make no sense do no harm.
 func TestBadSettings(t *testing.T) {
 	for _, s := range []Settings{
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -155,8 +155,9 @@
 	revision int
 	boxes    []*box
 	fail     bool
-	hang     bool  // calls are taken and never answered
-	asked    []int // revisions that were asked after
+	hang     bool                     // calls are taken and never answered
+	broken   func(list string) string // what is sent in place of a list; nil for the list
+	asked    []int                    // revisions that were asked after
 	changed  chan struct{}
 }
 
@@ -209,7 +210,13 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	io.WriteString(w, g.list())
+	list := g.list()
+	if g.broken != nil {
+		whole := len(list)
+		list = g.broken(list)
+		w.Header().Set("Content-Length", strconv.Itoa(max(len(list), whole))) // half a list ends early
+	}
+	io.WriteString(w, list)
 }
 
 // node is the program under test.
--- /dev/null
+++ b/internal/decisions/pacing/pacing_test.go
@@ -0,0 +1,30 @@
+package pacing
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// A watch goes on in time, after an answer that told nothing not at once, and never later for chance alone than its
+// spread.
+func TestInsideTheGap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fresh := rapid.Bool().Draw(t, "fresh")
+		n := rapid.IntRange(-1, 1<<30).Draw(t, "dispatchers")
+		got := Rewatch(fresh, n, rapid.Float64Range(0, 1).Draw(t, "chance"))
+		if got < 0 || got > Gap-Margin || !fresh && got < empty {
+			t.Fatalf("after %v", got)
+		}
+	})
+}
+
+// Eighty dispatchers that hear of a change at once ask again over at least 100 ms, two within 5 ms.
+func TestSpread(t *testing.T) {
+	for n, want := range map[int][2]time.Duration{1: {0, 0}, 2: {1, 5 * time.Millisecond}, 80: {100 * time.Millisecond, Gap}} {
+		if got := Rewatch(true, n, 1) - Rewatch(true, n, 0); got < want[0] || got > want[1] {
+			t.Errorf("%d dispatchers: spread over %v", n, got)
+		}
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -194,6 +194,7 @@
 	discovery := transport.NewDiscovery(cfg.Discovery, p)
 	d.set = routing.NewDestinations(d.core, d.fleet, discovery, known, log)
 	d.set.SetSource(source)
+	d.set.Among(func() int { return p.Now().ReplicasOfMe })
 	if from != nil {
 		d.set.StartFrom(from)
 		age, ok := from.Trust.Age()
--- a/internal/protocol/discovery.go
+++ b/internal/protocol/discovery.go
@@ -40,7 +40,22 @@
 	if err := json.Unmarshal(text, l); err != nil {
 		return nil, err
 	}
-	return l, l.Check()
+	if err := l.Check(); err != nil {
+		return nil, err
+	}
+	return l, l.checkOnce()
+}
+
+// checkOnce refuses a whole list with two lines of one member; among changes the later line holds.
+func (l *List) checkOnce() error {
+	first := make(map[string]int, len(l.Members))
+	for i, m := range l.Members {
+		if at, again := first[m.ID]; again && l.Complete {
+			return fmt.Errorf("members[%d].id: %q is members[%d] already", i, m.ID, at)
+		}
+		first[m.ID] = i
+	}
+	return nil
 }
 
 // Check refuses a list as a whole: of one that is half understood nobody could say what was told.
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -4,10 +4,12 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
 	"brassdale/brain"
+	"brassdale/internal/decisions/pacing"
 	"brassdale/internal/decisions/savedlist"
 )
 
@@ -47,6 +49,10 @@
 	source     atomic.Pointer[Source]
 	call       int                // number of the latest call; what an older one brings is void
 	stop       context.CancelFunc // ends that call
+
+	dispatchers func() int
+	fault       string // of the last call; empty where it succeeded
+	faults      int    // calls that failed since one succeeded
 }
 
 type (
@@ -63,7 +69,7 @@
 // NewDestinations makes the actor with the set as it was known last, and tells the module of that.
 func NewDestinations(c *Core, e Endpoints, d Discovery, saved Update, log *slog.Logger) *Destinations {
 	s := &Destinations{core: c, endpoints: e, discovery: d, log: log, box: NewMailbox[any](),
-		known: map[brain.WorkerID]Destination{}}
+		known: map[brain.WorkerID]Destination{}, dispatchers: func() int { return 1 }}
 	s.apply(saved, brain.ListSaved)
 	return s
 }
@@ -81,9 +87,8 @@
 	return await(ctx, answer)
 }
 
-// watchPause keeps a discovery that answers at once with nothing new from being asked in a tight loop; it
-// is well inside the 200 ms after which a watch would have a gap.
-const watchPause = 20 * time.Millisecond
+// Among tells how many dispatchers watch the same discovery, in the settings in force.
+func (s *Destinations) Among(dispatchers func() int) { s.dispatchers = dispatchers }
 
 // Run is the actor's life.
 func (s *Destinations) Run(ctx context.Context) {
@@ -156,12 +161,16 @@
 	}
 	if m.err != nil {
 		if ctx.Err() == nil {
-			s.log.Warn("discovery failed, the old list holds", "revision", s.revision, "err", m.err)
+			s.failed(m.err)
 		}
 		s.watching = false // until the module asks again
 		s.core.Listed(brain.Listed{Kind: brain.ListFailed})
 		return
 	}
+	if s.faults > 0 {
+		s.log.Info("discovery answers again", "failed_calls", s.faults)
+		s.fault, s.faults = "", 0
+	}
 	fresh := m.update.Revision != s.revision || len(m.update.Destinations) > 0
 	kind := brain.ListChange
 	if m.update.Complete {
@@ -180,11 +189,18 @@
 		s.keeper.Listed(m.update)
 	}
 	s.source.Store(&Source{Name: "discovery", Told: time.Now()})
-	next := time.Now()
-	if !fresh {
-		next = next.Add(watchPause)
+	s.watch(ctx, time.Now().Add(pacing.Rewatch(fresh, s.dispatchers(), rand.Float64())))
+}
+
+// failed notes a failed call. The same fault again is no news: a list that is wrong is wrong at every call.
+func (s *Destinations) failed(err error) {
+	level := slog.LevelWarn
+	if s.fault == err.Error() {
+		level = slog.LevelDebug
 	}
-	s.watch(ctx, next)
+	s.fault = err.Error()
+	s.faults++
+	s.log.Log(context.Background(), level, "discovery failed, the old list holds", "revision", s.revision, "err", err)
 }
 
 func (s *Destinations) apply(u Update, kind brain.ListKind) {
