--- a/brain/brain.go
+++ b/brain/brain.go
@@ -437,10 +437,10 @@
 		}
 		if r.key != 0 {
 			// Departure where jobs have keys: workers with a free slot count as ties, the more so the lower
-			// their value, and the rotation starts at the key's own place: one that ran the key before still
-			// has what others fetch. May hurt where nothing is fetched. One that got too much keeps fewer.
+			// their value, and the rotation starts at the key's own place: one that ran the key before has
+			// what others fetch. One that got too much, or where jobs wait until called off, keeps fewer.
 			if v > -awayValue && (v+d.share(w, r.slots-roundDown))*d.drag(w) <= 1 {
-				v = w.homes(r.key)*(1+v)*d.crowd(w) - awayValue
+				v = w.homes(r.key)*(1+v+w.passed.at(d.now))*d.crowd(w) - awayValue
 			}
 		}
 		if v < least-tieBand || v < least+tieBand && w.turn < best.turn-tieBand {
@@ -657,7 +657,7 @@
 	if d.now == d.stalled {
 		return
 	}
-	d.waited(d.now-a.sent > waitGrace)
+	d.waited(a.w, d.now-a.sent > waitGrace)
 	spare := d.slack(r) + d.now - r.born
 	step := allowStep
 	if d.small {
@@ -679,6 +679,7 @@
 	for i := range r.attempts {
 		if a := &r.attempts[i]; r.set.MayCancel && a.out && !a.canceled && when(a) {
 			a.canceled = true
+			d.passedBy(a)
 			d.do(Cancel{ID: r.id, Attempt: i})
 		}
 	}
@@ -748,10 +749,9 @@
 	if d.now == d.stalled || run <= 0 {
 		return
 	}
-	d.jobs++
+	d.jobs, c.jobs = d.jobs+1, c.jobs+1
 	learn(&d.stay, d.jobs, (d.now - a.sent).Seconds())
 	learn(&d.mean, d.jobs, run*r.slots)
-	c.jobs++
 	learn(&c.scale, c.jobs, run/unit)
 	learn(&c.usual, c.jobs, math.Log(run/unit))
 	late := d.lateness(r, a)
@@ -865,7 +865,7 @@
 		d.do(Fail{ID: r.id})
 		d.finish(r)
 	case late && !begun && d.set.TellsStart: // its turn comes too late: given up in time
-		d.waited(true)
+		d.waited(last.w, true)
 		d.answer(r)
 	case c.Effect == Unsafe || last.canceled || begun && sound || len(r.attempts)+1 >= r.set.MaxAttempts:
 	case r.set.MayCopy && r.set.MayCancel:
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -150,3 +150,55 @@
 		}
 	}
 }
+
+// toHung plays many dispatchers over workers of which some take jobs and begin none, each job met by one dispatcher
+// in turn, and gives the part of all first sends that went to those in the last third.
+func toHung(t *testing.T, dispatchers, n, hung, jobs int, every time.Duration) float64 {
+	vs := asked(t, dispatchers, n)
+	var bad, all int
+	for _, v := range vs {
+		v.d.set.MayCopy = true
+	}
+	is := map[WorkerID]bool{}
+	for _, w := range workers(n)[:hung] {
+		is[w.ID] = true
+	}
+	for i := range jobs {
+		v := vs[i%dispatchers]
+		id, r := RequestID(i+1), 0
+		v.now = max(v.now, start+time.Duration(i)*every)
+		acts := v.give(Arrived{ID: id, Slots: 1, Key: uint64(i*7 + 1), Expires: v.now + 5*time.Second})
+		to := sentTo(acts)
+		if i > 2*jobs/3 {
+			all++
+			bad += oneIf(is[to])
+		}
+		for n := 0; is[to] && n < 4; n++ { // until a copy is begun
+			end := v.now + 400*ms
+			for to = ""; to == "" && v.now < end && v.d.open[id] != nil; {
+				to = sentTo(v.pass(10 * ms))
+			}
+			r++
+		}
+		if v.d.open[id] == nil || to == "" {
+			v.give(Left{ID: id})
+			continue
+		}
+		v.give(Began{ID: id, Attempt: r})
+		for a := range r {
+			v.give(Finished{ID: id, Attempt: a, Outcome: Cancelled})
+		}
+		v.pass(100 * ms)
+		v.give(Finished{ID: id, Attempt: r, Outcome: Served, Final: true})
+	}
+	return float64(bad) / float64(all)
+}
+
+// Workers that take jobs and begin none are found by each dispatcher from the few jobs that it sends there. Their jobs
+// were copied and called off, so nothing that was out told of silence, and probes were answered: they kept their share.
+func TestHungAreFoundThoughMetSeldom(t *testing.T) {
+	const hung, n = 5, 30
+	if got := toHung(t, 8, n, hung, 1600, 20*ms); got > 0.65*hung/n {
+		t.Errorf("%.3f of the jobs go to them first, %.3f of the workers are hung", got, float64(hung)/n)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -43,6 +43,7 @@
 	usual      float64 // mean of base
 	turn       float64 // pushes by weight: ties go round robin, a worker of twice the size twice as often
 	recent     fading  // pushes by size
+	passed     fading  // jobs that waited here until they were called off
 	full       Clock   // it turned a job away; its value is 1 until then or a report
 	waiting    int     // own jobs not started within startGrace
 	lag, jobs  float64 // decayed sum over jobs of log(time here / usual time), and their number
@@ -183,8 +184,19 @@
 // low for as many jobs as it remembers, which a dispatcher among many does not see within a minute.
 func learn(mean *float64, n int, x float64) { *mean += max(1/float64(n), 1-classMemory) * (x - *mean) }
 
-// waited notes whether a job waited for its start.
-func (d *Dispatcher) waited(is bool) { d.jam += (float64(oneIf(is)) - d.jam) / jamMemory }
+// waited notes whether a job waited for its start at a worker.
+func (d *Dispatcher) waited(w *worker, is bool) {
+	if d.jam += (float64(oneIf(is)) - d.jam) / jamMemory; !is {
+		w.passed.sum /= 2
+	}
+}
+
+// passedBy notes that an attempt is called off which waited for its start for so long that it was copied.
+func (d *Dispatcher) passedBy(a *attempt) {
+	if d.stuck(a, copyGrace) {
+		a.w.passed.add(d.now, 1)
+	}
+}
 
 // usable gives settings as the decisions take them.
 func (s Settings) usable() *Settings {
