Tests of hard cases at size: most workers replaced, connections refused, a zone that returns cold

Against the program as one of 80 dispatchers: six of ten workers are cut off, jobs are served before anybody is told, then their ids are replaced and the old get none; two of six workers refuse connections and no job is lost. In brain, over 80 dispatchers: a third of the workers returns cold while jobs wait everywhere; all together send each no more than it bears within any window, and a third of that at least.

No change of the program.

--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -202,3 +202,64 @@
 		t.Errorf("%.3f of the jobs go to them first, %.3f of the workers are hung", got, float64(hung)/n)
 	}
 }
+
+// A third of the workers is gone and returns cold, while jobs wait at the others and every dispatcher is eager to use
+// them: together they send each no more than its budget within any window, and yet a good part of it.
+func TestZoneReturnsCold(t *testing.T) {
+	const dispatchers, n, cold, mean = 80, 60, 20, 0.25
+	type push struct {
+		at   Clock
+		work float64
+	}
+	sent := map[WorkerID][]push{}
+	var set *Settings
+	for _, v := range asked(t, dispatchers, n) {
+		v.now = start
+		set = v.d.set
+		for id := RequestID(1); id <= 8; id++ {
+			v.arrive(id, 0)
+			v.give(Began{ID: id})
+			v.pass(mean * 1000 * ms)
+			v.served(id, nil)
+		}
+		v.now = start + 10*time.Second
+		ws := workers(n)
+		for i := range cold {
+			ws[i].Since = v.now
+		}
+		v.give(Listed{Kind: ListFull, Workers: ws})
+		for i := range 16 { // four jobs a second
+			v.d.jam = 1
+			id := RequestID(100 + i)
+			for _, a := range v.give(Arrived{ID: id, Slots: 1, Key: uint64(i + v.d.set.Me*100 + 1), Expires: v.now + 4*time.Second}) {
+				if s, ok := a.(Send); ok && s.ID == id {
+					sent[s.Worker] = append(sent[s.Worker], push{v.now, mean})
+				}
+			}
+			v.give(Began{ID: id})
+			v.pass(mean * 1000 * ms)
+			v.give(Finished{ID: id, Outcome: Served, Final: true})
+		}
+	}
+	used, could := 0.0, 0.0
+	for _, w := range workers(n)[:cold] {
+		ps := sent[w.ID]
+		for _, p := range ps {
+			sum := 0.0
+			for _, q := range ps {
+				if q.at >= p.at && q.at < p.at+set.Fall {
+					sum += q.work
+				}
+			}
+			used += p.work
+			age := float64(p.at-start-10*time.Second) / float64(set.Cold)
+			if warm := set.StartCapacity + (1-set.StartCapacity)*age; sum > set.TipMultiple*warm*set.Fall.Seconds() {
+				t.Fatalf("%s: %.2f s of work within %v at an age of %.2f", w.ID, sum, set.Fall, age)
+			}
+		}
+		could += coldShare * set.TipMultiple * 0.36 * 4 // the mean share of capacity over the 4 s
+	}
+	if used < could/3 {
+		t.Errorf("%.1f s of work sent to cold workers, of %.1f that they could be sent", used, could)
+	}
+}
--- a/cmd/brassdale/fleet_test.go
+++ b/cmd/brassdale/fleet_test.go
@@ -2,10 +2,108 @@
 
 import (
 	"fmt"
+	"net"
+	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 )
 
+// ofMany has the program be one of 80 dispatchers.
+func ofMany(config string) string {
+	return strings.Replace(config, `"replicasOfMe":1`, `"replicasOfMe":80,"ordinal":7`, 1)
+}
+
+// all asks for so many jobs, eight at a time, and gives how many were served.
+func (n *node) all(prefix string, jobs int) int {
+	var served atomic.Int32
+	var wait sync.WaitGroup
+	room := make(chan struct{}, 8)
+	for i := range jobs {
+		room <- struct{}{}
+		wait.Go(func() {
+			if status, _, _ := n.do(request(n.url, fmt.Sprint(prefix, "-", i))); status == 200 {
+				served.Add(1)
+			}
+			<-room
+		})
+	}
+	wait.Wait()
+	return int(served.Load())
+}
+
+// Six in ten workers are replaced: new ids, and the old machines say nothing more on the connections that stay open.
+// Every job is served all the same, also those that the old ones hold, and once the list is told the old get none.
+func TestMostWorkersReplaced(t *testing.T) {
+	t.Parallel()
+	var silent atomic.Bool
+	boxes := make([]*box, 10)
+	for i := range boxes {
+		boxes[i] = newBox(t, fmt.Sprint("old-", i), func(b *box, c net.Conn, r *http.Request) {
+			if i < 6 && silent.Load() {
+				freezes()(b, c, r)
+				return
+			}
+			works(b, c, r)
+		})
+		boxes[i].closed = make(chan string, 1000)
+	}
+	n := startWith(t, "", ofMany, boxes...)
+	if served := n.all("before", 100); served != 100 {
+		t.Errorf("%d of 100 served before", served)
+	}
+	silent.Store(true) // the machines are cut off; nobody is told yet
+	if served := n.all("untold", 100); served != 100 {
+		t.Errorf("%d of 100 served while nobody was told", served)
+	}
+	now := time.Now().UnixMilli()
+	replaced := append([]*box(nil), boxes[6:]...)
+	for i := range 6 {
+		b := newBox(t, fmt.Sprint("new-", i), works)
+		b.since = now
+		replaced = append(replaced, b)
+	}
+	n.registry.set(func() { n.registry.boxes = replaced })
+	n.waitFor("the new list", func() bool { return strings.Contains(n.log(), "revision=2") })
+	n.all("told", 1) // behind it the module knows
+	before := 0
+	for _, b := range boxes[:6] {
+		_, jobs := b.count()
+		before += jobs
+	}
+	if served := n.all("after", 100); served != 100 {
+		t.Errorf("%d of 100 served after", served)
+	}
+	after := 0
+	for _, b := range boxes[:6] {
+		_, jobs := b.count()
+		after += jobs
+	}
+	if after != before {
+		t.Errorf("%d jobs at workers that are gone", after-before)
+	}
+}
+
+// A worker at which connections are refused, as one has only so many, costs no job, and is met less and less.
+func TestConnectionsRefused(t *testing.T) {
+	t.Parallel()
+	boxes := make([]*box, 6)
+	for i := range boxes {
+		boxes[i] = newBox(t, fmt.Sprint("box-", i), works)
+	}
+	boxes[0].ln.Close()
+	boxes[1].ln.Close()
+	n := startWith(t, "", ofMany, boxes...)
+	if served := n.all("k", 200); served != 200 {
+		t.Errorf("%d of 200 served", served)
+	}
+	if n := strings.Count(n.log(), "unreachable"); n == 0 || n > 20 {
+		t.Errorf("shunned %d times", n)
+	}
+}
+
 // A list with a fault is refused as a whole: the old one holds, at 60 lines and at 5,000, jobs go on, and the fault is
 // logged once however often it comes. A good list then is in force at once.
 func TestFaultyLists(t *testing.T) {
