Load generator: open loop, shapes, accounts, retries, traces, three wires, and it says when it fell behind

Change: internal/load and `brassdale-lab load`. A result whose generator left late or ran out of room is marked unusable.

A pause of 150 ms stands in the open loop's p90 from when due, and is hidden from the closed loop's p99 from when sent. Tests: determinism and rates by property, a fuzzer for traces, faults with line and column, stalls, starvation, Ctrl-C, retries; all wires against the program.

--- /dev/null
+++ b/cmd/brassdale/load_test.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"net/url"
+	"testing"
+	"time"
+
+	"brassdale/internal/load"
+)
+
+// The load generator over each wire against the program: every job that it counts served was run by the endpoint, and
+// what the program refuses is counted so.
+func TestLoadOverAllWires(t *testing.T) {
+	t.Parallel()
+	a := newBox(t, "a", works)
+	n := start(t, http2Block+operator("lines")+"", a)
+	for wire, address := range map[load.Wire]string{load.HTTP1: n.url, load.HTTP2: n.h2, load.Events: n.progress} {
+		at, err := url.Parse(address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := load.NewClient(wire, "price-part", []string{at.Host})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, before := a.count()
+		plan := load.Generated([]load.Phase{{Shape: load.Poisson, For: 100 * time.Millisecond, Rate: 40}}, load.Mix{Accounts: []load.Account{{Name: "acct", Share: 1}}, Subjects: 3}, 1)
+		f := load.Run(t.Context(), plan, c, load.Options{Terms: load.Terms{Class: "price-part", GiveUp: 5 * time.Second}}).Figures()
+		c.Close()
+		if _, after := a.count(); f.Planned == 0 || f.Outcomes["served"] != f.Planned || after-before < f.Planned {
+			t.Errorf("%s: %v of %d jobs, %d at the endpoint", wire, f.Outcomes, f.Planned, after-before)
+		}
+	}
+	c, err := load.NewClient(load.HTTP1, "no-such-class", []string{n.url[len("http://"):]})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if f := load.Run(t.Context(), load.Recorded([]load.Job{{}}), c, load.Options{Terms: load.Terms{GiveUp: 5 * time.Second}}).Figures(); f.Outcomes["failed"] != 1 {
+		t.Errorf("an unknown class: %v", f.Outcomes)
+	}
+}
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -93,6 +93,7 @@
 		"transport/http2": {"brain", "internal/routing", "internal/protocol", "internal/decisions/", "internal/transport"},
 		"operator":        {"internal/diag", "internal/protocol", "internal/transport", "internal/savedlist"},
 		"emulator":        {"brain"},
+		"load":            {"internal/protocol", "internal/diag"},
 		"savedlist":       {"brain", "internal/routing", "internal/protocol"},
 	}
 	for dir, may := range above {
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,288 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"math"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func drain(s Source) (jobs []Job) {
+	for j, ok := s.Next(); ok; j, ok = s.Next() {
+		jobs = append(jobs, j)
+	}
+	return jobs
+}
+
+// The same seed gives the same jobs, another gives others, times are in order and inside their phases, and who sends them
+// changes nothing of when they come.
+func TestPlansAreByTheirSeed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		phase := Phase{Shape: Shape(rapid.IntRange(0, int(Day)).Draw(t, "shape")), For: time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond,
+			Rate: rapid.Float64Range(1, 2000).Draw(t, "rate"), Every: 200 * time.Millisecond, Last: 50 * time.Millisecond}
+		if phase.Shape == Ramp || phase.Shape == Burst {
+			phase.To = rapid.Float64Range(0, 2000).Draw(t, "to")
+		}
+		if err := phase.check(); err != nil {
+			t.Fatal(err)
+		}
+		seed := rapid.Uint64().Draw(t, "seed")
+		mix := Mix{Accounts: []Account{{"a", 0.7, 0}, {"b", 0.3, 0}}, Subjects: 50, Zipf: 1.2}
+		first := drain(Generated([]Phase{phase, phase}, mix, seed))
+		if again := drain(Generated([]Phase{phase, phase}, mix, seed)); !reflect.DeepEqual(first, again) {
+			t.Fatal("the same seed gave other jobs")
+		}
+		mix.Accounts = []Account{{"c", 1, 0}}
+		other := drain(Generated([]Phase{phase, phase}, mix, seed))
+		for i, j := range first {
+			if j.At < 0 || j.At >= 2*phase.For || i > 0 && j.At < first[i-1].At {
+				t.Fatalf("job %d at %v", i, j.At)
+			}
+			if other[i].At != j.At || other[i].Subject != j.Subject {
+				t.Fatalf("another account moved job %d", i)
+			}
+		}
+	})
+	if reflect.DeepEqual(drain(Generated([]Phase{{Shape: Poisson, For: time.Second, Rate: 100}}, Mix{}, 1)), drain(Generated([]Phase{{Shape: Poisson, For: time.Second, Rate: 100}}, Mix{}, 2))) {
+		t.Error("another seed gave the same jobs")
+	}
+}
+
+// As many jobs come as their shape says, within five deviations of chance, and an account at five times its traffic has
+// five times as many, on top of the others'.
+func TestShapesHaveTheirRates(t *testing.T) {
+	for name, c := range map[string]struct {
+		phase Phase
+		want  float64
+	}{
+		"constant": {Phase{Shape: Constant, For: 10 * time.Second, Rate: 500}, 5000},
+		"poisson":  {Phase{Shape: Poisson, For: 10 * time.Second, Rate: 500}, 5000},
+		"ramp":     {Phase{Shape: Ramp, For: 10 * time.Second, Rate: 0, To: 1000}, 5000},
+		"burst":    {Phase{Shape: Burst, For: 10 * time.Second, Rate: 100, To: 900, Every: time.Second, Last: 500 * time.Millisecond}, 5000},
+	} {
+		if got := float64(len(drain(Generated([]Phase{c.phase}, Mix{}, 7)))); math.Abs(got-c.want) > 5*math.Sqrt(c.want) {
+			t.Errorf("%s: %v jobs, want about %v", name, got, c.want)
+		}
+	}
+	count := map[string]float64{}
+	for _, j := range drain(Generated([]Phase{{Shape: Poisson, For: 10 * time.Second, Rate: 500}}, Mix{Accounts: []Account{{"a", 0.5, 5}, {"b", 0.5, 0}}}, 3)) {
+		count[j.Account]++
+	}
+	if math.Abs(count["b"]-2500) > 250 || math.Abs(count["a"]-12500) > 600 {
+		t.Errorf("jobs by account: %v", count)
+	}
+}
+
+// A trace is read whole or not at all, and its first fault is named with its line.
+func TestTraces(t *testing.T) {
+	accounts := []Account{{Name: "a"}, {Name: "b"}}
+	for name, c := range map[string]struct{ format, text, want string }{
+		"csv":             {"csv", "at_ms,account,key\n0,a,k1\n5000,b,k2\n", ""}, // a gap of five seconds is as it was
+		"json lines":      {"jsonl", "{\"at_ms\":0,\"account\":\"a\",\"subject\":\"s\"}\n\n{\"at_ms\":1.5,\"account\":\"b\"}\n", ""},
+		"out of order":    {"jsonl", "{\"at_ms\":5,\"account\":\"a\"}\n{\"at_ms\":4,\"account\":\"a\"}\n", "line 2: at_ms 4 is before the 5 of the line before"},
+		"unknown account": {"csv", "at_ms,account\n0,a\n1,zebra\n", `line 3: unknown account "zebra"`},
+		"bad line":        {"jsonl", "{\"at_ms\":0,\"account\":\"a\"}\n{\"at_ms\":\n", "line 2:"},
+		"no number":       {"csv", "at_ms,account\nsoon,a\n", `line 2: at_ms: "soon" is no number`},
+		"no time":         {"jsonl", "{\"account\":\"a\"}\n", "line 1:"},
+		"below nothing":   {"csv", "at_ms,account\n-1,a\n", "line 2: at_ms:"},
+		"not a number":    {"csv", "at_ms,account\nNaN,a\n", "line 2:"},
+		"unknown column":  {"csv", "at_ms,account,colour\n0,a,red\n", "line 2:"},
+		"a head's end":    {"jsonl", "{\"at_ms\":0,\"account\":\"a\",\"key\":\"k\\r\\nHost: h\"}\n", "line 1: key:"},
+		"short line":      {"csv", "at_ms,account\n0\n", "line 2"},
+		"empty":           {"csv", "at_ms\n", "no job"},
+		"format":          {"xml", "", "no trace format"},
+	} {
+		jobs, err := ReadTrace(strings.NewReader(c.text), c.format, accounts)
+		if c.want == "" && (err != nil || len(jobs) != 2) || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) || jobs != nil) {
+			t.Errorf("%s: %d jobs, error %v, want %q", name, len(jobs), err, c.want)
+		}
+	}
+}
+
+func FuzzReadTrace(f *testing.F) {
+	f.Add("at_ms,account\n0,a\n", true)
+	f.Add("{\"at_ms\":0}\n", false)
+	f.Fuzz(func(t *testing.T, text string, isCSV bool) {
+		format := "jsonl"
+		if isCSV {
+			format = "csv"
+		}
+		jobs, err := ReadTrace(strings.NewReader(text), format, nil)
+		if (err == nil) != (len(jobs) > 0) {
+			t.Fatalf("%d jobs and error %v", len(jobs), err)
+		}
+		for i, j := range jobs {
+			if j.At < 0 || i > 0 && j.At < jobs[i-1].At || strings.ContainsAny(j.Key+j.Subject+j.Account+j.Work, "\r\n") {
+				t.Fatalf("job %d: %+v", i, j)
+			}
+		}
+	})
+}
+
+// Faults of a plan are named with file, line and column, all of them.
+func TestPlanFaults(t *testing.T) {
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "t.csv"), []byte("at_ms\nx\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	head := "class = \"c\"\ngive_up = \"5s\"\n"
+	for name, c := range map[string]struct{ text, want string }{
+		"good":       {head + "phase \"ramp\" {\n  for = \"1s\"\n  rate = 1\n  to = 9\n}\n", ""},
+		"no phase":   {head, "plan.hcl:"},
+		"shape":      {head + "phase \"cone\" {\n  for = \"1s\"\n  rate = 1\n}\n", "plan.hcl:3:7: Bad plan: There is no shape \"cone\""},
+		"time":       {"class = \"c\"\ngive_up = \"soon\"\nphase \"poisson\" {\n  for = \"1s\"\n  rate = 1\n}\n", "plan.hcl:2:11:"},
+		"two faults": {"class = \"\"\ngive_up = \"0s\"\nphase \"poisson\" {\n  for = \"1s\"\n  rate = 1\n}\n", "plan.hcl:2:11: Bad plan: give_up must be above 0."},
+		"wire":       {head + "wire = \"smoke\"\nphase \"poisson\" {\n  for = \"1s\"\n  rate = 1\n}\n", "plan.hcl:3:8:"},
+		"trace":      {head + "trace {\n  file = \"t.csv\"\n  format = \"csv\"\n}\n", "plan.hcl:4:10: Bad plan: t.csv: line 2: at_ms: \"x\" is no number"},
+		"unknown":    {head + "speed = 3\n", "plan.hcl:3:1:"},
+	} {
+		_, err := Parse([]byte(c.text), filepath.Join(dir, "plan.hcl"))
+		if (c.want == "") != (err == nil) || err != nil && !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", name, err, c.want)
+		}
+	}
+}
+
+type sender func(ctx context.Context, j Job, try int, deadline time.Time) Answer
+
+func (s sender) Send(ctx context.Context, j Job, try int, deadline time.Time) Answer {
+	return s(ctx, j, try, deadline)
+}
+
+// A target that stands still for 150 ms: the pause is in the percentiles from when jobs were due, whoever sends them. A
+// client that waits for its answers before it sends again sees it once, in one of all its answers.
+func TestPauseIsSeen(t *testing.T) {
+	const pause = 150 * time.Millisecond
+	run := func(clients int) Figures {
+		begin := time.Now()
+		stands := sender(func(context.Context, Job, int, time.Time) Answer {
+			if at := time.Since(begin); at > pause && at < 2*pause {
+				time.Sleep(2*pause - at)
+			}
+			return Answer{}
+		})
+		o := Options{Terms: Terms{GiveUp: time.Minute}, Begin: begin, Clients: clients}
+		return Run(t.Context(), Generated([]Phase{{Shape: Constant, For: 3 * pause, Rate: 1000}}, Mix{}, 1), stands, o).Figures()
+	}
+	open, closed := run(0), run(1)
+	if open.Latency.P90 < 50 || open.Latency.Max < 140 {
+		t.Errorf("open loop, from when due: %+v", open.Latency)
+	}
+	if closed.Latency.P90 < 50 {
+		t.Errorf("closed loop, from when due: %+v", closed.Latency)
+	}
+	if closed.Service.P99 > 50 {
+		t.Errorf("closed loop, from when sent, should hide it: %+v", closed.Service)
+	}
+}
+
+// A generator that is starved, here by a plan that began before it, or that is out of room says that its result is of no
+// use; one that keeps its plan does not.
+func TestFellBehind(t *testing.T) {
+	block := make(chan struct{})
+	plan := func() Source {
+		return Generated([]Phase{{Shape: Constant, For: 20 * time.Millisecond, Rate: 500}}, Mix{}, 1)
+	}
+	at := sender(func(context.Context, Job, int, time.Time) Answer { return Answer{} })
+	starved := Run(t.Context(), plan(), at, Options{Terms: Terms{GiveUp: time.Second}, Begin: time.Now().Add(-time.Second)})
+	if err := starved.Usable(); !errors.Is(err, ErrUnusable) || !strings.Contains(err.Error(), "late") || starved.Figures().Usable {
+		t.Errorf("starved: %v", err)
+	}
+	var once sync.Once
+	waits := sender(func(context.Context, Job, int, time.Time) Answer {
+		once.Do(func() { time.AfterFunc(100*time.Millisecond, func() { close(block) }) })
+		<-block
+		return Answer{}
+	})
+	full := Run(t.Context(), plan(), waits, Options{Terms: Terms{GiveUp: time.Second}, MostOpen: 3})
+	if err := full.Usable(); !errors.Is(err, ErrUnusable) || full.Figures().Outcomes["served"] != 3 {
+		t.Errorf("out of room: %v, %v", err, full.Figures().Outcomes)
+	}
+}
+
+// Stopped before its end, a run gives what was measured and says that it was stopped.
+func TestStopped(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	n := 0
+	at := sender(func(context.Context, Job, int, time.Time) Answer {
+		if n++; n == 5 {
+			stop()
+		}
+		return Answer{}
+	})
+	f := Run(ctx, Generated([]Phase{{Shape: Constant, For: time.Hour, Rate: 100}}, Mix{}, 1), at, Options{Clients: 1, Terms: Terms{GiveUp: time.Second}}).Figures()
+	var text strings.Builder
+	if err := f.Table(&text); err != nil || !f.CutShort || f.Outcomes["served"] < 5 || !strings.Contains(text.String(), "stopped after") {
+		t.Errorf("%+v\n%s", f, &text)
+	}
+}
+
+// A client comes back after a refusal, under the same key and a new id, after as long as it was told, and counts as one
+// job; it does not after a failure, nor past its give-up.
+func TestRetries(t *testing.T) {
+	type seen struct {
+		id, key, retry string
+		at             time.Time
+	}
+	var mu sync.Mutex
+	var got []seen
+	status := http.StatusServiceUnavailable
+	target := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		got = append(got, seen{r.Header.Get("Req-Id"), r.Header.Get("Idempotency-Key"), r.Header.Get("Req-Retry"), time.Now()})
+		if len(got)%2 == 0 {
+			w.WriteHeader(http.StatusOK)
+			return
+		}
+		w.Header().Set("Retry-After", "0.1")
+		w.WriteHeader(status)
+	}))
+	defer target.Close()
+	c, err := NewClient(HTTP1, "price-part", []string{target.Listener.Addr().String()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	run := func(giveUp time.Duration) Figures {
+		got = nil
+		o := Options{Terms: Terms{GiveUp: giveUp, Retry: Retry{Most: 1, Share: 1, Wait: time.Millisecond, Honour: true}}}
+		return Run(t.Context(), Recorded([]Job{{Account: "a"}}), c, o).Figures()
+	}
+	f := run(5 * time.Second)
+	if f.Outcomes["served"] != 1 || f.Tries != 2 || got[0].key != got[1].key || got[0].id == got[1].id || got[1].retry != "1" || got[1].at.Sub(got[0].at) < 100*time.Millisecond {
+		t.Errorf("%+v, seen %+v", f, got)
+	}
+	if f := run(50 * time.Millisecond); f.Outcomes["refused"] != 1 || len(got) != 1 {
+		t.Errorf("past its give-up: %+v, %d tries", f.Outcomes, len(got))
+	}
+	status = http.StatusBadGateway
+	if f := run(5 * time.Second); f.Outcomes["failed"] != 1 || len(got) != 1 {
+		t.Errorf("after a failure: %+v, %d tries", f.Outcomes, len(got))
+	}
+}
+
+// BenchmarkPacing paces 20,000 jobs a second and reports how late they left.
+func BenchmarkPacing(b *testing.B) {
+	at := sender(func(context.Context, Job, int, time.Time) Answer { return Answer{} })
+	for b.Loop() {
+		f := Run(b.Context(), Generated([]Phase{{Shape: Poisson, For: 2 * time.Second, Rate: 20_000}}, Mix{}, 1), at, Options{Terms: Terms{GiveUp: time.Second}}).Figures()
+		b.ReportMetric(f.Rate, "jobs/s")
+		b.ReportMetric(f.Lag.P50, "lag-p50-ms")
+		b.ReportMetric(f.Lag.P99, "lag-p99-ms")
+		b.ReportMetric(f.Lag.Max, "lag-max-ms")
+		if !f.Usable {
+			b.Error(f.Why)
+		}
+	}
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,185 @@
+package load
+
+import (
+	"context"
+	crand "crypto/rand"
+	"encoding/hex"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// A result is of use if so many of 1,000 jobs left no later than LagMost after they were due.
+	LagMost  = 10 * time.Millisecond
+	lagShare = 0.99
+
+	// The pacer sleeps to this much before a job is due and yields from there on: a sleep ends late by about as much.
+	sleepShort = 300 * time.Microsecond
+)
+
+// Answer is what came of one try.
+type Answer struct {
+	Outcome    Outcome       // Served, Refused, Failed or Unanswered
+	RetryAfter time.Duration // Refused: as it says; 0 for nothing
+}
+
+// Sender makes one try and gives its answer by its deadline. Many are made at a time.
+type Sender interface {
+	Send(ctx context.Context, j Job, try int, deadline time.Time) Answer
+}
+
+// Options of a run.
+type Options struct {
+	Terms    Terms
+	Seed     uint64
+	Clients  int // 0 for an open loop; else so many, each of which waits for its answer before it sends again
+	MostOpen int // jobs in flight; those due beyond it are not sent, and the result is unusable. 0 for 100,000
+	Begin    time.Time
+	Each     func(time.Duration, Outcome, time.Duration) // hears of each job, when it was due, its end and its latency; nil for nobody
+}
+
+// Run sends a plan's jobs to their times and waits for their ends. When the context ends, what was measured by then is
+// given, marked as cut short.
+func Run(ctx context.Context, source Source, to Sender, o Options) *Result {
+	if o.MostOpen <= 0 {
+		o.MostOpen = 100_000
+	}
+	if o.Begin.IsZero() {
+		o.Begin = time.Now()
+	}
+	r := newResult(o.Terms)
+	r.clients = o.Clients
+	var wait sync.WaitGroup
+	var open atomic.Int64
+	var room chan struct{}
+	if o.Clients > 0 {
+		room = make(chan struct{}, o.Clients)
+	}
+	chance := rand.New(rand.NewPCG(o.Seed, 4))
+	for j, ok := source.Next(); ok; j, ok = source.Next() {
+		due := o.Begin.Add(j.At)
+		if !until(ctx, due) || !enter(ctx, room) {
+			r.CutShort = true
+			break
+		}
+		if j.Key == "" {
+			j.Key = newKey()
+		}
+		lag := time.Since(due)
+		r.due(lag)
+		if open.Load() >= int64(o.MostOpen) {
+			r.shed()
+			if room != nil {
+				<-room
+			}
+			continue
+		}
+		open.Add(1)
+		again := chance.Float64() < o.Terms.Retry.Share // drawn here, so that it goes by the seed alone
+		wait.Go(func() {
+			defer func() {
+				open.Add(-1)
+				if room != nil {
+					<-room
+				}
+			}()
+			end := play(ctx, j, due, again, to, &o.Terms)
+			if end.outcome == Unanswered && ctx.Err() != nil {
+				r.cut()
+				return
+			}
+			r.ended(j, end)
+			if o.Each != nil {
+				o.Each(j.At, end.outcome, end.latency)
+			}
+		})
+	}
+	wait.Wait()
+	r.Span = time.Since(o.Begin)
+	return r
+}
+
+// enter waits for a client that is free, where they are bounded, and tells whether there is one.
+func enter(ctx context.Context, room chan struct{}) bool {
+	if room == nil {
+		return true
+	}
+	select {
+	case room <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// newKey is a key that no other job has.
+func newKey() string {
+	var b [16]byte
+	_, _ = crand.Read(b[:]) // never fails
+	return hex.EncodeToString(b[:])
+}
+
+// until waits for a time, and tells whether it came.
+func until(ctx context.Context, due time.Time) bool {
+	for {
+		left := time.Until(due)
+		switch {
+		case ctx.Err() != nil:
+			return false
+		case left <= 0:
+			return true
+		case left > sleepShort:
+			t := time.NewTimer(left - sleepShort)
+			select {
+			case <-t.C:
+			case <-ctx.Done():
+				t.Stop()
+				return false
+			}
+		default:
+			time.Sleep(left / 2)
+		}
+	}
+}
+
+// end is how a job ended.
+type end struct {
+	outcome  Outcome
+	latency  time.Duration // from when it was due
+	service  time.Duration // from when its last try left: what a generator would see that waits for its answers
+	tries    int
+	answered bool
+}
+
+// play makes a job's tries.
+func play(ctx context.Context, j Job, due time.Time, again bool, to Sender, t *Terms) end {
+	giveUp := due.Add(t.GiveUp)
+	e := end{}
+	for {
+		left := time.Now()
+		a := to.Send(ctx, j, e.tries, giveUp)
+		now := time.Now()
+		e.tries++
+		e.outcome, e.latency, e.service, e.answered = a.Outcome, now.Sub(due), now.Sub(left), a.Outcome != Unanswered
+		if a.Outcome == Served && t.Aim > 0 && e.latency > t.Aim {
+			e.outcome = Late
+		}
+		if a.Outcome != Refused || !again || e.tries > t.Retry.Most {
+			return e
+		}
+		pause := t.Retry.Wait
+		if t.Retry.Honour && a.RetryAfter > 0 {
+			pause = a.RetryAfter
+		}
+		next := now.Add(pause)
+		if !next.Before(giveUp) || !until(ctx, next) {
+			return e
+		}
+	}
+}
+
+// ErrUnusable is of a result whose generator did not keep its plan.
+var ErrUnusable = errors.New("the generator fell behind its plan: the result is unusable")
