The works on loopback sockets: one model for virtual time and real dispatchers, experiments, emulate, demo

Need: the model in virtual time plays the module in a driver of its own; whether the program on sockets behaves so nobody knew, and whoever wanted to try it had to bring boxes, discovery and clients.

Change: the emulator's agenda can be done by a real clock; boxes and discovery listen on loopback, at an address of its own for each dispatcher, and speak the platform's protocol to real processes, which `Play` starts; clients are the load generator's; the auditor holds the same rules. Faults reset and partition, in both ways.

The dispatcher's program is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint run
+.PHONY: build test race lint run demo
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -13,6 +13,10 @@
 	test -z "$$(gofmt -l brain cmd internal)"
 	go vet ./...
 
+# A works, discovery, two dispatchers and a gentle load on loopback, with live figures; Ctrl-C ends it.
+demo: build
+	bin/brassdale-lab demo
+
 # Needs the platform's variables; see README.md.
 run: build
 	exec bin/brassdale
--- a/cmd/brassdale-lab/load.go
+++ b/cmd/brassdale-lab/load.go
@@ -34,7 +34,7 @@
 				progressbar.OptionSetVisibility(terminal(os.Stderr)), progressbar.OptionClearOnFinish(), progressbar.OptionShowCount())
 			o := f.Options()
 			o.Clients = clients
-			o.Each = func(time.Duration, load.Outcome, time.Duration) { _ = bar.Add(1) }
+			o.Each = func(load.Job, load.Outcome, time.Duration) { _ = bar.Add(1) }
 			r := load.Run(c.Context(), f.Source(), client, o)
 			_ = bar.Finish()
 			figures := r.Figures()
--- a/cmd/brassdale-lab/main.go
+++ b/cmd/brassdale-lab/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"runtime/debug"
 	"time"
 
@@ -22,7 +23,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	root := &cobra.Command{Use: "brassdale-lab", Short: "Experiments on a model of the works", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(run(), report(), loadCommand())
+	root.AddCommand(run(), report(), loadCommand(), emulate(), demo())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "brassdale-lab:", err)
 		os.Exit(1)
@@ -30,8 +31,9 @@
 }
 
 func run() *cobra.Command {
-	var out string
+	var out, binary string
 	var seeds int
+	var sockets bool
 	c := &cobra.Command{Use: "experiment FILE", Short: "Play an experiment and keep its results in a folder", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			f, err := experiment.Load(args[0])
@@ -43,7 +45,11 @@
 			}
 			bar := progressbar.NewOptions(f.Seeds*len(f.Variants), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetDescription(f.Title),
 				progressbar.OptionSetVisibility(terminal(os.Stderr)), progressbar.OptionClearOnFinish(), progressbar.OptionShowCount())
-			rows, err := experiment.Run(c.Context(), f, build(), func() { _ = bar.Add(1) })
+			play, together := experiment.Player(experiment.InVirtualTime), runtime.GOMAXPROCS(0)
+			if sockets { // in real time, one after the other: they would take each other's cores
+				play, together = experiment.OnSockets(binary), 1
+			}
+			rows, err := experiment.Run(c.Context(), f, play, together, build(), func() { _ = bar.Add(1) })
 			_ = bar.Finish()
 			if errors.Is(err, context.Canceled) && len(rows) > 0 {
 				fmt.Fprintf(os.Stderr, "stopped: %d of %d runs are kept\n", len(rows), f.Seeds*len(f.Variants))
@@ -59,6 +65,8 @@
 			return tell(c, out, rows, err)
 		}}
 	c.Flags().StringVar(&out, "out", "", "the folder for the results (results/ and the time if left out)")
+	c.Flags().BoolVar(&sockets, "sockets", false, "in real time, with real dispatchers on loopback")
+	c.Flags().StringVar(&binary, "binary", dispatcherBeside(), "the dispatcher's program, for --sockets")
 	c.Flags().IntVar(&seeds, "seeds", 0, "so many seeds instead of the file's")
 	return c
 }
--- a/internal/emulator/box.go
+++ b/internal/emulator/box.go
@@ -22,7 +22,8 @@
 	down    bool // it has fallen over, is starting or is gone
 	life    int  // a restart begins another: what was under way in the one before never ends
 
-	frozen, silent, slow, late int // how many faults of the kind it has now
+	frozen, silent, slow, late, cut int    // how many faults of the kind it has now
+	unheard                         []*run // attempts that did not reach it, while it was cut off
 
 	busy    int
 	queue   []*run
@@ -41,13 +42,21 @@
 	told bool // by a dispatcher that had been told of the box's start
 }
 
+// origin is where attempts come from: a dispatcher of the model, or a real one behind a socket.
+type origin interface {
+	started(*run)                       // its job has
+	over(*run, brain.Outcome)           // it has ended
+	knows(brain.WorkerID) time.Duration // of which start of the box it was told
+	way() *rand.Rand                    // the chance in how long its way takes
+}
+
 // run is an attempt at a box.
 type run struct {
 	job     *job
 	id      brain.RequestID
 	attempt int
 	box     brain.WorkerID
-	from    *dispatcher
+	from    origin
 	life    int
 	work    float64 // seconds at speed 1
 	began   bool
@@ -66,6 +75,10 @@
 
 // take takes an attempt. What is refused or dropped is said at once.
 func (b *box) take(r *run) {
+	if b.cut > 0 {
+		b.unheard = append(b.unheard, r)
+		return
+	}
 	b.weigh(r)
 	if b.down {
 		b.w.reply(r, brain.NoConnect)
@@ -82,7 +95,7 @@
 	if b.started == 0 || c.Tip <= 0 || b.warmth() >= 1 {
 		return
 	}
-	b.pushed = append(b.pushed, push{b.w.now, r.work, r.from.told[b.id] >= b.started})
+	b.pushed = append(b.pushed, push{b.w.now, r.work, r.from.knows(b.id) >= b.started})
 	for len(b.pushed) > 0 && b.pushed[0].at < b.w.now-c.Fall {
 		b.pushed = b.pushed[1:]
 	}
@@ -219,7 +232,7 @@
 	switch {
 	case b.down:
 		answer(brain.NoConnect, nil)
-	case b.frozen > 0: // nobody hears anything: the dispatcher's own time runs out
+	case b.frozen > 0 || b.cut > 0: // nobody hears anything: the dispatcher's own time runs out
 	default:
 		answer(brain.Served, b.report())
 	}
--- a/internal/emulator/dispatcher.go
+++ b/internal/emulator/dispatcher.go
@@ -126,6 +126,17 @@
 	d.forget(id)
 }
 
+// started, over, knows and way make it an origin of attempts.
+func (d *dispatcher) started(r *run) {
+	if o := d.open[r.id]; o != nil && o.out[r.attempt] {
+		d.feed(brain.Began{ID: r.id, Attempt: r.attempt, Worker: r.box})
+	}
+}
+
+func (d *dispatcher) over(r *run, o brain.Outcome)          { d.ended(r.id, r.attempt, o) }
+func (d *dispatcher) knows(id brain.WorkerID) time.Duration { return d.told[id] }
+func (d *dispatcher) way() *rand.Rand                       { return d.chance }
+
 // answer gives the final answer. Whether there was one before is the auditor's to see.
 func (d *dispatcher) answer(id brain.RequestID, v verdict, after time.Duration) {
 	o := d.open[id]
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -30,8 +30,8 @@
 // trouble is a day on which all kinds of faults come.
 func trouble(seed uint64) Scenario {
 	s := LlanelliWorks(seed)
-	s.Span = 30 * time.Second
-	for i := range Unheard + 1 {
+	s.Span = 36 * time.Second
+	for i := range Trouble(troubleKinds) {
 		s.Faults = append(s.Faults, Fault{At: time.Duration(2+4*i) * time.Second, For: 3 * time.Second, Kind: i, Share: 0.1})
 	}
 	return s
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -2,14 +2,21 @@
 
 import (
 	"container/heap"
+	"context"
+	"sync"
 	"time"
 )
 
 // engine is virtual time: what is due next is done next, and what is due at one time in the order it was asked for.
+// Run live, it does what is due by a real clock, and what others post in between.
 type engine struct {
 	now  time.Duration
 	seq  uint64
 	todo agenda
+
+	mu     sync.Mutex
+	posted []func()
+	wake   chan struct{} // room for one
 }
 
 type item struct {
@@ -49,3 +56,44 @@
 	}
 	e.now = max(e.now, until)
 }
+
+// post has something done soon by a live engine. It may be called by anybody and does not block.
+func (e *engine) post(do func()) {
+	e.mu.Lock()
+	e.posted = append(e.posted, do)
+	e.mu.Unlock()
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// live does what is due by the real clock, which shows start at begin, until the context ends. behind is called after
+// each batch.
+func (e *engine) live(ctx context.Context, start time.Duration, begin time.Time, behind func()) {
+	alarm := time.NewTimer(0)
+	defer alarm.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-alarm.C:
+		case <-e.wake:
+		}
+		e.now = max(e.now, start+time.Since(begin))
+		e.mu.Lock()
+		posted := e.posted
+		e.posted = nil
+		e.mu.Unlock()
+		for _, do := range posted {
+			do()
+		}
+		for len(e.todo) > 0 && e.todo[0].at <= e.now {
+			heap.Pop(&e.todo).(item).do()
+		}
+		behind()
+		if len(e.todo) > 0 {
+			alarm.Reset(begin.Add(e.todo[0].at - start).Sub(time.Now()))
+		}
+	}
+}
--- /dev/null
+++ b/internal/emulator/play.go
@@ -0,0 +1,234 @@
+package emulator
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"brassdale/internal/load"
+)
+
+// socketSlack is how much longer the rules' limits are on sockets, as the protocol words it.
+const socketSlack = 50 * time.Millisecond
+
+// Node is a real dispatcher at a works' door.
+type Node struct {
+	Address string // where clients reach it
+	Admin   string // where operators do
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	mu      sync.Mutex
+	log     strings.Builder
+	ready   chan struct{}
+	once    sync.Once
+}
+
+// Start starts a dispatcher's program at the n-th door, with a folder of its own for its files, and waits until it serves.
+func (k *Works) Start(ctx context.Context, binary, dir string, n int) (*Node, error) {
+	text, err := k.Config(n)
+	if err != nil {
+		return nil, err
+	}
+	dir = filepath.Join(dir, fmt.Sprint(n))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	path := filepath.Join(dir, "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return nil, err
+	}
+	d := &Node{cmd: exec.Command(binary), ended: make(chan struct{}), ready: make(chan struct{})}
+	d.cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "GW_ADMIN=127.0.0.1:0", "TMPDIR="+dir)
+	errs, err := d.cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := d.cmd.Start(); err != nil {
+		return nil, err
+	}
+	go d.follow(errs)
+	select {
+	case <-d.ready:
+		return d, nil
+	case <-d.ended:
+		return nil, fmt.Errorf("dispatcher %d ended before it was ready:\n%s", n, d.Log())
+	case <-ctx.Done():
+		d.Kill()
+		return nil, ctx.Err()
+	}
+}
+
+// follow reads the log to its end.
+func (d *Node) follow(from io.Reader) {
+	defer close(d.ended)
+	lines := bufio.NewScanner(from)
+	for lines.Scan() {
+		text := lines.Text()
+		d.mu.Lock()
+		d.log.WriteString(text + "\n")
+		for front, to := range map[string]*string{"front=inbound address=": &d.Address, "front=admin address=": &d.Admin} {
+			if _, address, ok := strings.Cut(text, front); ok {
+				*to = address
+			}
+		}
+		d.mu.Unlock()
+		if strings.Contains(text, "msg=ready") {
+			d.once.Do(func() { close(d.ready) })
+		}
+	}
+	_ = d.cmd.Wait()
+}
+
+// Log is what it has logged.
+func (d *Node) Log() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.log.String()
+}
+
+// Stop has it end in good order, and tells whether it did by itself with no fault.
+func (d *Node) Stop(by time.Time) error {
+	_ = d.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-d.ended:
+	case <-time.After(time.Until(by)):
+		d.Kill()
+		return errors.New("it did not end")
+	}
+	if code := d.cmd.ProcessState.ExitCode(); code != 0 {
+		return fmt.Errorf("exit code %d", code)
+	}
+	return nil
+}
+
+// Kill ends it at once.
+func (d *Node) Kill() {
+	_ = d.cmd.Process.Kill()
+	<-d.ended
+}
+
+// Ended is closed when it has.
+func (d *Node) Ended() <-chan struct{} { return d.ended }
+
+// Mix is what the scenario's clients are, in the load generator's terms.
+func (s *Scenario) Mix() load.Mix {
+	m := load.Mix{}
+	for _, a := range s.Traffic.Accounts {
+		m.Accounts = append(m.Accounts, load.Account{Name: a.Name, Share: a.Share})
+	}
+	return m
+}
+
+// Terms are what they do and want.
+func (s *Scenario) Terms() load.Terms {
+	return load.Terms{Class: className, GiveUp: s.Traffic.GiveUp,
+		Retry: load.Retry{Most: 1, Share: s.Traffic.Retries, Wait: 100 * time.Millisecond, Honour: true}}
+}
+
+// jobs gives a plan's jobs the keys that boxes know the work by.
+type jobs struct {
+	load.Source
+	s *Scenario
+	n int
+}
+
+func (j *jobs) Next() (load.Job, bool) {
+	next, ok := j.Source.Next()
+	j.n++
+	next.Key = j.s.jobKey(j.n)
+	if subject := j.s.jobOf(next.Key).subject; subject > 0 {
+		next.Subject = fmt.Sprintf("%016x", subject)
+	}
+	return next, ok
+}
+
+// Jobs gives the scenario's traffic as a plan.
+func (s *Scenario) Jobs() load.Source {
+	return &jobs{Source: load.Generated([]load.Phase{{Shape: load.Poisson, For: s.Span, Rate: s.Traffic.Rate}}, s.Mix(), s.Seed), s: s}
+}
+
+// Play plays a scenario on loopback sockets, in real time, with a real dispatcher's program at each door. The result is
+// Run's, as seen by the clients and the boxes; it is of no use, and says so, if the generator fell behind.
+func Play(ctx context.Context, s Scenario, binary string) (r *Result, err error) {
+	k, err := Open(s)
+	if err != nil {
+		return nil, err
+	}
+	defer k.Close()
+	dir, err := os.MkdirTemp("", "works") // short: the dispatchers' sockets are in it
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	var targets []string
+	for n := range s.Dispatchers {
+		d, err := k.Start(ctx, binary, dir, n)
+		if err != nil {
+			return nil, err
+		}
+		defer d.Kill()
+		targets = append(targets, d.Address)
+		go func() { // one that ends by itself has crashed: its clients' jobs tell; this names it
+			<-d.Ended()
+			k.w.post(func() { k.w.note("dispatcher %d ended", n) })
+		}()
+	}
+	c, err := load.NewClient(load.HTTP1, className, targets)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	k.Troubles()
+	o := load.Options{Terms: s.Terms(), Seed: s.Seed, Each: k.account}
+	g := load.Run(ctx, s.Jobs(), c, o)
+	if err := g.Usable(); err != nil {
+		return nil, err
+	}
+	if g.CutShort {
+		err = context.Canceled
+	}
+	got := make(chan *Result, 1)
+	k.w.post(func() { got <- k.w.result() })
+	return <-got, err
+}
+
+// account takes a job's end, as its client saw it.
+func (k *Works) account(j load.Job, o load.Outcome, latency time.Duration) {
+	work := k.w.s.jobOf(j.Key).work
+	k.w.post(func() {
+		t := &k.w.tallies[0]
+		for i, a := range k.w.s.Traffic.Accounts {
+			if a.Name == j.Account {
+				t = &k.w.tallies[i]
+			}
+		}
+		t.jobs++
+		t.asked += work
+		switch o {
+		case load.Served, load.Late:
+			t.served++
+			k.w.times = append(k.w.times, latency.Seconds())
+			if latency.Seconds() <= k.w.s.Traffic.Aim.Seconds()+k.w.s.Traffic.Stretch*work {
+				t.good += work
+			} else {
+				t.late++
+			}
+		case load.Refused:
+			t.refused++
+		case load.Unanswered:
+			k.w.audit.broken(RuleAnswer, k.w.now, 0, "", "job %s: no answer in %v", j.Key, latency)
+			t.failed++
+		default:
+			t.failed++
+		}
+	})
+}
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -90,12 +90,16 @@
 type Trouble uint8
 
 const (
-	Freeze  Trouble = iota // takes jobs and probes, answers nothing; goes on afterwards where it stood
-	Silent                 // answers probes, starts no job
-	Slow                   // at a third of its speed
-	Restart                // loses all it has, and comes back cold after one second
-	Drain                  // is listed as leaving, finishes what it has, and is gone at the end
-	Unheard                // reports come late by three seconds
+	Freeze    Trouble = iota // takes jobs and probes, answers nothing; goes on afterwards where it stood
+	Silent                   // answers probes, starts no job
+	Slow                     // at a third of its speed
+	Restart                  // loses all it has, and comes back cold after one second
+	Drain                    // is listed as leaving, finishes what it has, and is gone at the end
+	Unheard                  // reports come late by three seconds
+	Reset                    // its connections break once, and what it had is lost; it goes on
+	Partition                // nothing reaches it and nothing comes from it; what was under way is reset once it is back
+
+	troubleKinds = iota
 )
 
 // Fault befalls some boxes for a while.
@@ -142,7 +146,7 @@
 		boxes += k.Count
 	}
 	for i, f := range s.Faults {
-		if f.At < 0 || f.For <= 0 || f.Share <= 0 || f.Share > 1 || f.Kind > Unheard {
+		if f.At < 0 || f.For <= 0 || f.Share <= 0 || f.Share > 1 || f.Kind >= troubleKinds {
 			return fmt.Errorf("faults[%d]: needs a time, a span and a share between 0 and 1", i)
 		}
 	}
--- /dev/null
+++ b/internal/emulator/works.go
@@ -0,0 +1,439 @@
+package emulator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"brassdale/brain"
+)
+
+// Works is a scenario's boxes and discovery on loopback sockets: the model of Run, by a real clock, for real dispatchers.
+// Each dispatcher reaches discovery and every box at addresses of its own, so that who sent what is known.
+type Works struct {
+	w     *world
+	begin time.Time
+	doors []*Door
+	stop  context.CancelFunc
+	ended chan struct{}
+
+	// Owned by the engine.
+	requests map[string]*request
+}
+
+// request is what was sent of one client's try.
+type request struct {
+	id    uint64
+	sends int
+}
+
+// Door is what one dispatcher reaches.
+type Door struct {
+	works  *Works
+	n      int
+	listen net.Listener // of discovery
+	server *http.Server
+	gates  map[brain.WorkerID]*gate
+
+	// Owned by the engine.
+	told   map[brain.WorkerID]time.Duration
+	chance *rand.Rand
+
+	mu       sync.Mutex
+	revision int
+	entries  map[brain.WorkerID]entry
+	order    []brain.WorkerID
+	news     chan struct{} // closed by the next change
+}
+
+// entry is a line of the list, and the revision of its last change.
+type entry struct {
+	info brain.WorkerInfo
+	at   int
+}
+
+// Open puts a scenario's works on loopback ports of the system's choice. Close ends it.
+func Open(s Scenario) (*Works, error) {
+	w, err := newWorld(&s)
+	if err != nil {
+		return nil, err
+	}
+	w.wake = make(chan struct{}, 1)
+	audited := s
+	audited.Rules.DrainGrace += socketSlack
+	audited.Traffic.Window += socketSlack
+	w.audit.s = &audited
+	ctx, stop := context.WithCancel(context.Background())
+	k := &Works{w: w, begin: time.Now(), stop: stop, ended: make(chan struct{}), requests: map[string]*request{}}
+	for n := range s.Dispatchers {
+		d, err := k.door(n)
+		if err != nil {
+			stop()
+			k.closeAll()
+			return nil, err
+		}
+		k.doors = append(k.doors, d)
+	}
+	w.listeners = append(w.listeners, func(info brain.WorkerInfo) {
+		for _, d := range k.doors {
+			w.after(w.late(d.chance), func() { d.change(info) })
+		}
+	})
+	go func() {
+		defer close(k.ended)
+		w.live(ctx, epoch, k.begin, k.sync)
+	}()
+	return k, nil
+}
+
+// Close ends all that listens.
+func (k *Works) Close() {
+	k.stop()
+	<-k.ended
+	k.closeAll()
+}
+
+func (k *Works) closeAll() {
+	for _, d := range k.doors {
+		_ = d.server.Close()
+		for _, g := range d.gates {
+			g.shut()
+		}
+	}
+}
+
+// Troubles has the scenario's faults begin to count now.
+func (k *Works) Troubles() { k.w.post(k.w.troubles) }
+
+func (k *Works) door(n int) (*Door, error) {
+	d := &Door{works: k, n: n, gates: map[brain.WorkerID]*gate{}, told: map[brain.WorkerID]time.Duration{}, chance: k.w.source(uint64(100 + n)),
+		entries: map[brain.WorkerID]entry{}, news: make(chan struct{})}
+	var err error
+	if d.listen, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return nil, err
+	}
+	d.server = &http.Server{Handler: d}
+	go d.server.Serve(d.listen)
+	for _, b := range k.w.boxes {
+		g := &gate{door: d, b: b}
+		if err := g.open("127.0.0.1:0"); err != nil {
+			return nil, err
+		}
+		d.gates[b.id] = g
+		d.entries[b.id] = entry{info: b.info()}
+		d.order = append(d.order, b.id)
+	}
+	return d, nil
+}
+
+// sync has each box's listeners be open while it is up: connections to one that is down are refused, and those that it
+// had are broken.
+func (k *Works) sync() {
+	for _, d := range k.doors {
+		for _, g := range d.gates {
+			if down := g.b.down; down != g.down {
+				if g.down = down; down {
+					g.shut()
+				} else if err := g.open(g.address); err != nil {
+					k.w.note("box %s cannot listen again: %v", g.b.id, err)
+				}
+			}
+		}
+	}
+}
+
+// change takes a change of the list.
+func (d *Door) change(info brain.WorkerInfo) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.revision++
+	d.entries[info.ID] = entry{info, d.revision}
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
+var phaseNames = map[brain.WorkerState]string{brain.Ready: "active", brain.Draining: "leaving", brain.Gone: "left"}
+
+type member struct {
+	ID        string  `json:"id"`
+	HostPort  string  `json:"host_port"`
+	Locality  string  `json:"locality"`
+	Flavor    string  `json:"flavor"`
+	Cell      int     `json:"cell"`
+	Phase     string  `json:"phase"`
+	Size      float64 `json:"size"`
+	UpSinceMS int64   `json:"up_since_ms"`
+}
+
+type list struct {
+	Revision int      `json:"revision"`
+	Complete bool     `json:"complete"`
+	Members  []member `json:"members"`
+}
+
+// list gives the lines that changed since a revision; all that are not gone for a negative one. d.mu is held.
+func (d *Door) list(since int) (l list, told []brain.WorkerInfo) {
+	l = list{Revision: d.revision, Complete: since < 0, Members: []member{}}
+	for _, id := range d.order {
+		e := d.entries[id]
+		if since >= 0 && e.at <= since || since < 0 && e.info.State == brain.Gone {
+			continue
+		}
+		m := member{ID: string(id), HostPort: d.gates[id].address, Locality: "llanelli", Flavor: d.works.w.s.Kinds[e.info.Kind].Name,
+			Cell: e.info.Cell, Phase: phaseNames[e.info.State], Size: e.info.Weight}
+		if e.info.Since > 0 {
+			m.UpSinceMS = d.works.begin.Add(e.info.Since - epoch).UnixMilli()
+		}
+		l.Members = append(l.Members, m)
+		told = append(told, e.info)
+	}
+	return l, told
+}
+
+// ServeHTTP is discovery: the whole list, or a watch.
+func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/registry/instances" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	since := -1
+	if text := r.URL.Query().Get("index"); text != "" {
+		var err error
+		if since, err = strconv.Atoi(text); err != nil || since < 0 {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	over := time.NewTimer(time.Duration(min(max(wait, 0), 60_000)) * time.Millisecond)
+	defer over.Stop()
+	d.mu.Lock()
+	for waiting := true; waiting && since >= d.revision; {
+		news := d.news
+		d.mu.Unlock()
+		select {
+		case <-news:
+		case <-over.C:
+			waiting = false
+		case <-r.Context().Done():
+			return
+		}
+		d.mu.Lock()
+	}
+	l, told := d.list(since)
+	d.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	if json.NewEncoder(w).Encode(l) != nil {
+		return
+	}
+	d.works.w.post(func() {
+		for _, info := range told {
+			d.works.w.audit.told(d.works.w.now, d.n, info.ID, info.State)
+			d.told[info.ID] = max(d.told[info.ID], info.Since)
+		}
+	})
+}
+
+// gate is a box as one dispatcher reaches it.
+type gate struct {
+	door    *Door
+	b       *box
+	down    bool // owned by the engine
+	address string
+	server  *http.Server
+}
+
+// open listens, at an address that it had before or at any.
+func (g *gate) open(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	if g.server = (&http.Server{Handler: g}); g.address == "" { // else it is the same
+		g.address = l.Addr().String()
+	}
+	go g.server.Serve(l)
+	return nil
+}
+
+// shut breaks all connections and refuses new ones.
+func (g *gate) shut() {
+	if g.server != nil {
+		_ = g.server.Close()
+	}
+}
+
+// ServeHTTP is a box: probes and jobs.
+func (g *gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/stats", "/health/live":
+		g.probe(w, r)
+	default:
+		g.work(w, r)
+	}
+}
+
+func (g *gate) probe(w http.ResponseWriter, r *http.Request) {
+	k := g.door.works
+	answer := make(chan *brain.Report, 1)
+	k.w.post(func() {
+		k.w.probes++
+		g.b.probe(func(o brain.Outcome, report *brain.Report) {
+			if o == brain.Served {
+				k.w.after(k.w.delay(g.door.chance), func() { answer <- report })
+			}
+		})
+	})
+	select {
+	case report := <-answer:
+		fmt.Fprintf(w, "util=%.4f,queue=0,x0=%.2f,x1=%.2f", report.Busy, report.FreeSlots, report.FreeSlots)
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// exchange is one attempt on a socket. It is an origin.
+type exchange struct {
+	g    *gate
+	says chan string // lines; empty for the end of the connection
+}
+
+func (x *exchange) started(r *run) { x.say(r, `"state":"started"`) }
+func (x *exchange) over(r *run, o brain.Outcome) {
+	k := x.g.door.works
+	k.w.audit.ended(uint64(r.id), r.attempt, o)
+	if o == brain.Served {
+		x.say(r, fmt.Sprintf(`"state":"done","result":"%.3f"`, r.work))
+		return
+	}
+	x.says <- ""
+}
+func (x *exchange) knows(id brain.WorkerID) time.Duration { return x.g.door.told[id] }
+func (x *exchange) way() *rand.Rand                       { return x.g.door.chance }
+
+// say has a line written. A run says two at most, and there is room for more.
+func (x *exchange) say(r *run, rest string) { x.says <- rest }
+
+func (g *gate) work(w http.ResponseWriter, r *http.Request) {
+	k, id := g.door.works, r.Header.Get("Req-Id")
+	if _, err := io.Copy(io.Discard, r.Body); err != nil || id == "" || r.Method != http.MethodPost {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	x := &exchange{g, make(chan string, 4)}
+	j := k.w.s.jobOf(r.Header.Get("Idempotency-Key"))
+	a := &run{job: j, box: g.b.id, from: x, work: j.work}
+	k.w.post(func() {
+		k.take(a, id, g)
+	})
+	send := func(text string) {
+		if text == "" {
+			panic(http.ErrAbortHandler) // breaks the connection
+		}
+		fmt.Fprintf(w, "{\"id\":%q,\"from\":%q,%s}\n", id, g.b.id, text)
+	}
+	flush := http.NewResponseController(w)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(http.StatusOK)
+	_ = flush.Flush()
+	for {
+		select {
+		case text := <-x.says:
+			send(text)
+			if _ = flush.Flush(); strings.Contains(text, `"done"`) {
+				return
+			}
+		case <-r.Context().Done(): // the dispatcher gave up
+			k.w.post(func() {
+				g.b.cancel(a)
+				k.w.audit.ended(uint64(a.id), a.attempt, brain.Cancelled)
+			})
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// take takes an attempt that came over a socket. When its first byte left is not known here: it counts as now.
+func (k *Works) take(a *run, id string, g *gate) {
+	q := k.requests[id]
+	if q == nil {
+		q = &request{id: uint64(len(k.requests) + 1)}
+		k.requests[id] = q
+	}
+	a.id, a.attempt = brain.RequestID(q.id), q.sends
+	q.sends++
+	k.w.sends++
+	k.w.audit.sent(k.w.now, g.door.n, q.id, g.b.id, g.b.bay)
+	k.w.after(k.w.delay(g.door.chance), func() {
+		if !a.over {
+			g.b.take(a)
+		}
+	})
+}
+
+// jobKey names a scenario's n-th job so that boxes know its work from the key alone: nothing else passes unchanged.
+func (s *Scenario) jobKey(n int) string { return fmt.Sprintf("%016x%016x", s.Seed, n) }
+
+// jobOf gives the job of a key. A key of another form is some job, always the same.
+func (s *Scenario) jobOf(key string) *job {
+	h := fnv.New64a()
+	io.WriteString(h, key)
+	chance := rand.New(rand.NewPCG(s.Seed, h.Sum64()))
+	t := &s.Traffic
+	j := &job{work: t.Work * chance.ExpFloat64()}
+	if t.Spread > 0 { // of the same mean
+		j.work = t.Work * math.Exp(t.Spread*chance.NormFloat64()-t.Spread*t.Spread/2)
+	}
+	if t.Subjects > 0 {
+		j.subject = 1 + chance.IntN(t.Subjects)
+	}
+	return j
+}
+
+// Config gives the platform's file for the n-th dispatcher: it listens on a port of the system's choice.
+func (k *Works) Config(n int) ([]byte, error) {
+	if n < 0 || n >= len(k.doors) {
+		return nil, errors.New("there is no such dispatcher")
+	}
+	d, s := k.doors[n], k.w.s
+	micros := func(t time.Duration) int64 { return t.Microseconds() }
+	m := k.w.settings(n)
+	c := m.Classes[0]
+	effect := map[brain.Effect]string{brain.Safe: "safe", brain.Keyed: "keyed", brain.Unsafe: "unsafe"}[c.Effect]
+	var kinds []string
+	for _, kind := range s.Kinds {
+		kinds = append(kinds, kind.Name)
+	}
+	type object = map[string]any
+	settings := object{
+		"classes": []object{{"aim": micros(c.Aim), "credit": c.Worth, "deadline": micros(c.Deadline), "dedupScope": "cell", "effect": effect,
+			"lateWorth": 0, "name": className, "stream": false, "window": micros(c.Window)}},
+		"countedBy": "work", "discovery": "ask", "flavors": kinds, "zones": []string{"llanelli"},
+		"familyInfo": object{"classKind": []int{-1}, "classStretch": []float64{c.Stretch}, "progress": 0, "tellsStart": true},
+		"limits": object{"cancel": m.MayCancel, "connIdle": 10_000_000, "connectTimeout": 200_000, "maxAttempts": m.MaxAttempts,
+			"maxRetryAfter": micros(m.MaxRetryAfter), "mayDuplicate": m.MayCopy, "probing": true, "retryAfter": true},
+		"loadReport": object{"columns": []string{"cpu_share", "pending", "x0", "x1"}, "via": "pull"},
+		"locality":   0, "ordinal": n, "replicasOfMe": s.Dispatchers,
+		"rules": object{"answerSlack": micros(m.AnswerSlack), "askWithin": micros(m.AskWithin), "cold": micros(m.Cold), "drainGrace": micros(s.Rules.DrainGrace),
+			"fall": micros(m.Fall), "startCapacity": m.StartCapacity, "tipMultiple": m.TipMultiple},
+	}
+	d.mu.Lock()
+	known, _ := d.list(-1)
+	d.mu.Unlock()
+	return json.MarshalIndent(object{"name": fmt.Sprintf("n%d", n), "listen": "127.0.0.1:0", "discovery": d.listen.Addr().String(),
+		"seed": fmt.Sprintf("%016x", s.Seed), "limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings}, "", " ")
+}
+
+// className is the one class of a scenario's jobs.
+const className = "price-part"
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -19,6 +19,7 @@
 	byID        map[brain.WorkerID]*box
 	store       *queueOf
 	dispatchers []*dispatcher
+	listeners   []func(brain.WorkerInfo) // hear of a change of the list, beside the dispatchers of the model
 	audit       *auditor
 	lastID      brain.RequestID
 	clients     *rand.Rand
@@ -62,12 +63,30 @@
 // Run plays a scenario with a policy for each dispatcher. It ends when all is answered and every box is idle, or Settle
 // after the last job came.
 func Run(s Scenario, policy func(brain.Settings, uint64) Policy) (*Result, error) {
+	w, err := newWorld(&s)
+	if err != nil {
+		return nil, err
+	}
+	for n := range s.Dispatchers {
+		d := &dispatcher{w: w, n: n, open: map[brain.RequestID]*open{}, told: map[brain.WorkerID]time.Duration{}, chance: w.source(uint64(100 + n))}
+		d.policy = policy(w.settings(n), d.chance.Uint64())
+		w.dispatchers = append(w.dispatchers, d)
+		w.after(0, func() { d.listed(brain.ListSaved, w.list()) })
+	}
+	w.troubles()
+	w.after(warmUp, w.arrive)
+	w.run(epoch + warmUp + s.Span + s.Traffic.GiveUp + Settle)
+	return w.result(), nil
+}
+
+// newWorld makes a works with its boxes, at rest.
+func newWorld(s *Scenario) (*world, error) {
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	w := &world{s: &s, base: epoch, byID: map[brain.WorkerID]*box{}, tallies: make([]tally, max(len(s.Traffic.Accounts), 1))}
+	w := &world{s: s, base: epoch, byID: map[brain.WorkerID]*box{}, tallies: make([]tally, max(len(s.Traffic.Accounts), 1))}
 	w.now = epoch
-	w.audit = newAuditor(&s, epoch)
+	w.audit = newAuditor(s, epoch)
 	w.clients = w.source(1)
 	w.store = &queueOf{w: w, slots: s.Store.Slots}
 	chance := w.source(2)
@@ -89,18 +108,14 @@
 			}
 		}
 	}
-	for n := range s.Dispatchers {
-		d := &dispatcher{w: w, n: n, open: map[brain.RequestID]*open{}, told: map[brain.WorkerID]time.Duration{}, chance: w.source(uint64(100 + n))}
-		d.policy = policy(w.settings(n), d.chance.Uint64())
-		w.dispatchers = append(w.dispatchers, d)
-		w.after(0, func() { d.listed(brain.ListSaved, w.list()) })
-	}
-	for i, f := range s.Faults {
+	return w, nil
+}
+
+// troubles sees to the faults.
+func (w *world) troubles() {
+	for i, f := range w.s.Faults {
 		w.after(f.At, func() { w.befall(f, w.source(uint64(10+i))) })
 	}
-	w.after(warmUp, w.arrive)
-	w.run(epoch + warmUp + s.Span + s.Traffic.GiveUp + Settle)
-	return w.result(), nil
 }
 
 const (
@@ -142,6 +157,9 @@
 	for _, d := range w.dispatchers {
 		w.after(w.late(d.chance), func() { d.listed(brain.ListChange, []brain.WorkerInfo{info}) })
 	}
+	for _, hear := range w.listeners {
+		hear(info)
+	}
 }
 
 // delay is a way through the network.
@@ -159,16 +177,19 @@
 
 // reply tells a dispatcher how an attempt ended.
 func (w *world) reply(r *run, o brain.Outcome) {
-	w.after(w.delay(r.from.chance), func() { r.from.ended(r.id, r.attempt, o) })
+	if b := w.boxOf(r); b.cut > 0 { // the other side hears of it once the box is back
+		b.unheard = append(b.unheard, r)
+		return
+	}
+	w.after(w.delay(r.from.way()), func() { r.from.over(r, o) })
 }
 
 // began tells a dispatcher that a job has started.
 func (w *world) began(r *run) {
-	w.after(w.delay(r.from.chance), func() {
-		if o := r.from.open[r.id]; o != nil && o.out[r.attempt] {
-			r.from.feed(brain.Began{ID: r.id, Attempt: r.attempt, Worker: r.box})
-		}
-	})
+	if w.boxOf(r).cut > 0 {
+		return
+	}
+	w.after(w.delay(r.from.way()), func() { r.from.started(r) })
 }
 
 // arrive brings a job and sees to the next.
@@ -271,6 +292,10 @@
 		b.slow++
 	case Unheard:
 		b.late++
+	case Reset:
+		b.lose()
+	case Partition:
+		b.cut++
 	case Drain:
 		b.state = brain.Draining
 		b.w.changed(b)
@@ -300,6 +325,15 @@
 		b.slow--
 	case Unheard:
 		b.late--
+	case Partition:
+		if b.cut--; b.cut == 0 {
+			for _, r := range b.unheard {
+				r.over = true
+				b.w.reply(r, brain.Reset)
+			}
+			b.unheard = nil
+			b.lose()
+		}
 	case Drain: // it goes, whatever it still has
 		b.lose()
 		b.state, b.down = brain.Gone, true
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -27,11 +27,11 @@
 		t.Fatal(err)
 	}
 	steps := 0
-	rows, err := Run(context.Background(), f, "b", func() { steps++ })
+	rows, err := Run(context.Background(), f, InVirtualTime, 4, "b", func() { steps++ })
 	if err != nil || len(rows) != 8 || steps != 8 {
 		t.Fatalf("%d rows, %d steps, %v", len(rows), steps, err)
 	}
-	again, _ := Run(context.Background(), f, "b", func() {})
+	again, _ := Run(context.Background(), f, InVirtualTime, 4, "b", func() {})
 	if fmt.Sprint(again) != fmt.Sprint(rows) {
 		t.Error("the same file gives other rows")
 	}
@@ -64,7 +64,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	played := 0
-	rows, err := Run(ctx, f, "b", func() {
+	rows, err := Run(ctx, f, InVirtualTime, 4, "b", func() {
 		if played++; played == 6 {
 			stop()
 		}
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -10,7 +10,6 @@
 	"math"
 	"os"
 	"path/filepath"
-	"runtime"
 	"slices"
 	"strconv"
 	"sync"
@@ -59,9 +58,27 @@
 	{"wasted", func(r Row) float64 { return r.Wasted }, false},
 }
 
-// Run plays all variants with all seeds, the variants of a seed beside each other, on all cores. step is called behind
-// each run. When the context ends, what was played by then is given with its error.
-func Run(ctx context.Context, f *File, build string, step func()) ([]Row, error) {
+// Player plays a variant's scenario.
+type Player func(ctx context.Context, v Variant, s emulator.Scenario) (*emulator.Result, error)
+
+// InVirtualTime plays by the model alone.
+func InVirtualTime(_ context.Context, v Variant, s emulator.Scenario) (*emulator.Result, error) {
+	return emulator.Run(s, v.decider())
+}
+
+// OnSockets plays with a dispatcher's program on loopback, which decides by its own module whatever the variant says.
+func OnSockets(binary string) Player {
+	return func(ctx context.Context, v Variant, s emulator.Scenario) (*emulator.Result, error) {
+		if v.Policy != "" && v.Policy != "module" {
+			return nil, fmt.Errorf("policy %q is not the program's", v.Policy)
+		}
+		return emulator.Play(ctx, s, binary)
+	}
+}
+
+// Run plays all variants with all seeds, the variants of a seed beside each other, so many at a time. step is called
+// behind each run. When the context ends, what was played by then is given with its error.
+func Run(ctx context.Context, f *File, play Player, together int, build string, step func()) ([]Row, error) {
 	type task struct{ seed, variant int }
 	tasks := make(chan task)
 	go func() {
@@ -80,14 +97,14 @@
 	var wait sync.WaitGroup
 	var rows []Row
 	var failed error
-	for range runtime.GOMAXPROCS(0) {
+	for range together {
 		wait.Go(func() {
 			for t := range tasks {
 				v, seed := f.Variants[t.variant], uint64(f.First+t.seed)
 				s, err := f.Scenario(v, seed)
 				var r *emulator.Result
 				if err == nil {
-					r, err = emulator.Run(s, v.decider())
+					r, err = play(ctx, v, s)
 				}
 				mu.Lock()
 				if err != nil {
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -92,7 +92,7 @@
 		"transport":       {"brain", "internal/routing", "internal/protocol", "internal/decisions/"},
 		"transport/http2": {"brain", "internal/routing", "internal/protocol", "internal/decisions/", "internal/transport"},
 		"operator":        {"internal/diag", "internal/protocol", "internal/transport", "internal/savedlist"},
-		"emulator":        {"brain"},
+		"emulator":        {"brain", "internal/load"},
 		"load":            {"internal/protocol", "internal/diag"},
 		"savedlist":       {"brain", "internal/routing", "internal/protocol"},
 	}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -38,7 +38,7 @@
 	Clients  int // 0 for an open loop; else so many, each of which waits for its answer before it sends again
 	MostOpen int // jobs in flight; those due beyond it are not sent, and the result is unusable. 0 for 100,000
 	Begin    time.Time
-	Each     func(time.Duration, Outcome, time.Duration) // hears of each job, when it was due, its end and its latency; nil for nobody
+	Each     func(Job, Outcome, time.Duration) // hears of each job, its end and its latency, from many goroutines; nil for nobody
 }
 
 // Run sends a plan's jobs to their times and waits for their ends. When the context ends, what was measured by then is
@@ -93,7 +93,7 @@
 			}
 			r.ended(j, end)
 			if o.Each != nil {
-				o.Each(j.At, end.outcome, end.latency)
+				o.Each(j, end.outcome, end.latency)
 			}
 		})
 	}
