The paper's comparison of policies: LUD, LU, round robin and random over the network's delay

Need: the design rests on the paper's Least Used with Degradation; the model could not play what the paper measured, as its boxes have slots and a queue, and load comes by probes.

--- a/internal/emulator/box.go
+++ b/internal/emulator/box.go
@@ -34,6 +34,10 @@
 	when    [8]time.Duration      // and since when
 	pushed  []push                // work sent to it lately, while cold
 	chance  *rand.Rand
+
+	sharing bool          // works on all its jobs at once
+	settled time.Duration // as of when their work is known
+	turn    int           // of the plan for the next end
 }
 
 type push struct {
@@ -59,6 +63,7 @@
 	from    origin
 	life    int
 	work    float64 // seconds at speed 1
+	left    float64 // of it, at a box that shares
 	began   bool
 	over    bool // ended, or called off
 }
@@ -85,6 +90,10 @@
 		return
 	}
 	r.life = b.life
+	if b.sharing {
+		b.share(r)
+		return
+	}
 	b.queue = append(b.queue, r)
 	b.next()
 }
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -15,7 +15,7 @@
 func module(s brain.Settings, seed uint64) Policy { return brain.New(s, seed) }
 
 func plain(name string) func(brain.Settings, uint64) Policy {
-	return func(_ brain.Settings, seed uint64) Policy { return policy.New(name, seed) }
+	return func(s brain.Settings, seed uint64) Policy { return policy.New(name, s, seed) }
 }
 
 func mustRun(t testing.TB, s Scenario, p func(brain.Settings, uint64) Policy) *Result {
@@ -77,7 +77,7 @@
 func queue(seed uint64, slots int, load float64) Scenario {
 	return Scenario{Seed: seed, Span: 1500 * time.Second, Dispatchers: 1, Bays: 1,
 		Traffic: Traffic{Rate: load * float64(slots) / 0.1, Work: 0.1, Aim: time.Hour, GiveUp: time.Hour, Effect: brain.Safe},
-		Kinds:   []Kind{{"one", 1, slots, 1, 1}}, Discovery: time.Millisecond, Rules: Rules{MaxAttempts: 1}}
+		Kinds:   []Kind{{"one", 1, slots, 1, 1, false}}, Discovery: time.Millisecond, Rules: Rules{MaxAttempts: 1}}
 }
 
 // erlangC is the chance that a job has to wait with so many slots and so much offered to them (A. K. Erlang, 1917).
--- a/internal/emulator/policy/policy.go
+++ b/internal/emulator/policy/policy.go
@@ -14,17 +14,18 @@
 
 // Names are the policies that there are.
 func Names() []string {
-	return []string{"random", "round-robin", "least-outstanding", "two-choices", "lud"}
+	return []string{"random", "round-robin", "least-outstanding", "two-choices", "lu", "lud"}
 }
 
 // New makes a policy by its name; nil where there is none of the name.
-func New(name string, seed uint64) *Plain {
-	p := &Plain{rng: rand.New(rand.NewPCG(seed, 0)), workers: map[brain.WorkerID]*worker{}}
+func New(name string, s brain.Settings, seed uint64) *Plain {
+	p := &Plain{most: s.MaxAttempts, probes: s.MayProbe, rng: rand.New(rand.NewPCG(seed, 0)), workers: map[brain.WorkerID]*worker{}}
 	pick, ok := map[string]func(*Plain) *worker{
 		"random":            (*Plain).random,
 		"round-robin":       (*Plain).robin,
 		"least-outstanding": func(p *Plain) *worker { return p.least(func(w *worker) float64 { return float64(w.out) }) },
 		"two-choices":       (*Plain).two,
+		"lu":                func(p *Plain) *worker { return p.least(func(w *worker) float64 { return w.told }) },
 		"lud":               func(p *Plain) *worker { return p.least(func(w *worker) float64 { return w.value }) },
 	}[name]
 	if !ok {
@@ -43,12 +44,15 @@
 	turn    int
 	open    map[brain.RequestID]bool
 	asked   bool
+	probes  bool
+	most    int // attempts for a request
 }
 
 type worker struct {
 	id    brain.WorkerID
 	size  float64
 	out   int
+	told  float64 // LU: the load that it told of last
 	value float64 // LUD: the load that it told of last, and what was pushed since
 }
 
@@ -64,6 +68,9 @@
 			acts = append(acts, brain.Subscribe{}, brain.Wake{After: probeEvery})
 		}
 	case brain.Woke:
+		if !p.probes {
+			return nil
+		}
 		for _, w := range p.ready {
 			acts = append(acts, brain.Probe{Worker: w.id})
 		}
@@ -71,7 +78,7 @@
 	case brain.Probed:
 		// Least Used with Degradation: a report sets the value, each push raises it by what one job takes.
 		if w := p.workers[e.Worker]; w != nil && e.Report != nil && e.Report.Busy >= 0 {
-			w.value = e.Report.Busy
+			w.told, w.value = e.Report.Busy, e.Report.Busy
 		}
 	case brain.Arrived:
 		if len(p.ready) == 0 {
@@ -87,6 +94,11 @@
 		}
 		switch {
 		case e.Final:
+		case e.Outcome == brain.Full && len(p.ready) > 0 && e.Attempt+1 < p.most: // turned away: on to the next
+			w := p.pick(p)
+			w.out++
+			w.value += 1 / max(w.size, 1)
+			return []brain.Action{brain.Send{ID: e.ID, Worker: w.id}}
 		case e.Outcome == brain.Full || e.Outcome == brain.NoConnect || e.Outcome == brain.NeverSent:
 			return []brain.Action{brain.Refuse{ID: e.ID}}
 		default:
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -20,6 +20,8 @@
 	Sends    float64 // a job
 	Probes   float64 // a job
 	Wasted   float64 // work done for nobody, of all that was done
+	Speed    float64 // mean of a served job's work by the time to its answer
+	Used     float64 // work done, of what the boxes could do while jobs came
 	Accounts []AccountResult
 	Breaches []Breach
 	Notes    []string
@@ -55,6 +57,16 @@
 	if r.Jobs > 0 {
 		r.Sends, r.Probes = float64(w.sends)/float64(r.Jobs), float64(w.probes)/float64(r.Jobs)
 	}
+	if r.Served > 0 {
+		r.Speed = w.speed / float64(r.Served)
+	}
+	could := 0.0
+	for _, b := range w.boxes {
+		if could += b.speed; !b.sharing {
+			could += b.speed * float64(b.slots-1)
+		}
+	}
+	r.Used = w.worked / (could * w.s.Span.Seconds())
 	if w.worked > 0 {
 		r.Wasted = w.wasted / w.worked
 	}
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -42,6 +42,7 @@
 	Window   time.Duration // for which a bay drops repeats of a key
 	Subjects int           // that jobs are about: a box keeps what it fetched for one; 0 for none
 	Accounts []Account
+	Users    int     // clients, each with one job handled at a time; 0 for any number
 	Retries  float64 // share of refused jobs whose client tries once more
 }
 
@@ -58,6 +59,7 @@
 	Slots    int
 	SpeedMin float64 // of a slot, drawn evenly for each box
 	SpeedMax float64
+	Sharing  bool // SpeedMin to SpeedMax are of the box, which works on so many jobs at once and turns further ones away
 }
 
 // Network is between dispatchers and boxes. Connections are not modelled: their cost is in Setup.
@@ -68,6 +70,7 @@
 // Reports are what a probe brings.
 type Reports struct {
 	Every time.Duration // a box's figures are refreshed so often
+	Push  bool          // boxes that share tell their load by themselves, at each change
 	Cost  time.Duration // of a slot's time, for each probe
 }
 
@@ -126,7 +129,7 @@
 		Traffic: Traffic{Rate: 170, Work: 0.2, Spread: 0.7, Aim: 200 * time.Millisecond, Stretch: 2.5, GiveUp: 5 * time.Second,
 			Effect: brain.Keyed, Window: 7500 * time.Millisecond, Subjects: 400, Retries: 0.5,
 			Accounts: []Account{{"deeside-aero", 0.23}, {"gwent-pumps", 0.19}, {"taff-marine", 0.18}, {"cwm-trailers", 0.18}, {"bryn-fixtures", 0.14}, {"ogwen-tools", 0.08}}},
-		Kinds:     []Kind{{"new-box", 9, 5, 0.85, 1.1}, {"old-box", 4, 4, 0.64, 0.86}},
+		Kinds:     []Kind{{"new-box", 9, 5, 0.85, 1.1, false}, {"old-box", 4, 4, 0.64, 0.86, false}},
 		Network:   Network{Delay: 500 * time.Microsecond},
 		Discovery: time.Second,
 		Reports:   Reports{Every: 700 * time.Millisecond, Cost: time.Millisecond},
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -19,6 +19,7 @@
 	byID        map[brain.WorkerID]*box
 	store       *queueOf
 	dispatchers []*dispatcher
+	lines       [][]*job                 // of the users
 	listeners   []func(brain.WorkerInfo) // hear of a change of the list, beside the dispatchers of the model
 	audit       *auditor
 	lastID      brain.RequestID
@@ -26,6 +27,7 @@
 
 	sends, probes  int
 	worked, wasted float64
+	speed          float64 // sum over served jobs of work by time
 	tallies        []tally // by account
 	times          []float64
 	notes          []string
@@ -38,6 +40,7 @@
 	work    float64
 	key     uint64
 	subject int
+	user    int
 	asked   time.Duration
 	tries   int
 	done    bool
@@ -87,13 +90,14 @@
 	w := &world{s: s, base: epoch, byID: map[brain.WorkerID]*box{}, tallies: make([]tally, max(len(s.Traffic.Accounts), 1))}
 	w.now = epoch
 	w.audit = newAuditor(s, epoch)
+	w.lines = make([][]*job, s.Traffic.Users)
 	w.clients = w.source(1)
 	w.store = &queueOf{w: w, slots: s.Store.Slots}
 	chance := w.source(2)
 	for kind, k := range s.Kinds {
 		for range k.Count {
 			n := len(w.boxes)
-			b := &box{w: w, id: brain.WorkerID(fmt.Sprintf("s-%06x", chance.Uint32()>>8)), kind: kind, bay: n % s.Bays, slots: k.Slots,
+			b := &box{w: w, id: brain.WorkerID(fmt.Sprintf("s-%06x", chance.Uint32()>>8)), kind: kind, bay: n % s.Bays, slots: k.Slots, sharing: k.Sharing,
 				speed: k.SpeedMin + (k.SpeedMax-k.SpeedMin)*chance.Float64(), has: map[int]time.Duration{}, chance: w.source(uint64(1000 + n))}
 			for w.byID[b.id] != nil {
 				b.id += "x"
@@ -132,7 +136,7 @@
 // settings are what a dispatcher is told.
 func (w *world) settings(n int) brain.Settings {
 	t, r := &w.s.Traffic, &w.s.Rules
-	return brain.Settings{Me: n, Dispatchers: w.s.Dispatchers, Ask: true, ReportsPulled: true, TellsStart: true, MayProbe: true,
+	return brain.Settings{Me: n, Dispatchers: w.s.Dispatchers, Ask: true, ReportsPulled: true, TellsStart: true, MayProbe: !w.s.Reports.Push,
 		MayCancel: r.MayCancel, MayCopy: r.MayCopy, AdviseRetry: true, MaxAttempts: r.MaxAttempts, MaxRetryAfter: 2 * time.Second,
 		AnswerSlack: r.Slack, AskWithin: 10 * time.Second, Cold: w.s.Cold.For, StartCapacity: w.s.Cold.Capacity, TipMultiple: w.s.Cold.Tip,
 		Fall: w.s.Cold.Fall, WorthByWork: true,
@@ -215,7 +219,11 @@
 	ta := &w.tallies[j.account]
 	ta.jobs++
 	ta.asked += j.work
-	w.try(j)
+	if t.Users > 0 {
+		w.enqueue(j)
+	} else {
+		w.try(j)
+	}
 	if next := time.Duration(w.clients.ExpFloat64() / t.Rate * float64(time.Second)); w.now+next < epoch+warmUp+w.s.Span {
 		w.after(next, w.arrive)
 	}
@@ -254,12 +262,16 @@
 		return
 	}
 	j.done = true
+	if w.s.Traffic.Users > 0 {
+		defer w.nextOf(j)
+	}
 	t := &w.tallies[j.account]
 	took := (w.now - j.asked).Seconds()
 	switch v {
 	case served:
 		t.served++
 		w.times = append(w.times, took)
+		w.speed += j.work / max(took, 1e-9)
 		if took <= w.s.Traffic.Aim.Seconds()+w.s.Traffic.Stretch*j.work {
 			t.good += j.work
 		} else {
--- a/internal/experiment/experiment_test.go
+++ b/internal/experiment/experiment_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math"
 	"os"
 	"path/filepath"
 	"strings"
@@ -118,3 +119,39 @@
 		}
 	}
 }
+
+// The paper's comparison keeps its shape: LUD before LU before round robin before random where the network is slow, LUD and
+// LU alike where it takes no time, and the target utilisation throughout.
+func TestPaper(t *testing.T) {
+	f, err := Load("../../scenarios/paper.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Seeds = 8
+	rows, err := Run(t.Context(), f, InVirtualTime, 4, "b", func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, by := variants(rows)
+	mean := func(variant string, of func(Row) float64) float64 {
+		var x []float64
+		for _, r := range by[variant] {
+			x = append(x, of(r))
+		}
+		return interval(x).Mean
+	}
+	speed := func(variant string) float64 { return mean(variant, func(r Row) float64 { return r.Speed }) }
+	for _, delay := range []string{"250ms", "500ms", "1s"} {
+		if lud, lu, rr, rand := speed("LUD "+delay), speed("LU "+delay), speed("RR "+delay), speed("RAND "+delay); !(lud > 1.05*lu && lu > rr && rr > 1.1*rand) {
+			t.Errorf("at %s: LUD %.3f, LU %.3f, RR %.3f, RAND %.3f", delay, lud, lu, rr, rand)
+		}
+	}
+	if lud, lu := speed("LUD 0ms"), speed("LU 0ms"); math.Abs(lud-lu) > 0.01 {
+		t.Errorf("without a delay: LUD %.3f, LU %.3f", lud, lu)
+	}
+	for name := range by {
+		if used := mean(name, func(r Row) float64 { return r.Used }); used < 0.76 || used > 0.84 {
+			t.Errorf("%s: utilisation %.3f", name, used)
+		}
+	}
+}
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -44,6 +44,10 @@
 	Delay       *string  `hcl:"delay"`
 	Discovery   *string  `hcl:"discovery"`
 	Reports     *string  `hcl:"reports"`
+	Users       *int     `hcl:"users"`
+	Attempts    *int     `hcl:"attempts"`
+	GiveUp      *string  `hcl:"give_up"`
+	Push        *bool    `hcl:"push"`   // boxes that share tell their load at each change
 	Greedy      *float64 `hcl:"greedy"` // the first account sends so many times its share
 }
 
@@ -53,6 +57,7 @@
 	Count int       `hcl:"count"`
 	Slots int       `hcl:"slots"`
 	Speed []float64 `hcl:"speed"` // least and most
+	Share bool      `hcl:"sharing,optional"`
 }
 
 // Fault befalls some boxes.
@@ -143,7 +148,7 @@
 		if len(k.Speed) != 2 {
 			return s, fmt.Errorf("kind %q: speed must be [least, most]", k.Name)
 		}
-		s.Kinds = append(s.Kinds, emulator.Kind{Name: k.Name, Count: k.Count, Slots: k.Slots, SpeedMin: k.Speed[0], SpeedMax: k.Speed[1]})
+		s.Kinds = append(s.Kinds, emulator.Kind{Name: k.Name, Count: k.Count, Slots: k.Slots, SpeedMin: k.Speed[0], SpeedMax: k.Speed[1], Sharing: k.Share})
 	}
 	for _, in := range f.Faults {
 		kind, ok := troubles[in.Kind]
@@ -195,6 +200,9 @@
 	set(&s.Dispatchers, w.Dispatchers)
 	set(&s.Bays, w.Bays)
 	set(&s.Traffic.Subjects, w.Subjects)
+	set(&s.Traffic.Users, w.Users)
+	set(&s.Rules.MaxAttempts, w.Attempts)
+	set(&s.Reports.Push, w.Push)
 	if w.Greedy != nil && len(s.Traffic.Accounts) > 0 {
 		// The rate grows by what the first account sends beyond its share.
 		first := &s.Traffic.Accounts[0]
@@ -206,7 +214,7 @@
 		to   *time.Duration
 		from *string
 		name string
-	}{{&s.Span, w.Span, "span"}, {&s.Network.Delay, w.Delay, "delay"}, {&s.Discovery, w.Discovery, "discovery"}, {&s.Reports.Every, w.Reports, "reports"}} {
+	}{{&s.Span, w.Span, "span"}, {&s.Network.Delay, w.Delay, "delay"}, {&s.Discovery, w.Discovery, "discovery"}, {&s.Reports.Every, w.Reports, "reports"}, {&s.Traffic.GiveUp, w.GiveUp, "give_up"}} {
 		if d.from == nil {
 			continue
 		}
@@ -224,5 +232,5 @@
 	if v.Policy == "" || v.Policy == "module" {
 		return func(s brain.Settings, seed uint64) emulator.Policy { return brain.New(s, seed) }
 	}
-	return func(_ brain.Settings, seed uint64) emulator.Policy { return policy.New(v.Policy, seed) }
+	return func(s brain.Settings, seed uint64) emulator.Policy { return policy.New(v.Policy, s, seed) }
 }
--- a/internal/experiment/run.go
+++ b/internal/experiment/run.go
@@ -37,6 +37,8 @@
 	Sends    float64  `json:"sends"`  // a job
 	Probes   float64  `json:"probes"` // a job
 	Wasted   float64  `json:"wasted"` // share of the work
+	Speed    float64  `json:"speed"`  // mean of a served job's work by the time to its answer
+	Used     float64  `json:"used"`   // work done, of what the boxes could do
 	Breaches []string `json:"breaches,omitempty"`
 }
 
@@ -56,6 +58,8 @@
 	{"sends", func(r Row) float64 { return r.Sends }, false},
 	{"probes", func(r Row) float64 { return r.Probes }, false},
 	{"wasted", func(r Row) float64 { return r.Wasted }, false},
+	{"speed", func(r Row) float64 { return r.Speed }, true},
+	{"used", func(r Row) float64 { return r.Used }, true},
 }
 
 // Player plays a variant's scenario.
@@ -131,7 +135,7 @@
 func rowOf(variant string, seed uint64, build string, r *emulator.Result) Row {
 	part := func(n int) float64 { return float64(n) / float64(max(r.Jobs, 1)) }
 	row := Row{Variant: variant, Seed: seed, Build: build, Jobs: r.Jobs, Service: r.Service, Worst: r.Worst, Late: part(r.Late), Refused: part(r.Refused),
-		Failed: part(r.Failed), P50MS: float64(r.P50.Microseconds()) / 1000, P99MS: float64(r.P99.Microseconds()) / 1000, Sends: r.Sends, Probes: r.Probes, Wasted: r.Wasted}
+		Failed: part(r.Failed), P50MS: float64(r.P50.Microseconds()) / 1000, P99MS: float64(r.P99.Microseconds()) / 1000, Sends: r.Sends, Probes: r.Probes, Wasted: r.Wasted, Speed: r.Speed, Used: r.Used}
 	for _, b := range r.Breaches {
 		row.Breaches = append(row.Breaches, b.String())
 	}
