--- a/brain/brain.go
+++ b/brain/brain.go
@@ -247,9 +247,7 @@
 // few rings, each from a place by its number, so every worker is drawn from by about as many. The window goes
 // on past workers that are shunned, cold or leave.
 func (d *Dispatcher) choose() {
-	d.chosen = d.now
-	d.near = d.near[:0]
-	d.size = 0
+	d.chosen, d.near, d.size = d.now, d.near[:0], 0
 	var zones [2][]*worker // the own zone, and all others
 	for _, w := range d.workers {
 		if z := oneIf(w.Zone != d.set.Zone); w.listed && !w.out {
@@ -261,6 +259,7 @@
 	want := int(math.Ceil(max(nearLeast, nearSpan*d.rate, 2*all/float64(d.set.Dispatchers))))
 	if d.small = all <= max(nearAll*d.rate, float64(want)); d.small || d.keyed {
 		d.near = append(d.near, d.workers...)
+		d.encircle()
 		d.cursor %= max(len(d.near), 1)
 		return
 	}
@@ -375,8 +374,8 @@
 	w.reported, w.full = d.now, 0
 	w.usual += (1 - math.Exp(-float64(d.now-since)/float64(loadSpan))) * (w.base - w.usual)
 	sum, n := 0.0, 0.0
-	for _, w := range d.near {
-		if w.listed && w.reported > d.now-2*silentLeast { // old ones would hold all back after a cut
+	for i := 0; d.small && i < len(d.near); i++ { // else it is not used
+		if w := d.near[i]; w.listed && w.reported > d.now-2*silentLeast { // old ones would hold all after a cut
 			sum, n = sum+w.base, n+1
 		}
 	}
@@ -411,7 +410,7 @@
 func (d *Dispatcher) pick(r *request, allow float64) *worker {
 	fit := func(w *worker) bool { return d.sound(w, r.class) && !r.tried(w) }
 	can := func(w *worker) bool { return d.may(r, w) && fit(w) }
-	from, forced := d.near, false
+	from, forced := d.nearOf(r.key), false
 	if !slices.ContainsFunc(from, can) {
 		from, forced = d.workers, !slices.ContainsFunc(d.workers, can)
 	}
@@ -582,7 +581,7 @@
 // home tells whether the worker is one of the first in the rotation of the request's key.
 func (d *Dispatcher) home(r *request, w *worker) bool {
 	before, own := 0, w.homes(r.key)
-	for _, o := range d.workers {
+	for _, o := range d.nearOf(r.key) {
 		before += oneIf(o.listed && o.homes(r.key) < own)
 	}
 	return before < homesOfKey
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 )
@@ -263,3 +264,56 @@
 		t.Errorf("%.1f s of work sent to cold workers, of %.1f that they could be sent", used, could)
 	}
 }
+
+// Past some hundred workers a job with a key looks at a window of them. The window is the same at every dispatcher, whatever
+// the order in which it heard of them; one worker that joins moves few keys, and no worker is in far more windows than another.
+func TestWindowsOfKeys(t *testing.T) {
+	const n, keys = 1000, 4000
+	make := func(n int, turned bool) *Dispatcher {
+		s := plain()
+		s.Dispatchers = 80
+		d := New(s, 1)
+		ws := workers(n)
+		for i := range ws {
+			ws[i].ID = WorkerID(fmt.Sprintf("10.1.%d.%d:3000", i/250, i%250))
+		}
+		if turned {
+			slices.Reverse(ws)
+		}
+		d.Handle(start, Arrived{ID: 1, Slots: 1, Key: 1, Expires: start + time.Second})
+		d.Handle(start, Listed{Kind: ListFull, Workers: ws})
+		return d
+	}
+	home := func(d *Dispatcher, key uint64) (best WorkerID) {
+		least := math.Inf(1)
+		for _, w := range d.nearOf(key) {
+			if h := w.homes(key); h < least {
+				least, best = h, w.ID
+			}
+		}
+		return best
+	}
+	a, b, more := make(n, false), make(n, true), make(n+1, false)
+	at, moved := map[WorkerID]int{}, 0
+	for key := uint64(1); key <= keys; key++ {
+		if got := len(a.nearOf(key)); got != keyWindow {
+			t.Fatalf("key %d: %d workers", key, got)
+		}
+		h := home(a, key)
+		if h != home(b, key) {
+			t.Fatalf("key %d is at home elsewhere at another dispatcher", key)
+		}
+		moved += oneIf(h != home(more, key))
+		at[h]++
+	}
+	if moved > keys/100 { // a thousandth are the new one's; as many again lost their window's last
+		t.Errorf("%d of %d keys moved when one of %d workers joined", moved, keys, n)
+	}
+	most := 0
+	for _, got := range at {
+		most = max(most, got)
+	}
+	if mean := float64(keys) / n; float64(most) > 6*mean || len(at) < n*8/10 {
+		t.Errorf("%d workers have keys, the most %d, %.0f in the mean", len(at), most, mean)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -96,6 +96,8 @@
 	rng           *rand.Rand
 	acts          []Action
 	workers, near []*worker // all, and those that jobs are drawn to; by id
+	ring, cold    []*worker // listed ones by hash, where they are many, and the cold ones of them that it owns
+	some          []*worker // room for a window
 	byID          map[WorkerID]*worker
 	out           map[WorkerID]bool // put out by hand, known or not
 	classes       []classState
@@ -235,6 +237,41 @@
 	return x ^ x>>29
 }
 
+// keyWindow is how many workers are looked at for a job with a key, beside the cold ones that this dispatcher owns. Up to
+// four times as many listed workers all are: a fleet of that size keeps each key's homes by all of them.
+const keyWindow = 32
+
+// encircle brings the index of listed workers by their hashes up to date: a ring, on which a key has its place.
+func (d *Dispatcher) encircle() {
+	d.ring, d.cold = d.ring[:0], d.cold[:0]
+	if len(d.near) <= 4*keyWindow {
+		return
+	}
+	for _, w := range d.near {
+		if w.listed && !w.out {
+			if d.ring = append(d.ring, w); d.warmth(w) < 1 && d.owns(w) {
+				d.cold = append(d.cold, w)
+			}
+		}
+	}
+	slices.SortFunc(d.ring, func(a, b *worker) int { return cmp.Compare(a.hash, b.hash) })
+	d.ring = append(d.ring, d.ring[:min(keyWindow, len(d.ring))]...) // so that no window has a gap
+}
+
+// nearOf gives those of near that a job of a key is drawn to: a window of the ring from the key's place, the same at every
+// dispatcher. One that joins or leaves moves windows by one, so few keys change their homes, and those by one worker.
+func (d *Dispatcher) nearOf(key uint64) []*worker {
+	if key == 0 || len(d.ring) <= 4*keyWindow {
+		return d.near
+	}
+	whole := d.ring[:len(d.ring)-keyWindow]
+	at, _ := slices.BinarySearchFunc(whole, mix(key^ringSalt), func(w *worker, h uint64) int { return cmp.Compare(w.hash, h) })
+	d.some = append(append(d.some[:0], d.ring[at%len(whole):][:keyWindow]...), d.cold...)
+	return d.some
+}
+
+const ringSalt = 0x5bd1e995 // a key's place on the ring is not by what ranks its homes
+
 // homes is a worker's place in a key's rotation, the same at every dispatcher: the lowest comes first.
 // Workers come first by their size.
 func (w *worker) homes(key uint64) float64 {
