--- a/brain/state.go
+++ b/brain/state.go
@@ -98,6 +98,7 @@
 	workers, near []*worker // all, and those that jobs are drawn to; by id
 	ring, cold    []*worker // listed ones by hash, where they are many, and the cold ones of them that it owns
 	some          []*worker // room for a window
+	members       uint64    // a sum over the ring's: another where it changed
 	byID          map[WorkerID]*worker
 	out           map[WorkerID]bool // put out by hand, known or not
 	classes       []classState
@@ -243,17 +244,29 @@
 
 // encircle brings the index of listed workers by their hashes up to date: a ring, on which a key has its place.
 func (d *Dispatcher) encircle() {
-	d.ring, d.cold = d.ring[:0], d.cold[:0]
-	if len(d.near) <= 4*keyWindow {
+	if d.cold = d.cold[:0]; len(d.near) <= 4*keyWindow {
+		d.ring = d.ring[:0]
 		return
 	}
+	on := func(w *worker) bool { return w.listed && !w.out }
+	members := uint64(0)
 	for _, w := range d.near {
-		if w.listed && !w.out {
-			if d.ring = append(d.ring, w); d.warmth(w) < 1 && d.owns(w) {
+		if on(w) {
+			members += mix(w.hash)
+			if d.warmth(w) < 1 && d.owns(w) {
 				d.cold = append(d.cold, w)
 			}
 		}
 	}
+	if members == d.members && len(d.ring) > 0 {
+		return // the ring as it is
+	}
+	d.ring, d.members = d.ring[:0], members
+	for _, w := range d.near {
+		if on(w) {
+			d.ring = append(d.ring, w)
+		}
+	}
 	slices.SortFunc(d.ring, func(a, b *worker) int { return cmp.Compare(a.hash, b.hash) })
 	d.ring = append(d.ring, d.ring[:min(keyWindow, len(d.ring))]...) // so that no window has a gap
 }
