One reader of files in HCL for plans of load and experiments

Need: both had the same lines for parsing, decoding and gathering faults (found by listing repeated lines). Change: diag.Decode. The tests of both files' faults with line and column hold.

--- a/internal/diag/diag.go
+++ b/internal/diag/diag.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
 )
 
 // Faults are all that is wrong with a file.
@@ -28,3 +30,19 @@
 func At(place hcl.Range, summary, format string, a ...any) *hcl.Diagnostic {
 	return &hcl.Diagnostic{Severity: hcl.DiagError, Summary: summary, Detail: fmt.Sprintf(format, a...), Subject: &place}
 }
+
+// Decode reads a file's text into what gohcl can fill, and has it checked for what gohcl cannot find. path is its name in
+// the error, which names all faults.
+func Decode(text []byte, path string, into any, check func(*hclsyntax.Body) hcl.Diagnostics) error {
+	parsed, diags := hclsyntax.ParseConfig(text, path, hcl.InitialPos)
+	if !diags.HasErrors() {
+		diags = append(diags, gohcl.DecodeBody(parsed.Body, nil, into)...)
+	}
+	if !diags.HasErrors() {
+		diags = append(diags, check(parsed.Body.(*hclsyntax.Body))...)
+	}
+	if diags.HasErrors() {
+		return Faults(diags)
+	}
+	return nil
+}
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"github.com/hashicorp/hcl/v2"
-	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
 	"brassdale/brain"
@@ -90,16 +89,9 @@
 
 // Parse reads the text of an experiment; path is its name in errors.
 func Parse(text []byte, path string) (*File, error) {
-	parsed, diags := hclsyntax.ParseConfig(text, path, hcl.InitialPos)
 	f := &File{First: 1}
-	if !diags.HasErrors() {
-		diags = append(diags, gohcl.DecodeBody(parsed.Body, nil, f)...)
-	}
-	if !diags.HasErrors() {
-		diags = append(diags, f.check(parsed.Body.(*hclsyntax.Body))...)
-	}
-	if diags.HasErrors() {
-		return nil, diag.Faults(diags)
+	if err := diag.Decode(text, path, f, f.check); err != nil {
+		return nil, err
 	}
 	return f, nil
 }
--- a/internal/load/file.go
+++ b/internal/load/file.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/hashicorp/hcl/v2"
-	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
 	"brassdale/internal/diag"
@@ -76,16 +75,9 @@
 
 // Parse reads the text of a plan; path is its name in errors, and where its trace's path begins.
 func Parse(text []byte, path string) (*File, error) {
-	parsed, diags := hclsyntax.ParseConfig(text, path, hcl.InitialPos)
 	f := &File{Seed: 1, Wire: string(HTTP1), dir: filepath.Dir(path)}
-	if !diags.HasErrors() {
-		diags = append(diags, gohcl.DecodeBody(parsed.Body, nil, f)...)
-	}
-	if !diags.HasErrors() {
-		diags = append(diags, f.check(parsed.Body.(*hclsyntax.Body))...)
-	}
-	if diags.HasErrors() {
-		return nil, diag.Faults(diags)
+	if err := diag.Decode(text, path, f, f.check); err != nil {
+		return nil, err
 	}
 	return f, nil
 }
