Discovery's own faults in the model and on sockets: list-down, list-hung

Need: the model's discovery was late at worst; a list service that turns calls away or hangs is what the fleet's growth meets first, and no experiment could ask about it.

Change: two faults, in virtual time and on sockets alike: watches end and calls are answered 503, or calls are taken and not answered; what changed meanwhile comes with the whole list behind the next call that succeeds.

The test on sockets has real dispatchers go through both beside resets, a partition, a restart and a drain.

--- a/internal/emulator/dispatcher.go
+++ b/internal/emulator/dispatcher.go
@@ -51,9 +51,17 @@
 		case brain.Probe:
 			d.probe(a.Worker)
 		case brain.Subscribe:
-			if !d.subscribed {
+			switch {
+			case d.subscribed:
+			case d.w.down+d.w.hung > 0:
+				d.refused()
+			default:
 				d.subscribed = true
-				d.w.after(d.w.late(d.chance), func() { d.listed(brain.ListFull, d.w.list()) })
+				d.w.after(d.w.late(d.chance), func() {
+					if d.subscribed {
+						d.listed(brain.ListFull, d.w.list())
+					}
+				})
 			}
 		case brain.Wake:
 			d.w.after(a.After, func() { d.feed(brain.Woke{Token: a.Token}) })
@@ -63,6 +71,18 @@
 	}
 }
 
+// refused has a call to discovery fail: at once where it is down, behind the caller's patience where it hangs.
+func (d *dispatcher) refused() {
+	patience := d.w.delay(d.chance)
+	if d.w.down == 0 {
+		patience = hungCall
+	}
+	d.w.after(patience, func() { d.feed(brain.Listed{Kind: brain.ListFailed}) })
+}
+
+// hungCall is how long a dispatcher waits for an answer of discovery.
+const hungCall = 750 * time.Millisecond
+
 // arrived takes a client's request.
 func (d *dispatcher) arrived(j *job, id brain.RequestID, expires time.Duration) {
 	d.open[id] = &open{job: j, expires: expires}
--- a/internal/emulator/play_test.go
+++ b/internal/emulator/play_test.go
@@ -29,7 +29,8 @@
 	s.Span = 4 * time.Second
 	s.Traffic.Rate = 60
 	s.Faults = []Fault{{At: time.Second, For: time.Second, Kind: Reset, Share: 0.3}, {At: 1500 * time.Millisecond, For: time.Second, Kind: Partition, Share: 0.1},
-		{At: 2 * time.Second, For: time.Second, Kind: Restart, Share: 0.1}, {At: 2500 * time.Millisecond, For: time.Second, Kind: Drain, Share: 0.2}}
+		{At: 2 * time.Second, For: time.Second, Kind: Restart, Share: 0.1}, {At: 2500 * time.Millisecond, For: time.Second, Kind: Drain, Share: 0.2},
+		{At: 500 * time.Millisecond, For: 1500 * time.Millisecond, Kind: ListDown, Share: 1}, {At: 2500 * time.Millisecond, For: 500 * time.Millisecond, Kind: ListHung, Share: 1}}
 	binary := program(t)
 	r, err := Play(t.Context(), s, binary)
 	if err != nil {
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -101,6 +101,8 @@
 	Unheard                  // reports come late by three seconds
 	Reset                    // its connections break once, and what it had is lost; it goes on
 	Partition                // nothing reaches it and nothing comes from it; what was under way is reset once it is back
+	ListDown                 // discovery ends its watches and turns all calls away; Share counts for nothing
+	ListHung                 // discovery takes calls and answers none; the same
 
 	troubleKinds = iota
 )
--- a/internal/emulator/works.go
+++ b/internal/emulator/works.go
@@ -52,6 +52,8 @@
 
 	mu       sync.Mutex
 	revision int
+	down     bool // calls are turned away
+	hung     bool // or not answered
 	entries  map[brain.WorkerID]entry
 	order    []brain.WorkerID
 	news     chan struct{} // closed by the next change
@@ -90,6 +92,11 @@
 			w.after(w.late(d.chance), func() { d.change(info) })
 		}
 	})
+	w.unheard = append(w.unheard, func() {
+		for _, d := range k.doors {
+			d.fail(w.down > 0, w.hung > 0)
+		}
+	})
 	go func() {
 		defer close(k.ended)
 		w.live(ctx, epoch, k.begin, k.sync)
@@ -163,6 +170,15 @@
 	d.news = make(chan struct{})
 }
 
+// fail begins or ends a fault of discovery: who watches hears of it.
+func (d *Door) fail(down, hung bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down, d.hung = down, hung
+	close(d.news)
+	d.news = make(chan struct{})
+}
+
 var phaseNames = map[brain.WorkerState]string{brain.Ready: "active", brain.Draining: "leaving", brain.Gone: "left"}
 
 type member struct {
@@ -219,18 +235,23 @@
 	over := time.NewTimer(time.Duration(min(max(wait, 0), 60_000)) * time.Millisecond)
 	defer over.Stop()
 	d.mu.Lock()
-	for waiting := true; waiting && since >= d.revision; {
+	for waiting := true; d.hung || !d.down && waiting && since >= d.revision; {
 		news := d.news
 		d.mu.Unlock()
 		select {
 		case <-news:
-		case <-over.C:
+		case <-over.C: // once; one that hangs waits on
 			waiting = false
 		case <-r.Context().Done():
 			return
 		}
 		d.mu.Lock()
 	}
+	if d.down {
+		d.mu.Unlock()
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	l, told := d.list(since)
 	d.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -20,6 +20,8 @@
 	store       *queueOf
 	dispatchers []*dispatcher
 	lines       [][]*job                 // of the users
+	down, hung  int                      // faults of discovery
+	unheard     []func()                 // hear of them
 	listeners   []func(brain.WorkerInfo) // hear of a change of the list, beside the dispatchers of the model
 	audit       *auditor
 	lastID      brain.RequestID
@@ -155,11 +157,34 @@
 	return brain.WorkerInfo{ID: b.id, State: b.state, Cell: b.bay, Kind: b.kind, Weight: float64(b.slots), Since: b.started}
 }
 
+// unlisted begins a fault of discovery, or ends it. A dispatcher's watch ends at once where it is down; where it hangs, once
+// the dispatcher has waited for long enough. What changes meanwhile comes with the whole list, behind the next call.
+func (w *world) unlisted(t Trouble, by int) {
+	if t == ListDown {
+		w.down += by
+	} else {
+		w.hung += by
+	}
+	for _, d := range w.dispatchers {
+		if by > 0 && d.subscribed {
+			d.subscribed = false
+			d.refused()
+		}
+	}
+	for _, hear := range w.unheard {
+		hear()
+	}
+}
+
 // changed tells all dispatchers of a box, late.
 func (w *world) changed(b *box) {
 	info := b.info()
 	for _, d := range w.dispatchers {
-		w.after(w.late(d.chance), func() { d.listed(brain.ListChange, []brain.WorkerInfo{info}) })
+		w.after(w.late(d.chance), func() {
+			if d.subscribed { // else it gets the whole list when it is again
+				d.listed(brain.ListChange, []brain.WorkerInfo{info})
+			}
+		})
 	}
 	for _, hear := range w.listeners {
 		hear(info)
@@ -286,6 +311,11 @@
 
 // befall has a fault come over some boxes, and go.
 func (w *world) befall(f Fault, chance *rand.Rand) {
+	if f.Kind == ListDown || f.Kind == ListHung {
+		w.unlisted(f.Kind, 1)
+		w.after(f.For, func() { w.unlisted(f.Kind, -1) })
+		return
+	}
 	some := slices.Clone(w.boxes)
 	chance.Shuffle(len(some), func(i, j int) { some[i], some[j] = some[j], some[i] })
 	for _, b := range some[:max(int(f.Share*float64(len(some))), 1)] {
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -76,7 +76,8 @@
 }
 
 var troubles = map[string]emulator.Trouble{"freeze": emulator.Freeze, "silent": emulator.Silent, "slow": emulator.Slow,
-	"restart": emulator.Restart, "drain": emulator.Drain, "unheard": emulator.Unheard, "reset": emulator.Reset, "partition": emulator.Partition}
+	"restart": emulator.Restart, "drain": emulator.Drain, "unheard": emulator.Unheard, "reset": emulator.Reset, "partition": emulator.Partition,
+	"list-down": emulator.ListDown, "list-hung": emulator.ListHung}
 
 // Load reads and checks an experiment. An error names all faults with file, line and column.
 func Load(path string) (*File, error) {
--- a/scenarios/bad-day.hcl
+++ b/scenarios/bad-day.hcl
@@ -38,4 +38,10 @@
   share = 0.2
 }
 
+fault "list-down" { # while the drain is going on
+  at    = "47s"
+  for   = "3s"
+  share = 1
+}
+
 variant "module" {}
