A budget for further calls of all jobs together: fleet { retry_budget }, off without the block

Need: the module decides repeats and copies for each job alone. Where a tenth of the boxes fails, or all turn jobs away, the jobs' further calls together multiply the load of the rest, up to four times.

Change: internal/decisions/retries counts first and further calls over sliding windows of 10 s, for all, each class and each account; the core does not send what the budget does not allow, and the job goes on with what is out or is answered at once.

The platform's file has no block, so nothing changes there.

--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -28,6 +28,13 @@
 #   shrink    = 0.5
 # }
 
+# Second copies and repeats of all jobs together: at most so many for each first call (docs/large-fleets.md). Off without
+# the block.
+#
+# fleet {
+#   retry_budget = 0.2
+# }
+
 # Accounts' shares of the jobs that are open at a time, over all fronts. Off without the block.
 #
 # accounts {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -34,6 +34,7 @@
 	Keys     *transport.KeysSettings
 	Accounts *transport.SharesSettings
 	Saved    *savedlist.Settings
+	Fleet    *transport.FleetSettings
 }
 
 // Keyed gives the settings of the table of keys; nil where there is none. Fronts beside the platform's need it: a key
@@ -66,6 +67,7 @@
 	{"front", "progress", readProgress, func(f *File) any { return orNil(f.Progress) }},
 	{"keys", "", readKeys, func(f *File) any { return orNil(f.Keyed()) }},
 	{"accounts", "", readAccounts, func(f *File) any { return orNil(f.Accounts) }},
+	{"fleet", "", readFleet, func(f *File) any { return orNil(f.Fleet) }},
 	{"saved_list", "", readSaved, func(f *File) any { return orNil(f.Saved) }},
 }
 
@@ -190,6 +192,17 @@
 	f.Accounts = &s
 }
 
+func readFleet(f *File, r *reader) {
+	s := transport.FleetSettings{}
+	if !r.decode(&s) {
+		return
+	}
+	if !(s.RetryBudget >= 0 && s.RetryBudget <= 10) {
+		r.bad("retry_budget", "It must be between 0 and 10.")
+	}
+	f.Fleet = &s
+}
+
 func readSaved(f *File, r *reader) {
 	s := savedlist.Default()
 	if !r.decode(&s) {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -18,6 +18,7 @@
 		{"front \"progress\" {\n}", "f.hcl:1:18: Missing required argument"},
 		{"front \"progress\" {\n  listen = \"127.0.0.1:0\"\n}\nfront \"progress\" {\n  listen = \"127.0.0.1:0\"\n}", "f.hcl:4:1: Duplicate block"},
 		{"front \"soap\" {\n}\nlisten = 1", "f.hcl:3:1: Unsupported argument|f.hcl:1:1: Unsupported block: There is no block front \"soap\"; there are: "},
+		{"fleet {\n  retry_budget = -1\n}", "f.hcl:2:18: Bad retry_budget"},
 		{"front \"progress\" {", "f.hcl:1:18: Unclosed configuration block"},
 	} {
 		_, err := Parse([]byte(c.text), "f.hcl")
--- a/internal/program/operations.go
+++ b/internal/program/operations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"sync"
 	"time"
@@ -31,6 +32,9 @@
 	if o.d.accounts != nil {
 		figures += o.d.accounts.Figures()
 	}
+	if o.d.budgeted {
+		figures += fmt.Sprintf("retries_denied=%d\n", o.d.core.Ledger().Figures().RetriesDenied)
+	}
 	if o.d.saved != nil {
 		figures += o.d.saved.figures()
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -48,6 +48,7 @@
 	progress   *transport.Progress // nil where that front is off
 	http2      *http2.Front        // the same
 	saved      *saved              // nil where no list is kept
+	budgeted   bool                // further calls have a budget
 	relayed    *http.Server        // takes readers that the other process relays
 	relay      string              // at this path; empty while nobody can
 	reloader   *reloader
@@ -206,6 +207,10 @@
 	if s := op.Keyed(); s != nil {
 		d.keys = transport.NewKeys(s, d.ids, op.Progress != nil)
 	}
+	if op.Fleet != nil {
+		d.core.Limit(op.Fleet.RetryBudget)
+		d.budgeted = true
+	}
 	if op.Accounts != nil {
 		d.accounts = transport.NewShares(op.Accounts)
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"brassdale/brain"
+	"brassdale/internal/decisions/retries"
 )
 
 // Verdict is the kind of a final answer.
@@ -39,6 +40,7 @@
 type Inbound struct {
 	Class     int
 	ClassName string // for the figures
+	Account   string // whose it is, for the budget of further calls
 	Name      string // for the log: how its client calls it
 	Slots     float64
 	Rules     Rules
@@ -115,6 +117,7 @@
 	now      brain.Clock
 	requests map[brain.RequestID]*request
 	timers   timers
+	budget   *retries.Budget // of further calls; nil for no bound but the module's
 }
 
 type request struct {
@@ -172,6 +175,7 @@
 		answer chan<- bool
 	}
 	learned struct{ answer chan<- brain.Experience }
+	limited struct{ share float64 }
 )
 
 // NewCore makes the actor. Attach must be called before Run.
@@ -262,6 +266,9 @@
 // Retune puts new settings in force for the requests that come from now on.
 func (c *Core) Retune(s brain.Settings) { c.box.Post(brain.Retuned{Settings: s}) }
 
+// Limit puts a budget in force for requests' further calls: so many for each first one. A negative share takes it away.
+func (c *Core) Limit(share float64) { c.box.Post(limited{share}) }
+
 // Shared tells how many processes act as this dispatcher.
 func (c *Core) Shared(processes int) { c.box.Post(brain.Shared{Processes: processes}) }
 
@@ -335,6 +342,15 @@
 		}
 		c.endpoints.Bar(m.id, since) // first, so that what the module sends from now on finds it done
 		c.feed(ev)
+	case limited:
+		switch {
+		case m.share < 0:
+			c.budget = nil
+		case c.budget == nil:
+			c.budget = retries.New(m.share)
+		default:
+			c.budget.Retune(m.share)
+		}
 	case learned:
 		m.answer <- c.module.Experience() // has room
 	case knows:
@@ -453,6 +469,15 @@
 		c.Finished(id, End{Outcome: brain.NeverSent})
 		return
 	}
+	if c.budget != nil {
+		if id.Attempt == 0 {
+			c.budget.First(c.now, r.ClassName, r.Account)
+		} else if !c.budget.Further(c.now, r.ClassName, r.Account) {
+			c.ledger.denied()
+			c.Finished(id, End{Outcome: brain.NeverSent})
+			return
+		}
+	}
 	c.endpoints.Send(Call{ID: id, Endpoint: a.Worker, Deadline: r.Deadline, Job: r.Job})
 }
 
--- a/internal/routing/ledger.go
+++ b/internal/routing/ledger.go
@@ -19,6 +19,7 @@
 	Concurrent                   int              // requests taken and not ended
 	Targets, Avoided             int              // endpoints in the list, and those of them that get nothing now
 	ReloadsTaken, ReloadsRefused int
+	RetriesDenied                int // further calls that the budget did not allow
 }
 
 // Tally is what became of the requests of a class.
@@ -82,6 +83,8 @@
 	})
 }
 
+func (l *Ledger) denied() { l.enter(func(f *Figures) { f.RetriesDenied++ }) }
+
 func (l *Ledger) taken() { l.enter(func(f *Figures) { f.Concurrent++ }) }
 func (l *Ledger) left()  { l.enter(func(f *Figures) { f.Concurrent-- }) }
 
--- a/internal/transport/fleet.go
+++ b/internal/transport/fleet.go
@@ -13,6 +13,11 @@
 	"brassdale/internal/routing"
 )
 
+// FleetSettings are the operator's, in a block fleet.
+type FleetSettings struct {
+	RetryBudget float64 `hcl:"retry_budget"` // further calls for each first one, over sliding windows
+}
+
 // Sink takes what comes back from endpoints. No method blocks.
 type Sink interface {
 	Began(routing.CallID)
