Emulator: one tally, one drawing of jobs, one pace and load of a box for both ways to run it

Read again: virtual time and sockets each had their own lines for a job's work, for entering its end and for a box's speed and report; policies picked and sent in two places; a door closed its news in two; a works' standing, a job, a policy and the world had fields that nobody read.

One thing shows: `speed` of runs on sockets was 0, as that side did not count it, and is counted now. A works' types for the list stay its own, and a line says why.

Tests unchanged.

--- a/internal/emulator/box.go
+++ b/internal/emulator/box.go
@@ -161,11 +161,7 @@
 
 // work runs a job to its end.
 func (b *box) work(r *run) {
-	speed := b.speed * b.warmth()
-	if b.slow > 0 {
-		speed /= 3
-	}
-	b.w.after(time.Duration(r.work/speed*float64(time.Second)), func() { b.finish(r) })
+	b.w.after(time.Duration(r.work/b.pace()*float64(time.Second)), func() { b.finish(r) })
 }
 
 // finish ends a job, or, while the box stands still, has that wait until it goes on.
@@ -209,12 +205,26 @@
 	b.pending, b.queue, b.held, b.busy, b.has = nil, nil, nil, 0, map[int]time.Duration{}
 }
 
+// pace is the speed that a slot has now, or where jobs share, all of them together.
+func (b *box) pace() float64 {
+	speed := b.speed * b.warmth()
+	if b.slow > 0 {
+		speed /= 3
+	}
+	return speed
+}
+
+// load is what the box has to tell of itself.
+func (b *box) load() brain.Report {
+	return brain.Report{Busy: float64(b.busy) / float64(b.slots), Requests: -1, FreeSlots: float64(b.slots - b.busy)}
+}
+
 // refresh has the box's figures made anew, now and then.
 func (b *box) refresh() {
 	copy(b.figures[:], b.figures[1:])
 	copy(b.when[:], b.when[1:])
 	last := len(b.when) - 1
-	b.figures[last] = brain.Report{Busy: float64(b.busy) / float64(b.slots), Requests: -1, FreeSlots: float64(b.slots - b.busy)}
+	b.figures[last] = b.load()
 	b.when[last] = b.w.now
 	every := b.w.s.Reports.Every
 	b.w.after(every/2+time.Duration(b.chance.Int64N(int64(every)+1)), b.refresh)
--- a/internal/emulator/dispatcher.go
+++ b/internal/emulator/dispatcher.go
@@ -66,7 +66,7 @@
 		case brain.Wake:
 			d.w.after(a.After, func() { d.feed(brain.Woke{Token: a.Token}) })
 		case brain.Log:
-			d.w.note("%v dispatcher %d: %s", d.w.now-d.w.base, d.n, a.Text)
+			d.w.note("%v dispatcher %d: %s", d.w.now-epoch, d.n, a.Text)
 		}
 	}
 }
--- a/internal/emulator/engine.go
+++ b/internal/emulator/engine.go
@@ -93,7 +93,7 @@
 		}
 		behind()
 		if len(e.todo) > 0 {
-			alarm.Reset(begin.Add(e.todo[0].at - start).Sub(time.Now()))
+			alarm.Reset(time.Until(begin.Add(e.todo[0].at - start)))
 		}
 	}
 }
--- a/internal/emulator/live.go
+++ b/internal/emulator/live.go
@@ -1,19 +1,15 @@
 package emulator
 
-import (
-	"time"
-
-	"brassdale/brain"
-)
+import "time"
 
 // Standing is what a works' boxes are at, and what was broken so far.
 type Standing struct {
-	Since                    time.Duration // the start
-	Boxes, Up, Cold          int
-	Slots, Busy, Waiting     int
-	Sends, Probes            int
-	Breaches                 []Breach
-	Drains, Silent, Troubled int // boxes that leave, that start no job, that have any fault
+	Since                time.Duration // the start
+	Boxes, Up, Cold      int
+	Slots, Busy, Waiting int
+	Sends, Probes        int
+	Breaches             []Breach
+	Troubled             int // boxes that have any fault
 }
 
 // Now gives it, as of some moment soon.
@@ -32,8 +28,6 @@
 				s.Waiting += one(!r.over)
 			}
 			s.Cold += one(b.warmth() < 1)
-			s.Drains += one(b.state == brain.Draining)
-			s.Silent += one(b.silent > 0)
 			s.Troubled += one(b.frozen+b.silent+b.slow+b.late+b.cut > 0)
 		}
 		got <- s
--- a/internal/emulator/play.go
+++ b/internal/emulator/play.go
@@ -211,24 +211,16 @@
 				t = &k.w.tallies[i]
 			}
 		}
-		t.jobs++
-		t.asked += work
+		t.ask(work)
+		v := failed
 		switch o {
 		case load.Served, load.Late:
-			t.served++
-			k.w.times = append(k.w.times, latency.Seconds())
-			if latency.Seconds() <= k.w.s.Traffic.Aim.Seconds()+k.w.s.Traffic.Stretch*work {
-				t.good += work
-			} else {
-				t.late++
-			}
+			v = served
 		case load.Refused:
-			t.refused++
+			v = refused
 		case load.Unanswered:
 			k.w.audit.broken(RuleAnswer, k.w.now, 0, "", "job %s: no answer in %v", j.Key, latency)
-			t.failed++
-		default:
-			t.failed++
 		}
+		k.w.count(t, v, work, latency)
 	})
 }
--- a/internal/emulator/policy/policy.go
+++ b/internal/emulator/policy/policy.go
@@ -42,7 +42,6 @@
 	workers map[brain.WorkerID]*worker
 	ready   []*worker // by id
 	turn    int
-	open    map[brain.RequestID]bool
 	asked   bool
 	probes  bool
 	most    int // attempts for a request
@@ -84,10 +83,7 @@
 		if len(p.ready) == 0 {
 			return []brain.Action{brain.Refuse{ID: e.ID}}
 		}
-		w := p.pick(p)
-		w.out++
-		w.value += 1 / max(w.size, 1)
-		return []brain.Action{brain.Send{ID: e.ID, Worker: w.id}}
+		return p.send(e.ID)
 	case brain.Finished:
 		if w := p.workers[e.Worker]; w != nil {
 			w.out--
@@ -95,10 +91,7 @@
 		switch {
 		case e.Final:
 		case e.Outcome == brain.Full && len(p.ready) > 0 && e.Attempt+1 < p.most: // turned away: on to the next
-			w := p.pick(p)
-			w.out++
-			w.value += 1 / max(w.size, 1)
-			return []brain.Action{brain.Send{ID: e.ID, Worker: w.id}}
+			return p.send(e.ID)
 		case e.Outcome == brain.Full || e.Outcome == brain.NoConnect || e.Outcome == brain.NeverSent:
 			return []brain.Action{brain.Refuse{ID: e.ID}}
 		default:
@@ -108,6 +101,14 @@
 	return acts
 }
 
+// send picks a worker and sends a request there.
+func (p *Plain) send(id brain.RequestID) []brain.Action {
+	w := p.pick(p)
+	w.out++
+	w.value += 1 / max(w.size, 1)
+	return []brain.Action{brain.Send{ID: id, Worker: w.id}}
+}
+
 func (p *Plain) listed(e brain.Listed) {
 	if e.Kind == brain.ListFailed {
 		return
--- a/internal/emulator/sharing.go
+++ b/internal/emulator/sharing.go
@@ -20,15 +20,6 @@
 	b.settled = b.w.now
 }
 
-// pace is the speed of all jobs together.
-func (b *box) pace() float64 {
-	speed := b.speed * b.warmth()
-	if b.slow > 0 {
-		speed /= 3
-	}
-	return speed
-}
-
 // share takes an attempt, or turns it away.
 func (b *box) share(r *run) {
 	if len(b.pending) >= b.slots {
@@ -90,7 +81,7 @@
 	if !b.w.s.Reports.Push {
 		return
 	}
-	load := brain.Report{Busy: float64(b.busy) / float64(b.slots), Requests: -1, FreeSlots: float64(b.slots - b.busy)}
+	load := b.load()
 	for _, d := range b.w.dispatchers {
 		b.w.after(b.w.delay(d.chance), func() { d.feed(brain.Probed{Worker: b.id, Outcome: brain.Served, Report: &load}) })
 	}
--- a/internal/emulator/works.go
+++ b/internal/emulator/works.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"hash/fnv"
 	"io"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -92,7 +91,7 @@
 			w.after(w.late(d.chance), func() { d.change(info) })
 		}
 	})
-	w.unheard = append(w.unheard, func() {
+	w.outages = append(w.outages, func() {
 		for _, d := range k.doors {
 			d.fail(w.down > 0, w.hung > 0)
 		}
@@ -166,8 +165,7 @@
 	defer d.mu.Unlock()
 	d.revision++
 	d.entries[info.ID] = entry{info, d.revision}
-	close(d.news)
-	d.news = make(chan struct{})
+	d.wake()
 }
 
 // fail begins or ends a fault of discovery: who watches hears of it.
@@ -175,12 +173,19 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.down, d.hung = down, hung
+	d.wake()
+}
+
+// wake has all who watch look again. d.mu is held.
+func (d *Door) wake() {
 	close(d.news)
 	d.news = make(chan struct{})
 }
 
 var phaseNames = map[brain.WorkerState]string{brain.Ready: "active", brain.Draining: "leaving", brain.Gone: "left"}
 
+// member and list are written by the protocol's page, beside the program's own types for reading them: a mistake that both
+// shared would not show.
 type member struct {
 	ID        string  `json:"id"`
 	HostPort  string  `json:"host_port"`
@@ -327,15 +332,15 @@
 // exchange is one attempt on a socket. It is an origin.
 type exchange struct {
 	g    *gate
-	says chan string // lines; empty for the end of the connection
+	says chan string // lines, with room for all of a run's; empty for the end of the connection
 }
 
-func (x *exchange) started(r *run) { x.say(r, `"state":"started"`) }
+func (x *exchange) started(*run) { x.says <- `"state":"started"` }
 func (x *exchange) over(r *run, o brain.Outcome) {
 	k := x.g.door.works
 	k.w.audit.ended(uint64(r.id), r.attempt, o)
 	if o == brain.Served {
-		x.say(r, fmt.Sprintf(`"state":"done","result":"%.3f"`, r.work))
+		x.says <- fmt.Sprintf(`"state":"done","result":"%.3f"`, r.work)
 		return
 	}
 	x.says <- ""
@@ -343,9 +348,6 @@
 func (x *exchange) knows(id brain.WorkerID) time.Duration { return x.g.door.told[id] }
 func (x *exchange) way() *rand.Rand                       { return x.g.door.chance }
 
-// say has a line written. A run says two at most, and there is room for more.
-func (x *exchange) say(r *run, rest string) { x.says <- rest }
-
 func (g *gate) work(w http.ResponseWriter, r *http.Request) {
 	k, id := g.door.works, r.Header.Get("Req-Id")
 	if _, err := io.Copy(io.Discard, r.Body); err != nil || id == "" || r.Method != http.MethodPost {
@@ -355,15 +357,7 @@
 	x := &exchange{g, make(chan string, 4)}
 	j := k.w.s.jobOf(r.Header.Get("Idempotency-Key"))
 	a := &run{job: j, box: g.b.id, from: x, work: j.work}
-	k.w.post(func() {
-		k.take(a, id, g)
-	})
-	send := func(text string) {
-		if text == "" {
-			panic(http.ErrAbortHandler) // breaks the connection
-		}
-		fmt.Fprintf(w, "{\"id\":%q,\"from\":%q,%s}\n", id, g.b.id, text)
-	}
+	k.w.post(func() { k.take(a, id, g) })
 	flush := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(http.StatusOK)
@@ -371,7 +365,10 @@
 	for {
 		select {
 		case text := <-x.says:
-			send(text)
+			if text == "" {
+				panic(http.ErrAbortHandler) // breaks the connection
+			}
+			fmt.Fprintf(w, "{\"id\":%q,\"from\":%q,%s}\n", id, g.b.id, text)
 			if _ = flush.Flush(); strings.Contains(text, `"done"`) {
 				return
 			}
@@ -411,15 +408,7 @@
 	h := fnv.New64a()
 	io.WriteString(h, key)
 	chance := rand.New(rand.NewPCG(s.Seed, h.Sum64()))
-	t := &s.Traffic
-	j := &job{work: t.Work * chance.ExpFloat64()}
-	if t.Spread > 0 { // of the same mean
-		j.work = t.Work * math.Exp(t.Spread*chance.NormFloat64()-t.Spread*t.Spread/2)
-	}
-	if t.Subjects > 0 {
-		j.subject = 1 + chance.IntN(t.Subjects)
-	}
-	return j
+	return s.Traffic.job(chance.ExpFloat64(), chance)
 }
 
 // Config gives the platform's file for the n-th dispatcher: it listens on a port of the system's choice.
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -14,14 +14,13 @@
 type world struct {
 	engine
 	s           *Scenario
-	base        time.Duration // the time at the start: clocks count from long before
 	boxes       []*box
 	byID        map[brain.WorkerID]*box
 	store       *queueOf
 	dispatchers []*dispatcher
 	lines       [][]*job                 // of the users
 	down, hung  int                      // faults of discovery
-	unheard     []func()                 // hear of them
+	outages     []func()                 // hear of them
 	listeners   []func(brain.WorkerInfo) // hear of a change of the list, beside the dispatchers of the model
 	audit       *auditor
 	lastID      brain.RequestID
@@ -37,10 +36,8 @@
 
 // job is what a client wants, over its tries.
 type job struct {
-	id      uint64
 	account int
 	work    float64
-	key     uint64
 	subject int
 	user    int
 	asked   time.Duration
@@ -62,6 +59,12 @@
 	served, late, refused, failed int
 }
 
+// ask enters a job that its client wants done.
+func (t *tally) ask(work float64) {
+	t.jobs++
+	t.asked += work
+}
+
 // epoch is how long before the start clocks began.
 const epoch = time.Hour
 
@@ -89,7 +92,7 @@
 	if err := s.Check(); err != nil {
 		return nil, err
 	}
-	w := &world{s: s, base: epoch, byID: map[brain.WorkerID]*box{}, tallies: make([]tally, max(len(s.Traffic.Accounts), 1))}
+	w := &world{s: s, byID: map[brain.WorkerID]*box{}, tallies: make([]tally, max(len(s.Traffic.Accounts), 1))}
 	w.now = epoch
 	w.audit = newAuditor(s, epoch)
 	w.lines = make([][]*job, s.Traffic.Users)
@@ -171,7 +174,7 @@
 			d.refused()
 		}
 	}
-	for _, hear := range w.unheard {
+	for _, hear := range w.outages {
 		hear()
 	}
 }
@@ -221,16 +224,25 @@
 	w.after(w.delay(r.from.way()), func() { r.from.started(r) })
 }
 
-// arrive brings a job and sees to the next.
-func (w *world) arrive() {
-	t := &w.s.Traffic
-	j := &job{id: uint64(w.lastID) + 1, asked: w.now, work: t.Work * w.clients.ExpFloat64(), key: w.clients.Uint64() | 1}
+// job makes one of so many means of work, where that is exponentially distributed, and draws the rest.
+func (t *Traffic) job(means float64, chance *rand.Rand) *job {
+	j := &job{work: t.Work * means}
 	if t.Spread > 0 { // of the same mean
-		j.work = t.Work * math.Exp(t.Spread*w.clients.NormFloat64()-t.Spread*t.Spread/2)
+		j.work = t.Work * math.Exp(t.Spread*chance.NormFloat64()-t.Spread*t.Spread/2)
 	}
 	if t.Subjects > 0 {
-		j.subject = 1 + w.clients.IntN(t.Subjects)
+		j.subject = 1 + chance.IntN(t.Subjects)
 	}
+	return j
+}
+
+// arrive brings a job and sees to the next.
+func (w *world) arrive() {
+	t := &w.s.Traffic
+	work := w.clients.ExpFloat64()
+	w.clients.Uint64() // was a key once; without it every seed of the kept results would play other traffic
+	j := t.job(work, w.clients)
+	j.asked = w.now
 	pick, sum := w.clients.Float64(), 0.0
 	for _, a := range t.Accounts {
 		sum += a.Share
@@ -241,9 +253,7 @@
 			break
 		}
 	}
-	ta := &w.tallies[j.account]
-	ta.jobs++
-	ta.asked += j.work
+	w.tallies[j.account].ask(j.work)
 	if t.Users > 0 {
 		w.enqueue(j)
 	} else {
@@ -290,15 +300,19 @@
 	if w.s.Traffic.Users > 0 {
 		defer w.nextOf(j)
 	}
-	t := &w.tallies[j.account]
-	took := (w.now - j.asked).Seconds()
+	w.count(&w.tallies[j.account], v, j.work, w.now-j.asked)
+}
+
+// count enters a job's end for its client into its account's tally.
+func (w *world) count(t *tally, v verdict, work float64, after time.Duration) {
 	switch v {
 	case served:
+		took := after.Seconds()
 		t.served++
 		w.times = append(w.times, took)
-		w.speed += j.work / max(took, 1e-9)
-		if took <= w.s.Traffic.Aim.Seconds()+w.s.Traffic.Stretch*j.work {
-			t.good += j.work
+		w.speed += work / max(took, 1e-9)
+		if took <= w.s.Traffic.Aim.Seconds()+w.s.Traffic.Stretch*work {
+			t.good += work
 		} else {
 			t.late++
 		}
