Files in HCL are read and looked into by one piece; denied calls are counted once

Read again: three readers of HCL files opened and parsed alike, two gathered blocks, two looked for an attribute's place; the lab made its bar twice; denied further calls were counted in the budget and in the ledger, and the door copied the ledger twice for one answer. A share below 0 took the budget away, which nothing asks for; a result kept terms that nobody read.

Change: diag.Read, Blocks and Place; one bar; the ledger takes the budget's own count; the unused ways are gone. What is printed, counted and refused is the same; the tests of faults, budgets and loads hold unchanged.

--- a/cmd/brassdale-lab/load.go
+++ b/cmd/brassdale-lab/load.go
@@ -7,7 +7,6 @@
 	"path/filepath"
 	"time"
 
-	"github.com/schollz/progressbar/v3"
 	"github.com/spf13/cobra"
 
 	"brassdale/internal/load"
@@ -30,8 +29,7 @@
 				return err
 			}
 			defer client.Close()
-			bar := progressbar.NewOptions(-1, progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetDescription("jobs"),
-				progressbar.OptionSetVisibility(terminal(os.Stderr)), progressbar.OptionClearOnFinish(), progressbar.OptionShowCount())
+			bar := progress(-1, "jobs")
 			o := f.Options()
 			o.Clients = clients
 			o.Each = func(load.Job, load.Outcome, time.Duration) { _ = bar.Add(1) }
--- a/cmd/brassdale-lab/main.go
+++ b/cmd/brassdale-lab/main.go
@@ -43,8 +43,7 @@
 			if seeds > 0 {
 				f.Seeds = seeds
 			}
-			bar := progressbar.NewOptions(f.Seeds*len(f.Variants), progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetDescription(f.Title),
-				progressbar.OptionSetVisibility(terminal(os.Stderr)), progressbar.OptionClearOnFinish(), progressbar.OptionShowCount())
+			bar := progress(f.Seeds*len(f.Variants), f.Title)
 			play, together := experiment.Player(experiment.InVirtualTime), runtime.GOMAXPROCS(0)
 			if sockets { // in real time, one after the other: they would take each other's cores
 				play, together = experiment.OnSockets(binary), 1
@@ -105,6 +104,12 @@
 	return err
 }
 
+// progress shows on a terminal how far a command is; -1 where nobody knows how much there is.
+func progress(most int, what string) *progressbar.ProgressBar {
+	return progressbar.NewOptions(most, progressbar.OptionSetWriter(os.Stderr), progressbar.OptionSetDescription(what),
+		progressbar.OptionSetVisibility(terminal(os.Stderr)), progressbar.OptionClearOnFinish(), progressbar.OptionShowCount())
+}
+
 func terminal(f *os.File) bool {
 	info, err := f.Stat()
 	return err == nil && info.Mode()&os.ModeCharDevice != 0
--- a/internal/diag/diag.go
+++ b/internal/diag/diag.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 
 	"github.com/hashicorp/hcl/v2"
@@ -46,3 +47,30 @@
 	}
 	return nil
 }
+
+// Blocks gives a body's blocks by their kind, in their order.
+func Blocks(body *hclsyntax.Body) map[string][]*hclsyntax.Block {
+	blocks := map[string][]*hclsyntax.Block{}
+	for _, b := range body.Blocks {
+		blocks[b.Type] = append(blocks[b.Type], b)
+	}
+	return blocks
+}
+
+// Place is where an attribute's value stands, or where it is missing.
+func Place(body *hclsyntax.Body, attribute string) hcl.Range {
+	if a := body.Attributes[attribute]; a != nil {
+		return a.Expr.Range()
+	}
+	return body.MissingItemRange()
+}
+
+// Read reads a file by its parser, which names it in its faults.
+func Read[T any](path string, parse func(text []byte, path string) (T, error)) (T, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		var none T
+		return none, err
+	}
+	return parse(text, path)
+}
--- a/internal/experiment/file.go
+++ b/internal/experiment/file.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"os"
 	"slices"
 	"strings"
 	"time"
@@ -80,13 +79,7 @@
 	"list-down": emulator.ListDown, "list-hung": emulator.ListHung}
 
 // Load reads and checks an experiment. An error names all faults with file, line and column.
-func Load(path string) (*File, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
-	return Parse(text, path)
-}
+func Load(path string) (*File, error) { return diag.Read(path, Parse) }
 
 // Parse reads the text of an experiment; path is its name in errors.
 func Parse(text []byte, path string) (*File, error) {
@@ -102,10 +95,7 @@
 	bad := func(at hcl.Range, format string, a ...any) {
 		diags = append(diags, diag.At(at, "Bad experiment", format, a...))
 	}
-	blocks := map[string][]*hclsyntax.Block{}
-	for _, b := range body.Blocks {
-		blocks[b.Type] = append(blocks[b.Type], b)
-	}
+	blocks := diag.Blocks(body)
 	if f.Seeds < 1 {
 		bad(body.Attributes["seeds"].Expr.Range(), "seeds must be 1 or more.")
 	}
--- a/internal/load/file.go
+++ b/internal/load/file.go
@@ -65,13 +65,7 @@
 }
 
 // Load reads and checks a plan, its trace too. An error names all faults with file, line and column.
-func Load(path string) (*File, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
-	return Parse(text, path)
-}
+func Load(path string) (*File, error) { return diag.Read(path, Parse) }
 
 // Parse reads the text of a plan; path is its name in errors, and where its trace's path begins.
 func Parse(text []byte, path string) (*File, error) {
@@ -87,38 +81,29 @@
 	bad := func(at hcl.Range, format string, a ...any) {
 		diags = append(diags, diag.At(at, "Bad plan", format, a...))
 	}
-	at := func(b *hclsyntax.Body, name string) hcl.Range {
-		if a := b.Attributes[name]; a != nil {
-			return a.Expr.Range()
-		}
-		return b.MissingItemRange()
-	}
-	blocks := map[string][]*hclsyntax.Block{}
-	for _, b := range body.Blocks {
-		blocks[b.Type] = append(blocks[b.Type], b)
-	}
+	blocks := diag.Blocks(body)
 	span := func(b *hclsyntax.Body, name, text string) time.Duration {
 		if text == "" {
 			return 0
 		}
 		d, err := time.ParseDuration(text)
 		if err != nil || d < 0 {
-			bad(at(b, name), "%s: %q is no time like \"2.5s\".", name, text)
+			bad(diag.Place(b, name), "%s: %q is no time like \"2.5s\".", name, text)
 		}
 		return d
 	}
 	f.terms = Terms{Class: f.Class, GiveUp: span(body, "give_up", f.GiveUp), Aim: span(body, "aim", f.Aim)}
 	if f.Class == "" {
-		bad(at(body, "class"), "class is empty.")
+		bad(diag.Place(body, "class"), "class is empty.")
 	}
 	if f.terms.GiveUp <= 0 {
-		bad(at(body, "give_up"), "give_up must be above 0.")
+		bad(diag.Place(body, "give_up"), "give_up must be above 0.")
 	}
 	if f.Seed < 0 {
-		bad(at(body, "seed"), "seed must not be below 0.")
+		bad(diag.Place(body, "seed"), "seed must not be below 0.")
 	}
 	if _, err := NewClient(Wire(f.Wire), "x", []string{"h:1"}); err != nil {
-		bad(at(body, "wire"), "%v.", err)
+		bad(diag.Place(body, "wire"), "%v.", err)
 	}
 	if (len(f.Phases) > 0) == (f.Trace != nil) {
 		bad(body.MissingItemRange(), "A plan has phases, or a trace.")
@@ -156,7 +141,7 @@
 	}
 	if t := f.Trace; t != nil && !diags.HasErrors() {
 		if err := f.read(t); err != nil {
-			bad(at(blocks["trace"][0].Body, "file"), "%s: %v.", t.File, err)
+			bad(diag.Place(blocks["trace"][0].Body, "file"), "%s: %v.", t.File, err)
 		}
 	}
 	return diags
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"sync"
 	"text/tabwriter"
@@ -19,7 +20,6 @@
 
 	clients  int // that waited for their answers; 0 for an open loop
 	mu       sync.Mutex
-	terms    Terms
 	planned  int // jobs that came due
 	unsent   int // of them, not sent for want of room in the generator
 	stopped  int // of them, open when the run was stopped
@@ -31,12 +31,12 @@
 	lag      *hdrhistogram.Histogram // how late jobs left
 }
 
-func newResult(t Terms) *Result {
+func newResult(clients int) *Result {
 	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, time.Hour.Microseconds(), 3) }
-	return &Result{terms: t, accounts: map[string]*[outcomes]int{}, latency: h(), service: h(), lag: h()}
+	return &Result{clients: clients, accounts: map[string]*[outcomes]int{}, latency: h(), service: h(), lag: h()}
 }
 
-func record1(h *hdrhistogram.Histogram, d time.Duration) {
+func enter(h *hdrhistogram.Histogram, d time.Duration) {
 	_ = h.RecordValue(min(max(d.Microseconds(), 1), time.Hour.Microseconds())) // always in range
 }
 
@@ -44,7 +44,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.planned++
-	record1(r.lag, lag)
+	enter(r.lag, lag)
 }
 
 func (r *Result) shed() {
@@ -71,8 +71,8 @@
 	}
 	a[e.outcome]++
 	if e.answered {
-		record1(r.latency, e.latency)
-		record1(r.service, e.service)
+		enter(r.latency, e.latency)
+		enter(r.service, e.service)
 	}
 }
 
@@ -178,12 +178,7 @@
 		}
 		fmt.Fprintln(w)
 	}
-	names := make([]string, 0, len(f.Accounts))
-	for name := range f.Accounts {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	for _, name := range names {
+	for _, name := range slices.Sorted(maps.Keys(f.Accounts)) {
 		line(name, f.Accounts[name])
 	}
 	line("all", f.Outcomes)
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// A result is of use if so many of 1,000 jobs left no later than LagMost after they were due.
+	// A result is of use if so large a part of the jobs left no later than LagMost after they were due.
 	LagMost  = 10 * time.Millisecond
 	lagShare = 0.99
 
@@ -50,8 +50,7 @@
 	if o.Begin.IsZero() {
 		o.Begin = time.Now()
 	}
-	r := newResult(o.Terms)
-	r.clients = o.Clients
+	r := newResult(o.Clients)
 	var wait sync.WaitGroup
 	var open atomic.Int64
 	var room chan struct{}
@@ -61,31 +60,24 @@
 	chance := rand.New(rand.NewPCG(o.Seed, 4))
 	for j, ok := source.Next(); ok; j, ok = source.Next() {
 		due := o.Begin.Add(j.At)
-		if !until(ctx, due) || !enter(ctx, room) {
+		if !until(ctx, due) || !arrive(ctx, room) {
 			r.CutShort = true
 			break
 		}
 		if j.Key == "" {
 			j.Key = newKey()
 		}
-		lag := time.Since(due)
-		r.due(lag)
+		r.due(time.Since(due))
 		if open.Load() >= int64(o.MostOpen) {
 			r.shed()
-			if room != nil {
-				<-room
-			}
+			leave(room)
 			continue
 		}
 		open.Add(1)
 		again := chance.Float64() < o.Terms.Retry.Share // drawn here, so that it goes by the seed alone
 		wait.Go(func() {
-			defer func() {
-				open.Add(-1)
-				if room != nil {
-					<-room
-				}
-			}()
+			defer leave(room)
+			defer open.Add(-1)
 			end := play(ctx, j, due, again, to, &o.Terms)
 			if end.outcome == Unanswered && ctx.Err() != nil {
 				r.cut()
@@ -102,8 +94,8 @@
 	return r
 }
 
-// enter waits for a client that is free, where they are bounded, and tells whether there is one.
-func enter(ctx context.Context, room chan struct{}) bool {
+// arrive waits for a client that is free, where they are bounded, and tells whether there is one.
+func arrive(ctx context.Context, room chan struct{}) bool {
 	if room == nil {
 		return true
 	}
@@ -115,6 +107,13 @@
 	}
 }
 
+// leave gives a client free again.
+func leave(room chan struct{}) {
+	if room != nil {
+		<-room
+	}
+}
+
 // newKey is a key that no other job has.
 func newKey() string {
 	var b [16]byte
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"net"
-	"os"
 	"path/filepath"
 	"reflect"
 	"strings"
@@ -97,11 +96,7 @@
 func (r *reader) bad(attribute, format string, a ...any) { r.badIn(r.body, attribute, format, a...) }
 
 func (r *reader) badIn(body *hclsyntax.Body, attribute, format string, a ...any) {
-	at := body.MissingItemRange()
-	if attr := body.Attributes[attribute]; attr != nil {
-		at = attr.Expr.Range()
-	}
-	r.diags = append(r.diags, diag.At(at, "Bad "+attribute, format, a...))
+	r.diags = append(r.diags, diag.At(diag.Place(body, attribute), "Bad "+attribute, format, a...))
 }
 
 // address checks where a front listens. Off loopback its traffic can be read on the way unless it is encrypted, so an
@@ -252,11 +247,7 @@
 	if strings.EqualFold(filepath.Ext(path), ".toml") {
 		return nil, fmt.Errorf("%s: operators' files are HCL now: put its settings into a block front \"progress\" { ... }, see deploy/operator.hcl", path)
 	}
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, err
-	}
-	return Parse(text, path)
+	return diag.Read(path, Parse)
 }
 
 // Parse reads the text of a file; path is its name in faults, and relative paths in it count from the path's folder.
--- a/internal/program/operations.go
+++ b/internal/program/operations.go
@@ -25,7 +25,8 @@
 
 func (o *operations) Ready() bool { return o.d.serving.Load() }
 func (o *operations) Figures() string {
-	figures := protocol.Figures(o.d.core.Ledger().Figures())
+	counted := o.d.core.Ledger().Figures()
+	figures := protocol.Figures(counted)
 	if o.d.http2 != nil {
 		figures += o.d.http2.Figures()
 	}
@@ -33,7 +34,7 @@
 		figures += o.d.accounts.Figures()
 	}
 	if o.d.budgeted {
-		figures += fmt.Sprintf("retries_denied=%d\n", o.d.core.Ledger().Figures().RetriesDenied)
+		figures += fmt.Sprintf("retries_denied=%d\n", counted.RetriesDenied)
 	}
 	if o.d.saved != nil {
 		figures += o.d.saved.figures()
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -266,7 +266,7 @@
 // Retune puts new settings in force for the requests that come from now on.
 func (c *Core) Retune(s brain.Settings) { c.box.Post(brain.Retuned{Settings: s}) }
 
-// Limit puts a budget in force for requests' further calls: so many for each first one. A negative share takes it away.
+// Limit puts a budget in force for requests' further calls: so many for each first one.
 func (c *Core) Limit(share float64) { c.box.Post(limited{share}) }
 
 // Shared tells how many processes act as this dispatcher.
@@ -343,14 +343,10 @@
 		c.endpoints.Bar(m.id, since) // first, so that what the module sends from now on finds it done
 		c.feed(ev)
 	case limited:
-		switch {
-		case m.share < 0:
-			c.budget = nil
-		case c.budget == nil:
+		if c.budget == nil {
 			c.budget = retries.New(m.share)
-		default:
-			c.budget.Retune(m.share)
 		}
+		c.budget.Retune(m.share)
 	case learned:
 		m.answer <- c.module.Experience() // has room
 	case knows:
@@ -473,7 +469,7 @@
 		if id.Attempt == 0 {
 			c.budget.First(c.now, r.ClassName, r.Account)
 		} else if !c.budget.Further(c.now, r.ClassName, r.Account) {
-			c.ledger.denied()
+			c.ledger.denied(c.budget.Denied())
 			c.Finished(id, End{Outcome: brain.NeverSent})
 			return
 		}
--- a/internal/routing/ledger.go
+++ b/internal/routing/ledger.go
@@ -83,8 +83,6 @@
 	})
 }
 
-func (l *Ledger) denied() { l.enter(func(f *Figures) { f.RetriesDenied++ }) }
-
 func (l *Ledger) taken() { l.enter(func(f *Figures) { f.Concurrent++ }) }
 func (l *Ledger) left()  { l.enter(func(f *Figures) { f.Concurrent-- }) }
 
@@ -93,4 +91,5 @@
 }
 
 func (l *Ledger) listed(n int) { l.enter(func(f *Figures) { f.Targets = n }) }
+func (l *Ledger) denied(n int) { l.enter(func(f *Figures) { f.RetriesDenied = n }) }
 func (l *Ledger) avoids(n int) { l.enter(func(f *Figures) { f.Avoided = n }) }
