Tests: how many jobs came to boxes, and what a dispatcher learns first, stand once

Read again: the sum of jobs over boxes stood four times, its twin for one box in a closure, and the same first jobs of a dispatcher twice. jobsAt and learns serve them; every assertion is as it was.

--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -20,6 +20,16 @@
 	return vs
 }
 
+// learns has the first jobs run one after the other, each for so long.
+func (v *driver) learns(jobs RequestID, run time.Duration) {
+	for id := RequestID(1); id <= jobs; id++ {
+		v.arrive(id, 0)
+		v.give(Began{ID: id})
+		v.pass(run)
+		v.served(id, nil)
+	}
+}
+
 // Where there are many dispatchers, each with few jobs, a key still has the same homes at all. Each dispatcher once
 // drew its jobs to a few workers of its own, whatever their keys: every worker fetched what eighty dispatchers' keys
 // need, on 60 workers for most of the jobs, and kept none of it.
@@ -97,12 +107,7 @@
 	const dispatchers, n, jobs = 80, 60, 8
 	sent := 0
 	for _, v := range asked(t, dispatchers, n) {
-		for id := RequestID(1); id <= jobs; id++ {
-			v.arrive(id, 0)
-			v.give(Began{ID: id})
-			v.pass(250 * ms)
-			v.served(id, nil)
-		}
+		v.learns(jobs, 250*ms)
 		cold := workers(n)
 		for i := range cold {
 			cold[i].ID, cold[i].Since = WorkerID(fmt.Sprint("new-", i)), v.now-v.d.set.Cold/10
@@ -217,12 +222,7 @@
 	for _, v := range asked(t, dispatchers, n) {
 		v.now = start
 		set = v.d.set
-		for id := RequestID(1); id <= 8; id++ {
-			v.arrive(id, 0)
-			v.give(Began{ID: id})
-			v.pass(mean * 1000 * ms)
-			v.served(id, nil)
-		}
+		v.learns(8, mean*1000*ms)
 		v.now = start + 10*time.Second
 		ws := workers(n)
 		for i := range cold {
--- a/cmd/brassdale/fleet_test.go
+++ b/cmd/brassdale/fleet_test.go
@@ -68,20 +68,11 @@
 	n.registry.set(func() { n.registry.boxes = replaced })
 	n.waitFor("the new list", func() bool { return strings.Contains(n.log(), "revision=2") })
 	n.all("told", 1) // behind it the module knows
-	before := 0
-	for _, b := range boxes[:6] {
-		_, jobs := b.count()
-		before += jobs
-	}
+	before := jobsAt(boxes[:6]...)
 	if served := n.all("after", 100); served != 100 {
 		t.Errorf("%d of 100 served after", served)
 	}
-	after := 0
-	for _, b := range boxes[:6] {
-		_, jobs := b.count()
-		after += jobs
-	}
-	if after != before {
+	if after := jobsAt(boxes[:6]...); after != before {
 		t.Errorf("%d jobs at workers that are gone", after-before)
 	}
 }
@@ -177,11 +168,7 @@
 				t.Errorf("job %d: %d", i, status)
 			}
 		}
-		for _, b := range boxes {
-			_, got := b.count()
-			calls += got
-		}
-		return calls, n.figure("retries_denied"), n
+		return jobsAt(boxes...), n.figure("retries_denied"), n
 	}
 	free, none, _ := run("")
 	calls, denied, n := run("fleet {\n  retry_budget = 0.1\n}\n")
--- a/cmd/brassdale/http2_test.go
+++ b/cmd/brassdale/http2_test.go
@@ -520,15 +520,14 @@
 	for i := range uint32(40) {
 		p.job(2*i+1, fmt.Sprint("drain-", i))
 	}
-	jobs := func(b *box) int { _, jobs := b.count(); return jobs }
-	n.waitFor("jobs at both", func() bool { return jobs(a) > 0 && jobs(other) > 0 })
+	n.waitFor("jobs at both", func() bool { return jobsAt(a) > 0 && jobsAt(other) > 0 })
 	n.registry.set(func() { a.phase = "leaving" })
 	n.waitFor("the news", func() bool { return strings.Count(n.log(), "destination set") >= 1 })
 	n.waitFor("the end of the grace", func() bool { return time.Since(n.told()) > 500*time.Millisecond })
-	had := jobs(a)
+	had := jobsAt(a)
 	close(release)
 	n.waitFor("all answers", func() bool { return n.figure("concurrent") == 0 && n.figure("front.http2.streams") == 0 })
-	if now := jobs(a); now != had {
+	if now := jobsAt(a); now != had {
 		t.Errorf("%d jobs reached the draining endpoint", now-had)
 	}
 	n.waitFor("a head for each", func() bool {
--- a/cmd/brassdale/inbound_test.go
+++ b/cmd/brassdale/inbound_test.go
@@ -337,14 +337,7 @@
 		return resp
 	}
 	io.WriteString(other, "GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n") // no job: it stays free
-	n.waitFor("all jobs at the endpoints", func() bool {
-		sum := 0
-		for _, b := range boxes {
-			_, jobs := b.count()
-			sum += jobs
-		}
-		return sum >= 30
-	})
+	n.waitFor("all jobs at the endpoints", func() bool { return jobsAt(boxes...) >= 30 })
 	n.stop()
 	i, resp := 0, (*http.Response)(nil)
 	n.waitFor("a refusal for the sake of the last free connections", func() bool {
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -101,6 +101,15 @@
 	return b.conns, b.jobs
 }
 
+// jobsAt is how many jobs came to some boxes together.
+func jobsAt(boxes ...*box) (sum int) {
+	for _, b := range boxes {
+		_, jobs := b.count()
+		sum += jobs
+	}
+	return sum
+}
+
 // head starts a chunked answer, chunk goes on with it, last ends it.
 func head(c net.Conn, kind string) {
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: %s\r\nTransfer-Encoding: chunked\r\n\r\n", kind)
