The ring of workers counts those that are listed, at one threshold

Read again: whether a job with a key looks at all workers or at a window was decided twice, by two counts: encircle took all workers ever known, nearOf the ring with its 32 doubled entries.

Change: encircle alone decides, by the listed ones, and leaves the ring empty where all are looked at.

--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -293,6 +293,17 @@
 		}
 		return best
 	}
+	for listed, want := range map[int]int{100: 100, allOfKey: allOfKey, allOfKey + 1: keyWindow} {
+		d := make(2*allOfKey, false) // those that are gone count for nothing
+		d.Handle(start, Listed{Kind: ListFull, Workers: workers(listed)})
+		on := 0
+		for _, w := range d.nearOf(1) {
+			on += oneIf(w.listed)
+		}
+		if on != want {
+			t.Errorf("%d listed: a job looks at %d, want %d", listed, on, want)
+		}
+	}
 	a, b, more := make(n, false), make(n, true), make(n+1, false)
 	at, moved := map[WorkerID]int{}, 0
 	for key := uint64(1); key <= keys; key++ {
--- a/brain/state.go
+++ b/brain/state.go
@@ -238,27 +238,32 @@
 	return x ^ x>>29
 }
 
-// keyWindow is how many workers are looked at for a job with a key, beside the cold ones that this dispatcher owns. Up to
-// four times as many listed workers all are: a fleet of that size keeps each key's homes by all of them.
-const keyWindow = 32
+const (
+	// keyWindow is how many workers are looked at for a job with a key, beside the cold ones that this dispatcher owns, ...
+	keyWindow = 32
+	// ... where more than these are listed; of so many each key's homes are by all.
+	allOfKey = 128
+)
 
-// encircle brings the index of listed workers by their hashes up to date: a ring, on which a key has its place.
+// encircle brings the index of listed workers by their hashes up to date: a ring, on which a key has its place. It is empty
+// where all are looked at.
 func (d *Dispatcher) encircle() {
-	if d.cold = d.cold[:0]; len(d.near) <= 4*keyWindow {
-		d.ring = d.ring[:0]
-		return
-	}
 	on := func(w *worker) bool { return w.listed && !w.out }
-	members := uint64(0)
+	count, members := 0, uint64(0)
+	d.cold = d.cold[:0]
 	for _, w := range d.near {
 		if on(w) {
-			members += mix(w.hash)
+			count, members = count+1, members+mix(w.hash)
 			if d.warmth(w) < 1 && d.owns(w) {
 				d.cold = append(d.cold, w)
 			}
 		}
 	}
-	if members == d.members && len(d.ring) > 0 {
+	switch {
+	case count <= allOfKey:
+		d.ring = d.ring[:0]
+		return
+	case members == d.members && len(d.ring) > 0:
 		return // the ring as it is
 	}
 	d.ring, d.members = d.ring[:0], members
@@ -268,13 +273,13 @@
 		}
 	}
 	slices.SortFunc(d.ring, func(a, b *worker) int { return cmp.Compare(a.hash, b.hash) })
-	d.ring = append(d.ring, d.ring[:min(keyWindow, len(d.ring))]...) // so that no window has a gap
+	d.ring = append(d.ring, d.ring[:keyWindow]...) // so that no window has a gap
 }
 
 // nearOf gives those of near that a job of a key is drawn to: a window of the ring from the key's place, the same at every
 // dispatcher. One that joins or leaves moves windows by one, so few keys change their homes, and those by one worker.
 func (d *Dispatcher) nearOf(key uint64) []*worker {
-	if key == 0 || len(d.ring) <= 4*keyWindow {
+	if key == 0 || len(d.ring) == 0 {
 		return d.near
 	}
 	whole := d.ring[:len(d.ring)-keyWindow]
