--- a/brain/brain.go
+++ b/brain/brain.go
@@ -528,6 +528,14 @@
 	return min(r.born+in, r.expires-run) - d.now
 }
 
+// patience is how long a request whose late answer is worth nothing may wait for its start: as long as a like
+// job can be in time, and the less the more of the recent jobs waited, down to half its aim. Where all wait,
+// what begins has waited for as long as it may, and what of it is short ends late: run for nothing.
+func (d *Dispatcher) patience(r *request) time.Duration {
+	most := d.slack(r) + d.now - r.born
+	return most + seconds(d.jam*(r.set.Classes[r.class].Aim/2-most).Seconds())
+}
+
 // place pushes what is held, as far as there is room: what can still be in time first, then by worth for its
 // work, then the youngest (under overload the old ones are nearly lost, and would make all late).
 func (d *Dispatcher) place() {
@@ -838,7 +846,7 @@
 		}
 	}
 	c := &r.set.Classes[r.class]
-	late := c.LateWorth <= 0 && d.slack(r) < 0
+	late := c.LateWorth <= 0 && d.now-r.born > d.patience(r)
 	switch {
 	case last == nil:
 		if r.expires-d.now <= 2*d.tick() || late {
--- a/brain/large_test.go
+++ b/brain/large_test.go
@@ -275,7 +275,7 @@
 		s.MayCopy = true
 		v := newDriver(t, s)
 		v.list(fleet(3, 1)...)
-		v.d.jam = jam
+		v.d.jam, v.d.classes[1].scale = jam, 0.3 // else there is no time for a copy
 		v.arrive(1, 1)
 		if got := count[Send](v.pass(want - 10*ms)); got != 0 {
 			t.Errorf("jam %v: copied before %v", jam, want)
--- a/brain/loss_test.go
+++ b/brain/loss_test.go
@@ -166,6 +166,23 @@
 	}
 }
 
+// Where all wait, a job that may not begin soon is given up sooner. All once waited for as long as a like job could be in
+// time: on a full fleet those that began had all waited for just so long, and a third of all answers came late.
+func TestPatienceShrinksWhereAllWait(t *testing.T) {
+	for jam, want := range map[float64]time.Duration{0: 350 * ms, 0.5: 225 * ms, 1: 100 * ms} {
+		v := newDriver(t, plain())
+		v.list(workers(1)...)
+		v.d.classes[1].scale, v.d.jam = 0.3, jam // aim 200 ms, and the half of 300 ms that a like job's own run adds
+		v.arrive(1, 1)
+		if acts := v.pass(want - 20*ms); count[Fail](acts) != 0 {
+			t.Errorf("jam %v: given up before %v", jam, want)
+		}
+		if acts := v.pass(60 * ms); count[Fail](acts) != 1 || count[Cancel](acts) != 1 {
+			t.Errorf("jam %v: not given up after %v: %v", jam, want, acts)
+		}
+	}
+}
+
 // A keyed job that nobody has begun when its answer can be worth nothing is given up: called off, so that it is no
 // longer in the way of others in the worker's queue, and answered. It once stayed there to its deadline: on a fleet
 // short of room for seconds all queues filled with such jobs, and what was begun was late already.
