--- a/brain/brain.go
+++ b/brain/brain.go
@@ -45,7 +45,9 @@
 	classMemory = 0.97                   // and in a class's mean work: about thirty jobs
 	workShare   = 0.5                    // most jobs are well under the mean work of their class
 
-	crowdDoubt = 20  // jobs for each unit of size that all dispatchers assume beside those counted
+	crowdDoubt = 20  // jobs for each unit of size that all dispatchers assume beside those counted, ...
+	crowdLeast = 0.4 // ... and each at least: a job or two of its own at a worker are chance
+	keyRoom    = 1.5 // workers for a key, as a multiple of those that its part of the jobs fills
 	homesOfKey = 2   // workers at which a key is at home: one has too few slots, three fetch too often
 	awayValue  = 1e3 // more than any place in the rotation of a key
 
@@ -89,6 +91,7 @@
 	return &Dispatcher{
 		set: set, rng: rand.New(rand.NewPCG(seed, uint64(set.Me))), cursor: set.Me, allow: firstAllow,
 		byID: map[WorkerID]*worker{}, out: map[WorkerID]bool{}, processes: 1, open: map[RequestID]*request{},
+		keys:    tally{count: map[uint64]float64{}},
 		kindTop: map[int]float64{}, kindLag: map[int]float64{}, classes: make([]classState, len(set.Classes)),
 	}
 }
@@ -255,7 +258,8 @@
 			d.size += w.size()
 		}
 	}
-	all := float64(len(zones[0]) + len(zones[1]))
+	d.all = len(zones[0]) + len(zones[1])
+	all := float64(d.all)
 	want := int(math.Ceil(max(nearLeast, nearSpan*d.rate, 2*all/float64(d.set.Dispatchers))))
 	if d.small = all <= max(nearAll*d.rate, float64(want)); d.small || d.keyed {
 		d.near = append(d.near, d.workers...)
@@ -406,6 +410,7 @@
 	if d.small { // loads are known well, and tell the pace too
 		crossing, pace = d.set.CrossZonePrice*zoneWeight, nil
 	}
+	spread := d.spread(r.key) / max(d.size, 1e-3)
 	var best *worker
 	least, at := math.Inf(1), 0
 	for i := range from {
@@ -427,7 +432,7 @@
 			// their value, and the rotation starts at the key's own place: one that ran the key before has
 			// what others fetch. One that got too much, or where jobs wait until called off, keeps fewer.
 			if v > -awayValue && (v+d.share(w, r.slots-roundDown))*d.drag(w) <= 1 {
-				v = w.homes(r.key)*(1+v+w.passed.at(d.now))*d.crowd(w) - awayValue
+				v = max(w.homes(r.key), spread)*(1+v+w.passed.at(d.now))*d.crowd(w) - awayValue
 			}
 		}
 		if v < least-tieBand || v < least+tieBand && w.turn < best.turn-tieBand {
@@ -486,9 +491,12 @@
 	left := e.Expires - d.now
 	c.span = max(c.span, left)
 	d.seq++
-	if e.Key != 0 && !d.keyed {
-		d.keyed = true
-		d.choose()
+	if e.Key != 0 {
+		if !d.keyed {
+			d.keyed = true
+			d.choose()
+		}
+		d.keys.add(e.Key, keyMemory*d.all)
 	}
 	r := &request{
 		id: e.ID, set: d.set, class: class, slots: e.Slots, key: e.Key,
@@ -573,10 +581,22 @@
 // crowd is how far a worker's part of the recent jobs is over the part that its size makes fair; 1 at least.
 // The own ones are a sample of all.
 func (d *Dispatcher) crowd(w *worker) float64 {
-	doubt := crowdDoubt / float64(max(d.set.Dispatchers, 2))
+	doubt := max(crowdDoubt/float64(max(d.set.Dispatchers, 2)), crowdLeast)
 	return max((w.recent.at(d.now)+doubt)/(d.recent.at(d.now)/max(d.size, 1e-3)+doubt), 1)
 }
 
+// spread is how many of a key's homes count alike for it: as many as its part of the own jobs fills, by what
+// a sample of so few at least shows (a standard deviation less). All dispatchers sample the same jobs: a hot
+// key must not wait at its first home to find its second, nor a rare one be fetched where it is not kept.
+func (d *Dispatcher) spread(key uint64) float64 {
+	came := d.keys.count[key] - 1 // beside this one
+	homes := keyRoom * float64(d.all) * (came - math.Sqrt(max(came, 0))) / d.keys.total
+	if homes <= 1 {
+		return 0
+	}
+	return homes
+}
+
 // home tells whether the worker is one of the first in the rotation of the request's key.
 func (d *Dispatcher) home(r *request, w *worker) bool {
 	before, own := 0, w.homes(r.key)
@@ -657,10 +677,7 @@
 	}
 	d.waited(a.w, d.now-a.sent > waitGrace)
 	spare := d.slack(r) + d.now - r.born
-	step := allowStep
-	if d.small {
-		step = min(allowStep*float64(d.set.Dispatchers), mostStep)
-	}
+	step := d.allowBy()
 	switch {
 	case float64(d.now-a.sent) > waitShare*float64(spare):
 		d.allow = max(d.allow-step, leastAllow)
@@ -672,6 +689,14 @@
 	}
 }
 
+// allowBy is how far one job moves the allowance.
+func (d *Dispatcher) allowBy() float64 {
+	if d.small {
+		return min(allowStep*float64(d.set.Dispatchers), mostStep)
+	}
+	return allowStep
+}
+
 // callOff cancels the attempts that are out and meet the condition.
 func (d *Dispatcher) callOff(r *request, when func(*attempt) bool) {
 	for i := range r.attempts {
@@ -740,24 +765,6 @@
 	}
 }
 
-// ran learns from a job's running time what its class takes and how fast the worker is.
-func (d *Dispatcher) ran(r *request, a *attempt) {
-	c, unit := &d.classes[r.class], cmp.Or(r.hint.Seconds(), 1)
-	run := (d.now - cmp.Or(a.began, a.sent)).Seconds()
-	if d.now == d.stalled || run <= 0 {
-		return
-	}
-	d.jobs, c.jobs = d.jobs+1, c.jobs+1
-	learn(&d.stay, d.jobs, (d.now - a.sent).Seconds())
-	learn(&d.mean, d.jobs, run*r.slots)
-	learn(&c.scale, c.jobs, run/unit)
-	learn(&c.usual, c.jobs, math.Log(run/unit))
-	late := d.lateness(r, a)
-	d.kindLag[a.w.Kind] += (1 - classMemory) * (late - d.kindLag[a.w.Kind])
-	a.w.lag = a.w.lag*slowMemory + late
-	a.w.jobs = a.w.jobs*slowMemory + 1
-}
-
 // canGo tells whether some listed worker may take the request, now or later.
 func (d *Dispatcher) canGo(r *request) bool {
 	if !r.has(maybe) {
@@ -857,6 +864,7 @@
 		d.finish(r)
 	case late && !begun && d.set.TellsStart: // its turn comes too late: given up in time
 		d.waited(last.w, true)
+		d.allow = max(d.allow-d.allowBy(), leastAllow)
 		d.answer(r)
 	case c.Effect == Unsafe || last.canceled || begun && sound || len(r.attempts)+1 >= r.set.MaxAttempts:
 	case r.set.MayCopy && r.set.MayCancel:
@@ -960,16 +968,6 @@
 
 // ---- Cold budget ----
 
-// warmth is the share of its capacity that a worker can be trusted to have, by its age.
-func (d *Dispatcher) warmth(w *worker) float64 {
-	age := d.now - w.Since
-	if w.Since <= 0 || d.set.Cold <= 0 || age >= d.set.Cold {
-		return 1
-	}
-	start := min(max(d.set.StartCapacity, 0.01), 1)
-	return start + (1-start)*max(float64(age)/float64(d.set.Cold), 0)
-}
-
 // affords tells whether a cold worker may be sent the request within this dispatcher's part of
 // what it can stand.
 func (d *Dispatcher) affords(w *worker, r *request) bool {
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -284,6 +284,46 @@
 	}
 }
 
+// A key that is an eighth of the jobs needs twenty-odd of 185 workers. Every dispatcher, with six jobs a second, sent a third of
+// them to its first home: 190 a second came to a worker that runs 25, and waited there to be copied elsewhere.
+func TestHotKeyIsSpreadAlikeByAll(t *testing.T) {
+	at, hot, first := map[WorkerID]int{}, 0, map[WorkerID]int{}
+	for me := range 4 {
+		s := plain()
+		s.Me, s.Dispatchers = 70*me, 300
+		v := newDriver(t, s)
+		v.list(workers(185)...)
+		for id := RequestID(1); id <= 600; id++ {
+			key := uint64(id) << 20 // that comes once
+			if id%8 == 0 {
+				key = 7
+			} else if id%100 == 1 {
+				key = 11
+			}
+			to := sentTo(v.give(Arrived{ID: id, Slots: 1, Key: key, Expires: v.now + 2*time.Second}))
+			v.give(Began{ID: id, Worker: to})
+			v.now += 150 * ms
+			v.served(id, nil)
+			if key == 7 && id > 200 {
+				at[to]++
+				hot++
+			} else if key == 11 {
+				first[to]++
+			}
+		}
+	}
+	most := 0
+	for _, n := range at {
+		most = max(most, n)
+	}
+	if most > hot/10 || len(at) < 15 || len(at) > 60 {
+		t.Errorf("%d jobs of a hot key went to %d workers, %d of them to one", hot, len(at), most)
+	}
+	if len(first) > 2 {
+		t.Errorf("a key that is a hundredth of the jobs went to %d workers: %v", len(first), first)
+	}
+}
+
 // Past some hundred workers a job with a key looks at a window of them. The window is the same at every dispatcher, whatever
 // the order in which it heard of them; one worker that joins moves few keys, and no worker is in far more windows than another.
 func TestWindowsOfKeys(t *testing.T) {
--- a/brain/loss_test.go
+++ b/brain/loss_test.go
@@ -180,6 +180,9 @@
 		if acts := v.pass(60 * ms); count[Fail](acts) != 1 || count[Cancel](acts) != 1 {
 			t.Errorf("jam %v: not given up after %v: %v", jam, want, acts)
 		}
+		if v.d.allow >= firstAllow { // it waited there as well, for longer than any that began
+			t.Errorf("jam %v: the allowance is still %v", jam, v.d.allow)
+		}
 	}
 }
 
--- a/brain/state.go
+++ b/brain/state.go
@@ -11,7 +11,10 @@
 
 // The state that the decisions of brain.go are made on; nothing is decided here.
 
-const jamMemory = 10 // jobs
+const (
+	jamMemory = 10 // jobs
+	keyMemory = 4  // jobs for each worker: a key that fills one is seen a few times
+)
 
 // health tells whether jobs may go to a worker, or those of one class.
 type health struct {
@@ -119,7 +122,9 @@
 	stalled             Clock           // the turn in which this process found that it had stood still
 	rate, mean          float64         // own jobs a second; mean work of a job in slot-seconds
 	recent              fading          // pushes
-	size                float64         // of all listed workers together
+	keys                tally           // own jobs by key
+	size                float64         // of all listed workers together, ...
+	all                 int             // and their number
 	allow               float64         // how far over its slots a worker may be filled now
 	stay, others        float64         // mean seconds from push to answer; mean share that others use
 	idleSafe            time.Duration   // connections idle for less were not lost; 0 for all
@@ -224,6 +229,34 @@
 	}
 }
 
+// ran learns from a job's running time what its class takes and how fast the worker is.
+func (d *Dispatcher) ran(r *request, a *attempt) {
+	c, unit := &d.classes[r.class], cmp.Or(r.hint.Seconds(), 1)
+	run := (d.now - cmp.Or(a.began, a.sent)).Seconds()
+	if d.now == d.stalled || run <= 0 {
+		return
+	}
+	d.jobs, c.jobs = d.jobs+1, c.jobs+1
+	learn(&d.stay, d.jobs, (d.now - a.sent).Seconds())
+	learn(&d.mean, d.jobs, run*r.slots)
+	learn(&c.scale, c.jobs, run/unit)
+	learn(&c.usual, c.jobs, math.Log(run/unit))
+	late := d.lateness(r, a)
+	d.kindLag[a.w.Kind] += (1 - classMemory) * (late - d.kindLag[a.w.Kind])
+	a.w.lag = a.w.lag*slowMemory + late
+	a.w.jobs = a.w.jobs*slowMemory + 1
+}
+
+// warmth is the share of its capacity that a worker can be trusted to have, by its age.
+func (d *Dispatcher) warmth(w *worker) float64 {
+	age := d.now - w.Since
+	if w.Since <= 0 || d.set.Cold <= 0 || age >= d.set.Cold {
+		return 1
+	}
+	start := min(max(d.set.StartCapacity, 0.01), 1)
+	return start + (1-start)*max(float64(age)/float64(d.set.Cold), 0)
+}
+
 // usable gives settings as the decisions take them.
 func (s Settings) usable() *Settings {
 	s.Dispatchers, s.Me = max(s.Dispatchers, s.Me+1, 1), max(s.Me, 0)
@@ -339,6 +372,26 @@
 
 func (f *fading) add(now Clock, x float64) { f.sum = f.at(now) + x }
 
+// tally counts by key. The past weighs half as much each time the count is full, and what it then tells of a key that came
+// once is dropped: it holds no more keys than the count.
+type tally struct {
+	count map[uint64]float64
+	total float64
+}
+
+func (t *tally) add(key uint64, full int) {
+	if t.total >= float64(max(full, 1)) {
+		t.total /= 2
+		for k, n := range t.count {
+			if t.count[k] = n / 2; n < 2 {
+				delete(t.count, k)
+			}
+		}
+	}
+	t.count[key]++
+	t.total++
+}
+
 // sane gives -1 for a figure that was not told.
 func sane(x float64) float64 {
 	if math.IsNaN(x) || math.IsInf(x, 0) || x < 0 {
