Pushed lists: the agent is watched from the start, through silence, SIGHUP and replacing

The log of each process has one line 'destination set', revision 0, from its start, and none later. At fault: routing/destinations.go watches only once the module has sent Subscribe, and brain.go sends that only where lists are asked for; a failed call was not followed by another either.

Change: where lists are pushed the destination set's actor watches by itself from its start, calls last two fifths of the drain's grace at most, a failed one is followed 100 ms later, an empty answer that comes at once is paced, and a drain found after a silence counts as told since the last answer.

--- a/internal/decisions/pacing/pacing_test.go
+++ b/internal/decisions/pacing/pacing_test.go
@@ -13,8 +13,9 @@
 	rapid.Check(t, func(t *rapid.T) {
 		fresh := rapid.Bool().Draw(t, "fresh")
 		n := rapid.IntRange(-1, 1<<30).Draw(t, "dispatchers")
-		got := Rewatch(fresh, n, rapid.Float64Range(0, 1).Draw(t, "chance"))
-		if got < 0 || got > Gap-Margin || !fresh && got < empty {
+		early := rapid.Bool().Draw(t, "early")
+		got := Rewatch(fresh, early, n, rapid.Float64Range(0, 1).Draw(t, "chance"))
+		if got < 0 || got > Gap-Margin || !fresh && got < empty || !fresh && early && got < prompt {
 			t.Fatalf("after %v", got)
 		}
 	})
@@ -23,8 +24,19 @@
 // Eighty dispatchers that hear of a change at once ask again over at least 100 ms, two within 5 ms.
 func TestSpread(t *testing.T) {
 	for n, want := range map[int][2]time.Duration{1: {0, 0}, 2: {1, 5 * time.Millisecond}, 80: {100 * time.Millisecond, Gap}} {
-		if got := Rewatch(true, n, 1) - Rewatch(true, n, 0); got < want[0] || got > want[1] {
+		if got := Rewatch(true, false, n, 1) - Rewatch(true, false, n, 0); got < want[0] || got > want[1] {
 			t.Errorf("%d dispatchers: spread over %v", n, got)
 		}
 	}
 }
+
+// A drain that an agent has while it is silent is heard inside the grace: a call that hangs, the pause and the next call.
+func TestAgentWithinTheGrace(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		grace := time.Duration(rapid.Int64Range(int64(500*time.Millisecond), int64(time.Minute)).Draw(t, "grace"))
+		wait, within := Agent(grace)
+		if wait <= 0 || within <= 0 || wait+within+Again()+within > grace*9/10 {
+			t.Fatalf("a call waits %v, its answer %v more", wait, within)
+		}
+	})
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -196,6 +196,7 @@
 	d.set = routing.NewDestinations(d.core, d.fleet, discovery, known, log)
 	d.set.SetSource(source)
 	d.set.Among(func() int { return p.Now().ReplicasOfMe })
+	d.set.Pushed(func() bool { return p.Now().Pushed() })
 	if from != nil {
 		d.set.StartFrom(from)
 		age, ok := from.Trust.Age()
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -69,6 +69,9 @@
 	numbers []int // of the classes, in the module
 }
 
+// Pushed tells whether lists are pushed: discovery's address is then that of an agent on this machine.
+func (p *Params) Pushed() bool { return p.Discovery == "push" }
+
 // Live holds the settings in force. They are replaced as a whole: whoever begins something takes them once.
 type Live struct {
 	now atomic.Pointer[Params]
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -17,6 +17,7 @@
 type Update struct {
 	Revision     int64
 	Complete     bool // the whole set; who is absent is gone
+	Early        bool // it came before the call's wait was over
 	Destinations []Destination
 }
 
@@ -51,8 +52,10 @@
 	stop       context.CancelFunc // ends that call
 
 	dispatchers func() int
-	fault       string // of the last call; empty where it succeeded
-	faults      int    // calls that failed since one succeeded
+	pushed      func() bool // an agent has the list, and is asked without the module's asking
+	answered    time.Time   // when discovery last answered
+	fault       string      // of the last call; empty where it succeeded
+	faults      int         // calls that failed since one succeeded
 }
 
 type (
@@ -69,7 +72,8 @@
 // NewDestinations makes the actor with the set as it was known last, and tells the module of that.
 func NewDestinations(c *Core, e Endpoints, d Discovery, saved Update, log *slog.Logger) *Destinations {
 	s := &Destinations{core: c, endpoints: e, discovery: d, log: log, box: NewMailbox[any](),
-		known: map[brain.WorkerID]Destination{}, dispatchers: func() int { return 1 }}
+		known: map[brain.WorkerID]Destination{}, dispatchers: func() int { return 1 },
+		pushed: func() bool { return false }}
 	s.apply(saved, brain.ListSaved)
 	return s
 }
@@ -90,10 +94,17 @@
 // Among tells how many dispatchers watch the same discovery, in the settings in force.
 func (s *Destinations) Among(dispatchers func() int) { s.dispatchers = dispatchers }
 
+// Pushed tells whether lists are pushed to an agent, in the settings in force. The module does not ask for changes then:
+// the actor watches the agent from its start, and again by itself after each call that failed.
+func (s *Destinations) Pushed(pushed func() bool) { s.pushed = pushed }
+
 // Run is the actor's life.
 func (s *Destinations) Run(ctx context.Context) {
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
+	if s.pushed() {
+		s.Subscribe()
+	}
 	s.trust(func(now brain.Clock) []savedlist.Verdict { return s.start.Trust.Look(now) })
 	for {
 		if at, ok := s.due(); ok {
@@ -163,8 +174,12 @@
 		if ctx.Err() == nil {
 			s.failed(m.err)
 		}
-		s.watching = false // until the module asks again
 		s.core.Listed(brain.Listed{Kind: brain.ListFailed})
+		if s.pushed() {
+			s.watch(ctx, time.Now().Add(pacing.Again()))
+			return
+		}
+		s.watching = false // until the module asks again
 		return
 	}
 	if s.faults > 0 {
@@ -184,12 +199,13 @@
 		return
 	}
 	s.apply(m.update, kind)
+	s.answered = time.Now()
 	s.handOver()
 	if s.keeper != nil {
 		s.keeper.Listed(m.update)
 	}
 	s.source.Store(&Source{Name: "discovery", Told: time.Now()})
-	s.watch(ctx, time.Now().Add(pacing.Rewatch(fresh, s.dispatchers(), rand.Float64())))
+	s.watch(ctx, time.Now().Add(pacing.Rewatch(fresh, m.update.Early, s.dispatchers(), rand.Float64())))
 }
 
 // failed notes a failed call. The same fault again is no news: a list that is wrong is wrong at every call.
@@ -233,6 +249,9 @@
 	if d.State != brain.Ready { // told once: neither a repeat nor its end starts the grace of a drain anew
 		if d.Told = cmp.Or(old.Told, d.Told); d.Told.IsZero() { // a predecessor may have been told before
 			d.Told = now
+			if s.pushed() && !s.answered.IsZero() { // what the agent had counts as told: it may have had it since then
+				d.Told = s.answered
+			}
 		}
 	}
 	if d.Address == "" {
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"brassdale/internal/decisions/pacing"
 	"brassdale/internal/protocol"
 	"brassdale/internal/routing"
 )
@@ -42,10 +43,14 @@
 // Watch is one call. Its end is set beforehand: a discovery that was cut off keeps a connection open and
 // silent, and what it had to tell counts as told 2 s after the wait.
 func (d *Discovery) Watch(ctx context.Context, revision int64) (routing.Update, error) {
-	url, end := fmt.Sprintf("http://%s/registry/instances", d.Address), time.Now().Add(watchWithin)
+	wait, within := watchFor, watchWithin
+	if p := d.Params.Now(); p.Pushed() {
+		wait, within = pacing.Agent(p.Rules.DrainGrace.Span())
+	}
+	url, end := fmt.Sprintf("http://%s/registry/instances", d.Address), time.Now().Add(within)
 	if revision != routing.Whole {
-		url += fmt.Sprintf("?index=%d&wait=%d", revision, watchFor.Milliseconds())
-		end = end.Add(watchFor)
+		url += fmt.Sprintf("?index=%d&wait=%d", revision, wait.Milliseconds())
+		end = end.Add(wait)
 	}
 	ctx, stop := context.WithDeadline(ctx, end)
 	defer stop()
@@ -72,7 +77,9 @@
 	if revision == routing.Whole && !l.Complete {
 		return routing.Update{}, fmt.Errorf("asked for the whole list, discovery gave changes")
 	}
-	return Update(l, d.Params.Now()), nil
+	u := Update(l, d.Params.Now())
+	u.Early = time.Until(end) > within+wait/2
+	return u, nil
 }
 
 // Update gives a list in the core's terms.
