Copies, silence and giving up follow what is known of loads, ways and called-off work

One job that waited 50 ms was copied though its start could not be told sooner than two ways of 20 ms and a handshake; the copy ran as well, as workers there keep what is called off; jobs of a second had their worker shunned, as no progress is told; and half an aim of 120 ms was all the patience left in a jam.

Change: silence says nothing of a worker with a running job that tells no progress. The shortest time to a start in a zone is its way, no wait. A job whose work is told has its own patience; Req-Cost reaches the module on sockets too. Copies search for a slot only where loads are known roughly; elsewhere they save from a worker that says nothing.

--- a/brain/api.go
+++ b/brain/api.go
@@ -143,6 +143,7 @@
 	Busy      float64 // share of its cores that is busy
 	Requests  float64 // requests it holds
 	FreeSlots float64
+	Queue     float64 // requests that wait there
 }
 
 // Finished tells how one attempt ended; each Send gets exactly one.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -34,8 +34,11 @@
 	tieBand     = 1e-9                   // load values closer than this are ties
 	ownMemory   = 500 * time.Millisecond // how far back a report looks, about: one refresh and its delay
 	startGrace  = 150 * time.Millisecond // a job pushed to a free slot starts sooner than this
+	mostWay     = 50 * time.Millisecond  // to a zone and back: what takes longer has waited there
+	newWays     = 3                      // what a new connection takes beside, in ways
 	copyGrace   = 50 * time.Millisecond  // so soon a job is copied; sooner, copies fetch more than they save ...
 	jamGrace    = 200 * time.Millisecond // ... and so much later if all wait: a copy is one more in a queue
+	keptMost    = 0.5                    // of what is called off: if more stays in the queues, it is left there
 	waitGrace   = 100 * time.Millisecond // a job that starts later has waited
 	zoneWeight  = 15                     // load a crossing must save, for each unit of its price, ...
 	vagueWeight = 3                      // and where few workers are known, so that loads are known roughly
@@ -91,7 +94,7 @@
 	return &Dispatcher{
 		set: set, rng: rand.New(rand.NewPCG(seed, uint64(set.Me))), cursor: set.Me, allow: firstAllow,
 		byID: map[WorkerID]*worker{}, out: map[WorkerID]bool{}, processes: 1, open: map[RequestID]*request{},
-		keys:    tally{count: map[uint64]float64{}},
+		keys: tally{count: map[uint64]float64{}}, ways: map[int]time.Duration{},
 		kindTop: map[int]float64{}, kindLag: map[int]float64{}, classes: make([]classState, len(set.Classes)),
 	}
 }
@@ -365,6 +368,9 @@
 		return
 	}
 	d.bump(w, 0)
+	if q := sane(r.Queue); d.small && q >= 0 && free >= 0 && total > 0 {
+		d.traces.add(total-free+q, w.ownMean, w.calledOff.at(d.now))
+	}
 	w.load = load
 	w.base = max(load-d.share(w, w.ownMean), 0)
 	since := w.reported
@@ -536,11 +542,14 @@
 	return min(r.born+in, r.expires-run) - d.now
 }
 
-// patience is how long a request whose late answer is worth nothing may wait for its start: as long as a like
-// job can be in time, and the less the more of the recent jobs waited, down to half its aim. Where all wait,
-// what begins has waited for as long as it may, and what of it is short ends late: run for nothing.
+// patience is how long a request whose late answer is worth nothing may wait for its start: as long as it can
+// be in time. Where its own need is not told that is a like job's, and the less the more of the recent jobs
+// waited, down to half its aim: where all wait, what begins has waited as long as it may, and some fail.
 func (d *Dispatcher) patience(r *request) time.Duration {
 	most := d.slack(r) + d.now - r.born
+	if r.hint > 0 {
+		return most
+	}
 	return most + seconds(d.jam*(r.set.Classes[r.class].Aim/2-most).Seconds())
 }
 
@@ -656,6 +665,7 @@
 	d.heard(a.w)
 	if a.began == 0 {
 		a.began, a.w.back = d.now, false
+		d.ways[a.w.Zone] = min(cmp.Or(d.ways[a.w.Zone], mostWay), d.now-a.sent)
 		d.learnWait(r, a)
 		if a.lost {
 			a.lost = false
@@ -675,11 +685,12 @@
 	if d.now == d.stalled {
 		return
 	}
-	d.waited(a.w, d.now-a.sent > waitGrace)
+	wait := d.now - a.sent - d.ways[a.w.Zone]
+	d.waited(a.w, wait > waitGrace)
 	spare := d.slack(r) + d.now - r.born
 	step := d.allowBy()
 	switch {
-	case float64(d.now-a.sent) > waitShare*float64(spare):
+	case float64(wait) > waitShare*float64(spare):
 		d.allow = max(d.allow-step, leastAllow)
 	case d.drag(a.w) > 1: // kept short by its pace: that a job starts there soon tells nothing of the others
 	case len(d.held) > 0:
@@ -697,17 +708,6 @@
 	return allowStep
 }
 
-// callOff cancels the attempts that are out and meet the condition.
-func (d *Dispatcher) callOff(r *request, when func(*attempt) bool) {
-	for i := range r.attempts {
-		if a := &r.attempts[i]; r.set.MayCancel && a.out && !a.canceled && when(a) {
-			a.canceled = true
-			d.passedBy(a)
-			d.do(Cancel{ID: r.id, Attempt: i})
-		}
-	}
-}
-
 func (d *Dispatcher) onFinished(e Finished) {
 	r, a := d.attempt(e.ID, e.Attempt)
 	if a == nil {
@@ -838,12 +838,14 @@
 
 // stuck tells whether an attempt should have begun by now.
 func (d *Dispatcher) stuck(a *attempt, grace time.Duration) bool {
-	return a.out && a.began == 0 && d.set.TellsStart && d.now-a.sent > grace
+	return a.out && a.began == 0 && d.set.TellsStart && d.now-a.sent > grace+newWays*d.ways[a.w.Zone]
 }
 
-// review looks at one open request. Where copies are allowed, one that has not begun soon gets another at the
-// next worker; the first to begin calls the others off. Guards against all that keeps one job from its start:
-// chance, slow, dead and silent workers, lost connections. May hurt where workers do not drop what waits.
+// review looks at one open request. One that nobody will begin in time is given up, unless workers were seen
+// to keep what is called off: it is in the way all the same, and its client comes again. Where copies are
+// allowed and loads known roughly, one that has not begun soon gets another at the next worker, and the first
+// to begin calls the others off: a search for a free slot. Where all loads are known it finds none and costs
+// what it waits for: there only a worker that says nothing for a usual stay has its jobs copied.
 func (d *Dispatcher) review(r *request) {
 	var last *attempt
 	begun, sound := false, false
@@ -862,13 +864,17 @@
 	case d.now >= r.expires+r.set.AnswerSlack/2:
 		d.do(Fail{ID: r.id})
 		d.finish(r)
-	case late && !begun && d.set.TellsStart: // its turn comes too late: given up in time
+	case late && !begun && d.set.TellsStart && d.traces.kept() < keptMost: // its turn comes too late: given up
 		d.waited(last.w, true)
 		d.allow = max(d.allow-d.allowBy(), leastAllow)
 		d.answer(r)
 	case c.Effect == Unsafe || last.canceled || begun && sound || len(r.attempts)+1 >= r.set.MaxAttempts:
 	case r.set.MayCopy && r.set.MayCancel:
-		if !d.stuck(last, copyGrace+seconds(d.jam*jamGrace.Seconds())) && d.sound(last.w, r.class) {
+		stuck := d.stuck(last, copyGrace+seconds(d.jam*jamGrace.Seconds()))
+		if d.small {
+			stuck = d.stuck(last, seconds(cmp.Or(d.stay, 1))) && last.w.heard <= last.sent
+		}
+		if late || !stuck && d.sound(last.w, r.class) {
 			return
 		}
 		if w := d.pick(r, d.allow); w != nil && !r.tried(w) {
@@ -922,7 +928,7 @@
 	limit := max(time.Duration(silentRuns*float64(d.set.Progress))+silentSlack, silentLeast)
 	switch {
 	case !a.out || !d.set.TellsStart || a.lost:
-	case d.now-w.heard > limit:
+	case d.now-w.heard > limit && (d.set.Progress > 0 || w.running == 0):
 		if d.sound(w, r.class) && w.listed {
 			d.shun(w, &w.health, 0, "silent")
 		}
--- /dev/null
+++ b/brain/deployments_test.go
@@ -0,0 +1,114 @@
+package brain
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// Where all loads are known and workers keep what is called off, what waits there is neither copied nor given up: each
+// such job ran twice or for nobody. On a small fleet that made 1.5 calls a request, and 35% came back 'full'.
+func TestNoSearchWhereLoadsAreKnown(t *testing.T) {
+	for class := range 3 {
+		s := plain()
+		s.MayCopy = true
+		v := newDriver(t, s)
+		v.d.traces = traces{own2: 1000, off2: 1000, heldOwn: 2000, heldOff: 2000}
+		v.list(workers(3)...)
+		v.arrive(1, class)
+		if acts := v.pass(800 * ms); count[Send](acts) != 0 || count[Cancel](acts) != 0 {
+			t.Errorf("class %d: jobs that wait got %v", class, acts)
+		}
+	}
+}
+
+// What workers keep of what is called off shows in their reports, though others' jobs are in them and the called off ones
+// stand where queues are long; few reports, or those of a fleet of many dispatchers, tell nothing.
+func TestTracesOfWhatIsCalledOff(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	for _, c := range []struct {
+		kept, others float64
+		reports      int
+		want         bool
+	}{{0, 1, 400, false}, {1, 1, 400, true}, {1, 1, 4, false}, {1, 20, 400, false}, {0, 20, 400, false}} {
+		var seen traces
+		for range c.reports {
+			own := 2 * rng.Float64()
+			off := max(own-1, 0) * rng.Float64()
+			seen.add(own+c.others*(0.5+rng.Float64())*own+c.others*rng.Float64()/2+c.kept*(1+c.others)*off, own, off)
+		}
+		if got := seen.kept() >= keptMost; got != c.want {
+			t.Errorf("%+v: seen %v kept", c, seen.kept())
+		}
+	}
+	v := newDriver(t, plain()) // a job that is given up leaves its trace in the next report
+	v.list(workers(1)...)
+	v.arrive(1, 0)
+	v.pass(500 * ms)
+	v.arrive(2, 0)
+	if v.served(2, &Report{Busy: 1, Requests: -1, FreeSlots: 1, Queue: 3}); v.d.traces.off2 <= 0 || v.d.traces.heldOff <= 0 {
+		t.Errorf("a job given up left %+v", v.d.traces)
+	}
+}
+
+// A worker runs a job of 10 s and tells of no progress: its silence says nothing, neither of it nor of what waits there.
+// Each job of over a second once had its worker shunned.
+func TestSilenceWithoutProgress(t *testing.T) {
+	for _, progress := range []time.Duration{0, time.Second} {
+		s := plain()
+		s.Progress = progress
+		s.Classes[2].Deadline = 20 * time.Second
+		v := newDriver(t, s)
+		v.list(workers(2)...)
+		w := v.d.byID[sentTo(v.give(Arrived{ID: 1, Class: 2, Slots: 1, Expires: v.now + 15*time.Second}))]
+		v.give(Began{ID: 1})
+		v.pass(10 * time.Second)
+		if sound := v.d.sound(w, 2); sound != (progress == 0) {
+			t.Errorf("progress every %v: the worker counts as sound: %v", progress, sound)
+		}
+	}
+}
+
+// A job whose own need is told waits for as long as that leaves, however many wait: half an aim of 120 ms is less than
+// the way to another zone and back.
+func TestPatienceByTheHint(t *testing.T) {
+	v := newDriver(t, plain())
+	v.list(workers(1)...)
+	v.d.jam = 1
+	r := &request{set: v.d.set, born: v.now, expires: v.now + 2*time.Second, hint: 400 * ms}
+	if got := v.d.patience(r); got != 600*ms { // the aim, and twice its need less the need itself
+		t.Errorf("patience %v", got)
+	}
+	r.hint = 29 * 400 * ms // it can no more be done by the deadline
+	if got := v.d.patience(r); got > 0 {
+		t.Errorf("patience of what cannot be done %v", got)
+	}
+	r.hint = 0
+	if got := v.d.patience(r); got != 100*ms {
+		t.Errorf("patience without a hint %v", got)
+	}
+}
+
+// The way to another zone and back is no wait there: not for the allowance, nor for a copy.
+func TestWayIsNoWait(t *testing.T) {
+	v := roughly(t)
+	v.d.ways[0] = 40 * ms
+	v.arrive(1, 0)
+	if acts := v.pass(copyGrace + 100*ms); count[Send](acts) != 0 {
+		t.Errorf("copied within four ways: %v", acts)
+	}
+	if acts := v.pass(100 * ms); count[Send](acts) == 0 {
+		t.Error("not copied after them")
+	}
+	v = newDriver(t, plain())
+	v.list(workers(2)...)
+	for id := RequestID(1); id <= 20; id++ {
+		v.arrive(id, 0)
+		v.now += 40 * ms
+		v.give(Began{ID: id})
+		v.served(id, nil)
+	}
+	if v.d.jam > 0 || v.d.allow < firstAllow || v.d.ways[0] != 40*ms {
+		t.Errorf("starts after the way: jam %v, allowance %v, way %v", v.d.jam, v.d.allow, v.d.ways[0])
+	}
+}
--- a/brain/large_test.go
+++ b/brain/large_test.go
@@ -250,14 +250,20 @@
 	}
 }
 
+// roughly drives one of many dispatchers: of so many workers it knows the loads roughly.
+func roughly(t *testing.T) *driver {
+	s := plain()
+	s.Dispatchers, s.MayCopy = 20, true
+	v := newDriver(t, s)
+	v.list(fleet(30, 1)...)
+	return v
+}
+
 // Many dispatchers know little of a worker: a job that does not begin soon is sent to a second one, and
 // the first to begin calls the other off. Unsafe jobs stay where they are.
 func TestCopyOfWhatDoesNotBegin(t *testing.T) {
 	for class, want := range map[int]int{0: 1, 1: 1, 2: 0} {
-		s := plain()
-		s.MayCopy = true
-		v := newDriver(t, s)
-		v.list(fleet(3, 1)...)
+		v := roughly(t)
 		v.arrive(1, class)
 		if got := count[Send](v.pass(copyGrace + 20*ms)); got != want {
 			t.Errorf("class %d got %d copies, want %d", class, got, want)
@@ -271,10 +277,7 @@
 // The more jobs wait for their start, the later a copy follows: where all queues are full it only makes them longer.
 func TestCopiesHoldBackInAJam(t *testing.T) {
 	for jam, want := range map[float64]time.Duration{0: copyGrace, 0.5: copyGrace + jamGrace/2} {
-		s := plain()
-		s.MayCopy = true
-		v := newDriver(t, s)
-		v.list(fleet(3, 1)...)
+		v := roughly(t)
 		v.d.jam, v.d.classes[1].scale = jam, 0.3 // else there is no time for a copy
 		v.arrive(1, 1)
 		if got := count[Send](v.pass(want - 10*ms)); got != 0 {
--- a/brain/state.go
+++ b/brain/state.go
@@ -48,6 +48,7 @@
 	recent     fading  // pushes by size
 	passed     fading  // jobs that waited here until they were called off
 	full       Clock   // it turned a job away; its value is 1 until then or a report
+	calledOff  fading  // slots of own jobs that were called off before they began
 	waiting    int     // own jobs not started within startGrace
 	lag, jobs  float64 // decayed sum over jobs of log(time here / usual time), and their number
 	lagOut     float64 // the same over jobs that run for longer than usual now ...
@@ -113,24 +114,26 @@
 	small         bool    // all workers are drawn from, and known well
 	keyed         bool    // jobs have keys
 	jobs          int     // that were served
+	traces        traces  // of what is called off, in the reports
 	jam           float64 // part of the recent jobs that waited for their start
 	tickAt        Clock   // when the next look is due
 
-	first, last, chosen Clock           // first event, last arrival, last choice of near
-	processes           int             // that act as this dispatcher
-	ends                Clock           // when this process ends; 0 while nobody says so
-	stalled             Clock           // the turn in which this process found that it had stood still
-	rate, mean          float64         // own jobs a second; mean work of a job in slot-seconds
-	recent              fading          // pushes
-	keys                tally           // own jobs by key
-	size                float64         // of all listed workers together, ...
-	all                 int             // and their number
-	allow               float64         // how far over its slots a worker may be filled now
-	stay, others        float64         // mean seconds from push to answer; mean share that others use
-	idleSafe            time.Duration   // connections idle for less were not lost; 0 for all
-	idleLost            Clock           // when one was last lost
-	kindLag             map[int]float64 // how much longer jobs take on a kind, as a mean logarithm
-	kindTop             map[int]float64 // most slots seen on a kind of machine
+	first, last, chosen Clock                 // first event, last arrival, last choice of near
+	processes           int                   // that act as this dispatcher
+	ends                Clock                 // when this process ends; 0 while nobody says so
+	stalled             Clock                 // the turn in which this process found that it had stood still
+	rate, mean          float64               // own jobs a second; mean work of a job in slot-seconds
+	recent              fading                // pushes
+	keys                tally                 // own jobs by key
+	size                float64               // of all listed workers together, ...
+	all                 int                   // and their number
+	allow               float64               // how far over its slots a worker may be filled now
+	stay, others        float64               // mean seconds from push to answer; mean share that others use
+	idleSafe            time.Duration         // connections idle for less were not lost; 0 for all
+	idleLost            Clock                 // when one was last lost
+	kindLag             map[int]float64       // how much longer jobs take on a kind, as a mean logarithm
+	ways                map[int]time.Duration // the shortest time from push to start in a zone
+	kindTop             map[int]float64       // most slots seen on a kind of machine
 }
 
 // Experience is what a dispatcher has learned and what holds as well for one that goes on in its place.
@@ -206,6 +209,21 @@
 	}
 }
 
+// callOff cancels the attempts that are out and meet the condition.
+func (d *Dispatcher) callOff(r *request, when func(*attempt) bool) {
+	for i := range r.attempts {
+		if a := &r.attempts[i]; r.set.MayCancel && a.out && !a.canceled && when(a) {
+			a.canceled = true
+			if a.began == 0 {
+				a.w.calledOff.span = max(seconds(d.stay), ownMemory)
+				a.w.calledOff.add(d.now, r.slots)
+			}
+			d.passedBy(a)
+			d.do(Cancel{ID: r.id, Attempt: i})
+		}
+	}
+}
+
 // seen notes slots that a worker was seen to have.
 func (d *Dispatcher) seen(w *worker, slots float64) {
 	w.total = max(w.total, slots)
@@ -358,20 +376,47 @@
 // size is a worker's size as it was registered.
 func (w *worker) size() float64 { return max(sane(w.Weight), 1e-3) }
 
-// fading is a sum that fades over rateSpan.
+// fading is a sum that fades over a span.
 type fading struct {
 	sum  float64
 	when Clock
+	span time.Duration // 0 for rateSpan
 }
 
 func (f *fading) at(now Clock) float64 {
-	f.sum *= math.Exp(-float64(now-f.when) / float64(rateSpan))
+	f.sum *= math.Exp(-float64(now-f.when) / float64(cmp.Or(f.span, rateSpan)))
 	f.when = now
 	return f.sum
 }
 
 func (f *fading) add(now Clock, x float64) { f.sum = f.at(now) + x }
 
+// traces tells from reports whether workers keep what is called off while it waits, which no setting does. What a worker
+// holds is taken as a multiple of the own jobs there (others send as many) and of the own ones lately called off there, by
+// least squares: where called off means gone, the second factor is none of the first.
+type traces struct{ own2, ownOff, off2, heldOwn, heldOff float64 }
+
+const (
+	keptAtFirst  = 0.25 // of what is called off is assumed to be kept, ...
+	keptDoubt    = 20   // ... as if so many reports had told it
+	mostMultiple = 4    // of the own jobs: where these are a smaller part of all, they tell nothing
+)
+
+func (t *traces) add(held, own, off float64) {
+	t.own2, t.ownOff, t.off2 = t.own2+own*own, t.ownOff+own*off, t.off2+off*off
+	t.heldOwn, t.heldOff = t.heldOwn+held*own, t.heldOff+held*off
+}
+
+// kept is the share that stays.
+func (t *traces) kept() float64 {
+	det := t.own2*t.off2 - t.ownOff*t.ownOff
+	own, off := (t.heldOwn*t.off2-t.heldOff*t.ownOff)/det, (t.heldOff*t.own2-t.heldOwn*t.ownOff)/det
+	if det <= 0 || own <= 0 || own > mostMultiple {
+		return keptAtFirst
+	}
+	return (min(max(off/own, 0), 1)*t.off2 + keptAtFirst*keptDoubt) / (t.off2 + keptDoubt)
+}
+
 // tally counts by key. The past weighs half as much each time the count is full, and what it then tells of a key that came
 // once is dropped: it holds no more keys than the count.
 type tally struct {
--- a/internal/emulator/box.go
+++ b/internal/emulator/box.go
@@ -216,7 +216,8 @@
 
 // load is what the box has to tell of itself.
 func (b *box) load() brain.Report {
-	return brain.Report{Busy: float64(b.busy) / float64(b.slots), Requests: -1, FreeSlots: float64(b.slots - b.busy)}
+	return brain.Report{Busy: float64(b.busy) / float64(b.slots), Requests: -1, FreeSlots: float64(b.slots - b.busy),
+		Queue: float64(len(b.queue))}
 }
 
 // refresh has the box's figures made anew, now and then.
--- a/internal/emulator/works.go
+++ b/internal/emulator/works.go
@@ -323,7 +323,7 @@
 	})
 	select {
 	case report := <-answer:
-		fmt.Fprintf(w, "util=%.4f,queue=0,x0=%.2f,x1=%.2f", report.Busy, report.FreeSlots, report.FreeSlots)
+		fmt.Fprintf(w, "util=%.4f,queue=%.0f,x0=%.2f,x1=%.2f", report.Busy, report.Queue, report.FreeSlots, report.FreeSlots)
 	case <-r.Context().Done():
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/protocol/inbound.go
+++ b/internal/protocol/inbound.go
@@ -17,6 +17,9 @@
 // MaxBody is the most that a body of the platform's protocol holds.
 const MaxBody = 64 << 10
 
+// mostCost is the largest guess at a job's work that makes sense, in microseconds: an hour.
+const mostCost = 3600e6
+
 // Job is an inbound request, decoded. It passes through the core unread, to whichever endpoint gets it.
 type Job struct {
 	ID        string
@@ -30,7 +33,8 @@
 	Target    string // path and query, as the client wrote them
 	Body      []byte
 	Slots     float64
-	Subject   uint64 // what the job is about: a number for the cookie's user, 0 without one
+	Work      time.Duration // a guess at its work; 0 when not told
+	Subject   uint64        // what the job is about: a number for the cookie's user, 0 without one
 	Deadline  time.Time
 	Events    bool        // endpoints are asked to answer in server-sent events
 	Pass      http.Header // further headers that go on to the endpoint
@@ -105,6 +109,9 @@
 	if err := j.extras(r.Header.Get("Req-Extra")); err != nil {
 		return nil, err
 	}
+	if us, err := strconv.ParseFloat(r.Header.Get("Req-Cost"), 64); err == nil && us > 0 && us < mostCost {
+		j.Work = time.Duration(us * float64(time.Microsecond)) // what makes no sense is no guess
+	}
 	if user, err := r.Cookie("user"); err == nil && user.Value != "" {
 		j.Subject = hash(user.Value)
 	}
--- a/internal/protocol/inbound_test.go
+++ b/internal/protocol/inbound_test.go
@@ -41,7 +41,7 @@
 			}
 			return
 		}
-		if job.Deadline.Before(now) || job.Deadline.After(now.Add(5*time.Second)) || len(job.Body) > MaxBody || job.ID == "" || job.Slots <= 0 {
+		if job.Deadline.Before(now) || job.Deadline.After(now.Add(5*time.Second)) || len(job.Body) > MaxBody || job.ID == "" || job.Slots <= 0 || job.Work < 0 {
 			t.Fatalf("%+v", job)
 		}
 		again, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(job.Encode("endpoint:1", now))))
@@ -53,3 +53,24 @@
 		}
 	})
 }
+
+// A client's guess at the work reaches the module, which without it took a job 29 times as heavy as its class for a like
+// one; what is no figure is no guess, and no reason to turn a job away.
+func TestCostHint(t *testing.T) {
+	p := &Params{}
+	if err := json.Unmarshal([]byte(`{"classes":[{"name":"stock-check","effect":"safe","deadline":5000000}]}`), p); err != nil {
+		t.Fatal(err)
+	}
+	(&Live{}).Put(p, func(brain.Settings) {})
+	for text, want := range map[string]time.Duration{"152000": 152 * time.Millisecond, "": 0, "-5": 0, "many": 0, "NaN": 0, "1e300": 0} {
+		r, err := http.NewRequest("POST", "/stock-check", strings.NewReader(""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("Req-Id", "a")
+		r.Header.Set("Req-Cost", text)
+		if job, err := DecodeInbound(r, p, time.Now()); err != nil || job.Work != want {
+			t.Errorf("Req-Cost %q: %+v, %v", text, job, err)
+		}
+	}
+}
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -195,7 +195,7 @@
 	return r
 }
 
-func noReport() *brain.Report { return &brain.Report{Busy: -1, Requests: -1, FreeSlots: -1} }
+func noReport() *brain.Report { return &brain.Report{Busy: -1, Requests: -1, FreeSlots: -1, Queue: -1} }
 
 // setColumn puts one figure into a report. Settings and simulator use other names than the sockets;
 // names that the module has no use for are skipped.
@@ -205,6 +205,8 @@
 		r.Busy = x
 	case "busy_reqs", "inflight":
 		r.Requests = x
+	case "pending", "queue":
+		r.Queue = x
 	case "x0":
 		r.FreeSlots = x
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -44,7 +44,8 @@
 	Name      string // for the log: how its client calls it
 	Slots     float64
 	Rules     Rules
-	Key       uint64 // what the job needs at an endpoint: jobs of one key belong together; 0 when not told
+	Work      time.Duration // a guess at its work; 0 when not told
+	Key       uint64        // what the job needs at an endpoint: jobs of one key belong together; 0 when not told
 	Deadline  time.Time
 	Job       any // what endpoints need to know; not read here
 	Client    Client
@@ -310,7 +311,7 @@
 		r := &request{Inbound: m.in, expires: c.clock.At(m.in.Deadline)}
 		c.requests[m.id] = r
 		heap.Push(&c.timers, timer{at: r.expires + r.Rules.AnswerSlack + guardAfter, guard: m.id})
-		c.feed(brain.Arrived{ID: m.id, Class: r.Class, Slots: r.Slots, Key: r.Key, Expires: r.expires})
+		c.feed(brain.Arrived{ID: m.id, Class: r.Class, Slots: r.Slots, Work: r.Work, Key: r.Key, Expires: r.expires})
 	case left:
 		if r := c.requests[m.id]; r != nil && !r.answered {
 			r.answered = true
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -59,7 +59,8 @@
 
 // inboundOf gives a job in the core's terms.
 func inboundOf(j *protocol.Job, c routing.Client) routing.Inbound {
-	return routing.Inbound{Class: j.Class, ClassName: j.ClassName, Account: j.Account, Name: j.ID, Rules: j.Rules, Slots: j.Slots, Key: j.Subject, Deadline: j.Deadline, Job: j, Client: c}
+	return routing.Inbound{Class: j.Class, ClassName: j.ClassName, Account: j.Account, Name: j.ID, Rules: j.Rules, Slots: j.Slots,
+		Work: j.Work, Key: j.Subject, Deadline: j.Deadline, Job: j, Client: c}
 }
 
 // single is a client that waits for its answer alone.
