--- a/cmd/brassdale-lab/main.go
+++ b/cmd/brassdale-lab/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -34,8 +35,14 @@
 	var out, binary string
 	var seeds int
 	var sockets bool
-	c := &cobra.Command{Use: "experiment FILE", Short: "Play an experiment and keep its results in a folder", Args: cobra.ExactArgs(1),
+	c := &cobra.Command{Use: "experiment FILE|DIR", Short: "Play an experiment, or all of a folder beside each other, and keep the results", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
+			if info, err := os.Stat(args[0]); err == nil && info.IsDir() {
+				if sockets {
+					return errors.New("a folder of experiments is played in virtual time only")
+				}
+				return overview(c, args[0], out, seeds)
+			}
 			f, err := experiment.Load(args[0])
 			if err != nil {
 				return err
@@ -55,9 +62,7 @@
 			} else if err != nil {
 				return err
 			}
-			if out == "" {
-				out = filepath.Join("results", time.Now().UTC().Format("2006-01-02T150405"))
-			}
+			out = folder(out)
 			if err := experiment.Save(out, f.Title, rows); err != nil {
 				return err
 			}
@@ -70,6 +75,60 @@
 	return c
 }
 
+// folder is where results are kept.
+func folder(out string) string {
+	return cmp.Or(out, filepath.Join("results", time.Now().UTC().Format("2006-01-02T150405")))
+}
+
+// overview plays all experiments of a folder and sets the module beside the best plain policy of each. It fails where the
+// module stands behind by more than the margin, or breaks a rule.
+func overview(c *cobra.Command, dir, out string, seeds int) error {
+	files, err := experiment.Files(dir)
+	if err != nil {
+		return err
+	}
+	var works []experiment.Work
+	behind := 0
+	for _, path := range files {
+		f, err := experiment.Load(path)
+		if err != nil {
+			return err
+		}
+		if seeds > 0 {
+			f.Seeds = seeds
+		}
+		bar := progress(f.Seeds*len(f.Variants), f.Title)
+		rows, err := experiment.Run(c.Context(), f, experiment.InVirtualTime, runtime.GOMAXPROCS(0), build(), func() { _ = bar.Add(1) })
+		_ = bar.Finish()
+		if err != nil {
+			return err
+		}
+		module, _ := experiment.Breaches(rows, f)
+		for _, b := range module {
+			fmt.Fprintf(os.Stderr, "%s: %s\n", f.Title, b)
+		}
+		works = append(works, experiment.Work{Name: f.Title, Rows: rows})
+	}
+	out = folder(out)
+	if err := experiment.SaveOverview(out, works); err != nil {
+		return err
+	}
+	all := experiment.Standings(works)
+	for _, s := range all {
+		if s.Behind() {
+			behind++
+		}
+	}
+	if err := experiment.Overview(c.OutOrStdout(), all); err != nil {
+		return err
+	}
+	fmt.Fprintf(c.OutOrStdout(), "kept in %s\n", out)
+	if behind > 0 {
+		return fmt.Errorf("the module stands behind at %d of %d works", behind, len(all))
+	}
+	return nil
+}
+
 func report() *cobra.Command {
 	return &cobra.Command{Use: "report DIR", Short: "Draw tables and charts of kept results again", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
