A worker that fails part of its jobs weighs more, the more of them, until that is forgotten

Ruled out: the release at 10 s (errors stand from the first second), retuned classes (the same before SIGHUP). At fault: between two shunnings pick knew nothing of failures, and a worker that fails at once looks idle. Change: the share of recent jobs that a worker failed, with doubt and chance taken off, adds to its load value; it fades with the same ten seconds as other memories.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -42,6 +42,7 @@
 	waitGrace   = 100 * time.Millisecond // a job that starts later has waited
 	zoneWeight  = 15                     // load a crossing must save, for each unit of its price, ...
 	vagueWeight = 3                      // and where few workers are known, so that loads are known roughly
+	faultWeight = 2                      // load that a job is worth which its worker fails
 	slowFrom    = 1.5                    // slower than peers by this factor counts; below it is chance
 	slowMemory  = 0.95                   // weight of the past in a worker's speed: about twenty jobs
 	slowDoubt   = 8                      // jobs of ordinary speed that are assumed beside those seen
@@ -173,10 +174,6 @@
 	return d.acts
 }
 
-func (d *Dispatcher) tick() time.Duration {
-	return min(tickMost, max(d.set.AnswerSlack/2, time.Millisecond))
-}
-
 // ---- Membership ----
 
 func (d *Dispatcher) onListed(e Listed) {
@@ -426,7 +423,7 @@
 			continue
 		}
 		v := d.value(w)
-		v += (d.drag(w)*math.Exp(pace[w.Kind]) - 1) * (v + d.share(w, r.slots))
+		v += (d.drag(w)*math.Exp(pace[w.Kind])-1)*(v+d.share(w, r.slots)) + faultWeight*w.faulty(d.now)
 		if w.Zone != d.set.Zone {
 			v += crossing
 		}
@@ -917,6 +914,7 @@
 // a failure of another is no chance: what fails at once draws jobs, a dozen of four classes each time.
 func (d *Dispatcher) failed(w *worker, class int) {
 	h := &w.classes[class]
+	w.failures.add(d.now, 1)
 	ill := slices.ContainsFunc(w.classes, func(h health) bool { return h.strikes > 0 })
 	if h.fails++; h.fails >= failsToShun || ill {
 		d.shun(w, h, 0, fmt.Sprintf("keeps failing class %d", class))
--- a/brain/state.go
+++ b/brain/state.go
@@ -12,8 +12,11 @@
 // The state that the decisions of brain.go are made on; nothing is decided here.
 
 const (
-	jamMemory = 10 // jobs
-	keyMemory = 4  // jobs for each worker: a key that fills one is seen a few times
+	jamMemory  = 10 // jobs
+	faultDoubt = 4  // jobs
+
+	faultChance = 0.1 // share of the jobs
+	keyMemory   = 4   // jobs for each worker: a key that fills one is seen a few times
 
 	tickToken, askToken, endToken = 1, 2, 3 // of the timers
 )
@@ -55,6 +58,8 @@
 	recent     fading  // pushes by size
 	passed     fading  // jobs that waited here until they were called off
 	full       Clock   // it turned a job away; its value is 1 until then or a report
+	failures   fading  // jobs that it failed, ...
+	successes  fading  // ... and served
 	calledOff  fading  // slots of own jobs that were called off before they began
 	waiting    int     // own jobs not started within startGrace
 	lag, jobs  float64 // decayed sum over jobs of log(time here / usual time), and their number
@@ -237,6 +242,18 @@
 	d.kindTop[w.Kind] = max(d.kindTop[w.Kind], w.total)
 }
 
+// tick is the pause between looks while something is held.
+func (d *Dispatcher) tick() time.Duration {
+	return min(tickMost, max(d.set.AnswerSlack/2, time.Millisecond))
+}
+
+// faulty is the share of its recent jobs that a worker failed, as if some more had been served: a few in a hundred are
+// chance, and what it did is forgotten, or one that has recovered would get no job to show it.
+func (w *worker) faulty(now Clock) float64 {
+	bad := min(w.failures.at(now), faultDoubt)
+	return max(bad/(bad+w.successes.at(now)+faultDoubt)-faultChance, 0)
+}
+
 // bump accounts for own slots coming (positive) or going.
 func (d *Dispatcher) bump(w *worker, slots float64) {
 	keep := math.Exp(-float64(d.now-w.ownAt) / float64(ownMemory))
@@ -261,6 +278,7 @@
 	if d.now == d.stalled || run <= 0 {
 		return
 	}
+	a.w.successes.add(d.now, 1)
 	d.jobs, c.jobs = d.jobs+1, c.jobs+1
 	learn(&d.stay, d.jobs, (d.now - a.sent).Seconds())
 	learn(&d.mean, d.jobs, run*r.slots)
