--- a/internal/experiment/overview_test.go
+++ b/internal/experiment/overview_test.go
@@ -44,7 +44,9 @@
 
 // A module that stands behind, or breaks a rule, is marked; the kept table and chart say the same.
 func TestOverview(t *testing.T) {
-	row := func(variant string, seed uint64, merit float64) Row { return Row{Variant: variant, Seed: seed, Merit: merit} }
+	row := func(variant string, seed uint64, merit float64) Row {
+		return Row{Variant: variant, Seed: seed, Merit: merit}
+	}
 	work := func(name string, merit float64) Work {
 		return Work{name, []Row{row("module", 1, merit), row("module", 2, merit+0.01), row("random", 1, 0.2), row("random", 2, 0.2), row("lud", 1, 0.8), row("lud", 2, 0.81)}}
 	}
