A council of dispatchers agrees on rules: log on etcd's raft, leases, boxes out, further calls

Need: two dispatchers could act on contradicting operators' rules for ever. Off without the block. Result: five processes with the leader killed between the steps and a follower frozen over a change: never two with leases on versions that have nothing in common; without a majority jobs go on. Membership by gossip, learners, staged proposals and the rig for links between processes are still to come.

--- /dev/null
+++ b/cmd/brassdale/council_test.go
@@ -0,0 +1,286 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// allied are dispatchers of one fleet, each a process with boxes' list and files of its own.
+type allied struct {
+	t       *testing.T
+	nodes   []*node
+	at      []string // their councils' addresses
+	files   []string
+	boxes   []*box
+	away    map[int][][2]time.Time // when a process stood still or was gone
+	voters  int
+	address string
+}
+
+// ally starts a fleet. Addresses are of this test alone: each voter has to know the others' before they listen.
+func ally(t *testing.T, net4, voters, followers int) *allied {
+	t.Helper()
+	f := &allied{t: t, voters: voters, boxes: []*box{newBox(t, "a", works), newBox(t, "b", works)}, away: map[int][][2]time.Time{}}
+	for i := range voters + followers {
+		l := must(net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", net4, i+1)))
+		f.at = append(f.at, l.Addr().String())
+		l.Close()
+		f.files = append(f.files, t.TempDir())
+	}
+	for i := range f.at {
+		f.nodes = append(f.nodes, startWith(t, f.operator(i), func(c string) string {
+			return strings.Replace(c, `"name":"n0"`, fmt.Sprintf(`"name":"n%d"`, i), 1)
+		}, f.boxes...))
+	}
+	return f
+}
+
+func (f *allied) operator(i int) string {
+	seat := 0
+	if i < f.voters {
+		seat = i + 1
+	}
+	return fmt.Sprintf("council {\n fleet = \"t\"\n listen = %q\n voters = [\"%s\"]\n seat = %d\n directory = %q\n bound = \"1s\"\n}\n", f.at[i],
+		strings.Join(f.at[:f.voters], `", "`), seat, f.files[i])
+}
+
+// propose announces rules at some dispatcher, again where the leader is being changed.
+func (f *allied) propose(rules string, at int) {
+	f.t.Helper()
+	path := filepath.Join(f.t.TempDir(), "rules.hcl")
+	if err := os.WriteFile(path, []byte(rules), 0o600); err != nil {
+		f.t.Fatal(err)
+	}
+	f.nodes[at].waitFor("a proposal taken", func() bool {
+		code, out, errs := run(f.t, "fleet", "propose", path, "--why", "test", "--address", f.at[at])
+		return code == 0 && strings.Contains(out, "announced") || strings.Contains(errs, "under way")
+	})
+}
+
+var acting = regexp.MustCompile(`msg="acting on" versions="?\[([0-9 ]*)\]"? lapsed=(true|false) at_ms=(\d+)`)
+
+// stand is what a process said that it acts on, from then on.
+type stand struct {
+	from, to time.Time
+	versions string
+	lapsed   bool
+}
+
+func (n *node) stands() (all []stand) {
+	for _, m := range acting.FindAllStringSubmatch(n.log(), -1) {
+		ms, _ := strconv.ParseInt(m[3], 10, 64)
+		if len(all) > 0 {
+			all[len(all)-1].to = time.UnixMilli(ms)
+		}
+		all = append(all, stand{time.UnixMilli(ms), time.Now(), m[1], m[2] == "true"})
+	}
+	return all
+}
+
+// acts waits until the dispatchers act on a version alone, and hold leases.
+func (f *allied) acts(version int, which ...int) {
+	f.t.Helper()
+	for _, i := range which {
+		f.nodes[i].waitFor(fmt.Sprintf("dispatcher %d acting on %d", i, version), func() bool {
+			all := f.nodes[i].stands()
+			return len(all) > 0 && all[len(all)-1].versions == strconv.Itoa(version) && !all[len(all)-1].lapsed
+		})
+	}
+}
+
+// apart gives how long any two dispatchers with leases acted on versions with nothing in common.
+func (f *allied) apart() (longest time.Duration) {
+	for i, a := range f.nodes {
+		for j, b := range f.nodes[:i] {
+			for _, x := range f.acting(i, a) {
+				for _, y := range f.acting(j, b) {
+					from, to := later(x.from, y.from), earlier(x.to, y.to)
+					if !x.lapsed && !y.lapsed && !shares(x.versions, y.versions) && to.Sub(from) > longest {
+						longest = to.Sub(from)
+						f.t.Logf("dispatchers %d on [%s] and %d on [%s] for %v", i, x.versions, j, y.versions, longest)
+					}
+				}
+			}
+		}
+	}
+	return longest
+}
+
+// acting cuts out what a process could not act in.
+func (f *allied) acting(i int, n *node) (all []stand) {
+	for _, s := range n.stands() {
+		for _, gone := range f.away[i] {
+			if gone[0].After(s.from) && gone[0].Before(s.to) {
+				s.to = gone[0] // its next line is the first thing that it does when it goes on
+			}
+		}
+		all = append(all, s)
+	}
+	return all
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func shares(a, b string) bool {
+	for _, v := range strings.Fields(a) {
+		for _, w := range strings.Fields(b) {
+			if v == w {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// leader gives the dispatcher that leads.
+func (f *allied) leader() int {
+	f.t.Helper()
+	lead := -1
+	f.nodes[0].waitFor("a leader", func() bool {
+		for i := range f.voters {
+			if code, out, _ := run(f.t, "fleet", "status", "--json", "--address", f.at[i]); code == 0 && strings.Contains(out, `"leads": true`) {
+				lead = i
+				return true
+			}
+		}
+		return false
+	})
+	return lead
+}
+
+func (f *allied) all() (which []int) {
+	for i := range f.nodes {
+		which = append(which, i)
+	}
+	return which
+}
+
+func without(which []int, gone int) (rest []int) {
+	for _, i := range which {
+		if i != gone {
+			rest = append(rest, i)
+		}
+	}
+	return rest
+}
+
+// Five processes agree: a box that the rules put out gets nothing at any of them; the leader is killed between the steps, a
+// follower stands still over a change, and never do two with leases act on versions that have nothing in common.
+func TestCouncil(t *testing.T) {
+	t.Parallel()
+	f := ally(t, 1, 3, 2)
+	f.propose("retries = 0.5\nout = [\"a\"]\n", 4)
+	f.acts(1, f.all()...)
+	_, before := f.boxes[0].count()
+	for i, n := range f.nodes {
+		if status, _, _ := n.do(request(n.url, fmt.Sprint("out-", i))); status != 200 {
+			t.Errorf("dispatcher %d: %d", i, status)
+		}
+	}
+	if _, after := f.boxes[0].count(); after != before {
+		t.Errorf("%d jobs at a box that is out", after-before)
+	}
+	if status, text := f.nodes[3].call("POST", "/_workers/attach", "a"); status != 409 {
+		t.Errorf("put back by one dispatcher alone: %d %s", status, text)
+	}
+
+	lead := f.leader()
+	f.propose("retries = 0.1\n", lead)
+	f.nodes[lead].cmd.Process.Kill()
+	<-f.nodes[lead].exited
+	f.away[lead] = append(f.away[lead], [2]time.Time{time.Now()})
+	rest := without(f.all(), lead)
+	f.acts(2, rest...)
+
+	still := 4
+	f.nodes[still].cmd.Process.Signal(syscall.SIGSTOP)
+	f.away[still] = append(f.away[still], [2]time.Time{time.Now()})
+	f.propose("repeat = false\n", rest[0])
+	f.acts(3, without(rest, still)...) // the change waits for its lease, and no longer
+	f.nodes[still].cmd.Process.Signal(syscall.SIGCONT)
+	f.acts(3, still)
+	if longest := f.apart(); longest > 50*time.Millisecond { // the log's lines are written behind the fact
+		t.Errorf("versions apart for %v", longest)
+	}
+	if code, out, _ := run(t, "fleet", "history", "--address", f.at[rest[0]]); code != 0 || strings.Count(out, "test") != 3 {
+		t.Errorf("history:\n%s", out)
+	}
+}
+
+// The council loses its majority: jobs go on, nothing is sent twice once the leases have run out; it is back with one voter,
+// and that with its disk, and goes on where it was. A change meanwhile is refused, not lost.
+func TestCouncilWithoutMajority(t *testing.T) {
+	t.Parallel()
+	f := ally(t, 2, 3, 1)
+	f.propose("retries = 0.5\n", 0)
+	f.acts(1, f.all()...)
+	for _, i := range []int{0, 1} {
+		f.nodes[i].cmd.Process.Kill()
+		<-f.nodes[i].exited
+	}
+	for _, i := range []int{2, 3} {
+		f.nodes[i].waitFor("the lease's end", func() bool {
+			all := f.nodes[i].stands()
+			return all[len(all)-1].lapsed && all[len(all)-1].versions == "1"
+		})
+		if status, _, _ := f.nodes[i].do(request(f.nodes[i].url, fmt.Sprint("alone-", i))); status != 200 {
+			t.Errorf("dispatcher %d without a council: %d", i, status)
+		}
+	}
+	if code, _, _ := run(t, "fleet", "rollback", "--why", "none", "--address", f.at[3]); code == 0 {
+		t.Error("a change went through without a majority")
+	}
+	back := &node{t: t, registry: f.nodes[0].registry, tmp: f.nodes[0].tmp, exited: make(chan struct{})}
+	back.launch(f.nodes[0].config, f.operator(0))
+	back.serves("")
+	f.nodes[0] = back
+	f.acts(1, 0, 2, 3)
+	f.propose("retries = 0.2\n", 3)
+	f.acts(2, 0, 2, 3)
+}
+
+// What is wrong with a block or a proposal is told with its place.
+func TestCouncilFaults(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	for name, text := range map[string]string{
+		"voters": "council {\n fleet = \"t\"\n listen = \"127.0.0.1:1\"\n voters = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\n directory = \"d\"\n}\n",
+		"bound":  "council {\n fleet = \"t\"\n listen = \"127.0.0.1:1\"\n voters = [\"127.0.0.1:1\"]\n directory = \"d\"\n bound = \"1ms\"\n}\n",
+		"listen": "council {\n fleet = \"t\"\n listen = \"10.0.0.1:1\"\n voters = [\"127.0.0.1:1\"]\n directory = \"d\"\n}\n",
+	} {
+		path := filepath.Join(dir, name+".hcl")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if code, _, errs := run(t, "check", path); code == 0 || !strings.Contains(errs, name+".hcl:") || !strings.Contains(errs, "Bad "+name) {
+			t.Errorf("%s: %d %s", name, code, errs)
+		}
+	}
+	path := filepath.Join(dir, "rules.hcl")
+	if err := os.WriteFile(path, []byte("retries = 99\nout = [\"a\"]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if code, _, errs := run(t, "fleet", "propose", path, "--why", "x", "--address", "127.0.0.1:1"); code == 0 || !strings.Contains(errs, "rules.hcl:") {
+		t.Errorf("%d %s", code, errs)
+	}
+}
--- a/internal/decisions/agreement/agreement.go
+++ b/internal/decisions/agreement/agreement.go
@@ -31,6 +31,17 @@
 	Out     []string `json:"out,omitempty"` // boxes that get nothing
 }
 
+// unbound are the rules before the fleet has agreed on any.
+func unbound() Rules { return Rules{Retries: -1, Repeat: true} }
+
+// rules are those of a version.
+func (v Version) rules() Rules {
+	if v.Number == 0 {
+		return unbound()
+	}
+	return v.Rules
+}
+
 // Check tells what is wrong with rules.
 func (r Rules) Check() error {
 	switch {
@@ -188,7 +199,7 @@
 
 // Stand is what it may act on now.
 func (h *Holder) Stand(now Clock) Stand {
-	s := Stand{Versions: []uint64{h.record.InForce.Number}, Rules: h.record.InForce.Rules, Lapsed: !h.held || now >= h.until}
+	s := Stand{Versions: []uint64{h.record.InForce.Number}, Rules: h.record.InForce.rules(), Lapsed: !h.held || now >= h.until}
 	if a := h.record.Announced; a != nil {
 		s.Versions, s.Rules = append(s.Versions, a.Number), s.Rules.Stricter(a.Rules)
 	}
--- /dev/null
+++ b/internal/fleet/log/log_test.go
@@ -0,0 +1,259 @@
+package log
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"brassdale/internal/decisions/agreement"
+)
+
+// council is voters in one process, with a network between them that loses what it is told to.
+type council struct {
+	t     *testing.T
+	dirs  []string
+	mu    sync.Mutex
+	seats []*Log // nil while down
+	stops []context.CancelFunc
+	ends  []chan error
+	lose  func(from, to int) bool
+}
+
+func newCouncil(t *testing.T, n int) *council {
+	c := &council{t: t, seats: make([]*Log, n+1), stops: make([]context.CancelFunc, n+1), ends: make([]chan error, n+1),
+		dirs: make([]string, n+1), lose: func(int, int) bool { return false }}
+	for seat := 1; seat <= n; seat++ {
+		c.dirs[seat] = t.TempDir()
+		c.start(seat)
+	}
+	t.Cleanup(func() {
+		for seat := 1; seat <= n; seat++ {
+			c.stop(seat)
+		}
+	})
+	return c
+}
+
+func (c *council) start(seat int) {
+	c.t.Helper()
+	l, err := Open(Options{Seat: seat, Voters: len(c.seats) - 1, Directory: c.dirs[seat], Changed: func(agreement.Record) {}, Leads: func(bool) {},
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), SnapshotEvery: 30, Send: func(to int, m []byte) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			if to < len(c.seats) && c.seats[to] != nil && c.seats[seat] != nil && !c.lose(seat, to) {
+				c.seats[to].Step(m)
+			}
+		}})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	end := make(chan error, 1)
+	c.mu.Lock()
+	c.seats[seat], c.stops[seat], c.ends[seat] = l, stop, end
+	c.mu.Unlock()
+	go func() { end <- l.Run(ctx) }()
+}
+
+// stop ends a voter where it stands.
+func (c *council) stop(seat int) {
+	c.mu.Lock()
+	l, stop, end := c.seats[seat], c.stops[seat], c.ends[seat]
+	c.seats[seat] = nil
+	c.mu.Unlock()
+	if l == nil {
+		return
+	}
+	stop()
+	if err := <-end; err != nil {
+		c.t.Errorf("seat %d: %v", seat, err)
+	}
+}
+
+func (c *council) set(lose func(from, to int) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lose = lose
+}
+
+func (c *council) at(seat int) *Log {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.seats[seat]
+}
+
+// leader waits for a voter that a majority confirms.
+func (c *council) leader() (int, *Log) {
+	c.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		for seat := range c.seats {
+			if l := c.at(seat); l != nil {
+				ctx, stop := context.WithDeadline(context.Background(), time.Now().Add(300*time.Millisecond))
+				err := l.Confirm(ctx)
+				stop()
+				if err == nil {
+					return seat, l
+				}
+			}
+		}
+	}
+	c.t.Fatal("nobody leads")
+	return 0, nil
+}
+
+// change has an entry applied, whoever leads when.
+func (c *council) change(e agreement.Entry) {
+	c.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		_, l := c.leader()
+		ctx, stop := context.WithDeadline(context.Background(), time.Now().Add(time.Second))
+		err := l.Propose(ctx, e)
+		stop()
+		if err == nil {
+			return
+		}
+		if _, again := l.Record().Apply(e); again != nil && l.Record().Revision > 0 {
+			return // it was, though the answer was lost
+		}
+	}
+	c.t.Fatal("no change goes through")
+}
+
+func (c *council) agree(revision uint64, seats ...int) {
+	c.t.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		all := true
+		for _, seat := range seats {
+			all = all && c.at(seat).Record().Revision >= revision
+		}
+		if all {
+			for _, seat := range seats {
+				if a, b := text(c.at(seat).Record()), text(c.at(seats[0]).Record()); a != b && c.at(seat).Record().Revision == c.at(seats[0]).Record().Revision {
+					c.t.Errorf("seat %d has %s, seat %d %s", seat, a, seats[0], b)
+				}
+			}
+			return
+		}
+	}
+	c.t.Fatalf("revision %d never came to %v", revision, seats)
+}
+
+func text(r agreement.Record) string {
+	text, _ := json.Marshal(r)
+	return string(text)
+}
+
+func announce(base uint64) agreement.Entry {
+	return agreement.Entry{ID: fmt.Sprint("a", base), Announce: &agreement.Version{Number: base, Rules: agreement.Rules{Retries: 0.1, Repeat: true}}}
+}
+
+// The leader ends between the two steps, and comes back: the change goes on with another, and all have the same. Then all
+// are started anew, one with its disk lost.
+func TestLeaderEndsBetweenTheSteps(t *testing.T) {
+	c := newCouncil(t, 3)
+	c.change(announce(0))
+	old, _ := c.leader()
+	c.stop(old)
+	c.change(agreement.Entry{ID: "f1", Force: 1})
+	c.start(old)
+	c.agree(2, 1, 2, 3)
+	for seat := 1; seat <= 3; seat++ {
+		c.stop(seat)
+	}
+	os.Remove(filepath.Join(c.dirs[old], fmt.Sprintf("council-%d.db", old)))
+	for seat := 1; seat <= 3; seat++ {
+		c.start(seat)
+	}
+	c.change(announce(1))
+	c.agree(3, 1, 2, 3)
+}
+
+// Of five, two are cut off, the leader among them: it confirms nothing, and neither side of two does. Healed, all agree.
+func TestSplit(t *testing.T) {
+	c := newCouncil(t, 5)
+	c.change(announce(0))
+	old, l := c.leader()
+	other := old%5 + 1
+	apart := func(seat int) bool { return seat == old || seat == other }
+	c.set(func(from, to int) bool { return apart(from) != apart(to) })
+	ctx, stop := context.WithDeadline(context.Background(), time.Now().Add(700*time.Millisecond))
+	if err := l.Confirm(ctx); err == nil {
+		t.Error("a leader without a majority confirms")
+	}
+	stop()
+	c.change(agreement.Entry{ID: "f1", Force: 1})
+	c.set(func(int, int) bool { return false })
+	c.agree(2, 1, 2, 3, 4, 5)
+}
+
+// A third of all messages is lost, and the log is long enough for snapshots: a voter that was down for them catches up.
+func TestLossAndSnapshots(t *testing.T) {
+	c := newCouncil(t, 3)
+	leader, _ := c.leader()
+	behind := leader%3 + 1
+	c.stop(behind)
+	var mu sync.Mutex
+	rng := rand.New(rand.NewPCG(5, 5))
+	c.set(func(int, int) bool { mu.Lock(); defer mu.Unlock(); return rng.Float64() < 0.1 })
+	for n := range uint64(keepBehind) {
+		c.change(announce(n))
+		c.change(agreement.Entry{ID: fmt.Sprint("f", n+1), Force: n + 1})
+	}
+	c.start(behind)
+	c.agree(2*keepBehind, 1, 2, 3)
+	if got := c.at(behind).Record(); got.InForce.Number != keepBehind || len(got.History) == 0 {
+		t.Errorf("caught up to %d", got.InForce.Number)
+	}
+}
+
+// A file of a council of another size is refused, as is a seat that there is not.
+func TestOtherCouncil(t *testing.T) {
+	dir := t.TempDir()
+	open := func(seat, voters int) error {
+		l, err := Open(Options{Seat: seat, Voters: voters, Directory: dir, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		if err == nil {
+			l.store.db.Close()
+		}
+		return err
+	}
+	if err := open(1, 3); err != nil {
+		t.Fatal(err)
+	}
+	for _, bad := range [][2]int{{1, 5}, {0, 3}, {4, 3}} {
+		if open(bad[0], bad[1]) == nil {
+			t.Errorf("seat %d of %d was taken", bad[0], bad[1])
+		}
+	}
+}
+
+// FuzzStep feeds voters what no voter sends.
+func FuzzStep(f *testing.F) {
+	f.Add([]byte{8, 3, 16, 1, 24, 2, 32, 9})
+	f.Add([]byte("no message"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		l, err := Open(Options{Seat: 1, Voters: 3, Directory: t.TempDir(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Send: func(int, []byte) {}, Changed: func(agreement.Record) {}, Leads: func(bool) {}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, stop := context.WithCancel(context.Background())
+		end := make(chan error, 1)
+		go func() { end <- l.Run(ctx) }()
+		l.Step(text)
+		asking, enough := context.WithDeadline(ctx, time.Now().Add(time.Second))
+		_ = l.Propose(asking, announce(0))
+		enough()
+		stop()
+		if err := <-end; err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/log/store.go
@@ -0,0 +1,201 @@
+package log
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"time"
+
+	bolt "go.etcd.io/bbolt"
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+)
+
+// store keeps a voter's part of the log in a file of bbolt's: what raft must find again after a crash. Reading goes to
+// memory, which has all that is in the file behind the last snapshot.
+type store struct {
+	*raft.MemoryStorage
+	db *bolt.DB
+}
+
+var (
+	metaBucket    = []byte("meta")
+	entriesBucket = []byte("entries")
+	hardKey       = []byte("hard")
+	snapshotKey   = []byte("snapshot")
+	votersKey     = []byte("voters")
+)
+
+// lockWithin is how long another process may hold the file: its successor waits for it.
+const lockWithin = 2 * time.Second
+
+// openStore opens or makes the file. One of other voters is refused: two councils must not share a past by mistake.
+func openStore(path string, voters int) (*store, error) {
+	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: lockWithin})
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	s := &store{raft.NewMemoryStorage(), db}
+	if err := s.load(voters); err != nil {
+		db.Close()
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// first is where every council's log begins: its voters, by number.
+func first(voters int) *raftpb.Snapshot {
+	cs := &raftpb.ConfState{}
+	for n := range voters {
+		cs.Voters = append(cs.Voters, uint64(n+1))
+	}
+	return &raftpb.Snapshot{Metadata: &raftpb.SnapshotMetadata{ConfState: cs, Index: proto.Uint64(1), Term: proto.Uint64(1)}}
+}
+
+func (s *store) load(voters int) error {
+	return s.db.Update(func(tx *bolt.Tx) error {
+		meta, err := tx.CreateBucketIfNotExists(metaBucket)
+		if err != nil {
+			return err
+		}
+		entries, err := tx.CreateBucketIfNotExists(entriesBucket)
+		if err != nil {
+			return err
+		}
+		snapshot, hard := first(voters), &raftpb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}
+		if text := meta.Get(votersKey); text == nil {
+			if err := meta.Put(votersKey, binary.BigEndian.AppendUint64(nil, uint64(voters))); err != nil {
+				return err
+			}
+		} else if len(text) != 8 || binary.BigEndian.Uint64(text) != uint64(voters) {
+			return errors.New("it is of a council of another size")
+		}
+		if text := meta.Get(snapshotKey); text != nil {
+			snapshot = &raftpb.Snapshot{}
+			if err := proto.Unmarshal(text, snapshot); err != nil {
+				return err
+			}
+		}
+		if text := meta.Get(hardKey); text != nil {
+			hard = &raftpb.HardState{}
+			if err := proto.Unmarshal(text, hard); err != nil {
+				return err
+			}
+		}
+		if err := s.ApplySnapshot(snapshot); err != nil {
+			return err
+		}
+		var kept []*raftpb.Entry
+		if err := entries.ForEach(func(_, text []byte) error {
+			e := &raftpb.Entry{}
+			if err := proto.Unmarshal(text, e); err != nil {
+				return err
+			}
+			if e.GetIndex() > snapshot.GetMetadata().GetIndex() {
+				kept = append(kept, e)
+			}
+			return nil
+		}); err != nil {
+			return err
+		}
+		if err := s.Append(kept); err != nil {
+			return err
+		}
+		return s.SetHardState(hard)
+	})
+}
+
+// keep writes what raft asks for, in one piece and to the disk, and then has it in memory.
+func (s *store) keep(hard *raftpb.HardState, entries []*raftpb.Entry, snapshot *raftpb.Snapshot) error {
+	some := !raft.IsEmptySnap(snapshot)
+	if raft.IsEmptyHardState(hard) && len(entries) == 0 && !some {
+		return nil
+	}
+	err := s.db.Update(func(tx *bolt.Tx) error {
+		meta, kept := tx.Bucket(metaBucket), tx.Bucket(entriesBucket)
+		if some {
+			if err := put(meta, snapshotKey, snapshot); err != nil {
+				return err
+			}
+			if err := drop(kept, 0, snapshot.GetMetadata().GetIndex()); err != nil {
+				return err
+			}
+		}
+		if len(entries) > 0 { // what stands from the first of them on is overwritten
+			if err := drop(kept, entries[0].GetIndex(), 1<<63); err != nil {
+				return err
+			}
+		}
+		for _, e := range entries {
+			if err := put(kept, key(e.GetIndex()), e); err != nil {
+				return err
+			}
+		}
+		if !raft.IsEmptyHardState(hard) {
+			return put(meta, hardKey, hard)
+		}
+		return nil
+	})
+	if err != nil {
+		return err
+	}
+	if some {
+		if err := s.ApplySnapshot(snapshot); err != nil && !errors.Is(err, raft.ErrSnapOutOfDate) {
+			return err
+		}
+	}
+	if !raft.IsEmptyHardState(hard) {
+		if err := s.SetHardState(hard); err != nil {
+			return err
+		}
+	}
+	return s.Append(entries)
+}
+
+// compact takes a snapshot of what was applied, and forgets the entries before it but for a few that a slow voter may need.
+func (s *store) compact(applied uint64, cs *raftpb.ConfState, state []byte) error {
+	snapshot, err := s.CreateSnapshot(applied, cs, state)
+	if err != nil {
+		return err
+	}
+	if err := s.db.Update(func(tx *bolt.Tx) error {
+		if err := put(tx.Bucket(metaBucket), snapshotKey, snapshot); err != nil {
+			return err
+		}
+		return drop(tx.Bucket(entriesBucket), 0, applied)
+	}); err != nil {
+		return err
+	}
+	if applied > keepBehind {
+		if err := s.Compact(applied - keepBehind); err != nil && !errors.Is(err, raft.ErrCompacted) {
+			return err
+		}
+	}
+	return nil
+}
+
+func key(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+
+func put(b *bolt.Bucket, key []byte, m proto.Message) error {
+	text, err := proto.Marshal(m)
+	if err != nil {
+		return err
+	}
+	return b.Put(key, text)
+}
+
+// drop deletes the entries from one index to another.
+func drop(b *bolt.Bucket, from, to uint64) error {
+	var gone [][]byte
+	c := b.Cursor()
+	for k, _ := c.Seek(key(from)); k != nil && binary.BigEndian.Uint64(k) <= to; k, _ = c.Next() {
+		gone = append(gone, append([]byte(nil), k...))
+	}
+	for _, k := range gone {
+		if err := b.Delete(k); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/hcl/v2/hclwrite"
 
 	"brassdale/internal/diag"
+	"brassdale/internal/fleet"
 	"brassdale/internal/protocol"
 	"brassdale/internal/savedlist"
 	"brassdale/internal/transport"
@@ -34,6 +35,7 @@
 	Accounts *transport.SharesSettings
 	Saved    *savedlist.Settings
 	Fleet    *transport.FleetSettings
+	Council  *fleet.Settings
 }
 
 // Keyed gives the settings of the table of keys; nil where there is none. Fronts beside the platform's need it: a key
@@ -67,6 +69,7 @@
 	{"keys", "", readKeys, func(f *File) any { return orNil(f.Keyed()) }},
 	{"accounts", "", readAccounts, func(f *File) any { return orNil(f.Accounts) }},
 	{"fleet", "", readFleet, func(f *File) any { return orNil(f.Fleet) }},
+	{"council", "", readCouncil, func(f *File) any { return orNil(f.Council) }},
 	{"saved_list", "", readSaved, func(f *File) any { return orNil(f.Saved) }},
 }
 
@@ -198,6 +201,29 @@
 	f.Fleet = &s
 }
 
+func readCouncil(f *File, r *reader) {
+	s := fleet.Default()
+	if !r.decode(&s) {
+		return
+	}
+	if s.Name == "" {
+		r.bad("fleet", "It must name the fleet.")
+	}
+	r.address(s.Listen, false, false)
+	if err := s.CheckVoters(); err != nil {
+		r.bad("voters", "%v.", err)
+	}
+	if s.Directory == "" {
+		r.bad("directory", "It must name a folder.")
+	} else if !filepath.IsAbs(s.Directory) {
+		s.Directory = filepath.Join(r.dir, s.Directory)
+	}
+	if _, err := s.Lease(); err != nil {
+		r.bad("bound", `%q is no duration of %v or more, such as "2s".`, s.Bound, fleet.LeastBound)
+	}
+	f.Council = &s
+}
+
 func readSaved(f *File, r *reader) {
 	s := savedlist.Default()
 	if !r.decode(&s) {
--- /dev/null
+++ b/internal/program/agreed.go
@@ -0,0 +1,89 @@
+package program
+
+import (
+	"slices"
+	"sync"
+
+	"brassdale/brain"
+	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/fleet"
+)
+
+// agreed is what the fleet's rules are put in force by.
+type agreed struct {
+	d     *dispatcher
+	agent *fleet.Agent
+
+	mu    sync.Mutex
+	out   []string // boxes that the fleet has out
+	own   float64  // the operator's own bound on further calls; below 0 for none
+	fleet float64  // and the fleet's
+}
+
+// agree makes the dispatcher's part in the fleet. It does nothing yet.
+func (d *dispatcher) agree(s *fleet.Settings, name string) (err error) {
+	a := &agreed{d: d, own: -1, fleet: -1}
+	if d.budgeted {
+		a.own = d.retries
+	}
+	if a.agent, err = fleet.New(s, name, a.apply, d.log); err != nil {
+		return err
+	}
+	d.agreed, d.budgeted = a, true
+	may := func() bool { return a.agent.Stand().Rules.Repeat }
+	d.core.Repeats(may)
+	d.fleet.Repeats = may
+	return nil
+}
+
+// apply puts what may be acted on in force: the stricter of it and of what operators said to this dispatcher alone. What is
+// sent a second time is asked for at each call.
+func (a *agreed) apply(s agreement.Stand) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fleet = s.Rules.Retries
+	a.limit()
+	own := a.d.operations.file.list()
+	for _, id := range s.Rules.Out {
+		if !slices.Contains(a.out, id) {
+			a.d.core.Put(brain.WorkerID(id), true)
+		}
+	}
+	for _, id := range a.out {
+		if !slices.Contains(s.Rules.Out, id) && !slices.Contains(own, id) {
+			a.d.core.Put(brain.WorkerID(id), false)
+		}
+	}
+	a.out = slices.Clone(s.Rules.Out)
+}
+
+// limit puts the smaller bound in force; a.mu is held.
+func (a *agreed) limit() {
+	share := a.own
+	if a.fleet >= 0 && (share < 0 || a.fleet < share) {
+		share = a.fleet
+	}
+	a.d.core.Limit(share)
+}
+
+// has tells whether the fleet has a box out.
+func (a *agreed) has(id string) bool {
+	if a == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Contains(a.out, id)
+}
+
+// limit puts the operator's own bound on further calls in force.
+func (d *dispatcher) limit(share float64) {
+	if d.retries = share; d.agreed == nil {
+		d.core.Limit(share)
+		return
+	}
+	d.agreed.mu.Lock()
+	defer d.agreed.mu.Unlock()
+	d.agreed.own = share
+	d.agreed.limit()
+}
--- a/internal/program/operations.go
+++ b/internal/program/operations.go
@@ -36,6 +36,10 @@
 	if o.d.budgeted {
 		figures += fmt.Sprintf("retries_denied=%d\n", counted.RetriesDenied)
 	}
+	if o.d.agreed != nil {
+		s := o.d.agreed.agent.Stand()
+		figures += fmt.Sprintf("repeats_denied=%d\nfleet_version=%d\nfleet_lapsed=%t\n", counted.RepeatsDenied, s.Versions[len(s.Versions)-1], s.Lapsed)
+	}
 	if o.d.saved != nil {
 		figures += o.d.saved.figures()
 	}
@@ -60,6 +64,9 @@
 	if !known {
 		return &transport.Refusal{Status: http.StatusNotFound, Why: "no such worker was ever listed"}
 	}
+	if !out && o.d.agreed.has(id) {
+		return &transport.Refusal{Status: http.StatusConflict, Why: "the fleet has it out: propose rules without it"}
+	}
 	if kin := o.d.kin(); kin != nil {
 		if yes, heard := kin.Ask(protocol.Note{Worker: id, Out: out}, until); heard && !yes {
 			return &transport.Refusal{Status: http.StatusConflict, Why: "the other process could not do it"}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -49,6 +49,8 @@
 	http2      *http2.Front        // the same
 	saved      *saved              // nil where no list is kept
 	budgeted   bool                // further calls have a budget
+	retries    float64             // its share
+	agreed     *agreed             // nil where the fleet agrees on nothing
 	relayed    *http.Server        // takes readers that the other process relays
 	relay      string              // at this path; empty while nobody can
 	reloader   *reloader
@@ -140,6 +142,9 @@
 	}
 	go d.core.Run(ctx)
 	go d.set.Run(ctx)
+	if d.agreed != nil {
+		go d.agreed.agent.Run(ctx)
+	}
 	d.serving.Store(true)
 	d.publish()
 	if pred != nil {
@@ -209,9 +214,14 @@
 		d.keys = transport.NewKeys(s, d.ids, op.Progress != nil)
 	}
 	if op.Fleet != nil {
-		d.core.Limit(op.Fleet.RetryBudget)
+		d.limit(op.Fleet.RetryBudget)
 		d.budgeted = true
 	}
+	if op.Council != nil {
+		if err := d.agree(op.Council, cfg.Name); err != nil {
+			return fmt.Errorf("council: %w", err)
+		}
+	}
 	if op.Accounts != nil {
 		d.accounts = transport.NewShares(op.Accounts)
 	}
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -101,7 +101,7 @@
 	return func() {
 		keys()
 		if r.d.budgeted && op.Fleet != nil {
-			r.d.core.Limit(op.Fleet.RetryBudget)
+			r.d.limit(op.Fleet.RetryBudget)
 		}
 		if r.d.accounts != nil && op.Accounts != nil {
 			r.d.accounts.Retune(op.Accounts)
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -119,6 +119,7 @@
 	requests map[brain.RequestID]*request
 	timers   timers
 	budget   *retries.Budget // of further calls; nil for no bound but the module's
+	repeats  func() bool     // whether anything may be sent a second time now; nil for always
 }
 
 type request struct {
@@ -267,7 +268,10 @@
 // Retune puts new settings in force for the requests that come from now on.
 func (c *Core) Retune(s brain.Settings) { c.box.Post(brain.Retuned{Settings: s}) }
 
-// Limit puts a budget in force for requests' further calls: so many for each first one.
+// Repeats names who says whether anything may be sent a second time. It is set before Run and must not block.
+func (c *Core) Repeats(may func() bool) { c.repeats = may }
+
+// Limit puts a budget in force for requests' further calls: so many for each first one; below 0 for none.
 func (c *Core) Limit(share float64) { c.box.Post(limited{share}) }
 
 // Shared tells how many processes act as this dispatcher.
@@ -344,6 +348,10 @@
 		c.endpoints.Bar(m.id, since) // first, so that what the module sends from now on finds it done
 		c.feed(ev)
 	case limited:
+		if m.share < 0 {
+			c.budget = nil
+			return
+		}
 		if c.budget == nil {
 			c.budget = retries.New(m.share)
 		}
@@ -466,6 +474,11 @@
 		c.Finished(id, End{Outcome: brain.NeverSent})
 		return
 	}
+	if id.Attempt > 0 && c.repeats != nil && !c.repeats() {
+		c.ledger.repeatDenied()
+		c.Finished(id, End{Outcome: brain.NeverSent})
+		return
+	}
 	if c.budget != nil {
 		if id.Attempt == 0 {
 			c.budget.First(c.now, r.ClassName, r.Account)
--- a/internal/routing/ledger.go
+++ b/internal/routing/ledger.go
@@ -20,6 +20,7 @@
 	Targets, Avoided             int              // endpoints in the list, and those of them that get nothing now
 	ReloadsTaken, ReloadsRefused int
 	RetriesDenied                int // further calls that the budget did not allow
+	RepeatsDenied                int // further calls that the fleet did not allow
 }
 
 // Tally is what became of the requests of a class.
@@ -90,6 +91,7 @@
 	l.enter(func(f *Figures) { f.count(class, v); f.Concurrent-- })
 }
 
-func (l *Ledger) listed(n int) { l.enter(func(f *Figures) { f.Targets = n }) }
-func (l *Ledger) denied(n int) { l.enter(func(f *Figures) { f.RetriesDenied = n }) }
-func (l *Ledger) avoids(n int) { l.enter(func(f *Figures) { f.Avoided = n }) }
+func (l *Ledger) listed(n int)  { l.enter(func(f *Figures) { f.Targets = n }) }
+func (l *Ledger) denied(n int)  { l.enter(func(f *Figures) { f.RetriesDenied = n }) }
+func (l *Ledger) repeatDenied() { l.enter(func(f *Figures) { f.RepeatsDenied++ }) }
+func (l *Ledger) avoids(n int)  { l.enter(func(f *Figures) { f.Avoided = n }) }
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -269,7 +269,8 @@
 	over := func(told time.Time) bool {
 		return !told.IsZero() && now.After(told.Add(e.fleet.params.Now().Rules.DrainGrace.Span()-drainMargin))
 	}
-	if x.cut.Load() || !now.Before(x.deadline) || !x.probe && (over(e.dest.Told) || over(e.barred)) {
+	second := !x.probe && x.call.ID.Attempt > 0 && e.fleet.Repeats != nil && !e.fleet.Repeats()
+	if x.cut.Load() || second || !now.Before(x.deadline) || !x.probe && (over(e.dest.Told) || over(e.barred)) {
 		e.end(x, routing.End{Outcome: brain.NeverSent})
 		return false
 	}
--- a/internal/transport/fleet.go
+++ b/internal/transport/fleet.go
@@ -40,6 +40,9 @@
 	members map[brain.WorkerID]*endpoint
 	barred  map[brain.WorkerID]time.Time // put out by hand, listed or not
 	starved []*endpoint                  // wait for a connection that they may open
+
+	// Repeats tells whether a call beyond a job's first may still leave; nil for always. It is set before the first call.
+	Repeats func() bool
 }
 
 // NewFleet makes an empty fleet. It opens no connection before Allow.
