--- a/internal/emulator/play.go
+++ b/internal/emulator/play.go
@@ -33,7 +33,7 @@
 }
 
 // Start starts a dispatcher's program at the n-th door, with a folder of its own for its files, and waits until it serves.
-func (k *Works) Start(ctx context.Context, binary, dir string, n int) (*Node, error) {
+func (k *Works) Start(ctx context.Context, binary, dir string, n int, args ...string) (*Node, error) {
 	text, err := k.Config(n)
 	if err != nil {
 		return nil, err
@@ -46,7 +46,7 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		return nil, err
 	}
-	d := &Node{cmd: exec.Command(binary), ended: make(chan struct{}), ready: make(chan struct{})}
+	d := &Node{cmd: exec.Command(binary, args...), ended: make(chan struct{}), ready: make(chan struct{})}
 	d.cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "GW_ADMIN=127.0.0.1:0", "TMPDIR="+dir)
 	errs, err := d.cmd.StderrPipe()
 	if err != nil {
@@ -110,6 +110,19 @@
 	return nil
 }
 
+// Signal sends it a signal.
+func (d *Node) Signal(s os.Signal) error { return d.cmd.Process.Signal(s) }
+
+// Breaches are the rules that were broken by now.
+func (k *Works) Breaches() (all []Breach) {
+	got := make(chan []Breach, 1)
+	k.w.post(func() { got <- append([]Breach(nil), k.w.audit.breach...) })
+	return <-got
+}
+
+// ClassName is the works' class, the first part of its jobs' path.
+const ClassName = className
+
 // Kill ends it at once.
 func (d *Node) Kill() {
 	_ = d.cmd.Process.Kill()
--- /dev/null
+++ b/internal/faults/fleet.go
@@ -0,0 +1,481 @@
+package faults
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/emulator"
+)
+
+// Plan is a fleet and what befalls it.
+type Plan struct {
+	Seed              uint64
+	Processes, Voters int
+	Bound             time.Duration
+	Span              time.Duration
+	Every, Longest    time.Duration // between faults, and of one
+	Kinds             []Kind
+	Rate              float64       // jobs a second
+	Proposals         time.Duration // between them
+}
+
+// Result is what came of it. The names of its figures are kept.
+type Result struct {
+	Seed             uint64         `json:"seed"`
+	Processes        int            `json:"processes"`
+	Faults           map[string]int `json:"faults"`
+	ContradictionMS  float64        `json:"contradiction_max_ms"`
+	LapsedApartMS    float64        `json:"lapsed_apart_max_ms"` // one of the two held no lease, and sent nothing twice
+	BoundMS          float64        `json:"bound_ms"`
+	Jobs             int            `json:"jobs"`
+	AnsweredOnce     int            `json:"answered_once"`
+	AnsweredNever    int            `json:"answered_never"`
+	AnsweredTwice    int            `json:"answered_twice"`
+	LostWithProcess  int            `json:"lost_with_process"` // their process was killed or stood still meanwhile
+	Refused          int            `json:"refused"`           // of those answered once
+	RulesBroken      int            `json:"rules_broken"`
+	Breaches         []string       `json:"breaches,omitempty"`
+	Versions         uint64         `json:"versions"` // that came in force
+	InForceP50MS     float64        `json:"in_force_p50_ms"`
+	InForceP99MS     float64        `json:"in_force_p99_ms"`
+	SettledMS        float64        `json:"settled_ms"` // behind the last fault, until all acted on one version with leases
+	Stands           [][]Stand      `json:"-"`
+	Away             [][]Away       `json:"-"`
+	Events           []Event        `json:"-"`
+	Begin            time.Time      `json:"-"`
+	announced, force map[uint64]time.Time
+}
+
+// Bad tells whether a rule or the bound was broken.
+func (r *Result) Bad() bool {
+	return r.RulesBroken > 0 || r.ContradictionMS > r.BoundMS || r.AnsweredNever > 0 || r.AnsweredTwice > 0
+}
+
+// process is a dispatcher over its starts.
+type process struct {
+	node  *emulator.Node
+	dir   string // its disk
+	logs  string // of its earlier starts
+	away  []Away
+	gone  bool
+	state State // of its links: To is what it says
+}
+
+// play is a plan being played.
+type play struct {
+	Plan
+	ctx    context.Context
+	works  *emulator.Works
+	binary string
+	dir    string
+	voters []string
+	links  map[[2]int]*Link // from a process to a voter
+	client *http.Client
+
+	mu  sync.Mutex
+	all []*process
+	r   *Result
+}
+
+// Play starts the fleet's processes with links between them, and plays.
+func Play(ctx context.Context, p Plan, binary, dir string) (*Result, error) {
+	s := emulator.LlanelliWorks(p.Seed)
+	s.Span, s.Dispatchers, s.Traffic.Rate = p.Span, p.Processes, p.Rate
+	works, err := emulator.Open(s)
+	if err != nil {
+		return nil, err
+	}
+	defer works.Close()
+	f := &play{Plan: p, ctx: ctx, works: works, binary: binary, dir: dir, links: map[[2]int]*Link{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		r: &Result{Seed: p.Seed, Processes: p.Processes, Faults: map[string]int{}, BoundMS: float64(p.Bound.Milliseconds()),
+			announced: map[uint64]time.Time{}, force: map[uint64]time.Time{}}}
+	defer f.client.CloseIdleConnections()
+	for range p.Voters {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		f.voters = append(f.voters, l.Addr().String())
+		l.Close()
+	}
+	defer func() {
+		for _, l := range f.links {
+			l.Close()
+		}
+		for _, x := range f.all {
+			if x.node != nil {
+				_ = x.node.Signal(syscall.SIGCONT)
+				x.node.Kill()
+			}
+		}
+	}()
+	for i := range p.Processes {
+		x := &process{dir: filepath.Join(dir, fmt.Sprintf("disk-%d", i))}
+		f.all = append(f.all, x)
+		for v := range p.Voters {
+			if v == i {
+				continue
+			}
+			if f.links[[2]int{i, v}], err = NewLink(f.voters[v], p.Seed+uint64(100*i+v)); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for i := range f.all {
+		if err := f.start(i); err != nil {
+			return nil, err
+		}
+	}
+	return f.run()
+}
+
+// operator is a process's file.
+func (f *play) operator(i int) string {
+	var voters []string
+	for v, at := range f.voters {
+		if l := f.links[[2]int{i, v}]; l != nil {
+			at = l.Address()
+		}
+		voters = append(voters, at)
+	}
+	listen, seat := "127.0.0.1:0", 0
+	if i < f.Voters {
+		listen, seat = f.voters[i], i+1
+	}
+	return fmt.Sprintf("council {\n fleet = \"rig\"\n listen = %q\n voters = [\"%s\"]\n seat = %d\n directory = %q\n bound = %q\n}\n", listen,
+		strings.Join(voters, `", "`), seat, f.all[i].dir, f.Bound)
+}
+
+func (f *play) start(i int) error {
+	path := filepath.Join(f.dir, fmt.Sprintf("operator-%d.hcl", i))
+	if err := os.WriteFile(path, []byte(f.operator(i)), 0o600); err != nil {
+		return err
+	}
+	node, err := f.works.Start(f.ctx, f.binary, f.dir, i, "serve", "--operator", path)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.all[i].node, f.all[i].gone = node, false
+	return nil
+}
+
+// run plays the schedule, the jobs and the proposals beside each other.
+func (f *play) run() (*Result, error) {
+	f.r.Events = Draw(f.Seed, f.Kinds, f.Processes, f.Voters, f.Span, f.Every, f.Longest)
+	f.r.Begin = time.Now()
+	begin, end := f.r.Begin, f.r.Begin.Add(f.Span)
+	var wait sync.WaitGroup
+	var failed error
+	for _, e := range f.r.Events {
+		f.r.Faults[string(e.Kind)]++
+		wait.Go(func() {
+			if !until(f.ctx, begin.Add(e.At)) {
+				return
+			}
+			if err := f.befall(e, begin.Add(e.At+e.For)); err != nil {
+				f.mu.Lock()
+				failed = cmp.Or(failed, err)
+				f.mu.Unlock()
+			}
+		})
+	}
+	wait.Go(func() { f.jobs(end) })
+	wait.Go(func() { f.proposals(end) })
+	wait.Wait()
+	if failed != nil || f.ctx.Err() != nil {
+		return nil, cmp.Or(failed, f.ctx.Err())
+	}
+	f.settle()
+	f.account()
+	return f.r, nil
+}
+
+func until(ctx context.Context, at time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Until(at)):
+		return true
+	}
+}
+
+// befall plays one fault to its end.
+func (f *play) befall(e Event, end time.Time) error {
+	x := f.all[e.Process]
+	switch e.Kind {
+	case Cut:
+		f.link(e.Process, State{CutTo: true, CutFrom: true})
+	case OneWay:
+		f.link(e.Process, State{CutTo: !e.Reverse, CutFrom: e.Reverse})
+	case Delayed:
+		f.link(e.Process, State{Delay: 50 * time.Millisecond, Spread: 250 * time.Millisecond})
+	case Flap:
+		for on := true; time.Now().Before(end); on = !on {
+			f.link(e.Process, State{CutTo: on, CutFrom: on})
+			if !until(f.ctx, time.Now().Add(50*time.Millisecond)) {
+				return nil
+			}
+		}
+	case Resets:
+		for time.Now().Before(end) {
+			f.each(e.Process, func(l *Link, _ bool) { l.Reset() })
+			if !until(f.ctx, time.Now().Add(100*time.Millisecond)) {
+				return nil
+			}
+		}
+	case Freeze:
+		f.leave(x)
+		if err := x.node.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		until(f.ctx, end)
+		f.back(x)
+		return x.node.Signal(syscall.SIGCONT)
+	case Kill, Blank:
+		f.leave(x)
+		x.node.Kill()
+		x.logs += x.node.Log()
+		if e.Kind == Blank {
+			if err := os.RemoveAll(x.dir); err != nil {
+				return err
+			}
+		}
+		until(f.ctx, end)
+		f.back(x)
+		return f.start(e.Process)
+	}
+	until(f.ctx, end)
+	f.link(e.Process, State{})
+	return nil
+}
+
+func (f *play) leave(x *process) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	x.gone = true
+	x.away = append(x.away, Away{From: time.Now()})
+}
+
+func (f *play) back(x *process) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	x.away[len(x.away)-1].To, x.gone = time.Now(), false
+}
+
+// each goes through the links of a process; called tells that it is the one who is called.
+func (f *play) each(process int, do func(l *Link, called bool)) {
+	for ends, l := range f.links {
+		if ends[0] == process || ends[1] == process {
+			do(l, ends[1] == process)
+		}
+	}
+}
+
+// link puts what befalls a process's links in force, beside what befalls those at the other ends.
+func (f *play) link(process int, s State) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.all[process].state = s
+	for ends, l := range f.links {
+		if ends[0] != process && ends[1] != process {
+			continue
+		}
+		from, to := f.all[ends[0]].state, f.all[ends[1]].state
+		l.Set(State{CutTo: from.CutTo || to.CutFrom, CutFrom: from.CutFrom || to.CutTo,
+			Delay: max(from.Delay, to.Delay), Spread: max(from.Spread, to.Spread)})
+	}
+}
+
+// jobs sends them, open loop, to processes that are there.
+func (f *play) jobs(end time.Time) {
+	rng := rand.New(rand.NewPCG(f.Seed, 3))
+	var wait sync.WaitGroup
+	for n, at := 0, time.Now(); at.Before(end); n++ {
+		if !until(f.ctx, at) {
+			break
+		}
+		at = at.Add(time.Duration(rng.ExpFloat64() / f.Rate * float64(time.Second)))
+		f.mu.Lock()
+		var there []*process
+		for _, x := range f.all {
+			if !x.gone {
+				there = append(there, x)
+			}
+		}
+		f.mu.Unlock()
+		if len(there) == 0 {
+			continue
+		}
+		x := there[rng.IntN(len(there))]
+		wait.Go(func() { f.job(n, x) })
+	}
+	wait.Wait()
+}
+
+// jobWithin is how long a client waits.
+const jobWithin = 5 * time.Second
+
+func (f *play) job(n int, x *process) {
+	sent := time.Now()
+	f.mu.Lock()
+	node := x.node
+	f.mu.Unlock()
+	ctx, stop := context.WithDeadline(f.ctx, sent.Add(jobWithin+500*time.Millisecond))
+	defer stop()
+	status := 0
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s", node.Address, emulator.ClassName), strings.NewReader("drawing"))
+	if err == nil {
+		id := fmt.Sprintf("%016x%016x", f.Seed, n)
+		for name, v := range map[string]string{"Req-Id": id, "Req-Kind": emulator.ClassName, "Req-Owner": "deeside-aero", "Idempotency-Key": id,
+			"Req-Deadline-Ms": fmt.Sprint(jobWithin.Milliseconds())} {
+			r.Header.Set(name, v)
+		}
+		var resp *http.Response
+		if resp, err = f.client.Do(r); err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			status = resp.StatusCode
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.r.Jobs++
+	switch {
+	case err == nil:
+		f.r.AnsweredOnce++
+		if status != http.StatusOK {
+			f.r.Refused++
+		}
+	case slices.ContainsFunc(x.away, func(a Away) bool { return a.To.IsZero() || a.To.After(sent.Add(-time.Second)) }):
+		f.r.LostWithProcess++
+	default:
+		f.r.AnsweredNever++
+	}
+}
+
+// proposals announces rules now and then, at some voter.
+func (f *play) proposals(end time.Time) {
+	rng := rand.New(rand.NewPCG(f.Seed, 4))
+	for at := time.Now().Add(f.Proposals); at.Before(end); at = at.Add(f.Proposals) {
+		if !until(f.ctx, at) {
+			return
+		}
+		var s struct{ Record agreement.Record }
+		v := f.voters[rng.IntN(len(f.voters))]
+		rules := agreement.Rules{Retries: float64(rng.IntN(10)) / 10, Repeat: rng.IntN(4) > 0}
+		if f.call(v, "status", nil, &s) != nil || s.Record.Announced != nil {
+			continue
+		}
+		text, err := json.Marshal(agreement.Version{Number: s.Record.InForce.Number, Rules: rules, By: "rig", Why: "drawn", At: time.Now()})
+		var got struct{ Record agreement.Record }
+		if err == nil && f.call(v, "propose", text, &got) == nil && got.Record.Announced != nil {
+			f.r.announced[got.Record.Announced.Number] = time.Now()
+		}
+	}
+}
+
+func (f *play) call(at, what string, body []byte, to any) error {
+	ctx, stop := context.WithDeadline(f.ctx, time.Now().Add(2*time.Second))
+	defer stop()
+	method := http.MethodPost
+	if body == nil {
+		method = http.MethodGet
+	}
+	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s/council/%s", at, what), bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := f.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", resp.StatusCode)
+	}
+	return json.NewDecoder(resp.Body).Decode(to)
+}
+
+// settle waits until all act on one version, with leases.
+func (f *play) settle() {
+	begin := time.Now()
+	for time.Since(begin) < 20*time.Second && f.ctx.Err() == nil {
+		all := f.stands()
+		one := true
+		for _, s := range all {
+			last := Stand{Lapsed: true}
+			if len(s) > 0 {
+				last = s[len(s)-1]
+			}
+			one = one && !last.Lapsed && len(last.Versions) == 1 && last.Versions[0] == all[0][len(all[0])-1].Versions[0]
+		}
+		if one {
+			f.r.SettledMS = float64(time.Since(begin).Milliseconds())
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.r.RulesBroken++
+	f.r.Breaches = append(f.r.Breaches, "the fleet did not come to one version within 20 s of the last fault")
+}
+
+func (f *play) stands() (all [][]Stand) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, x := range f.all {
+		all = append(all, Stands(x.logs+x.node.Log(), time.Now(), x.away))
+	}
+	return all
+}
+
+// account draws the figures together.
+func (f *play) account() {
+	r := f.r
+	r.Stands = f.stands()
+	for _, x := range f.all {
+		r.Away = append(r.Away, x.away)
+	}
+	contradiction, lapsed := Apart(r.Stands)
+	r.ContradictionMS, r.LapsedApartMS = float64(contradiction.Milliseconds()), float64(lapsed.Milliseconds())
+	for _, b := range f.works.Breaches() {
+		r.RulesBroken++
+		r.Breaches = append(r.Breaches, b.String())
+	}
+	for _, all := range r.Stands {
+		for _, s := range all {
+			if v := s.Versions[0]; len(s.Versions) == 1 && !s.Lapsed {
+				if at, ok := r.force[v]; !ok || s.From.Before(at) {
+					r.force[v] = s.From
+				}
+				r.Versions = max(r.Versions, v)
+			}
+		}
+	}
+	var took []float64
+	for v, at := range r.announced {
+		if force, ok := r.force[v]; ok {
+			took = append(took, float64(force.Sub(at).Milliseconds()))
+		}
+	}
+	if slices.Sort(took); len(took) > 0 {
+		r.InForceP50MS, r.InForceP99MS = took[len(took)/2], took[min(len(took)*99/100, len(took)-1)]
+	}
+}
--- /dev/null
+++ b/internal/faults/link.go
@@ -0,0 +1,179 @@
+// Package faults plays faults between processes: links that lose, delay and reset what goes over them, and processes that
+// are stopped, killed and started anew, by a schedule drawn from a seed. Everything stays on loopback.
+package faults
+
+import (
+	"errors"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// State is what a link does now.
+type State struct {
+	CutTo   bool          // nothing that the one who calls says arrives
+	CutFrom bool          // nothing that the one who is called says does
+	Delay   time.Duration // of each piece, one way
+	Spread  time.Duration // and up to so much more
+}
+
+// Link is a way from one process to another's listener. Bytes that meet a cut wait there; once it ends their connections are
+// reset, as those of a machine that was cut off.
+type Link struct {
+	listener net.Listener
+	to       string
+
+	mu    sync.Mutex
+	state State
+	held  map[net.Conn]bool // connections on which something waits
+	conns map[net.Conn]bool
+	rng   *rand.Rand
+	over  bool
+	moved chan struct{} // closed at each change
+}
+
+// NewLink listens on a loopback port of the system's choice and passes on to an address.
+func NewLink(to string, seed uint64) (*Link, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	k := &Link{listener: l, to: to, held: map[net.Conn]bool{}, conns: map[net.Conn]bool{}, rng: rand.New(rand.NewPCG(seed, 1)), moved: make(chan struct{})}
+	go k.serve()
+	return k, nil
+}
+
+// Address is where the one who calls reaches it.
+func (k *Link) Address() string { return k.listener.Addr().String() }
+
+// Set changes what it does.
+func (k *Link) Set(s State) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if (k.state.CutTo || k.state.CutFrom) && !s.CutTo && !s.CutFrom {
+		for c := range k.held {
+			reset(c)
+		}
+		k.held = map[net.Conn]bool{}
+	}
+	k.state = s
+	close(k.moved)
+	k.moved = make(chan struct{})
+}
+
+// Reset breaks all connections that go over it now.
+func (k *Link) Reset() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for c := range k.conns {
+		reset(c)
+	}
+}
+
+// Close ends it.
+func (k *Link) Close() {
+	k.mu.Lock()
+	k.over = true
+	k.mu.Unlock()
+	k.listener.Close()
+	k.Reset()
+	k.Set(State{})
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	c.Close()
+}
+
+func (k *Link) serve() {
+	for {
+		in, err := k.listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			out, err := net.Dial("tcp", k.to)
+			if err != nil {
+				reset(in)
+				return
+			}
+			k.mu.Lock()
+			k.conns[in], k.conns[out] = true, true
+			over := k.over
+			k.mu.Unlock()
+			if over {
+				reset(in)
+				reset(out)
+				return
+			}
+			var wait sync.WaitGroup
+			wait.Go(func() { k.pass(in, out, func(s State) bool { return s.CutTo }) })
+			wait.Go(func() { k.pass(out, in, func(s State) bool { return s.CutFrom }) })
+			wait.Wait()
+			k.mu.Lock()
+			for _, c := range []net.Conn{in, out} {
+				delete(k.conns, c)
+				delete(k.held, c)
+			}
+			k.mu.Unlock()
+		}()
+	}
+}
+
+var errCut = errors.New("cut")
+
+// pass carries one direction, piece by piece.
+func (k *Link) pass(from, to net.Conn, cut func(State) bool) {
+	defer to.Close()
+	defer from.Close()
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			if k.hold(from, to, cut) != nil {
+				return
+			}
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// hold waits out a piece's delay, and a cut; behind a cut its connection is of no use any more.
+func (k *Link) hold(from, to net.Conn, cut func(State) bool) error {
+	k.mu.Lock()
+	s := k.state
+	delay := s.Delay
+	if s.Spread > 0 {
+		delay += time.Duration(k.rng.Int64N(int64(s.Spread)))
+	}
+	k.mu.Unlock()
+	if delay > 0 {
+		time.Sleep(delay)
+	}
+	waited := false
+	for {
+		k.mu.Lock()
+		moved, stands := k.moved, cut(k.state) && !k.over
+		if stands {
+			k.held[from], k.held[to] = true, true
+		}
+		k.mu.Unlock()
+		if !stands {
+			break
+		}
+		waited = true
+		<-moved
+	}
+	if waited {
+		return errCut
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/faults/schedule.go
@@ -0,0 +1,59 @@
+package faults
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault between processes.
+type Kind string
+
+// The kinds that there are.
+const (
+	Cut     Kind = "cut"      // a process and all others, both ways
+	OneWay  Kind = "one-way"  // a process hears and cannot answer, or the reverse
+	Delayed Kind = "delayed"  // what goes to and from a process takes up to 300 ms more
+	Resets  Kind = "resets"   // its connections break, several times
+	Freeze  Kind = "freeze"   // SIGSTOP
+	Kill    Kind = "kill"     // SIGKILL, and a start with its disk
+	Blank   Kind = "blank"    // the same, and its disk is lost
+	Flap    Kind = "flapping" // its links are cut and healed ten times a second
+)
+
+// Kinds are all of them.
+func Kinds() []Kind { return []Kind{Cut, OneWay, Delayed, Resets, Freeze, Kill, Blank, Flap} }
+
+// Event is a fault of one process.
+type Event struct {
+	At, For time.Duration
+	Kind    Kind
+	Process int
+	Reverse bool // of a one-way cut: it speaks and cannot hear
+}
+
+// Draw gives a schedule of a seed: faults of the kinds given, each beginning every so often on average, of one process each.
+// Voters are the first processes. A disk is lost of a follower only: a voter that has lost its own may vote a second time,
+// which no log survives.
+func Draw(seed uint64, kinds []Kind, processes, voters int, span, every, longest time.Duration) (all []Event) {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	busy := make([]time.Duration, processes)
+	for at := every; at < span; at += time.Duration(rng.ExpFloat64() * float64(every)) {
+		e := Event{At: at, Kind: kinds[rng.IntN(len(kinds))], Process: rng.IntN(processes), Reverse: rng.IntN(2) == 0}
+		e.For = time.Duration((0.1 + 0.9*rng.Float64()) * float64(longest))
+		if e.Kind == Blank && e.Process < voters {
+			if processes == voters {
+				e.Kind = Kill
+			} else {
+				e.Process = voters + rng.IntN(processes-voters)
+			}
+		}
+		if busy[e.Process] > at || at+e.For > span {
+			continue // one fault of a process at a time, and all are over at the end
+		}
+		busy[e.Process] = at + e.For + time.Second
+		all = append(all, e)
+	}
+	slices.SortStableFunc(all, func(a, b Event) int { return int(a.At - b.At) })
+	return all
+}
--- /dev/null
+++ b/internal/faults/stands.go
@@ -0,0 +1,78 @@
+package faults
+
+import (
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Stand is what a process acted on for a while.
+type Stand struct {
+	From, To time.Time
+	Versions []uint64
+	Lapsed   bool
+}
+
+var acting = regexp.MustCompile(`msg="acting on" versions="?\[([0-9 ]*)\]"? lapsed=(true|false) at_ms=(\d+)`)
+
+// Stands reads them from a process's log, which ended then. What it stood for while it was away is cut out: what it says
+// first behind that is the first thing that it does.
+func Stands(log string, end time.Time, away []Away) (all []Stand) {
+	for _, m := range acting.FindAllStringSubmatch(log, -1) {
+		ms, err := strconv.ParseInt(m[3], 10, 64)
+		if err != nil {
+			continue
+		}
+		s := Stand{From: time.UnixMilli(ms), To: end, Lapsed: m[2] == "true"}
+		for _, v := range strings.Fields(m[1]) {
+			n, _ := strconv.ParseUint(v, 10, 64)
+			s.Versions = append(s.Versions, n)
+		}
+		if len(all) > 0 {
+			all[len(all)-1].To = s.From
+		}
+		all = append(all, s)
+	}
+	for i := range all {
+		for _, a := range away {
+			if a.From.After(all[i].From) && a.From.Before(all[i].To) {
+				all[i].To = a.From
+			}
+		}
+	}
+	return all
+}
+
+// Away is when a process stood still or was gone.
+type Away struct{ From, To time.Time }
+
+// Apart gives for how long any two processes acted on versions with nothing in common while both held leases, at the most;
+// and the same where one held none.
+func Apart(processes [][]Stand) (contradiction, lapsed time.Duration) {
+	for i, a := range processes {
+		for _, b := range processes[:i] {
+			for _, x := range a {
+				for _, y := range b {
+					from, to := x.From, x.To
+					if y.From.After(from) {
+						from = y.From
+					}
+					if y.To.Before(to) {
+						to = y.To
+					}
+					if slices.ContainsFunc(x.Versions, func(v uint64) bool { return slices.Contains(y.Versions, v) }) {
+						continue
+					}
+					if span := to.Sub(from); x.Lapsed || y.Lapsed {
+						lapsed = max(lapsed, span)
+					} else {
+						contradiction = max(contradiction, span)
+					}
+				}
+			}
+		}
+	}
+	return contradiction, lapsed
+}
