--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -42,3 +42,15 @@
 #   account "deeside-aero" { share = 0.23 }
 #   account "gwent-pumps" { share = 0.19 }
 # }
+
+# Dispatchers that agree on rules (docs/agreement.md). Off without the block; for installations whose dispatchers may reach
+# one another.
+#
+# council {
+#   fleet     = "llanelli"
+#   listen    = "127.0.0.1:7400"
+#   voters    = ["127.0.0.1:7400", "127.0.0.1:7401", "127.0.0.1:7402"]
+#   seat      = 1
+#   directory = "/var/lib/brassdale/fleet"
+#   bound     = "2s"
+# }
