Before its first job a dispatcher owns cold workers as if a job took its class's aim

Seen: of 90 cold workers among 170 a dispatcher that has just started owned all 90, as each of 300 does (test). Ruled out: the ids' hashing (with a mean job it owns under 30). At fault: owners divides a cold worker's budget by a mean job of nothing, so the budget seems to have parts for all; cost already takes the aim for a job before one was served. Change: owners does the same.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -998,7 +998,8 @@
 
 // owners is how many dispatchers share a cold worker's budget: so many that each part holds a job.
 func (d *Dispatcher) owners(w *worker) int {
-	return min(max(int(d.budget(w)/max(d.mean, 1e-3)), 1), d.set.Dispatchers)
+	job := cmp.Or(d.mean, d.set.Classes[0].Aim.Seconds(), 1) // as cost has it before one was served
+	return min(max(int(d.budget(w)/job), 1), d.set.Dispatchers)
 }
 
 // owns tells whether this dispatcher is one of them: which they are follows from the worker's id.
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -265,6 +265,29 @@
 	}
 }
 
+// Dispatchers that start while half of the workers are cold, and have no job yet: each took itself for an owner of every cold
+// worker, for want of a mean job, and all of them together had many times its budget.
+func TestFewOwnersBeforeTheFirstJob(t *testing.T) {
+	for me := range 30 {
+		s := plain()
+		s.Me, s.Dispatchers, s.ReportsPulled, s.MayProbe = 10*me, 300, true, true
+		s.Cold, s.StartCapacity, s.TipMultiple, s.Fall = 24*time.Second, 0.14, 3, 1500*ms
+		v := newDriver(t, s)
+		ws := workers(170)
+		for i := range ws[80:] {
+			ws[80+i].Since = v.now - time.Second
+		}
+		v.list(ws...)
+		own := 0
+		for _, w := range v.d.workers {
+			own += oneIf(v.d.warmth(w) < 1 && v.d.owns(w))
+		}
+		if own > 30 {
+			t.Errorf("dispatcher %d owns %d of 90 cold workers before its first job", me, own)
+		}
+	}
+}
+
 // At 173 workers the jobs of a hot key waited at the 32 of its window while four in five were free.
 func TestHotKeyReachesAllOfTheFullFleet(t *testing.T) {
 	s := plain()
