The rig's voters have addresses of their own; logs are kept of runs that broke something

The log of the process that lagged: 'the fleet is not joined yet ... bind: address already in use', after its kill. Ruled out: the log and leases (all others on one version, no contradiction in any run). At fault: the rig took ports of 127.0.0.1 and freed them, and a connection of another process had got the port by the time the voter was back. Change: an address of the run's own.

--- a/cmd/brassdale-lab/fleet.go
+++ b/cmd/brassdale-lab/fleet.go
@@ -69,6 +69,11 @@
 	if err == nil {
 		err = os.WriteFile(filepath.Join(dir, "result.json"), append(text, '\n'), 0o644)
 	}
+	for i, log := range r.Logs {
+		if err == nil && r.Bad() { // to look into
+			err = os.WriteFile(filepath.Join(dir, fmt.Sprintf("process-%d.log", i)), []byte(log), 0o644)
+		}
+	}
 	if err == nil {
 		err = r.Chart(filepath.Join(dir, "timeline.svg"))
 	}
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -58,6 +58,7 @@
 	Away             [][]Away       `json:"-"`
 	Events           []Event        `json:"-"`
 	Begin            time.Time      `json:"-"`
+	Logs             []string       `json:"-"` // of the processes
 	announced, force map[uint64]time.Time
 }
 
@@ -106,8 +107,9 @@
 		r: &Result{Seed: p.Seed, Processes: p.Processes, Faults: map[string]int{}, BoundMS: float64(p.Bound.Milliseconds()),
 			announced: map[uint64]time.Time{}, force: map[uint64]time.Time{}}}
 	defer f.client.CloseIdleConnections()
-	for range p.Voters {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for v := range p.Voters {
+		// Addresses of this run alone: the port of a voter that was killed was given to another's connection before it was back.
+		l, err := net.Listen("tcp", fmt.Sprintf("127.88.%d.%d:0", os.Getpid()%250+1, v+1))
 		if err != nil {
 			return nil, err
 		}
@@ -451,7 +453,7 @@
 	r := f.r
 	r.Stands = f.stands()
 	for _, x := range f.all {
-		r.Away = append(r.Away, x.away)
+		r.Away, r.Logs = append(r.Away, x.away), append(r.Logs, x.logs+x.node.Log())
 	}
 	contradiction, lapsed := Apart(r.Stands)
 	r.ContradictionMS, r.LapsedApartMS = float64(contradiction.Milliseconds()), float64(lapsed.Milliseconds())
