--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -1,7 +1,6 @@
 package command
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -151,29 +150,14 @@
 
 // ask asks a dispatcher; a nil body gets.
 func ask(ctx context.Context, url string, body []byte, to any) error {
-	ctx, stop := context.WithDeadline(ctx, time.Now().Add(answerWithin))
-	defer stop()
-	method := http.MethodPost
-	if body == nil {
-		method = http.MethodGet
-	}
-	r, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
-	if err != nil {
-		return err
-	}
-	resp, err := (&http.Client{Transport: &http.Transport{}}).Do(r)
-	if err != nil {
-		return err
-	}
-	defer resp.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(resp.Body, 8<<20))
+	status, text, err := fleet.Call(ctx, &http.Client{Transport: &http.Transport{}}, url, body, time.Now().Add(answerWithin))
 	if err != nil {
 		return err
 	}
-	if resp.StatusCode != http.StatusOK {
+	if status != http.StatusOK {
 		var why struct{ Why string }
 		_ = json.Unmarshal(text, &why)
-		return fmt.Errorf("%s: %s", resp.Status, why.Why)
+		return fmt.Errorf("%d: %s", status, why.Why)
 	}
 	return json.Unmarshal(text, to)
 }
--- a/internal/experiment/draw.go
+++ b/internal/experiment/draw.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"path/filepath"
 
@@ -11,12 +12,9 @@
 	"gonum.org/v1/plot/vg"
 )
 
-// Draw writes the table, the CSV and a chart for each figure that differs at all.
-func Draw(dir, title string, rows []Row) error {
-	for name, write := range map[string]func(*os.File) error{
-		"rows.csv":  func(f *os.File) error { return writeCSV(f, rows) },
-		"table.txt": func(f *os.File) error { fmt.Fprintf(f, "%s\n\n", title); return Table(f, rows) },
-	} {
+// write writes files into a folder.
+func write(dir string, files map[string]func(io.Writer) error) error {
+	for name, write := range files {
 		f, err := os.Create(filepath.Join(dir, name))
 		if err != nil {
 			return err
@@ -29,6 +27,17 @@
 			return err
 		}
 	}
+	return nil
+}
+
+// Draw writes the table, the CSV and a chart for each figure that differs at all.
+func Draw(dir, title string, rows []Row) error {
+	if err := write(dir, map[string]func(io.Writer) error{
+		"rows.csv":  func(f io.Writer) error { return writeCSV(f, rows) },
+		"table.txt": func(f io.Writer) error { fmt.Fprintf(f, "%s\n\n", title); return Table(f, rows) },
+	}); err != nil {
+		return err
+	}
 	names, by := variants(rows)
 	for _, m := range measures {
 		if err := chart(filepath.Join(dir, m.name+".svg"), title, m.name, names, by, m.of); err != nil {
--- a/internal/experiment/overview.go
+++ b/internal/experiment/overview.go
@@ -106,21 +106,11 @@
 		}
 	}
 	all := Standings(works)
-	for name, write := range map[string]func(io.Writer) error{
+	if err := write(dir, map[string]func(io.Writer) error{
 		"rows.csv":     func(f io.Writer) error { return writeCSV(f, rows) },
 		"overview.txt": func(f io.Writer) error { return Overview(f, all) },
-	} {
-		f, err := os.Create(filepath.Join(dir, name))
-		if err != nil {
-			return err
-		}
-		if err := write(f); err != nil {
-			f.Close()
-			return err
-		}
-		if err := f.Close(); err != nil {
-			return err
-		}
+	}); err != nil {
+		return err
 	}
 	return bars(filepath.Join(dir, "overview.svg"), all)
 }
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -214,7 +214,7 @@
 			return agreement.Record{}, 0, err
 		}
 		var text []byte
-		status, text, err = call(ctx, a.client, fmt.Sprintf("http://%s/council/renew", a.s.Voters[seat-1]), body, time.Now().Add(callWithin))
+		status, text, err = Call(ctx, a.client, fmt.Sprintf("http://%s/council/renew", a.s.Voters[seat-1]), body, time.Now().Add(callWithin))
 		if err == nil {
 			err = json.Unmarshal(text, &got)
 		}
@@ -418,7 +418,7 @@
 	if a.council != nil && a.council.Leader() > 0 {
 		seat = a.council.Leader()
 	}
-	status, text, err := call(ctx, a.client, fmt.Sprintf("http://%s/council/propose?passed=1", a.s.Voters[seat-1]), body, time.Now().Add(4*callWithin))
+	status, text, err := Call(ctx, a.client, fmt.Sprintf("http://%s/council/propose?passed=1", a.s.Voters[seat-1]), body, time.Now().Add(4*callWithin))
 	var got answer
 	if err == nil {
 		err = json.Unmarshal(text, &got)
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -44,8 +44,8 @@
 	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
 }
 
-// call posts a body and reads the answer, by then.
-func call(ctx context.Context, c *http.Client, url string, body []byte, by time.Time) (int, []byte, error) {
+// Call posts a body to another dispatcher, or gets where there is none, and reads the answer, by then.
+func Call(ctx context.Context, c *http.Client, url string, body []byte, by time.Time) (int, []byte, error) {
 	ctx, stop := context.WithDeadline(ctx, by)
 	defer stop()
 	method := http.MethodPost
@@ -91,7 +91,7 @@
 		for n := 1; n < mostBatch && len(p.out) > 0; n++ {
 			batch = frame(batch, <-p.out)
 		}
-		_, _, _ = call(ctx, c, p.url, batch, time.Now().Add(callWithin)) // what is lost is sent again by the log
+		_, _, _ = Call(ctx, c, p.url, batch, time.Now().Add(callWithin)) // what is lost is sent again by the log
 	}
 }
 
