The fleet's calls and batches fuzzed; what was known outlasts the process

Need: decoders that others' bytes reach. Change: fuzz tests of frames and of every call, a test of known.json.

--- /dev/null
+++ b/internal/fleet/peers_test.go
@@ -0,0 +1,83 @@
+package fleet
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"brassdale/internal/decisions/agreement"
+)
+
+// FuzzFrames takes batches apart that nobody put together; those that were come back as they were.
+func FuzzFrames(f *testing.F) {
+	f.Add([]byte{0, 0, 0, 1, 7}, []byte("m"))
+	f.Add([]byte{255, 255, 255, 255}, []byte{})
+	f.Fuzz(func(t *testing.T, text, m []byte) {
+		if all, err := frames(text); err == nil {
+			var again []byte
+			for _, m := range all {
+				again = frame(again, m)
+			}
+			if !bytes.Equal(again, text) {
+				t.Fatalf("%v became %v", text, again)
+			}
+		}
+		if all, err := frames(frame(frame(nil, m), text)); err != nil || len(all) != 2 || !bytes.Equal(all[0], m) || !bytes.Equal(all[1], text) {
+			t.Fatalf("%v, %v", all, err)
+		}
+	})
+}
+
+// FuzzCalls sends a dispatcher what no other sends: it answers, and takes nothing for a proposal that is none.
+func FuzzCalls(f *testing.F) {
+	a, err := New(&Settings{Name: "t", Listen: "127.0.0.1:0", Voters: []string{"127.0.0.1:1"}, Directory: f.TempDir(), Bound: "1s"}, "n0",
+		func(agreement.Stand) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add("renew", `{"name":"n1","acknowledged":3,"form":1}`)
+	f.Add("renew", `{"name":"n1","form":99}`)
+	f.Add("messages", "\x00\x00\x00\x01x")
+	f.Add("propose", `{"rules":{"retries":99}}`)
+	f.Add("status", "")
+	f.Fuzz(func(t *testing.T, what, body string) {
+		if strings.ContainsAny(what, " \r\n?#%/") || what == "" || what == "." || what == ".." {
+			return
+		}
+		w := httptest.NewRecorder()
+		r, err := http.NewRequestWithContext(context.Background(), "POST", "http://h/council/x", strings.NewReader(body))
+		if err != nil {
+			return
+		}
+		r.URL.Path = "/council/" + what
+		a.handler().ServeHTTP(w, r)
+		if w.Code < 300 && what != "status" {
+			t.Fatalf("%s %q: %d", what, body, w.Code)
+		}
+	})
+}
+
+// What was known at the last end holds at the next start, without a lease; what cannot be read is as nothing.
+func TestKnownOutlastsTheProcess(t *testing.T) {
+	s := &Settings{Name: "t", Listen: "127.0.0.1:0", Voters: []string{"127.0.0.1:1"}, Directory: t.TempDir(), Bound: "1s"}
+	open := func() *Agent {
+		a, err := New(s, "n0", func(agreement.Stand) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return a
+	}
+	if st := open().Stand(); !st.Lapsed || st.Rules.Repeat || st.Rules.Retries != -1 {
+		t.Errorf("at first %+v", st)
+	}
+	a := open()
+	a.keep(agreement.Record{Revision: 2, InForce: agreement.Version{Number: 1, Rules: agreement.Rules{Retries: 0.2, Repeat: true, Out: []string{"b"}}}})
+	if st := open().Stand(); !st.Lapsed || st.Versions[0] != 1 || st.Rules.Repeat || len(st.Rules.Out) != 1 {
+		t.Errorf("then %+v", st)
+	}
+}
