--- a/cmd/brassdale/replace_test.go
+++ b/cmd/brassdale/replace_test.go
@@ -173,6 +173,25 @@
 	}
 }
 
+// Where no Unix socket can be had the program starts and serves, and says once what it goes without.
+func TestWithoutUnixSockets(t *testing.T) {
+	t.Parallel()
+	n := &node{t: t, registry: &registry{revision: 1, boxes: []*box{newBox(t, "a", works)}, changed: make(chan struct{})}, exited: make(chan struct{})}
+	n.tmp = filepath.Join(t.TempDir(), strings.Repeat("far-", 30)) // past the 107 bytes of such a socket's path
+	if err := os.Mkdir(n.tmp, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	n.startHere("", func(config string) string { return config })
+	for i := range 3 {
+		if status, _, _ := n.do(request(n.url, fmt.Sprint("k-", i))); status != 200 {
+			t.Errorf("job %d: %d", i, status)
+		}
+	}
+	if times := strings.Count(n.log(), "cannot be replaced while it serves"); times != 1 {
+		t.Errorf("said %d times", times)
+	}
+}
+
 // A front that the successor has not is closed with the predecessor: clients would wait at its listener for nobody.
 func TestReplaceWithoutFront(t *testing.T) {
 	t.Parallel()
