What processes acted on is read by one piece; whether an answer is in time stands once

Need: read again, the council's test had its own reading of logs and of versions apart beside internal/faults', the emulator asked twice whether an answer was in time and counted handshakes for nobody. Change: the test calls faults.Stands and faults.Apart, world.inTime, what nobody read is gone.

--- a/cmd/brassdale/council_test.go
+++ b/cmd/brassdale/council_test.go
@@ -5,30 +5,29 @@
 	"net"
 	"os"
 	"path/filepath"
-	"regexp"
-	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 	"time"
+
+	"brassdale/internal/faults"
 )
 
 // allied are dispatchers of one fleet, each a process with boxes' list and files of its own.
 type allied struct {
-	t       *testing.T
-	nodes   []*node
-	at      []string // their councils' addresses
-	files   []string
-	boxes   []*box
-	away    map[int][][2]time.Time // when a process stood still or was gone
-	voters  int
-	address string
+	t      *testing.T
+	nodes  []*node
+	at     []string // their councils' addresses
+	files  []string
+	boxes  []*box
+	away   map[int][]faults.Away // when a process stood still or was gone
+	voters int
 }
 
 // ally starts a fleet. Addresses are of this test alone: each voter has to know the others' before they listen.
 func ally(t *testing.T, net4, voters, followers int) *allied {
 	t.Helper()
-	f := &allied{t: t, voters: voters, boxes: []*box{newBox(t, "a", works), newBox(t, "b", works)}, away: map[int][][2]time.Time{}}
+	f := &allied{t: t, voters: voters, boxes: []*box{newBox(t, "a", works), newBox(t, "b", works)}, away: map[int][]faults.Away{}}
 	for i := range voters + followers {
 		l := must(net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", net4, i+1)))
 		f.at = append(f.at, l.Addr().String())
@@ -65,24 +64,9 @@
 	})
 }
 
-var acting = regexp.MustCompile(`msg="acting on" versions="?\[([0-9 ]*)\]"? lapsed=(true|false) at_ms=(\d+)`)
-
-// stand is what a process said that it acts on, from then on.
-type stand struct {
-	from, to time.Time
-	versions string
-	lapsed   bool
-}
-
-func (n *node) stands() (all []stand) {
-	for _, m := range acting.FindAllStringSubmatch(n.log(), -1) {
-		ms, _ := strconv.ParseInt(m[3], 10, 64)
-		if len(all) > 0 {
-			all[len(all)-1].to = time.UnixMilli(ms)
-		}
-		all = append(all, stand{time.UnixMilli(ms), time.Now(), m[1], m[2] == "true"})
-	}
-	return all
+// stands are what the process said that it acts on.
+func (f *allied) stands(i int) []faults.Stand {
+	return faults.Stands(f.nodes[i].log(), time.Now(), f.away[i])
 }
 
 // acts waits until the dispatchers act on a version alone, and hold leases.
@@ -90,66 +74,20 @@
 	f.t.Helper()
 	for _, i := range which {
 		f.nodes[i].waitFor(fmt.Sprintf("dispatcher %d acting on %d", i, version), func() bool {
-			all := f.nodes[i].stands()
-			return len(all) > 0 && all[len(all)-1].versions == strconv.Itoa(version) && !all[len(all)-1].lapsed
+			all := f.stands(i)
+			return len(all) > 0 && fmt.Sprint(all[len(all)-1].Versions) == fmt.Sprint([]int{version}) && !all[len(all)-1].Lapsed
 		})
 	}
 }
 
 // apart gives how long any two dispatchers with leases acted on versions with nothing in common.
-func (f *allied) apart() (longest time.Duration) {
-	for i, a := range f.nodes {
-		for j, b := range f.nodes[:i] {
-			for _, x := range f.acting(i, a) {
-				for _, y := range f.acting(j, b) {
-					from, to := later(x.from, y.from), earlier(x.to, y.to)
-					if !x.lapsed && !y.lapsed && !shares(x.versions, y.versions) && to.Sub(from) > longest {
-						longest = to.Sub(from)
-						f.t.Logf("dispatchers %d on [%s] and %d on [%s] for %v", i, x.versions, j, y.versions, longest)
-					}
-				}
-			}
-		}
-	}
-	return longest
-}
-
-// acting cuts out what a process could not act in.
-func (f *allied) acting(i int, n *node) (all []stand) {
-	for _, s := range n.stands() {
-		for _, gone := range f.away[i] {
-			if gone[0].After(s.from) && gone[0].Before(s.to) {
-				s.to = gone[0] // its next line is the first thing that it does when it goes on
-			}
-		}
-		all = append(all, s)
-	}
-	return all
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
-
-func shares(a, b string) bool {
-	for _, v := range strings.Fields(a) {
-		for _, w := range strings.Fields(b) {
-			if v == w {
-				return true
-			}
-		}
+func (f *allied) apart() time.Duration {
+	var all [][]faults.Stand
+	for i := range f.nodes {
+		all = append(all, f.stands(i))
 	}
-	return false
+	contradiction, _ := faults.Apart(all)
+	return contradiction
 }
 
 // leader gives the dispatcher that leads.
@@ -208,13 +146,13 @@
 	f.propose("retries = 0.1\n", lead)
 	f.nodes[lead].cmd.Process.Kill()
 	<-f.nodes[lead].exited
-	f.away[lead] = append(f.away[lead], [2]time.Time{time.Now()})
+	f.away[lead] = append(f.away[lead], faults.Away{From: time.Now()})
 	rest := without(f.all(), lead)
 	f.acts(2, rest...)
 
 	still := 4
 	f.nodes[still].cmd.Process.Signal(syscall.SIGSTOP)
-	f.away[still] = append(f.away[still], [2]time.Time{time.Now()})
+	f.away[still] = append(f.away[still], faults.Away{From: time.Now()})
 	f.propose("repeat = false\n", rest[0])
 	f.acts(3, without(rest, still)...) // the change waits for its lease, and no longer
 	f.nodes[still].cmd.Process.Signal(syscall.SIGCONT)
@@ -240,8 +178,8 @@
 	}
 	for _, i := range []int{2, 3} {
 		f.nodes[i].waitFor("the lease's end", func() bool {
-			all := f.nodes[i].stands()
-			return all[len(all)-1].lapsed && all[len(all)-1].versions == "1"
+			all := f.stands(i)
+			return all[len(all)-1].Lapsed && fmt.Sprint(all[len(all)-1].Versions) == "[1]"
 		})
 		if status, _, _ := f.nodes[i].do(request(f.nodes[i].url, fmt.Sprint("alone-", i))); status != 200 {
 			t.Errorf("dispatcher %d without a council: %d", i, status)
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -130,7 +130,6 @@
 		return 0, false
 	}
 	b.conns++
-	d.w.handshakes++
 	return time.Duration(n.Handshake * float64(2*d.w.between(d.zone, b, d.chance))), true
 }
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -30,12 +30,12 @@
 	byClass     []tally
 	burst, tail float64
 
-	sends, probes, crossings, handshakes int
-	worked, wasted                       float64
-	speed                                float64 // sum over served jobs of work by time
-	tallies                              []tally // by account
-	times                                []float64
-	notes                                []string
+	sends, probes, crossings int
+	worked, wasted           float64
+	speed                    float64 // sum over served jobs of work by time
+	tallies                  []tally // by account
+	times                    []float64
+	notes                    []string
 }
 
 // job is what a client wants, over its tries.
@@ -326,11 +326,17 @@
 		defer w.nextOf(j)
 	}
 	w.count(&w.tallies[j.account], v, j, w.now-j.asked)
-	if took := w.now - j.asked; v == served && took.Seconds() <= w.class(j).Aim.Seconds()+w.class(j).Stretch*j.work {
+	if v == served && w.inTime(j, w.now-j.asked) {
 		w.byClass[j.class].good += w.value(j)
 	}
 }
 
+// inTime tells whether an answer so long after the client asked counts.
+func (w *world) inTime(j *job, after time.Duration) bool {
+	c := w.class(j)
+	return after.Seconds() <= c.Aim.Seconds()+c.Stretch*j.work
+}
+
 // count enters a job's end for its client into its account's tally.
 func (w *world) count(t *tally, v verdict, j *job, after time.Duration) {
 	switch v {
@@ -339,7 +345,7 @@
 		t.served++
 		w.times = append(w.times, took)
 		w.speed += j.work / max(took, 1e-9)
-		if c := w.class(j); took <= c.Aim.Seconds()+c.Stretch*j.work {
+		if w.inTime(j, after) {
 			t.good += w.value(j)
 		} else {
 			t.late++
