--- a/internal/fleet/log/log.go
+++ b/internal/fleet/log/log.go
@@ -16,6 +16,7 @@
 
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
+	"go.etcd.io/raft/v3/tracker"
 	"google.golang.org/protobuf/proto"
 
 	"brassdale/internal/decisions/agreement"
@@ -73,6 +74,7 @@
 	asked    uint64
 	confirms []confirmed
 	waits    map[string]chan<- error // proposals, by their entries' ids
+	loading  map[uint64]int          // ticks for which a voter's snapshot has been on its way
 }
 
 type call struct {
@@ -95,7 +97,7 @@
 		return nil, err
 	}
 	l := &Log{o: o, store: s, in: make(chan []byte, mostWaiting), calls: make(chan call, mostWaiting), done: make(chan struct{}),
-		waits: map[string]chan<- error{}}
+		waits: map[string]chan<- error{}, loading: map[uint64]int{}}
 	snapshot, err := s.Snapshot()
 	if err == nil {
 		err = l.restore(snapshot)
@@ -199,6 +201,7 @@
 			return nil
 		case <-ticker.C:
 			l.node.Tick()
+			l.resend()
 		case text := <-l.in:
 			m := &raftpb.Message{}
 			if proto.Unmarshal(text, m) != nil || m.GetTo() != uint64(l.o.Seat) || m.GetFrom() == 0 || m.GetFrom() > uint64(l.o.Voters) {
@@ -214,6 +217,24 @@
 	}
 }
 
+// resend has a snapshot sent again of which nothing was heard for as long as an election takes. Raft sends one once and then
+// nothing more to that voter until it is told how that ended, and what is lost on the way tells nobody.
+func (l *Log) resend() {
+	l.node.WithProgress(func(id uint64, _ raft.ProgressType, pr tracker.Progress) {
+		if pr.State != tracker.StateSnapshot {
+			delete(l.loading, id)
+			return
+		}
+		l.loading[id]++
+	})
+	for id, ticks := range l.loading {
+		if ticks >= electionTicks {
+			delete(l.loading, id)
+			l.node.ReportSnapshot(id, raft.SnapshotFailure)
+		}
+	}
+}
+
 func (l *Log) serve(c call) {
 	if !l.leads {
 		c.answer <- ErrNotLeader
--- a/internal/fleet/log/log_test.go
+++ b/internal/fleet/log/log_test.go
@@ -13,6 +13,9 @@
 	"testing"
 	"time"
 
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
 	"brassdale/internal/decisions/agreement"
 )
 
@@ -25,6 +28,7 @@
 	stops []context.CancelFunc
 	ends  []chan error
 	lose  func(from, to int) bool
+	snaps int // snapshots that are lost yet
 }
 
 func newCouncil(t *testing.T, n int) *council {
@@ -48,6 +52,13 @@
 		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), SnapshotEvery: 30, Send: func(to int, m []byte) {
 			c.mu.Lock()
 			defer c.mu.Unlock()
+			if c.snaps > 0 {
+				var sent raftpb.Message
+				if proto.Unmarshal(m, &sent) == nil && sent.GetType() == raftpb.MsgSnap {
+					c.snaps--
+					return
+				}
+			}
 			if to < len(c.seats) && c.seats[to] != nil && c.seats[seat] != nil && !c.lose(seat, to) {
 				c.seats[to].Step(m)
 			}
@@ -257,6 +268,23 @@
 	}
 }
 
+// The first snapshots to a voter that was down are lost: it catches up all the same. It did not while the same voter led.
+func TestLostSnapshots(t *testing.T) {
+	c := newCouncil(t, 3)
+	leader, _ := c.leader()
+	behind := leader%3 + 1
+	c.stop(behind)
+	for n := range uint64(keepBehind) {
+		c.change(announce(n))
+		c.change(agreement.Entry{ID: fmt.Sprint("f", n+1), Force: n + 1})
+	}
+	c.mu.Lock()
+	c.snaps = 2
+	c.mu.Unlock()
+	c.start(behind)
+	c.agree(2*keepBehind, 1, 2, 3)
+}
+
 // A file of a council of another size is refused, as is a seat that there is not.
 func TestOtherCouncil(t *testing.T) {
 	dir := t.TempDir()
