A release of boxes and dispatchers with discovery overbooked and moved, on real processes

Change: on sockets the emulator's discovery takes all dispatchers' calls in turn and turns away who waited too long, moves to another address, counts calls a second and how long a dispatcher had no call open; a change of the list binds 10 s after it was made even if nobody asked. The rig ends dispatchers by SIGTERM in steps, starts them anew and tells the move by SIGHUP; fleets without a council.

--- a/internal/emulator/play.go
+++ b/internal/emulator/play.go
@@ -34,20 +34,13 @@
 
 // Start starts a dispatcher's program at the n-th door, with a folder of its own for its files, and waits until it serves.
 func (k *Works) Start(ctx context.Context, binary, dir string, n int, args ...string) (*Node, error) {
-	text, err := k.Config(n)
+	path, err := k.Write(dir, n)
 	if err != nil {
 		return nil, err
 	}
-	dir = filepath.Join(dir, fmt.Sprint(n))
-	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return nil, err
-	}
-	path := filepath.Join(dir, "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		return nil, err
-	}
+	k.Present(n, true)
 	d := &Node{cmd: exec.Command(binary, args...), ended: make(chan struct{}), ready: make(chan struct{})}
-	d.cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "GW_ADMIN=127.0.0.1:0", "TMPDIR="+dir)
+	d.cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "GW_ADMIN=127.0.0.1:0", "TMPDIR="+filepath.Dir(path))
 	errs, err := d.cmd.StderrPipe()
 	if err != nil {
 		return nil, err
@@ -67,6 +60,19 @@
 	}
 }
 
+// Write writes the platform's file for the n-th dispatcher into a folder of its own, and gives its path.
+func (k *Works) Write(dir string, n int) (path string, err error) {
+	text, err := k.Config(n)
+	if err != nil {
+		return "", err
+	}
+	path = filepath.Join(dir, fmt.Sprint(n), "config.json")
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return "", err
+	}
+	return path, os.WriteFile(path, text, 0o600)
+}
+
 // follow reads the log to its end.
 func (d *Node) follow(from io.Reader) {
 	defer close(d.ended)
--- a/internal/emulator/scenario.go
+++ b/internal/emulator/scenario.go
@@ -23,6 +23,7 @@
 	Bays        int // boxes are dealt out among them; one drops repeats of a key
 	Network     Network
 	Discovery   time.Duration // how late a change of the list is told, on average
+	Calls       Calls         // to discovery, on sockets
 	Reports     Reports
 	Cold        Cold
 	Store       Store
--- a/internal/emulator/works.go
+++ b/internal/emulator/works.go
@@ -10,7 +10,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +23,7 @@
 	w     *world
 	begin time.Time
 	doors []*Door
+	turns turns
 	stop  context.CancelFunc
 	ended chan struct{}
 
@@ -56,6 +56,11 @@
 	entries  map[brain.WorkerID]entry
 	order    []brain.WorkerID
 	news     chan struct{} // closed by the next change
+	life     int           // of the dispatcher, counted by its starts and ends
+	absent   bool          // it is ending or gone
+	open     int           // calls of this life that are being served
+	quiet    time.Time     // none has been since; zero while there is one, or before the first
+	longest  time.Duration // that there was none
 }
 
 // entry is a line of the list, and the revision of its last change.
@@ -129,11 +134,9 @@
 	d := &Door{works: k, n: n, gates: map[brain.WorkerID]*gate{}, told: map[brain.WorkerID]time.Duration{}, chance: k.w.source(uint64(100 + n)),
 		entries: map[brain.WorkerID]entry{}, news: make(chan struct{})}
 	var err error
-	if d.listen, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+	if err = d.listens(); err != nil {
 		return nil, err
 	}
-	d.server = &http.Server{Handler: d}
-	go d.server.Serve(d.listen)
 	for _, b := range k.w.boxes {
 		g := &gate{door: d, b: b}
 		if err := g.open("127.0.0.1:0"); err != nil {
@@ -162,118 +165,6 @@
 	}
 }
 
-// change takes a change of the list.
-func (d *Door) change(info brain.WorkerInfo) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.revision++
-	d.entries[info.ID] = entry{info, d.revision}
-	d.wake()
-}
-
-// fail begins or ends a fault of discovery: who watches hears of it.
-func (d *Door) fail(down, hung bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.down, d.hung = down, hung
-	d.wake()
-}
-
-// wake has all who watch look again. d.mu is held.
-func (d *Door) wake() {
-	close(d.news)
-	d.news = make(chan struct{})
-}
-
-var phaseNames = map[brain.WorkerState]string{brain.Ready: "active", brain.Draining: "leaving", brain.Gone: "left"}
-
-// member and list are written by the protocol's page, beside the program's own types for reading them: a mistake that both
-// shared would not show.
-type member struct {
-	ID        string  `json:"id"`
-	HostPort  string  `json:"host_port"`
-	Locality  string  `json:"locality"`
-	Flavor    string  `json:"flavor"`
-	Cell      int     `json:"cell"`
-	Phase     string  `json:"phase"`
-	Size      float64 `json:"size"`
-	UpSinceMS int64   `json:"up_since_ms"`
-}
-
-type list struct {
-	Revision int      `json:"revision"`
-	Complete bool     `json:"complete"`
-	Members  []member `json:"members"`
-}
-
-// list gives the lines that changed since a revision; all that are not gone for a negative one. d.mu is held.
-func (d *Door) list(since int) (l list, told []brain.WorkerInfo) {
-	l = list{Revision: d.revision, Complete: since < 0, Members: []member{}}
-	for _, id := range d.order {
-		e := d.entries[id]
-		if since >= 0 && e.at <= since || since < 0 && e.info.State == brain.Gone {
-			continue
-		}
-		m := member{ID: string(id), HostPort: d.gates[id].address, Locality: "llanelli", Flavor: d.works.w.s.Kinds[e.info.Kind].Name,
-			Cell: e.info.Cell, Phase: phaseNames[e.info.State], Size: e.info.Weight}
-		if e.info.Since > 0 {
-			m.UpSinceMS = d.works.begin.Add(e.info.Since - epoch).UnixMilli()
-		}
-		l.Members = append(l.Members, m)
-		told = append(told, e.info)
-	}
-	return l, told
-}
-
-// ServeHTTP is discovery: the whole list, or a watch.
-func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path != "/registry/instances" {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	since := -1
-	if text := r.URL.Query().Get("index"); text != "" {
-		var err error
-		if since, err = strconv.Atoi(text); err != nil || since < 0 {
-			w.WriteHeader(http.StatusBadRequest)
-			return
-		}
-	}
-	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
-	over := time.NewTimer(time.Duration(min(max(wait, 0), 60_000)) * time.Millisecond)
-	defer over.Stop()
-	d.mu.Lock()
-	for waiting := true; d.hung || !d.down && waiting && since >= d.revision; {
-		news := d.news
-		d.mu.Unlock()
-		select {
-		case <-news:
-		case <-over.C: // once; one that hangs waits on
-			waiting = false
-		case <-r.Context().Done():
-			return
-		}
-		d.mu.Lock()
-	}
-	if d.down {
-		d.mu.Unlock()
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
-	}
-	l, told := d.list(since)
-	d.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	if json.NewEncoder(w).Encode(l) != nil {
-		return
-	}
-	d.works.w.post(func() {
-		for _, info := range told {
-			d.works.w.audit.told(d.works.w.now, d.n, info.ID, info.State)
-			d.told[info.ID] = max(d.told[info.ID], info.Since)
-		}
-	})
-}
-
 // gate is a box as one dispatcher reaches it.
 type gate struct {
 	door    *Door
@@ -443,8 +334,9 @@
 	}
 	d.mu.Lock()
 	known, _ := d.list(-1)
+	discovery := d.listen.Addr().String()
 	d.mu.Unlock()
-	return json.MarshalIndent(object{"name": fmt.Sprintf("n%d", n), "listen": "127.0.0.1:0", "discovery": d.listen.Addr().String(),
+	return json.MarshalIndent(object{"name": fmt.Sprintf("n%d", n), "listen": "127.0.0.1:0", "discovery": discovery,
 		"seed": fmt.Sprintf("%016x", s.Seed), "limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings}, "", " ")
 }
 
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -156,7 +156,7 @@
 	t, r := &w.s.Traffic, &w.s.Rules
 	set := brain.Settings{Me: n, Dispatchers: w.s.Dispatchers, Ask: !w.s.Pushed, ReportsPulled: !w.s.Reports.Answers, TellsStart: true, MayProbe: !w.s.Reports.Push,
 		MayCancel: r.MayCancel, MayCopy: r.MayCopy, AdviseRetry: true, MaxAttempts: r.MaxAttempts, MaxRetryAfter: 2 * time.Second,
-		AnswerSlack: r.Slack, AskWithin: 10 * time.Second, Cold: w.s.Cold.For, StartCapacity: w.s.Cold.Capacity, TipMultiple: w.s.Cold.Tip,
+		AnswerSlack: r.Slack, AskWithin: askWithin, Cold: w.s.Cold.For, StartCapacity: w.s.Cold.Capacity, TipMultiple: w.s.Cold.Tip,
 		Fall: w.s.Cold.Fall, WorthByWork: true, Zone: n % max(w.s.Network.Zones, 1), CrossZonePrice: w.s.Network.CrossPrice}
 	for _, c := range t.classes() {
 		set.Classes = append(set.Classes, brain.Class{Aim: c.Aim, Stretch: c.Stretch, Deadline: c.GiveUp, Worth: c.Worth, Effect: c.Effect,
--- a/internal/faults/faults_test.go
+++ b/internal/faults/faults_test.go
@@ -126,17 +126,48 @@
 	}
 }
 
+// build builds the dispatcher.
+func build(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "brassdale")
+	if out, err := exec.Command("go", "build", "-o", binary, "brassdale/cmd/brassdale").CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return binary
+}
+
+// Boxes and ten real dispatchers are released at once, discovery has more callers than it serves, and moves, which SIGHUP
+// tells a second later: the old list holds, watches go on at the new address, calls stay bounded, nothing goes to a box past
+// the grace of its drain, and all that was taken is answered.
+func TestRelease(t *testing.T) {
+	t.Parallel()
+	f, err := Load("../../scenarios/fleet/release.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := f.Plan(3, 10)
+	p.Span, p.Release.At, p.Release.Moves, p.Release.Calls, p.Release.Patience = 10*time.Second, time.Second, 3*time.Second, 5, 200*time.Millisecond
+	r, err := Play(t.Context(), p, build(t), t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Bad() || r.Restarted != 10 || r.Jobs < 300 || r.ListRefused == 0 || r.ListCallsMost > 8*p.Processes {
+		t.Errorf("%+v", r)
+	}
+	if most := p.Release.Told + 3*time.Second; r.WatchGapMS > float64(most.Milliseconds()) {
+		t.Errorf("a dispatcher had no call open for %v ms", r.WatchGapMS)
+	}
+}
+
 // Five real processes under a short schedule of all kinds: no contradiction, no rule broken, every job answered once. The
 // scenario in the repository can be read, and one with faults names them.
 func TestFleet(t *testing.T) {
+	t.Parallel()
 	f, err := Load("../../scenarios/fleet/agreement.hcl")
 	if err != nil {
 		t.Fatal(err)
 	}
-	binary := filepath.Join(t.TempDir(), "brassdale")
-	if out, err := exec.Command("go", "build", "-o", binary, "brassdale/cmd/brassdale").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	binary := build(t)
 	p := f.Plan(3, 5)
 	p.Voters, p.Span, p.Every, p.Longest, p.Bound, p.Proposals = 3, 6*time.Second, 500*time.Millisecond, 2*time.Second, time.Second, 500*time.Millisecond
 	r, err := Play(t.Context(), p, binary, t.TempDir())
--- a/internal/faults/file.go
+++ b/internal/faults/file.go
@@ -12,16 +12,29 @@
 
 // File is a scenario of a fleet as an operator writes it.
 type File struct {
-	Title     string   `hcl:"title"`
-	Processes int      `hcl:"processes"`
-	Voters    int      `hcl:"voters"`
-	Bound     string   `hcl:"bound"`
-	Span      string   `hcl:"span"`
-	Every     string   `hcl:"every"`   // between faults, on average
-	Longest   string   `hcl:"longest"` // fault
-	Rate      float64  `hcl:"rate"`    // jobs a second
-	Proposals string   `hcl:"proposals"`
-	Faults    []string `hcl:"faults,optional"` // kinds; all where left out
+	Title     string       `hcl:"title"`
+	Processes int          `hcl:"processes"`
+	Voters    int          `hcl:"voters"` // 0 for a fleet that agrees on nothing
+	Bound     string       `hcl:"bound,optional"`
+	Span      string       `hcl:"span"`
+	Every     string       `hcl:"every,optional"`   // between faults, on average; left out: there are none
+	Longest   string       `hcl:"longest,optional"` // fault
+	Rate      float64      `hcl:"rate"`             // jobs a second
+	Proposals string       `hcl:"proposals,optional"`
+	Faults    []string     `hcl:"faults,optional"` // kinds; all where left out
+	Release   *ReleaseFile `hcl:"release,block"`
+}
+
+// ReleaseFile is a release in it.
+type ReleaseFile struct {
+	At       string  `hcl:"at"`
+	Drained  float64 `hcl:"drained,optional"`
+	Anew     float64 `hcl:"anew,optional"`
+	Rolling  string  `hcl:"rolling,optional"`
+	Moves    string  `hcl:"moves,optional"`
+	Told     string  `hcl:"told,optional"`
+	Calls    float64 `hcl:"calls,optional"`
+	Patience string  `hcl:"patience,optional"`
 }
 
 // Load reads and checks a scenario. An error names all faults with file, line and column.
@@ -53,25 +66,45 @@
 		}
 	}
 	p = Plan{Processes: f.Processes, Voters: f.Voters, Rate: f.Rate}
-	for _, d := range []struct {
+	type span struct {
 		to         *time.Duration
 		name, text string
-	}{{&p.Bound, "bound", f.Bound}, {&p.Span, "span", f.Span}, {&p.Every, "every", f.Every}, {&p.Longest, "longest", f.Longest}, {&p.Proposals, "proposals", f.Proposals}} {
+	}
+	council, faulty := f.Voters > 0, f.Every != "" || len(f.Faults) > 0
+	spans := []span{{&p.Span, "span", f.Span}}
+	if council {
+		spans = append(spans, span{&p.Bound, "bound", f.Bound}, span{&p.Proposals, "proposals", f.Proposals})
+	}
+	if faulty {
+		spans = append(spans, span{&p.Every, "every", f.Every}, span{&p.Longest, "longest", f.Longest})
+	}
+	if r := f.Release; r != nil {
+		p.Release = &Release{Drained: r.Drained, Anew: r.Anew, Calls: r.Calls}
+		spans = append(spans, span{&p.Release.At, "release", r.At})
+		for to, text := range map[*time.Duration]string{&p.Release.Rolling: r.Rolling, &p.Release.Moves: r.Moves, &p.Release.Told: r.Told, &p.Release.Patience: r.Patience} {
+			if text != "" {
+				spans = append(spans, span{to, "release", text})
+			}
+		}
+		if r.Drained < 0 || r.Anew < 0 || r.Drained+r.Anew > 1 || r.Calls < 0 {
+			bad("release", "Shares are from 0 to 1 together, calls not below 0.")
+		}
+	}
+	for _, d := range spans {
 		span, err := time.ParseDuration(d.text)
 		if err != nil || span <= 0 {
 			bad(d.name, "%q is no duration above 0.", d.text)
 		}
 		*d.to = span
 	}
-	if f.Voters != 1 && f.Voters != 3 && f.Voters != 5 || f.Voters > f.Processes {
-		bad("voters", "There must be 1, 3 or 5, and no more than processes.")
+	if f.Voters != 0 && f.Voters != 1 && f.Voters != 3 && f.Voters != 5 || f.Voters > f.Processes {
+		bad("voters", "There must be 0, 1, 3 or 5, and no more than processes.")
 	}
 	if f.Rate <= 0 {
 		bad("rate", "It must be above 0.")
 	}
-	p.Kinds = Kinds()
-	if len(f.Faults) > 0 {
-		p.Kinds = nil
+	if faulty && len(f.Faults) == 0 {
+		p.Kinds = Kinds()
 	}
 	for _, k := range f.Faults {
 		if !slices.Contains(Kinds(), Kind(k)) {
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -32,6 +32,7 @@
 	Kinds             []Kind
 	Rate              float64       // jobs a second
 	Proposals         time.Duration // between them
+	Release           *Release      // nil for none
 }
 
 // Result is what came of it. The names of its figures are kept.
@@ -54,6 +55,11 @@
 	InForceP50MS     float64        `json:"in_force_p50_ms"`
 	InForceP99MS     float64        `json:"in_force_p99_ms"`
 	SettledMS        float64        `json:"settled_ms"` // behind the last fault, until all acted on one version with leases
+	Restarted        int            `json:"restarted,omitempty"`
+	ListCalls        int            `json:"list_calls,omitempty"`
+	ListCallsMost    int            `json:"list_calls_most_s,omitempty"` // of all processes in any second
+	ListRefused      int            `json:"list_refused,omitempty"`
+	WatchGapMS       float64        `json:"watch_gap_max_ms,omitempty"` // that a process which was there had no call open
 	Stands           [][]Stand      `json:"-"`
 	Away             [][]Away       `json:"-"`
 	Events           []Event        `json:"-"`
@@ -74,7 +80,8 @@
 	logs  string // of its earlier starts
 	away  []Away
 	gone  bool
-	state State // of its links: To is what it says
+	files sync.Mutex // held while it is started or told of a new file
+	state State      // of its links: To is what it says
 }
 
 // play is a plan being played.
@@ -97,6 +104,9 @@
 func Play(ctx context.Context, p Plan, binary, dir string) (*Result, error) {
 	s := emulator.LlanelliWorks(p.Seed)
 	s.Span, s.Dispatchers, s.Traffic.Rate = p.Span, p.Processes, p.Rate
+	if p.Release != nil {
+		p.Release.works(&s)
+	}
 	works, err := emulator.Open(s)
 	if err != nil {
 		return nil, err
@@ -156,6 +166,9 @@
 		}
 		voters = append(voters, at)
 	}
+	if f.Voters == 0 {
+		return ""
+	}
 	listen, seat := "127.0.0.1:0", 0
 	if i < f.Voters {
 		listen, seat = f.voters[i], i+1
@@ -169,19 +182,24 @@
 	if err := os.WriteFile(path, []byte(f.operator(i)), 0o600); err != nil {
 		return err
 	}
+	x := f.all[i]
+	x.files.Lock()
+	defer x.files.Unlock()
 	node, err := f.works.Start(f.ctx, f.binary, f.dir, i, "serve", "--operator", path)
 	if err != nil {
 		return err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.all[i].node, f.all[i].gone = node, false
+	x.node, x.gone = node, false
 	return nil
 }
 
 // run plays the schedule, the jobs and the proposals beside each other.
 func (f *play) run() (*Result, error) {
-	f.r.Events = Draw(f.Seed, f.Kinds, f.Processes, f.Voters, f.Span, f.Every, f.Longest)
+	if len(f.Kinds) > 0 {
+		f.r.Events = Draw(f.Seed, f.Kinds, f.Processes, f.Voters, f.Span, f.Every, f.Longest)
+	}
 	f.r.Begin = time.Now()
 	begin, end := f.r.Begin, f.r.Begin.Add(f.Span)
 	var wait sync.WaitGroup
@@ -200,12 +218,25 @@
 		})
 	}
 	wait.Go(func() { f.jobs(end) })
-	wait.Go(func() { f.proposals(end) })
+	if f.Voters > 0 {
+		wait.Go(func() { f.proposals(end) })
+	}
+	if f.Release != nil {
+		wait.Go(func() {
+			if err := f.release(begin); err != nil {
+				f.mu.Lock()
+				failed = cmp.Or(failed, err)
+				f.mu.Unlock()
+			}
+		})
+	}
 	wait.Wait()
 	if failed != nil || f.ctx.Err() != nil {
 		return nil, cmp.Or(failed, f.ctx.Err())
 	}
-	f.settle()
+	if f.Voters > 0 {
+		f.settle()
+	}
 	f.account()
 	return f.r, nil
 }
@@ -457,6 +488,8 @@
 	}
 	contradiction, lapsed := Apart(r.Stands)
 	r.ContradictionMS, r.LapsedApartMS = float64(contradiction.Milliseconds()), float64(lapsed.Milliseconds())
+	asked := f.works.Asked()
+	r.ListCalls, r.ListCallsMost, r.ListRefused, r.WatchGapMS = asked.Calls, asked.Most, asked.Refused, float64(asked.Longest.Milliseconds())
 	for _, b := range f.works.Breaches() {
 		r.RulesBroken++
 		r.Breaches = append(r.Breaches, b.String())
