--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -3,154 +3,383 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"os/user"
 	"slices"
+	"strconv"
+	"strings"
 	"text/tabwriter"
 	"time"
 
-	"github.com/hashicorp/hcl/v2"
-	"github.com/hashicorp/hcl/v2/hclsyntax"
 	"github.com/spf13/cobra"
 
 	"brassdale/internal/decisions/agreement"
-	"brassdale/internal/diag"
 	"brassdale/internal/fleet"
+	councillog "brassdale/internal/fleet/log"
 )
 
 // answerWithin is how long a dispatcher has for a question of this command.
 const answerWithin = 5 * time.Second
 
+// allies is what the sub-commands of 'fleet' share.
+type allies struct {
+	address, why string
+	asJSON       bool
+}
+
 // fleetCommand asks a dispatcher of a fleet, and proposes rules.
 func fleetCommand() *cobra.Command {
-	var address, why string
-	var asJSON bool
+	f := &allies{}
 	c := &cobra.Command{Use: "fleet", Short: "What the dispatchers of a fleet agree on, and changes of it"}
-	c.PersistentFlags().StringVar(&address, "address", "127.0.0.1:7400", "the council's address of any dispatcher of the fleet")
-	c.PersistentFlags().BoolVar(&asJSON, "json", false, "as JSON")
-	status := func(c *cobra.Command) (s fleet.Status, err error) {
-		err = ask(c.Context(), "http://"+address+"/council/status", nil, &s)
-		return s, err
-	}
-	show := func(c *cobra.Command, table func(*tabwriter.Writer, fleet.Status)) error {
-		s, err := status(c)
+	c.PersistentFlags().StringVar(&f.address, "address", "127.0.0.1:7400", "the council's address of any dispatcher of the fleet")
+	c.PersistentFlags().BoolVar(&f.asJSON, "json", false, "as JSON")
+	c.AddCommand(
+		f.show("status", "Versions, who leads, who holds leases", statusTable),
+		f.show("members", "Who is there, by gossip, and who holds a lease, as the leader knows (ask the leader)", membersTable),
+		f.show("council", "The council's seats, as the leader sees them (ask the leader)", councilTable),
+		f.show("history", "Versions that were in force, and those that were withdrawn", historyTable),
+		f.diff(), f.watch(), f.recover(),
+		f.change(f.propose()), f.change(f.rollback()), f.change(f.out("detach", true)), f.change(f.out("attach", false)),
+	)
+	return c
+}
+
+func (f *allies) status(ctx context.Context) (s fleet.Status, err error) {
+	err = f.ask(ctx, "status", nil, &s)
+	return s, err
+}
+
+// show makes a command that prints the status, as a table or as JSON.
+func (f *allies) show(use, short string, table func(io.Writer, fleet.Status)) *cobra.Command {
+	return &cobra.Command{Use: use, Short: short, Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+		s, err := f.status(c.Context())
 		if err != nil {
 			return err
 		}
-		if asJSON {
-			return encode(c.OutOrStdout(), s)
+		if f.asJSON {
+			e := json.NewEncoder(c.OutOrStdout())
+			e.SetIndent("", "  ")
+			return e.Encode(s)
 		}
 		w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
 		table(w, s)
 		return w.Flush()
+	}}
+}
+
+func statusTable(w io.Writer, s fleet.Status) {
+	fmt.Fprintf(w, "fleet\t%s\ndispatcher\t%s\nseat\t%d\nleader's seat\t%d\nera\t%d\nacting on\t%v\nlapsed\t%t\nlease left\t%d ms\nin force\t%d\n", s.Fleet, s.Name,
+		s.Seat, s.Leader, s.Record.Era, s.Acting, s.Lapsed, s.LeaseMS, s.Record.InForce.Number)
+	if v := s.Record.Announced; v != nil {
+		fmt.Fprintf(w, "announced\t%d by %s: %s\nwaits for\t%v\n", v.Number, v.By, v.Why, s.Waits)
+		if t := v.Trial; t != nil {
+			fmt.Fprintf(w, "tried by\t%g of the dispatchers, for %v, margin %g\n", t.Share, t.For, t.Margin)
+		}
+	}
+}
+
+func membersTable(w io.Writer, s fleet.Status) {
+	fmt.Fprint(w, "dispatcher\tstate\tregion\tzone\taddress\tseat\tform\tversion\tlease\n")
+	names := map[string]bool{}
+	leases := map[string]agreement.Member{}
+	for _, m := range s.Present {
+		leases[m.Name], names[m.Name] = m, true
+	}
+	for _, m := range s.Members {
+		names[m.Name] = true
 	}
-	propose := func(c *cobra.Command, base uint64, r agreement.Rules) error {
-		by := "unknown"
-		if u, err := user.Current(); err == nil {
-			by = u.Username
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		lease, held := leases[name]
+		state, said := "not heard of", lease
+		for _, m := range s.Members {
+			if m.Name == name {
+				state = string(m.State)
+				said = agreement.Member{Address: m.Address, Region: m.Region, Zone: m.Zone, Seat: m.Seat, Form: m.Form, Acked: m.Version}
+			}
 		}
-		text, err := json.Marshal(agreement.Version{Number: base, Rules: r, By: by, Why: why, At: time.Now().UTC()})
-		if err != nil {
-			return err
+		text := "-"
+		if held {
+			text = fmt.Sprint("acknowledged ", lease.Acked)
 		}
-		var got struct{ Record agreement.Record }
-		if err := ask(c.Context(), "http://"+address+"/council/propose", text, &got); err != nil {
-			return err
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", name, state, said.Region, said.Zone, said.Address, said.Seat, said.Form, said.Acked, text)
+	}
+}
+
+func councilTable(w io.Writer, s fleet.Status) {
+	fmt.Fprint(w, "seat\tdispatcher\taddress\tregion\tzone\tvotes\tsilent\tbehind\n")
+	places := s.Places
+	if places == nil { // not asked at the leader
+		for _, seat := range s.Record.Council {
+			places = append(places, agreement.Place{Seat: seat})
 		}
-		fmt.Fprintf(c.OutOrStdout(), "announced: version %d\n", got.Record.Announced.Number)
+	}
+	for _, p := range places {
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%t\t%v\t%d\n", p.ID, p.Name, p.Address, p.Region, p.Zone, !p.Learner, p.Silent, p.Behind)
+	}
+}
+
+func historyTable(w io.Writer, s fleet.Status) {
+	fmt.Fprint(w, "version\tretries\trepeat\tout\tshares\tby\twhy\tat\tended\n")
+	row := func(v agreement.Version, ended string) {
+		fmt.Fprintf(w, "%d\t%g\t%t\t%v\t%v\t%s\t%s\t%s\t%s\n", v.Number, v.Rules.Retries, v.Rules.Repeat, v.Rules.Out, v.Rules.Shares, v.By, v.Why, v.At.Format(time.RFC3339), ended)
+	}
+	for _, v := range s.Record.History {
+		row(v, "followed")
+	}
+	for _, x := range s.Record.Withdrawn {
+		row(x.Version, "withdrawn: "+x.Why)
+	}
+	row(s.Record.InForce, "in force")
+}
+
+// change gives a command that proposes something the flag for the reason.
+func (f *allies) change(c *cobra.Command) *cobra.Command {
+	c.Flags().StringVar(&f.why, "why", "", "the reason, kept with the version")
+	_ = c.MarkFlagRequired("why")
+	return c
+}
+
+// announce proposes rules to follow the version in force.
+func (f *allies) announce(c *cobra.Command, base uint64, r agreement.Rules, t *agreement.Trial) error {
+	by := "unknown"
+	if u, err := user.Current(); err == nil {
+		by = u.Username
+	}
+	text, err := json.Marshal(agreement.Version{Number: base, Rules: r, By: by, Why: f.why, At: time.Now().UTC(), Trial: t})
+	if err != nil {
+		return err
+	}
+	var got struct{ Record agreement.Record }
+	if err := f.ask(c.Context(), "propose", text, &got); err != nil {
+		return err
+	}
+	if got.Record.Announced == nil { // a fleet of one may be that fast
+		fmt.Fprintf(c.OutOrStdout(), "announced: version %d\n", base+1)
 		return nil
 	}
-	c.AddCommand(
-		&cobra.Command{Use: "status", Short: "Versions, who leads, who holds leases", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
-			return show(c, func(w *tabwriter.Writer, s fleet.Status) {
-				fmt.Fprintf(w, "fleet\t%s\ndispatcher\t%s\nseat\t%d\nleader's seat\t%d\nacting on\t%v\nlapsed\t%t\nlease left\t%d ms\nin force\t%d\n", s.Fleet, s.Name,
-					s.Seat, s.Leader, s.Acting, s.Lapsed, s.LeaseMS, s.Record.InForce.Number)
-				if v := s.Record.Announced; v != nil {
-					fmt.Fprintf(w, "announced\t%d by %s: %s\nwaits for\t%v\n", v.Number, v.By, v.Why, s.Waits)
-				}
-			})
-		}},
-		&cobra.Command{Use: "members", Short: "Who holds a lease, as the leader knows (ask the leader)", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
-			return show(c, func(w *tabwriter.Writer, s fleet.Status) {
-				fmt.Fprint(w, "dispatcher\tacknowledged\n")
-				var names []string
-				for name := range s.Present {
-					names = append(names, name)
-				}
-				slices.Sort(names)
-				for _, name := range names {
-					fmt.Fprintf(w, "%s\t%d\n", name, s.Present[name])
-				}
-			})
-		}},
-		&cobra.Command{Use: "history", Short: "Versions that were in force", Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
-			return show(c, func(w *tabwriter.Writer, s fleet.Status) {
-				fmt.Fprint(w, "version\tretries\trepeat\tout\tby\twhy\tat\n")
-				for _, v := range append(s.Record.History, s.Record.InForce) {
-					fmt.Fprintf(w, "%d\t%g\t%t\t%v\t%s\t%s\t%s\n", v.Number, v.Rules.Retries, v.Rules.Repeat, v.Rules.Out, v.By, v.Why, v.At.Format(time.RFC3339))
-				}
-			})
-		}},
-	)
-	change := &cobra.Command{Use: "propose FILE", Short: "Announce the rules in a file, to follow the version in force", Args: cobra.ExactArgs(1),
+	fmt.Fprintf(c.OutOrStdout(), "announced: version %d\n", got.Record.Announced.Number)
+	return nil
+}
+
+func (f *allies) propose() *cobra.Command {
+	var stage string
+	var span time.Duration
+	var margin float64
+	c := &cobra.Command{Use: "propose FILE", Short: "Announce the rules in a file, to follow the version in force", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			r, err := diag.Read(args[0], readRules)
+			r, err := fleet.LoadRules(args[0])
 			if err != nil {
 				return err
 			}
-			s, err := status(c)
+			var t *agreement.Trial
+			if stage != "" {
+				percent, err := strconv.ParseFloat(strings.TrimSuffix(stage, "%"), 64)
+				if err != nil || !strings.HasSuffix(stage, "%") {
+					return fmt.Errorf(`--stage: %q is no share such as "10%%"`, stage)
+				}
+				t = &agreement.Trial{Share: percent / 100, For: span, Margin: margin}
+				if err := t.Check(); err != nil {
+					return err
+				}
+			}
+			s, err := f.status(c.Context())
 			if err != nil {
 				return err
 			}
-			return propose(c, s.Record.InForce.Number, *r)
+			return f.announce(c, s.Record.InForce.Number, *r, t)
 		}}
-	back := &cobra.Command{Use: "rollback", Short: "Announce the rules that were in force before", Args: cobra.NoArgs,
+	c.Flags().StringVar(&stage, "stage", "", `the part of the dispatchers that keeps to it first, such as "10%"; all at once where left out`)
+	c.Flags().DurationVar(&span, "for", time.Minute, "how long that part does")
+	c.Flags().Float64Var(&margin, "margin", 0.02, "it is withdrawn where the part of jobs refused or failed there is above the others' by more")
+	return c
+}
+
+func (f *allies) rollback() *cobra.Command {
+	return &cobra.Command{Use: "rollback", Short: "Announce the rules that were in force before", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			s, err := status(c)
+			s, err := f.status(c.Context())
 			if err != nil {
 				return err
 			}
 			for _, v := range slices.Backward(s.Record.History) {
 				if v.Number > 0 {
-					return propose(c, s.Record.InForce.Number, v.Rules)
+					return f.announce(c, s.Record.InForce.Number, v.Rules, nil)
 				}
 			}
-			return fmt.Errorf("no version was in force before")
+			return errors.New("no version was in force before")
+		}}
+}
+
+// out takes a box out of the whole fleet, or puts it back.
+func (f *allies) out(use string, out bool) *cobra.Command {
+	short := map[bool]string{true: "Announce that a box gets nothing at any dispatcher", false: "Announce that it does again"}[out]
+	return &cobra.Command{Use: use + " BOX", Short: short, Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := f.status(c.Context())
+			if err != nil {
+				return err
+			}
+			r := s.Record.InForce.Rules
+			if s.Record.InForce.Number == 0 {
+				r = agreement.Rules{Retries: -1, Repeat: true}
+			}
+			has := slices.Contains(r.Out, args[0])
+			if has == out {
+				return fmt.Errorf("%s is so already", args[0])
+			}
+			r.Out = slices.DeleteFunc(slices.Clone(r.Out), func(id string) bool { return id == args[0] })
+			if out {
+				r.Out = append(r.Out, args[0])
+			}
+			return f.announce(c, s.Record.InForce.Number, r, nil)
 		}}
-	for _, sub := range []*cobra.Command{change, back} {
-		sub.Flags().StringVar(&why, "why", "", "the reason, kept with the version")
-		_ = sub.MarkFlagRequired("why")
-		c.AddCommand(sub)
-	}
-	return c
 }
 
-// rulesFile is a proposal as it is written.
-type rulesFile struct {
-	Retries float64  `hcl:"retries,optional"`
-	Repeat  bool     `hcl:"repeat,optional"`
-	Out     []string `hcl:"out,optional"`
+// diff shows what changed between two versions.
+func (f *allies) diff() *cobra.Command {
+	return &cobra.Command{Use: "diff [FROM [TO]]", Short: "What changed between two versions; the last two where left out", Args: cobra.MaximumNArgs(2),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := f.status(c.Context())
+			if err != nil {
+				return err
+			}
+			all := append(slices.Clone(s.Record.History), s.Record.InForce)
+			pick := func(n, usual int) (agreement.Version, error) {
+				if n >= len(args) {
+					if usual < 0 {
+						return agreement.Version{}, errors.New("no version was in force before")
+					}
+					return all[usual], nil
+				}
+				number, err := strconv.ParseUint(args[n], 10, 64)
+				i := slices.IndexFunc(all, func(v agreement.Version) bool { return err == nil && v.Number == number })
+				if i < 0 {
+					return agreement.Version{}, fmt.Errorf("no version %s was in force, as far as is kept", args[n])
+				}
+				return all[i], nil
+			}
+			from, err := pick(0, len(all)-2)
+			if err != nil {
+				return err
+			}
+			to, err := pick(1, len(all)-1)
+			if err != nil {
+				return err
+			}
+			for _, line := range differences(from.Rules, to.Rules) {
+				fmt.Fprintln(c.OutOrStdout(), line)
+			}
+			return nil
+		}}
 }
 
-// readRules reads a proposal, whole or not at all.
-func readRules(text []byte, path string) (*agreement.Rules, error) {
-	f := rulesFile{Retries: -1, Repeat: true}
-	var r agreement.Rules
-	err := diag.Decode(text, path, &f, func(body *hclsyntax.Body) (diags hcl.Diagnostics) {
-		r = agreement.Rules{Retries: f.Retries, Repeat: f.Repeat, Out: f.Out}
-		if err := r.Check(); err != nil {
-			diags = append(diags, diag.At(body.MissingItemRange(), "Bad rules", "%v.", err))
+// differences gives a line for each that there is.
+func differences(a, b agreement.Rules) (lines []string) {
+	if a.Retries != b.Retries {
+		lines = append(lines, fmt.Sprintf("retries %g -> %g", a.Retries, b.Retries))
+	}
+	if a.Repeat != b.Repeat {
+		lines = append(lines, fmt.Sprintf("repeat %t -> %t", a.Repeat, b.Repeat))
+	}
+	for _, id := range b.Out {
+		if !slices.Contains(a.Out, id) {
+			lines = append(lines, "out + "+id)
 		}
-		return diags
-	})
-	return &r, err
+	}
+	for _, id := range a.Out {
+		if !slices.Contains(b.Out, id) {
+			lines = append(lines, "out - "+id)
+		}
+	}
+	names := maps.Clone(a.Shares)
+	if names == nil {
+		names = map[string]float64{}
+	}
+	maps.Copy(names, b.Shares)
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		was, had := a.Shares[name]
+		is, has := b.Shares[name]
+		switch {
+		case !had:
+			lines = append(lines, fmt.Sprintf("shares + %s %g", name, is))
+		case !has:
+			lines = append(lines, fmt.Sprintf("shares - %s %g", name, was))
+		case was != is:
+			lines = append(lines, fmt.Sprintf("shares %s %g -> %g", name, was, is))
+		}
+	}
+	return lines
+}
+
+// watch prints what changes, until it is interrupted.
+func (f *allies) watch() *cobra.Command {
+	return &cobra.Command{Use: "watch", Short: "Print what a dispatcher acts on, at each change", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			last := ""
+			for c.Context().Err() == nil {
+				s, err := f.status(c.Context())
+				text := ""
+				if err != nil {
+					text = err.Error()
+				} else {
+					text = fmt.Sprintf("acting on %v lapsed %t, in force %d, leader's seat %d, era %d", s.Acting, s.Lapsed, s.Record.InForce.Number, s.Leader, s.Record.Era)
+					if v := s.Record.Announced; v != nil {
+						text += fmt.Sprintf(", announced %d, waits for %v", v.Number, s.Waits)
+					}
+				}
+				if text != last {
+					fmt.Fprintf(c.OutOrStdout(), "%s %s\n", time.Now().Format(time.TimeOnly), text)
+					last = text
+				}
+				select {
+				case <-c.Context().Done():
+				case <-time.After(200 * time.Millisecond):
+				}
+			}
+			return nil
+		}}
+}
+
+// recover makes a council of one seat out of a file, where the majority is gone for good.
+func (f *allies) recover() *cobra.Command {
+	var seat uint64
+	var name, listen string
+	var old []string
+	c := &cobra.Command{Use: "recover DIRECTORY", Short: "Make a council of one out of a seat's file, where the majority is gone for good", Args: cobra.ExactArgs(1),
+		Long: "Make a council of one seat out of what that seat has on file. Its dispatcher must be stopped, and so must all others that had\n" +
+			"a seat: each of their addresses is asked, and the command refuses while one answers. Other dispatchers go on, and take seats\n" +
+			"one after the other. Who hears of the new council is fenced against the old one by its era.",
+		RunE: func(c *cobra.Command, args []string) error {
+			for _, at := range old {
+				status, _, err := fleet.Call(c.Context(), &http.Client{Transport: &http.Transport{}}, "http://"+at+"/council/status", nil, time.Now().Add(time.Second))
+				if err == nil {
+					return fmt.Errorf("%s still answers (%d): stop it first", at, status)
+				}
+			}
+			r, err := councillog.Recover(args[0], seat, name, listen)
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(c.OutOrStdout(), "era %d: a council of seat %d, version %d in force\n", r.Era, seat, r.InForce.Number)
+			return nil
+		}}
+	c.Flags().Uint64Var(&seat, "seat", 0, "the seat whose file is in the directory")
+	c.Flags().StringVar(&name, "name", "", "the name of its dispatcher")
+	c.Flags().StringVar(&listen, "listen", "", "its council's address")
+	c.Flags().StringSliceVar(&old, "old", nil, "the council's addresses of all that had a seat")
+	for _, flag := range []string{"seat", "name", "listen", "old"} {
+		_ = c.MarkFlagRequired(flag)
+	}
+	return c
 }
 
 // ask asks a dispatcher; a nil body gets.
-func ask(ctx context.Context, url string, body []byte, to any) error {
-	status, text, err := fleet.Call(ctx, &http.Client{Transport: &http.Transport{}}, url, body, time.Now().Add(answerWithin))
+func (f *allies) ask(ctx context.Context, what string, body []byte, to any) error {
+	status, text, err := fleet.Call(ctx, &http.Client{Transport: &http.Transport{}}, "http://"+f.address+"/council/"+what, body, time.Now().Add(answerWithin))
 	if err != nil {
 		return err
 	}
@@ -161,9 +390,3 @@
 	}
 	return json.Unmarshal(text, to)
 }
-
-func encode(w io.Writer, v any) error {
-	e := json.NewEncoder(w)
-	e.SetIndent("", "  ")
-	return e.Encode(v)
-}
--- a/internal/decisions/agreement/agreement.go
+++ b/internal/decisions/agreement/agreement.go
@@ -14,8 +14,10 @@
 package agreement
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -29,6 +31,17 @@
 	Retries float64  `json:"retries"`       // further calls for each first one; below 0 for no bound
 	Repeat  bool     `json:"repeat"`        // whether anything is sent a second time
 	Out     []string `json:"out,omitempty"` // boxes that get nothing
+
+	// Shares are the most that accounts may have of the room for open jobs, at each dispatcher; who is not named is not bound.
+	Shares map[string]float64 `json:"shares,omitempty"`
+}
+
+// Needs is the form of messages that a dispatcher must speak to read the rules.
+func (r Rules) Needs() int {
+	if len(r.Shares) > 0 {
+		return 2
+	}
+	return 1
 }
 
 // unbound are the rules before the fleet has agreed on any.
@@ -49,14 +62,23 @@
 		return fmt.Errorf("retries must be at most %v", float64(MostRetries))
 	case len(r.Out) > mostOut:
 		return fmt.Errorf("out names more than %d boxes", mostOut)
+	case len(r.Shares) > mostShares:
+		return fmt.Errorf("shares names more than %d accounts", mostShares)
 	}
+	seen := make(map[string]bool, len(r.Out))
 	for i, id := range r.Out {
-		if id == "" || len(id) > 256 {
+		if id == "" || len(id) > mostName {
 			return fmt.Errorf("out[%d] is no name of a box", i)
 		}
-		if slices.Contains(r.Out[:i], id) {
+		if seen[id] {
 			return fmt.Errorf("out names %q twice", id)
 		}
+		seen[id] = true
+	}
+	for name, share := range r.Shares {
+		if name == "" || len(name) > mostName || !(share >= 0 && share <= 1) {
+			return fmt.Errorf("shares[%q] must be from 0 to 1", name)
+		}
 	}
 	return nil
 }
@@ -66,6 +88,8 @@
 	MostRetries = 16
 
 	mostOut     = 10_000
+	mostShares  = 1000
+	mostName    = 2048 // bytes of a box's or an account's name
 	mostHistory = 64
 )
 
@@ -78,6 +102,17 @@
 	s.Out = append(slices.Clone(r.Out), o.Out...)
 	slices.Sort(s.Out)
 	s.Out = slices.Compact(s.Out)
+	if len(r.Shares)+len(o.Shares) > 0 {
+		s.Shares = maps.Clone(r.Shares)
+		if s.Shares == nil {
+			s.Shares = map[string]float64{}
+		}
+		for name, share := range o.Shares {
+			if had, ok := s.Shares[name]; !ok || share < had {
+				s.Shares[name] = share
+			}
+		}
+	}
 	return s
 }
 
@@ -87,15 +122,31 @@
 	Rules  Rules     `json:"rules"`
 	By     string    `json:"by"`
 	Why    string    `json:"why"`
-	At     time.Time `json:"at"` // by the proposer's clock: for people, nothing is decided by it
+	At     time.Time `json:"at"`              // by the proposer's clock: for people, nothing is decided by it
+	Trial  *Trial    `json:"trial,omitempty"` // while only a part of the dispatchers keeps to it; nil for all
 }
 
 // Record is what the fleet has agreed on. The council's log makes it, entry by entry; everybody has it as of some revision.
 type Record struct {
-	Revision  uint64    `json:"revision"` // entries that changed it
-	InForce   Version   `json:"in_force"`
-	Announced *Version  `json:"announced,omitempty"`
-	History   []Version `json:"history,omitempty"` // those that were in force, the newest last
+	Era       uint64       `json:"era,omitempty"` // goes up where a council is made anew without its majority
+	Revision  uint64       `json:"revision"`      // entries that changed it
+	InForce   Version      `json:"in_force"`
+	Announced *Version     `json:"announced,omitempty"`
+	History   []Version    `json:"history,omitempty"`   // those that were in force, the newest last
+	Withdrawn []Withdrawal `json:"withdrawn,omitempty"` // the newest last
+	Council   []Seat       `json:"council,omitempty"`
+	NextSeat  uint64       `json:"next_seat,omitempty"` // no number is used twice
+}
+
+// Withdrawal is a version that was announced and given up.
+type Withdrawal struct {
+	Version Version `json:"version"`
+	Why     string  `json:"why"`
+}
+
+// Newer tells whether a record is newer than another.
+func (r Record) Newer(o Record) bool {
+	return r.Era > o.Era || r.Era == o.Era && r.Revision > o.Revision
 }
 
 // Entry is a command in the council's log.
@@ -104,6 +155,9 @@
 	Announce *Version `json:"announce,omitempty"` // Number is the one that it follows; it gets the next
 	Force    uint64   `json:"force,omitempty"`    // the number of the announced version
 	Withdraw uint64   `json:"withdraw,omitempty"` // the same: it is given up
+	Widen    uint64   `json:"widen,omitempty"`    // the same: its trial is over, all keep to it
+	Why      string   `json:"why,omitempty"`      // of a withdrawal
+	Council  []Seat   `json:"council,omitempty"`  // who sits in the council from now on
 }
 
 // The reasons for which an entry changes nothing.
@@ -111,6 +165,7 @@
 	ErrUnderWay = errors.New("another change is under way")
 	ErrBase     = errors.New("it does not follow the version in force")
 	ErrNone     = errors.New("no such version is announced")
+	ErrTrial    = errors.New("its trial is not over")
 )
 
 // Apply gives the record behind an entry. Where it gives an error the record is as it was.
@@ -124,21 +179,40 @@
 		if e.Announce.Number != r.InForce.Number {
 			return r, ErrBase
 		}
-		if err := e.Announce.Rules.Check(); err != nil {
+		if err := cmp.Or(e.Announce.Rules.Check(), e.Announce.Trial.Check()); err != nil {
 			return r, err
 		}
 		v := *e.Announce
 		v.Number++
 		next.Announced = &v
-	case r.Announced == nil || r.Announced.Number != max(e.Force, e.Withdraw):
+	case e.Council != nil:
+		next.Council = e.Council
+		for _, seat := range e.Council {
+			next.NextSeat = max(next.NextSeat, seat.ID+1)
+		}
+	case r.Announced == nil || r.Announced.Number != max(e.Force, e.Withdraw, e.Widen):
 		return r, ErrNone
+	case e.Widen > 0:
+		if r.Announced.Trial == nil {
+			return r, ErrNone
+		}
+		v := *r.Announced
+		v.Trial = nil
+		next.Announced = &v
 	case e.Force > 0:
+		if r.Announced.Trial != nil {
+			return r, ErrTrial
+		}
 		next.History = append(slices.Clone(r.History), r.InForce)
 		if over := len(next.History) - mostHistory; over > 0 {
 			next.History = next.History[over:]
 		}
 		next.InForce, next.Announced = *r.Announced, nil
 	default: // its number is used up: who heard of it must not take another for it
+		next.Withdrawn = append(slices.Clone(r.Withdrawn), Withdrawal{*r.Announced, e.Why})
+		if over := len(next.Withdrawn) - mostHistory; over > 0 {
+			next.Withdrawn = next.Withdrawn[over:]
+		}
 		next.InForce.Number, next.Announced = r.Announced.Number+1, nil
 	}
 	next.Revision++
@@ -161,105 +235,3 @@
 func (s Stand) Apart(o Stand) bool {
 	return !slices.ContainsFunc(s.Versions, func(v uint64) bool { return slices.Contains(o.Versions, v) })
 }
-
-// Holder is a dispatcher's part.
-type Holder struct {
-	record Record
-	until  Clock
-	held   bool // a lease was held at any time
-}
-
-// NewHolder makes one that knows a record from before, and holds no lease.
-func NewHolder(known Record) *Holder { return &Holder{record: known} }
-
-// Heard takes an answer of the council in: the record, and a lease counted from when this dispatcher asked.
-func (h *Holder) Heard(r Record, asked Clock, lease time.Duration) {
-	if r.Revision < h.record.Revision { // an older answer that came later; its lease is of that time too
-		return
-	}
-	h.record = r
-	if until := asked + lease; !h.held || until > h.until {
-		h.until, h.held = until, true
-	}
-}
-
-// Record is the newest that it heard of.
-func (h *Holder) Record() Record { return h.record }
-
-// Acknowledged is the newest version whose limits it keeps, said with each renewal.
-func (h *Holder) Acknowledged() uint64 {
-	if a := h.record.Announced; a != nil {
-		return a.Number
-	}
-	return h.record.InForce.Number
-}
-
-// Until is when its lease runs out; zero where it never had one.
-func (h *Holder) Until() Clock { return h.until }
-
-// Stand is what it may act on now.
-func (h *Holder) Stand(now Clock) Stand {
-	s := Stand{Versions: []uint64{h.record.InForce.Number}, Rules: h.record.InForce.rules(), Lapsed: !h.held || now >= h.until}
-	if a := h.record.Announced; a != nil {
-		s.Versions, s.Rules = append(s.Versions, a.Number), s.Rules.Stricter(a.Rules)
-	}
-	if s.Lapsed {
-		s.Rules.Repeat = false
-	}
-	return s
-}
-
-// Council is the leader's part. What it knows of leases is its own: a new leader waits for all that an old one may have
-// given.
-type Council struct {
-	lease   time.Duration // lengthened by drift
-	elected Clock
-	members map[string]member
-}
-
-type member struct {
-	at    Clock // of its last renewal
-	acked uint64
-}
-
-// Drift is by how much a clock may run slower than the leader's.
-const Drift = 0.01
-
-// NewCouncil makes the part of a leader that was elected then.
-func NewCouncil(lease time.Duration, elected Clock) *Council {
-	return &Council{lease: lease + time.Duration(Drift*float64(lease)), elected: elected, members: map[string]member{}}
-}
-
-// Renewed notes that a dispatcher asked for a lease, and which version it acknowledged. It is called before the lease is
-// given.
-func (c *Council) Renewed(name string, now Clock, acked uint64) {
-	c.members[name] = member{now, max(acked, c.members[name].acked)}
-}
-
-// May tells whether a version may be in force now, and if not, for whom it waits.
-func (c *Council) May(version uint64, now Clock) (may bool, waits []string) {
-	for name, m := range c.members {
-		switch {
-		case now >= m.at+c.lease:
-			delete(c.members, name) // its lease has run out, and whoever comes back hears of the version first
-		case m.acked < version:
-			waits = append(waits, name)
-		}
-	}
-	slices.Sort(waits)
-	if now < c.elected+c.lease {
-		waits = append(waits, "leases of the leader before")
-	}
-	return len(waits) == 0, waits
-}
-
-// Present are the dispatchers that hold leases, with the version that each acknowledged.
-func (c *Council) Present(now Clock) map[string]uint64 {
-	all := map[string]uint64{}
-	for name, m := range c.members {
-		if now < m.at+c.lease {
-			all[name] = m.acked
-		}
-	}
-	return all
-}
--- a/internal/decisions/agreement/agreement_test.go
+++ b/internal/decisions/agreement/agreement_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -102,7 +104,7 @@
 	w := &world{lease: 2 * tick, broken: broken, frozen: make([]bool, n)}
 	w.council = NewCouncil(w.lease, -100*tick)
 	for range n {
-		w.holders = append(w.holders, NewHolder(Record{}))
+		w.holders = append(w.holders, NewHolder(fmt.Sprint("d", len(w.holders)), Record{}))
 	}
 	return w
 }
@@ -123,7 +125,7 @@
 		}
 		m := w.asked[which]
 		w.asked = append(append([]message(nil), w.asked[:which]...), w.asked[which+1:]...)
-		w.council.Renewed(fmt.Sprint(m.from), w.now, m.acked)
+		_ = w.council.Renewed(Member{Name: fmt.Sprint("d", m.from), Acked: m.acked}, w.now)
 		m.record = w.record
 		w.answers = append(append([]message(nil), w.answers...), m)
 	case 3: // an answer arrives
@@ -137,10 +139,10 @@
 		}
 		w.holders[m.from].Heard(m.record, m.sent, w.lease)
 	case 4: // an answer is lost
-		if len(w.answers) == 0 {
+		if which >= len(w.answers) {
 			return false
 		}
-		w.answers = append([]message(nil), w.answers[1:]...)
+		w.answers = append(append([]message(nil), w.answers[:which]...), w.answers[which+1:]...)
 	case 5: // a change is announced
 		next, err := w.record.Apply(Entry{Announce: &Version{Number: w.record.InForce.Number}})
 		if err != nil {
@@ -198,16 +200,46 @@
 	return &c
 }
 
-// key is a state as far as it matters for what may follow.
-func (w *world) key() string {
-	k := fmt.Sprint(w.now, w.record.InForce.Number, w.record.Announced != nil, w.council.elected, w.council.members, w.frozen)
-	for _, h := range w.holders {
-		k += fmt.Sprint(h.record.Revision, h.until, h.held)
+// key is a state as far as it matters for what may follow: dispatchers are alike, and so are the orders of messages.
+func (w *world) key(limits [9]int) string {
+	add := func(to []byte, all ...int64) []byte {
+		for _, n := range all {
+			to = append(to, byte(n)) // small numbers: 12 steps lead to no others
+		}
+		return to
 	}
-	for _, m := range append(append([]message(nil), w.asked...), w.answers...) {
-		k += fmt.Sprint(m.from, m.sent, m.acked, m.record.Revision)
+	announced := int64(-1)
+	if a := w.record.Announced; a != nil {
+		announced = int64(a.Number)
 	}
-	return k + fmt.Sprint(len(w.asked))
+	key := add(make([]byte, 0, 96), int64(w.now/tick), int64(w.record.Revision), int64(w.record.InForce.Number), announced, int64(max(w.council.elected, -tick)/tick))
+	for _, n := range limits {
+		key = add(key, int64(n))
+	}
+	parts := make([]string, len(w.holders))
+	for i, h := range w.holders {
+		m := w.council.members[h.name]
+		part := add(make([]byte, 0, 32), int64(h.record.Revision), int64(h.until/tick), int64(m.at/tick), int64(m.Acked))
+		if w.frozen[i] {
+			part = add(part, -1)
+		}
+		for which, all := range [][]message{w.asked, w.answers} {
+			var own []string
+			for _, m := range all {
+				if m.from == i {
+					own = append(own, string(add(nil, int64(-2-which), int64(m.sent/tick), int64(m.acked), int64(m.record.Revision))))
+				}
+			}
+			slices.Sort(own)
+			part = append(part, strings.Join(own, "")...)
+		}
+		parts[i] = string(part)
+	}
+	slices.Sort(parts)
+	for _, part := range parts {
+		key = append(append(key, part...), 100)
+	}
+	return string(key)
 }
 
 // search goes through all that may happen in so many steps, and gives the first contradiction with the way there.
@@ -215,7 +247,7 @@
 	if c := w.contradiction(); c != "" {
 		return append(way, c)
 	}
-	key := w.key() + fmt.Sprint(limits)
+	key := w.key(limits)
 	if depth == 0 || seen[key] >= depth {
 		return nil
 	}
@@ -225,7 +257,7 @@
 			continue
 		}
 		for which := range len(w.holders) {
-			if which > 0 && (what == 0 || what >= 4 && what <= 7) {
+			if which > 0 && (what == 0 || what >= 5 && what <= 7) {
 				break
 			}
 			next, rest := w.clone(), limits
@@ -240,19 +272,28 @@
 	return nil
 }
 
-// All that may happen to two dispatchers in 12 steps with one change, a freeze and a change of leader: nothing contradicts.
-// Each of three mistakes is found.
+// All that may happen: to two dispatchers in 12 steps with one change, and to three in 11 with two changes, with a freeze, a
+// lost answer and a change of leader. Nothing contradicts; each of three mistakes is found.
 func TestExhaustive(t *testing.T) {
-	limits := [9]int{4, 2, 2, 2, 0, 1, 1, 1, 1}
-	for _, broken := range []string{"", "not waited", "counted from the answer", "a new leader does not wait"} {
-		w := newWorld(2, broken)
-		for i, h := range w.holders { // both hold leases at the start
-			w.council.Renewed(fmt.Sprint(i), 0, 0)
-			h.Heard(w.record, 0, w.lease)
-		}
-		found := search(w, 12, limits, map[string]int{}, nil)
-		if (found != nil) != (broken != "") {
-			t.Errorf("broken %q: %v", broken, found)
+	for _, c := range []struct {
+		dispatchers, depth int
+		limits             [9]int
+	}{{2, 12, [9]int{4, 2, 2, 2, 0, 1, 1, 1, 1}}, {3, 11, [9]int{3, 3, 2, 2, 1, 2, 2, 1, 1}}} {
+		for _, broken := range []string{"", "not waited", "counted from the answer", "a new leader does not wait"} {
+			t.Run(fmt.Sprintf("%d dispatchers %s", c.dispatchers, broken), func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(c.dispatchers, broken)
+				for i, h := range w.holders { // all hold leases at the start
+					_ = w.council.Renewed(Member{Name: fmt.Sprint("d", i)}, 0)
+					h.Heard(w.record, 0, w.lease)
+				}
+				seen := map[string]int{}
+				found := search(w, c.depth, c.limits, seen, nil)
+				if (found != nil) != (broken != "") {
+					t.Errorf("%v", found)
+				}
+				t.Logf("%d states", len(seen))
+			})
 		}
 	}
 }
--- /dev/null
+++ b/internal/decisions/agreement/lease.go
@@ -0,0 +1,184 @@
+package agreement
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Holder is a dispatcher's part.
+type Holder struct {
+	name   string
+	record Record
+	until  Clock
+	held   bool // a lease was held at any time
+}
+
+// NewHolder makes the part of a dispatcher of a name, that knows a record from before and holds no lease.
+func NewHolder(name string, known Record) *Holder { return &Holder{name: name, record: known} }
+
+// Heard takes an answer of the council in: the record, and a lease counted from when this dispatcher asked.
+func (h *Holder) Heard(r Record, asked Clock, lease time.Duration) {
+	if h.record.Newer(r) { // an older answer that came later, or of a council that is none any more; so is its lease
+		return
+	}
+	h.record = r
+	if until := asked + lease; !h.held || until > h.until {
+		h.until, h.held = until, true
+	}
+}
+
+// Learned takes a record in that came without a lease, and tells whether it is news.
+func (h *Holder) Learned(r Record) bool {
+	if !r.Newer(h.record) {
+		return false
+	}
+	h.record = r
+	return true
+}
+
+// Dropped ends the lease: the dispatcher leaves, or is not who it thought.
+func (h *Holder) Dropped(now Clock) {
+	if h.held && h.until > now {
+		h.until = now
+	}
+}
+
+// Record is the newest that it heard of.
+func (h *Holder) Record() Record { return h.record }
+
+// announced is the version that is announced to this dispatcher; nil for none, or where it is tried by others first.
+func (h *Holder) announced() *Version {
+	if a := h.record.Announced; a != nil && a.Trial.Has(h.name, a.Number) {
+		return a
+	}
+	return nil
+}
+
+// Acknowledged is the newest version whose limits it keeps, said with each renewal.
+func (h *Holder) Acknowledged() uint64 {
+	if a := h.announced(); a != nil {
+		return a.Number
+	}
+	return h.record.InForce.Number
+}
+
+// Until is when its lease runs out; zero where it never had one.
+func (h *Holder) Until() Clock { return h.until }
+
+// Stand is what it may act on now.
+func (h *Holder) Stand(now Clock) Stand {
+	s := Stand{Versions: []uint64{h.record.InForce.Number}, Rules: h.record.InForce.rules(), Lapsed: !h.held || now >= h.until}
+	if a := h.announced(); a != nil {
+		s.Versions, s.Rules = append(s.Versions, a.Number), s.Rules.Stricter(a.Rules)
+	}
+	if s.Lapsed {
+		s.Rules.Repeat = false
+	}
+	return s
+}
+
+// Council is the leader's part. What it knows of leases is its own: a new leader waits for all that an old one may have
+// given.
+type Council struct {
+	lease   time.Duration // lengthened by drift
+	elected Clock
+	members map[string]member
+}
+
+// Member is a dispatcher that asks for a lease.
+type Member struct {
+	Name     string `json:"name"`
+	Instance string `json:"instance"` // of the process: drawn at its start
+	Acked    uint64 `json:"acknowledged"`
+	Form     int    `json:"form"` // of messages that it can read
+	Era      uint64 `json:"era,omitempty"`
+	Address  string `json:"address,omitempty"`
+	Region   string `json:"region,omitempty"`
+	Zone     string `json:"zone,omitempty"`
+	Seat     uint64 `json:"seat,omitempty"`  // in which it votes, or learns
+	Ended    uint64 `json:"ended,omitempty"` // jobs, since its start
+	Bad      uint64 `json:"bad,omitempty"`   // of them refused or failed
+}
+
+type member struct {
+	Member
+	at Clock // of its last renewal
+}
+
+// The reasons for which nobody gets a lease.
+var (
+	ErrNameInUse = errors.New("another process of that name holds a lease")
+	ErrOlder     = errors.New("the fleet has a newer council")
+)
+
+// Drift is by how much a clock may run slower than the leader's.
+const Drift = 0.01
+
+// NewCouncil makes the part of a leader that was elected then.
+func NewCouncil(lease time.Duration, elected Clock) *Council {
+	return &Council{lease: lease + time.Duration(Drift*float64(lease)), elected: elected, members: map[string]member{}}
+}
+
+// Renewed notes that a dispatcher asked for a lease. It is called before the lease is given. Of two processes of one name
+// the second waits until the lease of the first has run out: what it knows is not what the first acts on.
+func (c *Council) Renewed(m Member, now Clock) error {
+	had, known := c.members[m.Name]
+	if known && had.Instance != m.Instance {
+		if now < had.at+c.lease {
+			return fmt.Errorf("%q: %w", m.Name, ErrNameInUse)
+		}
+		had.Acked = 0
+	}
+	m.Acked = max(m.Acked, had.Acked)
+	c.members[m.Name] = member{m, now}
+	return nil
+}
+
+// Left notes that a process has dropped its lease for good. It is called behind that.
+func (c *Council) Left(name, instance string) {
+	if c.members[name].Instance == instance {
+		delete(c.members, name)
+	}
+}
+
+// May tells whether a version may be in force now, and if not, for whom it waits.
+func (c *Council) May(version uint64, now Clock) (may bool, waits []string) {
+	for name, m := range c.members {
+		switch {
+		case now >= m.at+c.lease:
+			delete(c.members, name) // its lease has run out, and whoever comes back hears of the version first
+		case m.Acked < version:
+			waits = append(waits, name)
+		}
+	}
+	slices.Sort(waits)
+	if now < c.elected+c.lease {
+		waits = append(waits, "leases of the leader before")
+	}
+	return len(waits) == 0, waits
+}
+
+// Present are the dispatchers that hold leases, by name.
+func (c *Council) Present(now Clock) (all []Member) {
+	for _, m := range c.members {
+		if now < m.at+c.lease {
+			all = append(all, m.Member)
+		}
+	}
+	slices.SortFunc(all, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
+// Readable tells which dispatchers that hold leases could not read rules. Those that may come back are asked when they do:
+// a question of an older form gets no lease.
+func (c *Council) Readable(r Rules, now Clock) (cannot []string) {
+	for _, m := range c.Present(now) {
+		if m.Form < r.Needs() {
+			cannot = append(cannot, m.Name)
+		}
+	}
+	return cannot
+}
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -6,90 +6,125 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"slices"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/google/renameio/v2"
 
 	"brassdale/internal/decisions/agreement"
-	councillog "brassdale/internal/fleet/log"
+	"brassdale/internal/fleet/membership"
 )
 
 const (
-	renewals   = 8 // in a lease
-	forceEvery = 20 * time.Millisecond
-	openEvery  = 200 * time.Millisecond
+	renewals  = 4 // in a lease; what changes meanwhile comes by the subscription
+	openEvery = 200 * time.Millisecond
+	leadEvery = 20 * time.Millisecond
 )
 
-// Agent is a dispatcher's part in the fleet, and a voter's where it has a seat.
+// Options make a dispatcher's part.
+type Options struct {
+	Settings *Settings
+	Name     string                     // of the dispatcher
+	Zone     string                     // where its settings say none
+	Apply    func(agreement.Stand)      // is told of each change of what may be acted on; must not block
+	Jobs     func() (ended, bad uint64) // since the start; bad are those refused or failed
+	Log      *slog.Logger
+}
+
+// Agent is a dispatcher's part in the fleet, and a seat's in the council where it has one.
 type Agent struct {
+	Options
 	s        *Settings
-	name     string
+	instance string
 	lease    time.Duration
+	patience time.Duration
 	start    time.Time // what its clock counts from
+	pace     float64   // of its clock, in tests
+	form     int
 	log      *slog.Logger
 	client   *http.Client
 	listener net.Listener
-	council  *councillog.Log // nil for a follower
-	peers    []*peer         // by seat; nil where this dispatcher sits
-	changed  chan struct{}
-	apply    func(agreement.Stand)
+	members  *membership.List
+	changed  chan struct{} // what may be acted on may have changed
+	renewNow chan struct{}
+	slow     chan struct{} // has a place for each whole record that is being sent
+
+	mu      sync.Mutex
+	holder  *agreement.Holder
+	seat    *seat              // nil for a follower
+	founder *agreement.Founder // what this dispatcher's file says, while it founds or has founded
+	leads   *agreement.Council // nil while it does not lead
+	trying  *agreement.Trying  // nil while it leads no trial
+	turn    int                // seats that were asked in vain, one after the other
+	heard   bool               // a whole record was got since the start
+	last    string             // what was applied
+	turned  string             // what was said of a seat that it has not
+	news    chan struct{}      // closed when the council's record changes
+	counts  Counts
+}
 
-	mu     sync.Mutex
-	holder *agreement.Holder
-	leads  *agreement.Council // nil while it does not lead
-	guess  int                // the seat that is asked next
-	last   string             // what was applied
+// Counts are what the fleet costs this dispatcher.
+type Counts struct {
+	Calls, Served    uint64 // to others, and of others
+	Sent, Received   uint64 // bytes of bodies, both ways together by who calls and who is called
+	Renewed, Refused uint64 // leases that it got, or did not
 }
 
-// New reads what the dispatcher knew at its last end. apply is told of each change of what may be acted on; it must not
-// block.
-func New(s *Settings, name string, apply func(agreement.Stand), log *slog.Logger) (*Agent, error) {
+// New reads what the dispatcher knew at its last end.
+func New(o Options) (*Agent, error) {
+	s := o.Settings
 	lease, err := s.Lease()
 	if err != nil {
 		return nil, err
 	}
+	patience, err := s.Patience()
+	if err != nil {
+		return nil, err
+	}
 	if err := os.MkdirAll(s.Directory, 0o700); err != nil {
 		return nil, err
 	}
-	a := &Agent{s: s, name: name, lease: lease, start: time.Now(), log: log, client: newClient(), changed: make(chan struct{}, 1), apply: apply, guess: max(s.Seat, 1)}
-	a.holder = agreement.NewHolder(a.kept())
+	if s.Zone != "" {
+		o.Zone = s.Zone
+	}
+	a := &Agent{Options: o, s: s, instance: rand.Text(), lease: lease, patience: patience, start: time.Now(), pace: testPace(), form: testForm(), log: o.Log,
+		client: newClient(), changed: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), slow: make(chan struct{}, 8), news: make(chan struct{})}
+	a.holder = agreement.NewHolder(o.Name, a.kept())
 	return a, nil
 }
 
-// open takes the dispatcher's file and its address, which a process that this one replaces may still have.
+// testPace has tests give a process a clock that runs faster or slower, within what Drift allows.
+func testPace() float64 {
+	if pace, err := strconv.ParseFloat(os.Getenv("BRASSDALE_TEST_PACE"), 64); err == nil && pace > 0 {
+		return pace
+	}
+	return 1
+}
+
+// testForm has tests make an older build of this one.
+func testForm() int {
+	if n, err := strconv.Atoi(os.Getenv("BRASSDALE_TEST_FORM")); err == nil && n > 0 && n < form {
+		return n
+	}
+	return form
+}
+
+// open takes the dispatcher's address, which a process that this one replaces may still have.
 func (a *Agent) open() (err error) {
-	s := a.s
-	if a.listener, err = net.Listen("tcp", s.Listen); err != nil {
+	if a.listener, err = net.Listen("tcp", a.s.Listen); err != nil {
 		return err
 	}
-	if s.Seat > 0 {
-		a.peers = make([]*peer, len(s.Voters)+1)
-		for i, v := range s.Voters {
-			if i+1 != s.Seat {
-				a.peers[i+1] = &peer{fmt.Sprintf("http://%s/council/messages", v), make(chan []byte, mostBatch)}
-			}
-		}
-		a.council, err = councillog.Open(councillog.Options{Seat: s.Seat, Voters: len(s.Voters), Directory: s.Directory, Log: a.log,
-			Send: func(to int, m []byte) {
-				if to > 0 && to < len(a.peers) && a.peers[to] != nil {
-					a.peers[to].send(m)
-				}
-			},
-			Changed: func(agreement.Record) { a.wake() }, Leads: a.elected})
-		if err != nil {
-			a.listener.Close()
-			return err
-		}
+	a.members, err = membership.New(membership.Options{Self: a.self(), Seeds: a.s.Voters, Reach: a.s.reach, Log: a.log})
+	if err != nil {
+		a.listener.Close()
 	}
-	return nil
+	return err
 }
 
 // wait opens, as soon as that can be. Until then the dispatcher holds no lease.
@@ -105,15 +140,39 @@
 			a.log.Warn("the fleet is not joined yet", "err", err)
 			said = true
 		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(openEvery):
-		}
+		pause(ctx, openEvery)
 	}
 	return false
 }
 
-func (a *Agent) now() agreement.Clock { return time.Since(a.start) } // monotonic: a clock that is set back or on moves nothing
+// pause waits for a span, or for the context's end.
+func pause(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
+
+// now is monotonic: a clock that is set back or on moves nothing.
+func (a *Agent) now() agreement.Clock {
+	return time.Duration(float64(time.Since(a.start)) * a.pace)
+}
+
+// address is where the others reach this dispatcher.
+func (a *Agent) address() string {
+	if a.listener != nil {
+		return a.listener.Addr().String()
+	}
+	return a.s.Listen
+}
+
+// self is what it says of itself to the members.
+func (a *Agent) self() membership.Self {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return membership.Self{Name: a.Name, Address: a.address(), Region: a.s.Region, Zone: a.Zone, Version: a.holder.Acknowledged(),
+		Era: a.holder.Record().Era, Seat: a.seat.id(), Form: a.form}
+}
 
 // Stand is what may be acted on now. Who was frozen finds its lease run out.
 func (a *Agent) Stand() agreement.Stand {
@@ -122,25 +181,13 @@
 	return a.holder.Stand(a.now())
 }
 
-func (a *Agent) wake() {
+func wake(c chan struct{}) {
 	select {
-	case a.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
 
-// elected is told by the log. A new leader begins without knowing of any lease.
-func (a *Agent) elected(leads bool) {
-	a.mu.Lock()
-	a.leads = nil
-	if leads {
-		a.leads = agreement.NewCouncil(a.lease, a.now())
-	}
-	a.mu.Unlock()
-	a.log.Info("council", "leads", leads, "seat", a.s.Seat)
-	a.wake()
-}
-
 // Run is the agent's life.
 func (a *Agent) Run(ctx context.Context) {
 	if !a.wait(ctx) {
@@ -151,146 +198,28 @@
 	server := &http.Server{Handler: a.handler(), ReadHeaderTimeout: callWithin, ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelDebug)}
 	var wait sync.WaitGroup
 	wait.Go(func() { _ = server.Serve(a.listener) })
-	if a.council != nil {
-		for _, p := range a.peers {
-			if p != nil {
-				wait.Go(func() { p.run(ctx, a.client) })
-			}
-		}
-		wait.Go(func() {
-			if err := a.council.Run(ctx); err != nil && ctx.Err() == nil {
-				a.log.Error("this voter has stopped: the dispatcher goes on as a follower", "err", err)
-			}
-		})
-		wait.Go(func() { a.force(ctx) })
-	}
+	wait.Go(func() { a.members.Run(ctx) })
+	wait.Go(func() { a.sit(ctx) })
+	wait.Go(func() { a.lead(ctx) })
 	wait.Go(func() { a.watch(ctx) })
+	wait.Go(func() { a.subscribe(ctx) })
 	a.renew(ctx)
+	a.leave()
 	_ = server.Close()
 	wait.Wait()
 }
 
-// renew asks for leases, and again sooner where nobody gave one.
-func (a *Agent) renew(ctx context.Context) {
-	every := a.lease / renewals
-	for ctx.Err() == nil {
-		asked, begin := a.now(), time.Now()
-		record, lease, err := a.ask(ctx)
-		if err == nil {
-			a.mu.Lock()
-			fresh := record.Revision > a.holder.Record().Revision
-			a.holder.Heard(record, asked, lease)
-			a.mu.Unlock()
-			if fresh {
-				a.keep(record)
-			}
-			a.settle()
-		} else {
-			a.log.Debug("no lease", "err", err)
-		}
-		pause := time.Until(begin.Add(every))
-		if err != nil {
-			pause = min(pause, every/2)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(max(pause, time.Millisecond)):
-		}
-	}
-}
-
-// ask asks the voter that is thought to lead, and goes on with the one that it names, or the next.
-func (a *Agent) ask(ctx context.Context) (agreement.Record, time.Duration, error) {
-	a.mu.Lock()
-	q, seat := question{Name: a.name, Acknowledged: a.holder.Acknowledged(), Form: form}, a.guess
-	a.mu.Unlock()
-	var got answer
-	status := http.StatusOK
-	if seat == a.s.Seat {
-		got, status = a.grant(ctx, q)
-	} else {
-		body, err := json.Marshal(q)
-		if err != nil {
-			return agreement.Record{}, 0, err
-		}
-		var text []byte
-		status, text, err = Call(ctx, a.client, fmt.Sprintf("http://%s/council/renew", a.s.Voters[seat-1]), body, time.Now().Add(callWithin))
-		if err == nil {
-			err = json.Unmarshal(text, &got)
-		}
-		if err != nil {
-			a.next(seat, 0)
-			return agreement.Record{}, 0, err
-		}
-	}
-	if status != http.StatusOK || got.Record == nil {
-		a.next(seat, got.Leader)
-		return agreement.Record{}, 0, fmt.Errorf("seat %d: %d %s", seat, status, got.Why)
-	}
-	return *got.Record, time.Duration(got.LeaseMS) * time.Millisecond, nil
-}
-
-// next chooses whom to ask behind one that gave nothing.
-func (a *Agent) next(asked, leader int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if leader > 0 && leader <= len(a.s.Voters) && leader != asked {
-		a.guess = leader
-	} else {
-		a.guess = asked%len(a.s.Voters) + 1
-	}
-}
-
-// grant gives a lease, if this voter leads. That somebody asked is noted first: a version waits for it from then on. Then a
-// majority confirms who leads, so a leader that was cut off gives none.
-func (a *Agent) grant(ctx context.Context, q question) (answer, int) {
-	if q.Form != form {
-		return answer{Why: fmt.Sprintf("this build speaks form %d", form)}, http.StatusUpgradeRequired
-	}
-	if a.council == nil {
-		return answer{Why: "no voter"}, http.StatusMisdirectedRequest
-	}
+// leave drops the lease and says so, so that a successor of the same name need not wait for its end.
+func (a *Agent) leave() {
 	a.mu.Lock()
-	leads := a.leads
-	if leads != nil {
-		leads.Renewed(q.Name, a.now(), q.Acknowledged)
-	}
+	a.holder.Dropped(a.now())
 	a.mu.Unlock()
-	if leads == nil {
-		return answer{Leader: a.council.Leader(), Why: "does not lead"}, http.StatusMisdirectedRequest
-	}
-	ctx, stop := context.WithDeadline(ctx, time.Now().Add(callWithin))
+	a.settle()
+	ctx, stop := context.WithDeadline(context.Background(), time.Now().Add(callWithin))
 	defer stop()
-	if err := a.council.Confirm(ctx); err != nil {
-		return answer{Why: err.Error()}, http.StatusServiceUnavailable
-	}
-	record := a.council.Record()
-	return answer{Record: &record, LeaseMS: a.lease.Milliseconds()}, http.StatusOK
-}
-
-// force puts an announced version in force once it may be.
-func (a *Agent) force(ctx context.Context) {
-	tick := time.NewTicker(forceEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
+	for _, s := range a.order() {
+		if _, status, err := a.post(ctx, s.Address, "leave", a.question()); err == nil && status == http.StatusOK {
 			return
-		case <-tick.C:
-		}
-		announced := a.council.Record().Announced
-		a.mu.Lock()
-		may := false
-		if a.leads != nil && announced != nil {
-			may, _ = a.leads.May(announced.Number, a.now())
-		}
-		a.mu.Unlock()
-		if may {
-			ctx, stop := context.WithDeadline(ctx, time.Now().Add(callWithin))
-			if err := a.council.Propose(ctx, agreement.Entry{ID: rand.Text(), Force: announced.Number}); err == nil {
-				a.log.Info("version in force", "version", announced.Number, "by", announced.By, "why", announced.Why)
-			}
-			stop()
 		}
 	}
 }
@@ -299,6 +228,7 @@
 func (a *Agent) watch(ctx context.Context) {
 	for {
 		a.settle()
+		a.members.Say(a.self())
 		a.mu.Lock()
 		left := a.holder.Until() - a.now()
 		a.mu.Unlock()
@@ -322,7 +252,20 @@
 	if text := fmt.Sprint(s); text != a.last {
 		a.last = text
 		a.log.Info("acting on", "versions", fmt.Sprint(s.Versions), "lapsed", s.Lapsed, "at_ms", time.Now().UnixMilli())
-		a.apply(s)
+		a.Apply(s)
+	}
+}
+
+// learned takes a record in that came without a lease.
+func (a *Agent) learned(r agreement.Record) {
+	a.mu.Lock()
+	fresh := a.holder.Learned(r)
+	a.mu.Unlock()
+	if fresh {
+		a.keep(r)
+		a.settle()
+		wake(a.changed)
+		wake(a.renewNow) // it is acknowledged at once
 	}
 }
 
@@ -342,7 +285,7 @@
 }
 
 func (a *Agent) keep(r agreement.Record) {
-	r.History = nil
+	r.History, r.Withdrawn = nil, nil
 	text, err := json.Marshal(r)
 	if err == nil {
 		err = renameio.WriteFile(a.knownFile(), text, 0o600)
@@ -351,120 +294,3 @@
 		a.log.Warn("what the fleet agreed on is not kept", "err", err)
 	}
 }
-
-// Status is what a dispatcher tells of the fleet.
-type Status struct {
-	Name    string            `json:"name"`
-	Fleet   string            `json:"fleet"`
-	Seat    int               `json:"seat,omitempty"`
-	Leader  int               `json:"leader,omitempty"`
-	Leads   bool              `json:"leads,omitempty"`
-	Acting  []uint64          `json:"acting"`
-	Lapsed  bool              `json:"lapsed,omitempty"`
-	LeaseMS int64             `json:"lease_left_ms"`
-	Record  agreement.Record  `json:"record"`
-	Present map[string]uint64 `json:"present,omitempty"` // what each acknowledged, where this one leads
-	Waits   []string          `json:"waits,omitempty"`   // for whom an announced version waits
-}
-
-// Status gives it.
-func (a *Agent) Status() Status {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	s := a.holder.Stand(a.now())
-	st := Status{Name: a.name, Fleet: a.s.Name, Seat: a.s.Seat, Acting: s.Versions, Lapsed: s.Lapsed, Record: a.holder.Record(),
-		LeaseMS: max((a.holder.Until() - a.now()).Milliseconds(), 0), Leads: a.leads != nil}
-	if a.council != nil {
-		st.Leader, st.Record = a.council.Leader(), a.council.Record()
-	}
-	if a.leads != nil {
-		st.Present = a.leads.Present(a.now())
-		if v := st.Record.Announced; v != nil {
-			_, st.Waits = a.leads.May(v.Number, a.now())
-		}
-	}
-	return st
-}
-
-// propose announces a version, at whichever voter leads.
-func (a *Agent) propose(ctx context.Context, v agreement.Version, passed bool) (answer, int) {
-	if err := v.Rules.Check(); err != nil {
-		return answer{Why: err.Error()}, http.StatusBadRequest
-	}
-	if a.council != nil && a.council.Leader() == a.s.Seat {
-		ctx, stop := context.WithDeadline(ctx, time.Now().Add(3*callWithin))
-		defer stop()
-		err := a.council.Propose(ctx, agreement.Entry{ID: rand.Text(), Announce: &v})
-		record := a.council.Record()
-		switch {
-		case err == nil:
-			return answer{Record: &record}, http.StatusOK
-		case errors.Is(err, agreement.ErrUnderWay), errors.Is(err, agreement.ErrBase):
-			return answer{Why: err.Error(), Record: &record}, http.StatusConflict
-		default: // nobody knows whether it is announced: the status tells
-			return answer{Why: err.Error()}, http.StatusServiceUnavailable
-		}
-	}
-	if passed { // by one that thought this one leads
-		return answer{Why: "does not lead"}, http.StatusMisdirectedRequest
-	}
-	body, err := json.Marshal(v)
-	if err != nil {
-		return answer{Why: err.Error()}, http.StatusBadRequest
-	}
-	a.mu.Lock()
-	seat := a.guess
-	a.mu.Unlock()
-	if a.council != nil && a.council.Leader() > 0 {
-		seat = a.council.Leader()
-	}
-	status, text, err := Call(ctx, a.client, fmt.Sprintf("http://%s/council/propose?passed=1", a.s.Voters[seat-1]), body, time.Now().Add(4*callWithin))
-	var got answer
-	if err == nil {
-		err = json.Unmarshal(text, &got)
-	}
-	if err != nil {
-		return answer{Why: err.Error()}, http.StatusServiceUnavailable
-	}
-	return got, status
-}
-
-func (a *Agent) handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("POST /council/messages", func(w http.ResponseWriter, r *http.Request) {
-		var all [][]byte
-		body := http.MaxBytesReader(w, r.Body, mostBody)
-		text, err := io.ReadAll(body)
-		if err == nil {
-			all, err = frames(text)
-		}
-		if err != nil || a.council == nil {
-			reply(w, http.StatusBadRequest, answer{Why: "no messages to a voter"})
-			return
-		}
-		for m := range slices.Values(all) {
-			a.council.Step(m)
-		}
-		w.WriteHeader(http.StatusNoContent)
-	})
-	mux.HandleFunc("POST /council/renew", func(w http.ResponseWriter, r *http.Request) {
-		var q question
-		if err := decode(r, &q); err != nil || q.Name == "" {
-			reply(w, http.StatusBadRequest, answer{Why: "no question"})
-			return
-		}
-		got, status := a.grant(r.Context(), q)
-		reply(w, status, got)
-	})
-	mux.HandleFunc("POST /council/propose", func(w http.ResponseWriter, r *http.Request) {
-		var v agreement.Version
-		if err := decode(r, &v); err != nil {
-			reply(w, http.StatusBadRequest, answer{Why: err.Error()})
-			return
-		}
-		got, status := a.propose(r.Context(), v, r.URL.Query().Get("passed") != "")
-		reply(w, status, got)
-	})
-	mux.HandleFunc("GET /council/status", func(w http.ResponseWriter, _ *http.Request) { reply(w, http.StatusOK, a.Status()) })
-	return mux
-}
--- a/internal/fleet/log/log.go
+++ b/internal/fleet/log/log.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"log/slog"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,6 +29,7 @@
 	heartbeatTicks = 2
 	snapshotEvery  = 512 // applied entries, where the options do not say
 	keepBehind     = 64
+	tailEntries    = 64      // that are kept in memory for who follows the log
 	mostWaiting    = 1024    // messages that came and were not stepped yet; what comes beyond is lost, as on a network
 	mostMessage    = 1 << 20 // bytes of entries in one message
 )
@@ -36,16 +38,17 @@
 var (
 	ErrNotLeader = errors.New("this voter does not lead")
 	ErrStopped   = errors.New("the log has stopped")
+	ErrMoved     = errors.New("the council is being changed already")
 )
 
-// Options make a voter's part.
+// Options make a seat's part.
 type Options struct {
-	Seat      int // from 1
-	Voters    int
+	Seat      uint64
+	Founders  []agreement.Seat // of the first council; nil for a seat that came later
 	Directory string
-	Send      func(to int, message []byte) // to another voter; must not block
-	Changed   func(agreement.Record)       // behind each entry that changed the record; must not block
-	Leads     func(leads bool)             // must not block
+	Send      func(to uint64, message []byte) // to another seat; must not block
+	Changed   func(agreement.Record)          // behind each entry that changed the record; must not block
+	Leads     func(leads bool)                // must not block
 	Log       *slog.Logger
 
 	SnapshotEvery uint64 // applied entries
@@ -62,7 +65,9 @@
 
 	mu     sync.Mutex
 	record agreement.Record
-	leader int
+	leader uint64
+	places []agreement.Place // of the council, while this seat leads
+	tail   []agreement.Entry // the entries that made the record's last revisions, the newest last
 
 	// Owned by Run.
 	applied  uint64
@@ -75,10 +80,13 @@
 	confirms []confirmed
 	waits    map[string]chan<- error // proposals, by their entries' ids
 	loading  map[uint64]int          // ticks for which a voter's snapshot has been on its way
+	silent   map[uint64]int          // ticks since a seat was last heard of, while this one leads
+	moved    bool                    // the council has changed since the last snapshot
 }
 
 type call struct {
-	entry  *agreement.Entry // nil to confirm
+	entry  *agreement.Entry // with move nil too, to confirm
+	move   *agreement.Move
 	answer chan<- error
 }
 
@@ -87,23 +95,23 @@
 	answer chan<- error
 }
 
-// Open reads what the voter kept. Run goes on from there.
+// Open reads what the seat kept. Run goes on from there.
 func Open(o Options) (*Log, error) {
-	if o.Seat < 1 || o.Seat > o.Voters {
-		return nil, fmt.Errorf("seat %d of %d voters", o.Seat, o.Voters)
+	if o.Seat == 0 || o.Founders != nil && o.Seat > uint64(len(o.Founders)) {
+		return nil, fmt.Errorf("there is no seat %d", o.Seat)
 	}
-	s, err := openStore(filepath.Join(o.Directory, fmt.Sprintf("council-%d.db", o.Seat)), o.Voters)
+	s, err := openStore(Path(o.Directory, o.Seat), o.Founders)
 	if err != nil {
 		return nil, err
 	}
 	l := &Log{o: o, store: s, in: make(chan []byte, mostWaiting), calls: make(chan call, mostWaiting), done: make(chan struct{}),
-		waits: map[string]chan<- error{}, loading: map[uint64]int{}}
+		waits: map[string]chan<- error{}, loading: map[uint64]int{}, silent: map[uint64]int{}}
 	snapshot, err := s.Snapshot()
 	if err == nil {
 		err = l.restore(snapshot)
 	}
 	if err == nil {
-		l.node, err = raft.NewRawNode(&raft.Config{ID: uint64(o.Seat), ElectionTick: electionTicks, HeartbeatTick: heartbeatTicks, Storage: s,
+		l.node, err = raft.NewRawNode(&raft.Config{ID: o.Seat, ElectionTick: electionTicks, HeartbeatTick: heartbeatTicks, Storage: s,
 			Applied: l.applied, MaxSizePerMsg: mostMessage, MaxInflightMsgs: 64, CheckQuorum: true, PreVote: true, Logger: quiet{o.Log}})
 	}
 	if err != nil {
@@ -113,6 +121,11 @@
 	return l, nil
 }
 
+// Path is a seat's file in a directory.
+func Path(dir string, seat uint64) string {
+	return filepath.Join(dir, fmt.Sprintf("council-%d.db", seat))
+}
+
 func (l *Log) restore(s *raftpb.Snapshot) error {
 	l.applied, l.snapshot, l.conf = s.GetMetadata().GetIndex(), s.GetMetadata().GetIndex(), s.GetMetadata().GetConfState()
 	if len(s.GetData()) == 0 {
@@ -123,7 +136,7 @@
 		return fmt.Errorf("snapshot: %w", err)
 	}
 	l.mu.Lock()
-	l.record = r
+	l.record, l.tail = r, nil
 	l.mu.Unlock()
 	return nil
 }
@@ -136,12 +149,40 @@
 }
 
 // Leader is the seat that leads, as far as this voter knows; 0 for none.
-func (l *Log) Leader() int {
+func (l *Log) Leader() uint64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.leader
 }
 
+// Seat is the one that this is.
+func (l *Log) Seat() uint64 { return l.o.Seat }
+
+// Places is what the leader sees of the council's seats; nil at others.
+func (l *Log) Places() []agreement.Place {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.places)
+}
+
+// Since gives what has changed since a revision: entries to apply to the record of that revision where they are still known,
+// else the whole record.
+func (l *Log) Since(era, revision uint64) (entries []agreement.Entry, whole *agreement.Record) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := l.record
+	switch missing := r.Revision - revision; {
+	case revision == 0: // nothing is known there
+		whole = &r
+	case era == r.Era && revision >= r.Revision:
+	case era == r.Era && missing <= uint64(len(l.tail)):
+		entries = slices.Clone(l.tail[uint64(len(l.tail))-missing:])
+	default:
+		whole = &r
+	}
+	return entries, whole
+}
+
 // Step takes a message of another voter. It does not block.
 func (l *Log) Step(message []byte) {
 	select {
@@ -158,6 +199,12 @@
 // Confirm tells whether this voter leads now, by the word of a majority, and has applied all that was committed before.
 func (l *Log) Confirm(ctx context.Context) error { return l.ask(ctx, call{}) }
 
+// Reseat changes the council, one move at a time. It returns once the move is in the log of this seat; the record tells when
+// it has come about.
+func (l *Log) Reseat(ctx context.Context, m agreement.Move) error {
+	return l.ask(ctx, call{move: &m})
+}
+
 func (l *Log) ask(ctx context.Context, c call) error {
 	answer := make(chan error, 1)
 	c.answer = answer
@@ -201,11 +248,11 @@
 			return nil
 		case <-ticker.C:
 			l.node.Tick()
-			l.resend()
+			l.look()
 		case text := <-l.in:
 			m := &raftpb.Message{}
-			if proto.Unmarshal(text, m) != nil || m.GetTo() != uint64(l.o.Seat) || m.GetFrom() == 0 || m.GetFrom() > uint64(l.o.Voters) {
-				continue // not of this council
+			if proto.Unmarshal(text, m) != nil || m.GetTo() != l.o.Seat || m.GetFrom() == 0 {
+				continue // not for this seat
 			}
 			if raft.IsLocalMsg(m.GetType()) {
 				continue
@@ -217,15 +264,26 @@
 	}
 }
 
-// resend has a snapshot sent again of which nothing was heard for as long as an election takes. Raft sends one once and then
-// nothing more to that voter until it is told how that ended, and what is lost on the way tells nobody.
-func (l *Log) resend() {
-	l.node.WithProgress(func(id uint64, _ raft.ProgressType, pr tracker.Progress) {
-		if pr.State != tracker.StateSnapshot {
+// look goes through what the leader knows of the seats. A snapshot of which nothing was heard for as long as an election
+// takes is sent again: raft sends one once and then nothing more to that seat until it is told how that ended, and what is
+// lost on the way tells nobody.
+func (l *Log) look() {
+	if !l.leads {
+		return
+	}
+	var places []agreement.Place
+	last, _ := l.store.LastIndex()
+	l.node.WithProgress(func(id uint64, typ raft.ProgressType, pr tracker.Progress) {
+		if l.silent[id]++; pr.RecentActive || id == l.o.Seat { // which raft forgets once an election's time
+			l.silent[id] = 0
+		}
+		if pr.State == tracker.StateSnapshot {
+			l.loading[id]++
+		} else {
 			delete(l.loading, id)
-			return
 		}
-		l.loading[id]++
+		places = append(places, agreement.Place{Seat: agreement.Seat{ID: id, Learner: typ == raft.ProgressTypeLearner},
+			Silent: time.Duration(l.silent[id]) * tickEvery, Behind: last - min(pr.Match, last)})
 	})
 	for id, ticks := range l.loading {
 		if ticks >= electionTicks {
@@ -233,6 +291,17 @@
 			l.node.ReportSnapshot(id, raft.SnapshotFailure)
 		}
 	}
+	l.mu.Lock()
+	for i := range places {
+		for _, s := range l.record.Council {
+			if s.ID == places[i].ID {
+				s.Learner = places[i].Learner
+				places[i].Seat = s
+			}
+		}
+	}
+	l.places = places
+	l.mu.Unlock()
 }
 
 func (l *Log) serve(c call) {
@@ -240,6 +309,10 @@
 		c.answer <- ErrNotLeader
 		return
 	}
+	if c.move != nil {
+		c.answer <- l.move(c.move)
+		return
+	}
 	if c.entry == nil {
 		l.queue = append(l.queue, c.answer)
 		l.read()
@@ -256,6 +329,31 @@
 	l.waits[c.entry.ID] = c.answer
 }
 
+// move proposes a change of the council.
+func (l *Log) move(m *agreement.Move) error {
+	if l.conf.GetAutoLeave() || len(l.conf.GetVotersOutgoing()) > 0 {
+		return ErrMoved
+	}
+	cc := &raftpb.ConfChangeV2{}
+	change := func(what raftpb.ConfChangeType, id uint64) {
+		cc.Changes = append(cc.Changes, &raftpb.ConfChangeSingle{Type: what.Enum(), NodeId: proto.Uint64(id)})
+	}
+	if m.Learn != nil {
+		change(raftpb.ConfChangeAddLearnerNode, m.Learn.ID)
+		var err error
+		if cc.Context, err = json.Marshal(m.Learn); err != nil {
+			return err
+		}
+	}
+	if m.Seat > 0 {
+		change(raftpb.ConfChangeAddNode, m.Seat)
+	}
+	if m.Unseat > 0 {
+		change(raftpb.ConfChangeRemoveNode, m.Unseat)
+	}
+	return l.node.ProposeConfChange(cc)
+}
+
 // read asks the other voters whether this one leads, once for all that wait. One question is out at a time: raft repeats it
 // with its heartbeats until a majority has answered. Who comes meanwhile waits for the next.
 func (l *Log) read() {
@@ -274,7 +372,7 @@
 	}
 	for _, m := range rd.Messages {
 		if text, err := proto.Marshal(m); err == nil {
-			l.o.Send(int(m.GetTo()), text)
+			l.o.Send(m.GetTo(), text)
 		}
 	}
 	if !raft.IsEmptySnap(rd.Snapshot) {
@@ -308,7 +406,8 @@
 	l.confirms = left
 	l.node.Advance(rd)
 	l.read()
-	if l.applied >= l.snapshot+cmp.Or(l.o.SnapshotEvery, snapshotEvery) {
+	// A seat that is taken in gets a snapshot that knows of it, or nothing.
+	if l.moved || l.applied >= l.snapshot+cmp.Or(l.o.SnapshotEvery, snapshotEvery) {
 		state, err := json.Marshal(l.Record())
 		if err == nil {
 			err = l.store.compact(l.applied, l.conf, state)
@@ -316,23 +415,36 @@
 		if err != nil {
 			return fmt.Errorf("council's snapshot: %w", err)
 		}
-		l.snapshot = l.applied
+		l.snapshot, l.moved = l.applied, false
 	}
 	return nil
 }
 
 func (l *Log) apply(e *raftpb.Entry) {
 	l.applied = e.GetIndex()
-	if e.GetType() != raftpb.EntryNormal || len(e.GetData()) == 0 { // a new leader's first; voters do not change
+	var entry agreement.Entry
+	var err error
+	switch {
+	case e.GetType() == raftpb.EntryConfChangeV2:
+		cc := &raftpb.ConfChangeV2{}
+		if proto.Unmarshal(e.GetData(), cc) != nil {
+			return
+		}
+		l.conf, l.moved = l.node.ApplyConfChange(cc), true
+		entry.Council = l.council(cc.GetContext())
+	case e.GetType() != raftpb.EntryNormal || len(e.GetData()) == 0: // a new leader's first
 		return
+	default:
+		err = json.Unmarshal(e.GetData(), &entry)
 	}
-	var entry agreement.Entry
-	err := json.Unmarshal(e.GetData(), &entry)
 	if err == nil {
 		l.mu.Lock()
 		var next agreement.Record
 		if next, err = l.record.Apply(entry); err == nil {
 			l.record = next
+			if l.tail = append(l.tail, entry); len(l.tail) > tailEntries {
+				l.tail = slices.Delete(l.tail, 0, 1)
+			}
 		}
 		l.mu.Unlock()
 		if err == nil {
@@ -345,17 +457,49 @@
 	}
 }
 
+// council gives the seats that the log's engine has now, with what is known of each.
+func (l *Log) council(fresh []byte) []agreement.Seat {
+	l.mu.Lock()
+	known := slices.Clone(l.record.Council)
+	l.mu.Unlock()
+	var seat agreement.Seat
+	if len(fresh) > 0 && json.Unmarshal(fresh, &seat) == nil {
+		known = append(known, seat)
+	}
+	all := []agreement.Seat{}
+	add := func(ids []uint64, learner bool) {
+		for _, id := range ids {
+			for _, s := range known {
+				if s.ID == id && !slices.ContainsFunc(all, func(had agreement.Seat) bool { return had.ID == id }) {
+					s.Learner = learner
+					all = append(all, s)
+				}
+			}
+		}
+	}
+	add(l.conf.GetVoters(), false)
+	add(l.conf.GetVotersOutgoing(), false)
+	add(l.conf.GetLearners(), true)
+	add(l.conf.GetLearnersNext(), true)
+	return all
+}
+
 // soft takes in who leads. What was asked of a leader that is none any more has no answer.
 func (l *Log) soft(s *raft.SoftState) {
 	l.mu.Lock()
-	l.leader = int(s.Lead)
+	l.leader = s.Lead
 	l.mu.Unlock()
 	leads := s.RaftState == raft.StateLeader
 	if leads == l.leads {
 		return
 	}
 	l.leads = leads
+	clear(l.silent)
+	clear(l.loading)
 	if !leads {
+		l.mu.Lock()
+		l.places = nil
+		l.mu.Unlock()
 		for _, answer := range append(l.reads, l.queue...) {
 			answer <- ErrNotLeader
 		}
@@ -371,19 +515,3 @@
 	}
 	l.o.Leads(leads)
 }
-
-// quiet passes raft's warnings on, and the rest for those who look for faults.
-type quiet struct{ log *slog.Logger }
-
-func (q quiet) Debug(v ...any)              { q.log.Debug(fmt.Sprint(v...)) }
-func (q quiet) Debugf(f string, v ...any)   { q.log.Debug(fmt.Sprintf(f, v...)) }
-func (q quiet) Info(v ...any)               { q.log.Debug(fmt.Sprint(v...)) }
-func (q quiet) Infof(f string, v ...any)    { q.log.Debug(fmt.Sprintf(f, v...)) }
-func (q quiet) Warning(v ...any)            { q.log.Warn(fmt.Sprint(v...)) }
-func (q quiet) Warningf(f string, v ...any) { q.log.Warn(fmt.Sprintf(f, v...)) }
-func (q quiet) Error(v ...any)              { q.log.Error(fmt.Sprint(v...)) }
-func (q quiet) Errorf(f string, v ...any)   { q.log.Error(fmt.Sprintf(f, v...)) }
-func (q quiet) Fatal(v ...any)              { panic(fmt.Sprint(v...)) }
-func (q quiet) Fatalf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
-func (q quiet) Panic(v ...any)              { panic(fmt.Sprint(v...)) }
-func (q quiet) Panicf(f string, v ...any)   { panic(fmt.Sprintf(f, v...)) }
--- a/internal/fleet/log/log_test.go
+++ b/internal/fleet/log/log_test.go
@@ -8,7 +8,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -22,6 +22,7 @@
 // council is voters in one process, with a network between them that loses what it is told to.
 type council struct {
 	t     *testing.T
+	n     int // of the first voters
 	dirs  []string
 	mu    sync.Mutex
 	seats []*Log // nil while down
@@ -31,15 +32,25 @@
 	snaps int // snapshots that are lost yet
 }
 
+const mostSeats = 8
+
+func founders(n int) (all []agreement.Seat) {
+	for i := range n {
+		all = append(all, agreement.Seat{ID: uint64(i + 1), Address: fmt.Sprint("a", i+1)})
+	}
+	return all
+}
+
 func newCouncil(t *testing.T, n int) *council {
-	c := &council{t: t, seats: make([]*Log, n+1), stops: make([]context.CancelFunc, n+1), ends: make([]chan error, n+1),
-		dirs: make([]string, n+1), lose: func(int, int) bool { return false }}
-	for seat := 1; seat <= n; seat++ {
-		c.dirs[seat] = t.TempDir()
-		c.start(seat)
+	c := &council{t: t, n: n, seats: make([]*Log, mostSeats), stops: make([]context.CancelFunc, mostSeats), ends: make([]chan error, mostSeats),
+		dirs: make([]string, mostSeats), lose: func(int, int) bool { return false }}
+	for seat := 1; seat < mostSeats; seat++ {
+		if c.dirs[seat] = t.TempDir(); seat <= n {
+			c.start(seat)
+		}
 	}
 	t.Cleanup(func() {
-		for seat := 1; seat <= n; seat++ {
+		for seat := 1; seat < mostSeats; seat++ {
 			c.stop(seat)
 		}
 	})
@@ -48,8 +59,13 @@
 
 func (c *council) start(seat int) {
 	c.t.Helper()
-	l, err := Open(Options{Seat: seat, Voters: len(c.seats) - 1, Directory: c.dirs[seat], Changed: func(agreement.Record) {}, Leads: func(bool) {},
-		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), SnapshotEvery: 30, Send: func(to int, m []byte) {
+	var first []agreement.Seat
+	if seat <= c.n {
+		first = founders(c.n)
+	}
+	l, err := Open(Options{Seat: uint64(seat), Founders: first, Directory: c.dirs[seat], Changed: func(agreement.Record) {}, Leads: func(bool) {},
+		Log: slog.New(slog.NewTextHandler(io.Discard, nil)), SnapshotEvery: 30, Send: func(id uint64, m []byte) {
+			to := int(id)
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			if c.snaps > 0 {
@@ -179,7 +195,7 @@
 	for seat := 1; seat <= 3; seat++ {
 		c.stop(seat)
 	}
-	os.Remove(filepath.Join(c.dirs[old], fmt.Sprintf("council-%d.db", old)))
+	os.Remove(Path(c.dirs[old], uint64(old)))
 	for seat := 1; seat <= 3; seat++ {
 		c.start(seat)
 	}
@@ -285,11 +301,105 @@
 	c.agree(2*keepBehind, 1, 2, 3)
 }
 
+// A voter is gone for good: another learns the log, takes its place, and the council stands the loss of a further one. The one
+// that comes back has no say. Then all but one are gone, and a council is made of what that one has on file.
+func TestSeatsMove(t *testing.T) {
+	c := newCouncil(t, 3)
+	c.change(announce(0))
+	lead, _ := c.leader()
+	gone := lead%3 + 1
+	c.stop(gone)
+	const fresh = 4
+	move := func(m agreement.Move, come func(agreement.Record) bool) {
+		t.Helper()
+		for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+			_, l := c.leader()
+			if come(l.Record()) {
+				return
+			}
+			ctx, stop := context.WithDeadline(context.Background(), time.Now().Add(time.Second))
+			err := l.Reseat(ctx, m)
+			stop()
+			if time.Now().After(end) {
+				t.Fatalf("%+v: %v, %+v", m, err, l.Record().Council)
+			}
+		}
+	}
+	has := func(id uint64, learner bool) func(agreement.Record) bool {
+		return func(r agreement.Record) bool {
+			return slices.ContainsFunc(r.Council, func(s agreement.Seat) bool { return s.ID == id && s.Learner == learner })
+		}
+	}
+	move(agreement.Move{Learn: &agreement.Seat{ID: fresh, Name: "n4", Address: "a4", Learner: true}}, has(fresh, true))
+	c.start(fresh)
+	c.change(agreement.Entry{ID: "f1", Force: 1})
+	c.agree(c.at(lead).Record().Revision, lead, fresh)
+	_, l := c.leader()
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		places := l.Places()
+		i := slices.IndexFunc(places, func(p agreement.Place) bool { return p.ID == fresh })
+		g := slices.IndexFunc(places, func(p agreement.Place) bool { return p.ID == uint64(gone) })
+		if i >= 0 && g >= 0 && places[i].Learner && places[i].Name == "n4" && places[i].Behind == 0 && places[i].Silent < time.Second && places[g].Silent > time.Second {
+			break
+		}
+		if time.Now().After(end) {
+			t.Fatalf("%+v", places)
+		}
+	}
+	move(agreement.Move{Seat: fresh, Unseat: uint64(gone)}, func(r agreement.Record) bool { return has(fresh, false)(r) && len(r.Council) == 3 })
+	other := 6 - lead - gone
+	c.stop(other)
+	c.start(gone) // with its votes of before
+	c.change(announce(1))
+	c.agree(c.at(lead).Record().Revision, lead, fresh)
+
+	// What a follower missed is given as entries, or whole.
+	now := c.at(lead).Record()
+	entries, whole := c.at(lead).Since(0, now.Revision-1)
+	before := now
+	before.Revision, before.Announced = now.Revision-1, nil
+	if after, err := before.Apply(entries[0]); len(entries) != 1 || whole != nil || err != nil || text(after) != text(now) {
+		t.Errorf("%+v, %v", entries, whole)
+	}
+	if _, whole := c.at(lead).Since(9, now.Revision-1); whole == nil {
+		t.Error("entries of another era were given")
+	}
+
+	for _, seat := range []int{gone, lead, fresh} {
+		c.stop(seat)
+	}
+	r, err := Recover(c.dirs[fresh], fresh, "n4", "a4")
+	if err != nil || r.Era != 1 || r.InForce.Number != 3 || r.Announced != nil || len(r.Withdrawn) != 1 || len(r.Council) != 1 || r.NextSeat != 5 {
+		t.Fatalf("%v, %+v", err, r)
+	}
+	c.start(fresh)
+	c.change(announce(3))
+	if r := c.at(fresh).Record(); r.Era != 1 || r.Announced == nil {
+		t.Errorf("%+v", r)
+	}
+}
+
+// A founder's file says with whom the council was founded, from then on.
+func TestFounder(t *testing.T) {
+	dir := t.TempDir()
+	a, err := Founder(dir, 1, nil)
+	if err != nil || a.Incarnation == "" || a.Roll != nil {
+		t.Fatalf("%+v, %v", a, err)
+	}
+	roll := map[uint64]string{1: a.Incarnation, 2: "x", 3: "y"}
+	if _, err := Founder(dir, 1, roll); err != nil {
+		t.Fatal(err)
+	}
+	if b, err := Founder(dir, 1, nil); err != nil || b.Incarnation != a.Incarnation || len(b.Roll) != 3 {
+		t.Errorf("%+v, %v", b, err)
+	}
+}
+
 // A file of a council of another size is refused, as is a seat that there is not.
 func TestOtherCouncil(t *testing.T) {
 	dir := t.TempDir()
 	open := func(seat, voters int) error {
-		l, err := Open(Options{Seat: seat, Voters: voters, Directory: dir, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		l, err := Open(Options{Seat: uint64(seat), Founders: founders(voters), Directory: dir, Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
 		if err == nil {
 			l.store.db.Close()
 		}
@@ -310,8 +420,8 @@
 	f.Add([]byte{8, 3, 16, 1, 24, 2, 32, 9})
 	f.Add([]byte("no message"))
 	f.Fuzz(func(t *testing.T, text []byte) {
-		l, err := Open(Options{Seat: 1, Voters: 3, Directory: t.TempDir(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
-			Send: func(int, []byte) {}, Changed: func(agreement.Record) {}, Leads: func(bool) {}})
+		l, err := Open(Options{Seat: 1, Founders: founders(3), Directory: t.TempDir(), Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+			Send: func(uint64, []byte) {}, Changed: func(agreement.Record) {}, Leads: func(bool) {}})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/fleet/log/store.go
+++ b/internal/fleet/log/store.go
@@ -1,7 +1,9 @@
 package log
 
 import (
+	"crypto/rand"
 	"encoding/binary"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"time"
@@ -10,6 +12,8 @@
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"brassdale/internal/decisions/agreement"
 )
 
 // store keeps a voter's part of the log in a file of bbolt's: what raft must find again after a crash. Reading goes to
@@ -25,35 +29,87 @@
 	hardKey       = []byte("hard")
 	snapshotKey   = []byte("snapshot")
 	votersKey     = []byte("voters")
+	fileKey       = []byte("file")
+	rollKey       = []byte("roll")
 )
 
 // lockWithin is how long another process may hold the file: its successor waits for it.
 const lockWithin = 2 * time.Second
 
-// openStore opens or makes the file. One of other voters is refused: two councils must not share a past by mistake.
-func openStore(path string, voters int) (*store, error) {
+// openFile opens or makes a seat's file.
+func openFile(path string) (*bolt.DB, error) {
 	db, err := bolt.Open(path, 0o600, &bolt.Options{Timeout: lockWithin})
 	if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
+	return db, nil
+}
+
+// openStore opens or makes the file. One of another council is refused: two must not share a past by mistake.
+func openStore(path string, founders []agreement.Seat) (*store, error) {
+	db, err := openFile(path)
+	if err != nil {
+		return nil, err
+	}
 	s := &store{raft.NewMemoryStorage(), db}
-	if err := s.load(voters); err != nil {
+	if err := s.load(founders); err != nil {
 		db.Close()
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return s, nil
 }
 
+// Founder reads what a seat's file says of the first council, and makes the file where there is none. Once the council is
+// founded its roll is on file.
+func Founder(dir string, seat uint64, roll map[uint64]string) (f agreement.Founder, err error) {
+	db, err := openFile(Path(dir, seat))
+	if err != nil {
+		return f, err
+	}
+	defer db.Close()
+	return f, db.Update(func(tx *bolt.Tx) error {
+		meta, err := tx.CreateBucketIfNotExists(metaBucket)
+		if err != nil {
+			return err
+		}
+		if text := meta.Get(fileKey); text != nil {
+			f.Incarnation = string(text)
+		} else {
+			f.Incarnation = rand.Text()
+			if err := meta.Put(fileKey, []byte(f.Incarnation)); err != nil {
+				return err
+			}
+		}
+		if roll != nil {
+			text, err := json.Marshal(roll)
+			if err == nil {
+				err = meta.Put(rollKey, text)
+			}
+			if err != nil {
+				return err
+			}
+		}
+		if text := meta.Get(rollKey); text != nil {
+			return json.Unmarshal(text, &f.Roll)
+		}
+		if meta.Get(hardKey) != nil { // it has voted, before rolls were kept
+			f.Roll = map[uint64]string{seat: f.Incarnation}
+		}
+		return nil
+	})
+}
+
 // first is where every council's log begins: its voters, by number.
-func first(voters int) *raftpb.Snapshot {
+func first(founders []agreement.Seat) (*raftpb.Snapshot, error) {
 	cs := &raftpb.ConfState{}
-	for n := range voters {
-		cs.Voters = append(cs.Voters, uint64(n+1))
+	for _, s := range founders {
+		cs.Voters = append(cs.Voters, s.ID)
 	}
-	return &raftpb.Snapshot{Metadata: &raftpb.SnapshotMetadata{ConfState: cs, Index: proto.Uint64(1), Term: proto.Uint64(1)}}
+	state, err := json.Marshal(agreement.Record{Council: founders, NextSeat: uint64(len(founders)) + 1})
+	return &raftpb.Snapshot{Data: state, Metadata: &raftpb.SnapshotMetadata{ConfState: cs, Index: proto.Uint64(1), Term: proto.Uint64(1)}}, err
 }
 
-func (s *store) load(voters int) error {
+func (s *store) load(founders []agreement.Seat) error {
 	return s.db.Update(func(tx *bolt.Tx) error {
 		meta, err := tx.CreateBucketIfNotExists(metaBucket)
 		if err != nil {
@@ -63,13 +119,19 @@
 		if err != nil {
 			return err
 		}
-		snapshot, hard := first(voters), &raftpb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}
-		if text := meta.Get(votersKey); text == nil {
-			if err := meta.Put(votersKey, binary.BigEndian.AppendUint64(nil, uint64(voters))); err != nil {
+		snapshot, hard := &raftpb.Snapshot{}, &raftpb.HardState{}
+		if founders != nil {
+			if snapshot, err = first(founders); err != nil {
 				return err
 			}
-		} else if len(text) != 8 || binary.BigEndian.Uint64(text) != uint64(voters) {
-			return errors.New("it is of a council of another size")
+			hard = &raftpb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}
+			if text := meta.Get(votersKey); text == nil {
+				if err := meta.Put(votersKey, binary.BigEndian.AppendUint64(nil, uint64(len(founders)))); err != nil {
+					return err
+				}
+			} else if len(text) != 8 || binary.BigEndian.Uint64(text) != uint64(len(founders)) {
+				return errors.New("it is of a council of another size")
+			}
 		}
 		if text := meta.Get(snapshotKey); text != nil {
 			snapshot = &raftpb.Snapshot{}
@@ -83,8 +145,10 @@
 				return err
 			}
 		}
-		if err := s.ApplySnapshot(snapshot); err != nil {
-			return err
+		if !raft.IsEmptySnap(snapshot) {
+			if err := s.ApplySnapshot(snapshot); err != nil {
+				return err
+			}
 		}
 		var kept []*raftpb.Entry
 		if err := entries.ForEach(func(_, text []byte) error {
--- /dev/null
+++ b/internal/fleet/membership/membership.go
@@ -0,0 +1,260 @@
+// Package membership knows which dispatchers of a fleet are there: in which region and zone, at which version, in which seat
+// of the council. It is gossip, by hashicorp/memberlist: late, and at times wrong. Nothing is safe because of what it says;
+// it serves to find others and to show people who is there.
+package membership
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/memberlist"
+)
+
+// Self is what a dispatcher says of itself.
+type Self struct {
+	Name    string `json:"n"`
+	Address string `json:"a"`
+	Region  string `json:"r,omitempty"`
+	Zone    string `json:"z,omitempty"`
+	Version uint64 `json:"v,omitempty"` // that it acts on
+	Era     uint64 `json:"e,omitempty"`
+	Seat    uint64 `json:"s,omitempty"`
+	Form    int    `json:"f"` // of messages that it can read
+}
+
+// State is whether a member is there.
+type State string
+
+// The states.
+const (
+	Alive State = "alive"
+	Gone  State = "gone" // it fell silent
+	Left  State = "left" // it said that it would
+)
+
+// Member is a dispatcher, as far as is known.
+type Member struct {
+	Self
+	State State
+	Since time.Time // of the state, as heard here
+}
+
+// Options make a list.
+type Options struct {
+	Self  Self
+	Seeds []string            // addresses of some others
+	Reach func(string) string // where an address is reached; nil for the address itself
+	Log   *slog.Logger
+}
+
+const (
+	joinEvery     = 2 * time.Second
+	pushPullEvery = 10 * time.Second // members compare all that they know; what gossip missed is mended then
+	leaveWithin   = 500 * time.Millisecond
+	keepGone      = time.Hour
+	keepLeaving   = 10 * time.Second // a word that somebody leaves is about what happens within so long
+	mostSaid      = 512              // bytes that memberlist carries
+)
+
+// List is who is there.
+type List struct {
+	o  Options
+	t  *transport
+	ml *memberlist.Memberlist
+
+	said *memberlist.TransmitLimitedQueue // words that go round, beside memberlist's own
+
+	mu      sync.Mutex
+	self    Self
+	all     map[string]Member
+	leaving map[string]time.Time // who said so, and when that was heard
+}
+
+// word is a member's that it leaves. memberlist tells everybody that it is gone, and nobody why.
+type word string
+
+func (w word) Invalidates(o memberlist.Broadcast) bool { return o == memberlist.Broadcast(w) }
+func (w word) Message() []byte                         { return []byte(w) }
+func (w word) Finished()                               {}
+
+// New listens at the dispatcher's address over UDP. Streams come by ServeHTTP.
+func New(o Options) (*List, error) {
+	if o.Reach == nil {
+		o.Reach = func(address string) string { return address }
+	}
+	t, err := newTransport(o.Self.Address, o.Reach)
+	if err != nil {
+		return nil, err
+	}
+	l := &List{o: o, t: t, self: o.Self, all: map[string]Member{}, leaving: map[string]time.Time{}}
+	l.said = &memberlist.TransmitLimitedQueue{NumNodes: func() int { return l.ml.NumMembers() }, RetransmitMult: 4}
+	c := memberlist.DefaultLANConfig()
+	c.Name, c.Transport, c.Delegate, c.Events, c.Conflict = o.Self.Name, t, (*delegate)(l), (*delegate)(l), (*delegate)(l)
+	c.AdvertiseAddr, c.AdvertisePort, err = splitAddress(o.Self.Address)
+	c.BindPort = c.AdvertisePort
+	c.EnableCompression = false
+	c.DeadNodeReclaimTime = time.Millisecond // one that is gone may return at another address at once: who it is the council tells
+	c.PushPullInterval = pushPullEvery
+	c.LogOutput, c.Logger = nil, slog.NewLogLogger(o.Log.Handler(), slog.LevelDebug)
+	if err == nil {
+		l.ml, err = memberlist.Create(c)
+	}
+	if err != nil {
+		_ = t.Shutdown()
+		return nil, err
+	}
+	return l, nil
+}
+
+// ServeHTTP takes another member's stream.
+func (l *List) ServeHTTP(w http.ResponseWriter, r *http.Request) { l.t.ServeHTTP(w, r) }
+
+// Run joins by the seeds, again while nobody else is there, and leaves in good order at the end.
+func (l *List) Run(ctx context.Context) {
+	defer func() {
+		l.said.QueueBroadcast(word(l.o.Self.Name))
+		time.Sleep(leaveWithin) // a few rounds of gossip
+		_ = l.ml.Leave(leaveWithin)
+		_ = l.ml.Shutdown()
+	}()
+	seeds := slices.DeleteFunc(slices.Clone(l.o.Seeds), func(s string) bool { return s == l.o.Self.Address })
+	for {
+		if l.ml.NumMembers() <= 1 && len(seeds) > 0 {
+			if _, err := l.ml.Join(seeds); err != nil {
+				l.o.Log.Debug("nobody joined", "err", err)
+			}
+		}
+		l.forget()
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(joinEvery):
+		}
+	}
+}
+
+// Say tells the others what has changed.
+func (l *List) Say(s Self) {
+	l.mu.Lock()
+	same := l.self == s
+	l.self = s
+	l.mu.Unlock()
+	if !same {
+		_ = l.ml.UpdateNode(0) // in the background; a full queue loses nothing but time
+	}
+}
+
+// Members are all that are known, by name; those that are gone for an hour.
+func (l *List) Members() []Member {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.SortedFunc(maps.Values(l.all), func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+}
+
+func (l *List) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.leaving, func(_ string, at time.Time) bool { return time.Since(at) > keepLeaving })
+	maps.DeleteFunc(l.all, func(_ string, m Member) bool { return m.State != Alive && time.Since(m.Since) > keepGone })
+}
+
+// delegate is a list as memberlist sees it.
+type delegate List
+
+// NodeMeta gives what is said of this member.
+func (d *delegate) NodeMeta(limit int) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	text, err := json.Marshal(d.self)
+	if err != nil || len(text) > min(limit, mostSaid) {
+		text, _ = json.Marshal(Self{Name: d.self.Name, Address: d.self.Address, Form: d.self.Form})
+	}
+	return text
+}
+
+// NotifyMsg takes a member's word that it leaves, before or behind the news that it is gone, and passes it on once.
+func (d *delegate) NotifyMsg(text []byte) {
+	d.heard(string(text))
+}
+
+func (d *delegate) heard(name string) {
+	d.mu.Lock()
+	m, known := d.all[name]
+	_, had := d.leaving[name]
+	if known && !had {
+		d.leaving[name] = time.Now()
+		if m.State == Gone && time.Since(m.Since) < keepLeaving {
+			m.State = Left
+			d.all[name] = m
+		}
+	}
+	d.mu.Unlock()
+	if known && !had {
+		d.said.QueueBroadcast(word(name))
+	}
+}
+
+func (d *delegate) GetBroadcasts(overhead, limit int) [][]byte {
+	return d.said.GetBroadcasts(overhead, limit)
+}
+
+// LocalState and MergeRemoteState exchange such words whole: a packet may be lost.
+func (d *delegate) LocalState(bool) []byte {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	text, _ := json.Marshal(slices.Collect(maps.Keys(d.leaving)))
+	return text
+}
+
+func (d *delegate) MergeRemoteState(text []byte, _ bool) {
+	var names []string
+	if json.Unmarshal(text, &names) == nil {
+		for _, name := range names {
+			d.heard(name)
+		}
+	}
+}
+
+func (d *delegate) NotifyJoin(n *memberlist.Node)   { d.note(n, Alive) }
+func (d *delegate) NotifyUpdate(n *memberlist.Node) { d.note(n, Alive) }
+func (d *delegate) NotifyLeave(n *memberlist.Node)  { d.note(n, Gone) }
+
+// NotifyConflict tells of two members of one name at two addresses.
+func (d *delegate) NotifyConflict(is, other *memberlist.Node) {
+	d.o.Log.Warn("two dispatchers have one name", "name", is.Name, "address", is.Address(), "other", other.Address())
+}
+
+func (d *delegate) note(n *memberlist.Node, s State) {
+	m := Member{Since: time.Now()}
+	if json.Unmarshal(n.Meta, &m.Self) != nil || m.Name != n.Name { // of a build that says it otherwise
+		m.Self = Self{Name: n.Name, Address: n.Address()}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, leaving := d.leaving[n.Name]
+	switch {
+	case s == Alive:
+		if was := d.all[n.Name].State; was == Gone || was == Left { // it is back
+			delete(d.leaving, n.Name)
+		}
+	case leaving:
+		s = Left
+	}
+	was := d.all[n.Name]
+	m.State = s
+	if was.State == s {
+		m.Since = was.Since
+	}
+	d.all[n.Name] = m
+	if was.State != s && n.Name != d.self.Name {
+		d.o.Log.Info("member", "name", n.Name, "state", s, "address", cmp.Or(m.Address, n.Address()), "zone", m.Zone)
+	}
+}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -18,25 +18,31 @@
 const (
 	callWithin = 600 * time.Millisecond // an answer of another dispatcher
 	mostBatch  = 256                    // messages in one call, and that wait for one
-	mostBody   = 8 << 20
+	mostBody   = 32 << 20
 )
 
 // question asks for a lease.
 type question struct {
-	Name         string `json:"name"`
-	Acknowledged uint64 `json:"acknowledged"`
-	Form         int    `json:"form"` // of the messages: one that cannot be read is refused, not guessed at
+	agreement.Member
+	Revision uint64 `json:"revision"` // of the record that is known; 0 for the whole record
 }
 
-// form is that of this build.
-const form = 1
+// form is that of this build: 2 has shares in rules. What a build cannot read is refused, not guessed at.
+const (
+	form      = 2
+	leastForm = 1
+)
 
-// answer gives one, or says who may.
+// answer gives a lease, or news of the record, or says who may.
 type answer struct {
-	Record  *agreement.Record `json:"record,omitempty"`
-	LeaseMS int64             `json:"lease_ms,omitempty"`
-	Leader  int               `json:"leader,omitempty"` // a seat
-	Why     string            `json:"why,omitempty"`
+	Record   *agreement.Record `json:"record,omitempty"`  // whole, ...
+	Entries  []agreement.Entry `json:"entries,omitempty"` // ... or what changed since the revision that was said
+	LeaseMS  int64             `json:"lease_ms,omitempty"`
+	Era      uint64            `json:"era,omitempty"`
+	Revision uint64            `json:"revision,omitempty"` // that the leader has
+	Leader   uint64            `json:"leader,omitempty"`   // a seat
+	Refused  map[string]string `json:"refused,omitempty"`  // who gets no lease, and why
+	Why      string            `json:"why,omitempty"`
 }
 
 func newClient() *http.Client {
@@ -65,11 +71,8 @@
 	return resp.StatusCode, text, err
 }
 
-// peer takes messages to another voter, in their order; what finds no room is lost, as on a network.
-type peer struct {
-	url string
-	out chan []byte
-}
+// peer has messages for another seat, in their order; what finds no room is lost, as on a network.
+type peer struct{ out chan []byte }
 
 func (p *peer) send(m []byte) {
 	select {
@@ -78,21 +81,18 @@
 	}
 }
 
-// run sends what waits, as much as there is in one call.
-func (p *peer) run(ctx context.Context, c *http.Client) {
-	for {
-		var batch []byte
-		select {
-		case <-ctx.Done():
-			return
-		case m := <-p.out:
-			batch = frame(batch, m)
-		}
-		for n := 1; n < mostBatch && len(p.out) > 0; n++ {
-			batch = frame(batch, <-p.out)
-		}
-		_, _, _ = Call(ctx, c, p.url, batch, time.Now().Add(callWithin)) // what is lost is sent again by the log
+// next waits for messages and gives all that are there, up to a call's worth.
+func (p *peer) next(ctx context.Context) (batch []byte, ok bool) {
+	select {
+	case <-ctx.Done():
+		return nil, false
+	case m := <-p.out:
+		batch = frame(batch, m)
+	}
+	for n := 1; n < mostBatch && len(p.out) > 0 && len(batch) < mostBody/2; n++ {
+		batch = frame(batch, <-p.out)
 	}
+	return batch, true
 }
 
 func frame(b, m []byte) []byte {
@@ -117,19 +117,30 @@
 }
 
 // decode reads a JSON body whole.
-func decode(r *http.Request, to any) error {
+func (a *Agent) decode(r *http.Request, to any) error {
 	text, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, mostBody))
 	if err != nil {
 		return err
 	}
+	a.mu.Lock()
+	a.counts.Served++
+	a.counts.Received += uint64(len(text))
+	a.mu.Unlock()
 	if err := json.Unmarshal(text, to); err != nil {
 		return fmt.Errorf("body: %w", err)
 	}
 	return nil
 }
 
-func reply(w http.ResponseWriter, status int, body any) {
+func (a *Agent) reply(w http.ResponseWriter, status int, body any) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		status, text = http.StatusInternalServerError, []byte("{}")
+	}
+	a.mu.Lock()
+	a.counts.Sent += uint64(len(text))
+	a.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(text)
 }
--- a/internal/fleet/peers_test.go
+++ b/internal/fleet/peers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"net/http"
@@ -35,12 +36,14 @@
 
 // FuzzCalls sends a dispatcher what no other sends: it answers, and takes nothing for a proposal that is none.
 func FuzzCalls(f *testing.F) {
-	a, err := New(&Settings{Name: "t", Listen: "127.0.0.1:0", Voters: []string{"127.0.0.1:1"}, Directory: f.TempDir(), Bound: "1s"}, "n0",
-		func(agreement.Stand) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	a, err := New(options(f.TempDir()))
 	if err != nil {
 		f.Fatal(err)
 	}
-	f.Add("renew", `{"name":"n1","acknowledged":3,"form":1}`)
+	f.Add("renew", `{"name":"n1","instance":"x","acknowledged":3,"form":1}`)
+	f.Add("grant", `[{"name":"n1","instance":"x","acknowledged":3,"form":2,"era":7}]`)
+	f.Add("leave", `{"name":"n1","instance":"x"}`)
+	f.Add("watch", "")
 	f.Add("renew", `{"name":"n1","form":99}`)
 	f.Add("messages", "\x00\x00\x00\x01x")
 	f.Add("propose", `{"rules":{"retries":99}}`)
@@ -56,17 +59,39 @@
 		}
 		r.URL.Path = "/council/" + what
 		a.handler().ServeHTTP(w, r)
-		if w.Code < 300 && what != "status" {
+		if w.Code < 300 && what != "status" && what != "founder" {
 			t.Fatalf("%s %q: %d", what, body, w.Code)
 		}
 	})
 }
 
+func options(dir string) Options {
+	return Options{Settings: &Settings{Name: "t", Listen: "127.0.0.1:0", Voters: []string{"127.0.0.1:1"}, Directory: dir, Bound: "1s", Replace: "30s"}, Name: "n0",
+		Apply: func(agreement.Stand) {}, Log: slog.New(slog.NewTextHandler(io.Discard, nil))}
+}
+
+// FuzzAnswer puts what no seat answers onto a record: it is refused, or follows from it.
+func FuzzAnswer(f *testing.F) {
+	f.Add([]byte(`{"entries":[{"id":"a","announce":{"number":0,"rules":{"retries":0.1}}},{"id":"b","force":1}],"lease_ms":5}`))
+	f.Add([]byte(`{"record":{"revision":4,"in_force":{"number":2}}}`))
+	f.Add([]byte(`{"entries":[{"id":"a","council":[{"id":9,"address":"x"}]}]}`))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var got answer
+		if json.Unmarshal(text, &got) != nil {
+			return
+		}
+		r, err := got.onto(agreement.Record{})
+		if err == nil && got.Record == nil && r.Revision != uint64(len(got.Entries)) {
+			t.Fatalf("%d entries make revision %d", len(got.Entries), r.Revision)
+		}
+	})
+}
+
 // What was known at the last end holds at the next start, without a lease; what cannot be read is as nothing.
 func TestKnownOutlastsTheProcess(t *testing.T) {
-	s := &Settings{Name: "t", Listen: "127.0.0.1:0", Voters: []string{"127.0.0.1:1"}, Directory: t.TempDir(), Bound: "1s"}
+	o := options(t.TempDir())
 	open := func() *Agent {
-		a, err := New(s, "n0", func(agreement.Stand) {}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		a, err := New(o)
 		if err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/internal/fleet/renew.go
@@ -0,0 +1,192 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"brassdale/internal/decisions/agreement"
+)
+
+// order gives the council's seats in the order in which this dispatcher asks them; its own first.
+func (a *Agent) order() []agreement.Seat {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	council := a.holder.Record().Council
+	if len(council) == 0 {
+		council = a.s.founders()
+	}
+	order := agreement.Ask(council, a.Name, a.s.Region, a.Zone)
+	if own := a.seat.id(); own != 0 {
+		for i, s := range order {
+			if s.ID == own {
+				copy(order[1:i+1], order[:i])
+				order[0] = s
+			}
+		}
+	}
+	return order
+}
+
+// asks gives the seat that is asked now: the next one behind each that was asked in vain.
+func (a *Agent) asks() agreement.Seat {
+	order := a.order()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return order[a.turn%len(order)]
+}
+
+// tried notes whether a seat answered.
+func (a *Agent) tried(ok bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if ok {
+		a.counts.Renewed++
+		return
+	}
+	a.counts.Refused++
+	a.turn++
+}
+
+// question is what this dispatcher says when it asks for a lease.
+func (a *Agent) question() question {
+	ended, bad := uint64(0), uint64(0)
+	if a.Jobs != nil {
+		ended, bad = a.Jobs()
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	r := a.holder.Record()
+	q := question{Member: agreement.Member{Name: a.Name, Instance: a.instance, Acked: a.holder.Acknowledged(), Form: a.form, Era: r.Era,
+		Address: a.address(), Region: a.s.Region, Zone: a.Zone, Seat: a.seat.id(), Ended: ended, Bad: bad}, Revision: r.Revision}
+	if !a.heard { // what is on file has no history
+		q.Revision = 0
+	}
+	return q
+}
+
+// renew asks for leases, and again sooner where nobody gave one.
+func (a *Agent) renew(ctx context.Context) {
+	every := a.lease / renewals
+	for ctx.Err() == nil {
+		asked, begin := a.now(), time.Now()
+		err := a.renewOnce(ctx, asked, begin.Add(min(callWithin, a.lease/3)))
+		a.tried(err == nil)
+		wait := time.Until(begin.Add(every))
+		if err != nil {
+			a.log.Debug("no lease", "err", err)
+			wait = min(wait, every/4)
+		}
+		select {
+		case <-ctx.Done():
+		case <-a.renewNow:
+		case <-time.After(max(wait, time.Millisecond)):
+		}
+	}
+}
+
+func (a *Agent) renewOnce(ctx context.Context, asked agreement.Clock, by time.Time) error {
+	ctx, stop := context.WithDeadline(ctx, by)
+	defer stop()
+	q, s := a.question(), a.asks()
+	var got answer
+	var status int
+	if s.ID == q.Seat {
+		got, status = a.granted(ctx, q)
+	} else {
+		var err error
+		if got, status, err = a.post(ctx, s.Address, "renew", q); err != nil {
+			return err
+		}
+	}
+	if status != http.StatusOK {
+		return fmt.Errorf("seat %d: %d %s", s.ID, status, got.Why)
+	}
+	a.mu.Lock()
+	r, err := got.onto(a.holder.Record())
+	fresh := err == nil && r.Newer(a.holder.Record())
+	if err == nil {
+		a.holder.Heard(r, asked, time.Duration(got.LeaseMS)*time.Millisecond)
+	}
+	a.heard = err == nil && (a.heard || got.Record != nil)
+	a.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if fresh {
+		a.keep(r)
+		wake(a.renewNow)
+		wake(a.changed)
+	}
+	a.settle()
+	return nil
+}
+
+// subscribe follows the record at some seat: what changes comes as soon as that seat has it, the newest only where this
+// dispatcher is slow. A dispatcher with a seat has it from its own log.
+func (a *Agent) subscribe(ctx context.Context) {
+	for ctx.Err() == nil {
+		a.mu.Lock()
+		own, r, heard := a.seat.id(), a.holder.Record(), a.heard
+		a.mu.Unlock()
+		if own != 0 || !heard {
+			pause(ctx, a.lease/renewals)
+			continue
+		}
+		at := fmt.Sprintf("watch?era=%d&revision=%d&wait=%d", r.Era, r.Revision, watchFor.Milliseconds())
+		by, stop := context.WithDeadline(ctx, time.Now().Add(watchFor+callWithin))
+		got, status, err := a.post(by, a.asks().Address, at, nil)
+		stop()
+		if err == nil && status == http.StatusOK {
+			if r, err = got.onto(r); err == nil {
+				a.learned(r)
+				continue
+			}
+		}
+		pause(ctx, a.lease/renewals)
+	}
+}
+
+// watchFor is how long a subscription waits for news in one call.
+const watchFor = 10 * time.Second
+
+// post calls another dispatcher; a nil body gets.
+func (a *Agent) post(ctx context.Context, address, what string, body any) (got answer, status int, err error) {
+	var text []byte
+	if body != nil {
+		if text, err = json.Marshal(body); err != nil {
+			return got, 0, err
+		}
+	}
+	by, ok := ctx.Deadline()
+	if !ok {
+		by = time.Now().Add(callWithin)
+	}
+	status, back, err := Call(ctx, a.client, "http://"+a.s.reach(address)+"/council/"+what, text, by)
+	a.mu.Lock()
+	a.counts.Calls++
+	a.counts.Sent += uint64(len(text))
+	a.counts.Received += uint64(len(back))
+	a.mu.Unlock()
+	if err == nil {
+		err = json.Unmarshal(back, &got)
+	}
+	return got, status, err
+}
+
+// onto gives the record behind an answer.
+func (g answer) onto(r agreement.Record) (agreement.Record, error) {
+	if g.Record != nil {
+		return *g.Record, nil
+	}
+	for _, e := range g.Entries {
+		next, err := r.Apply(e)
+		if err != nil {
+			return r, fmt.Errorf("an entry does not follow revision %d: %w", r.Revision, err)
+		}
+		r = next
+	}
+	return r, nil
+}
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -4,32 +4,49 @@
 package fleet
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"time"
+
+	"brassdale/internal/decisions/agreement"
 )
 
 // Settings are the operator's, in a block council.
 type Settings struct {
-	Name      string   `hcl:"fleet"`
-	Listen    string   `hcl:"listen"`        // for the other dispatchers and for 'brassdale fleet'
-	Voters    []string `hcl:"voters"`        // their addresses, by seat
-	Seat      int      `hcl:"seat,optional"` // of this dispatcher among them, from 1; 0 for a follower
-	Directory string   `hcl:"directory"`
-	Bound     string   `hcl:"bound,optional"`
+	Name      string            `hcl:"fleet"`
+	Listen    string            `hcl:"listen"`        // for the other dispatchers and for 'brassdale fleet', over TCP and UDP
+	Voters    []string          `hcl:"voters"`        // addresses of the first council, by seat; later ones find the fleet by them
+	Seat      int               `hcl:"seat,optional"` // of this dispatcher in the first council, from 1; 0 for none
+	Directory string            `hcl:"directory"`
+	Bound     string            `hcl:"bound,optional"`
+	Replace   string            `hcl:"replace,optional"` // a seat that is silent for so long is given to another dispatcher
+	Region    string            `hcl:"region,optional"`
+	Zone      string            `hcl:"zone,optional"`  // the platform's where it is left out
+	Rules     string            `hcl:"rules,optional"` // a file that is proposed at SIGHUP
+	Reach     map[string]string `hcl:"reach,optional"` // where others' addresses are reached from here, if elsewhere
 }
 
 // Default gives what holds where the block says nothing.
-func Default() Settings { return Settings{Bound: "2s"} }
+func Default() Settings { return Settings{Bound: "2s", Replace: "30s"} }
 
-// LeastBound is the shortest bound that makes sense: below it a lease does not outlast an election.
-const LeastBound = time.Second
+const (
+	// LeastBound is the shortest bound that makes sense: below it a lease does not outlast an election.
+	LeastBound = time.Second
+	// LeastReplace is the same for a seat that is silent.
+	LeastReplace = 3 * time.Second
+)
 
 // Lease is how long a lease lasts: the bound.
-func (s *Settings) Lease() (time.Duration, error) {
-	d, err := time.ParseDuration(s.Bound)
-	if err == nil && d < LeastBound {
-		err = fmt.Errorf("%v is less than %v", d, LeastBound)
+func (s *Settings) Lease() (time.Duration, error) { return atLeast(s.Bound, LeastBound) }
+
+// Patience is how long a seat may be silent.
+func (s *Settings) Patience() (time.Duration, error) { return atLeast(s.Replace, LeastReplace) }
+
+func atLeast(text string, least time.Duration) (time.Duration, error) {
+	d, err := time.ParseDuration(text)
+	if err == nil && d < least {
+		err = fmt.Errorf("%v is less than %v", d, least)
 	}
 	return d, err
 }
@@ -47,5 +64,24 @@
 	if s.Seat < 0 || s.Seat > len(s.Voters) {
 		return fmt.Errorf("there is no seat %d", s.Seat)
 	}
+	if s.Seat > 0 && s.Voters[s.Seat-1] != s.Listen {
+		return errors.New("the address in this dispatcher's seat is not the one where it listens")
+	}
 	return nil
 }
+
+// reach gives where an address is reached from here.
+func (s *Settings) reach(address string) string {
+	if to, ok := s.Reach[address]; ok {
+		return to
+	}
+	return address
+}
+
+// founders are the seats of the first council.
+func (s *Settings) founders() (all []agreement.Seat) {
+	for i, v := range s.Voters {
+		all = append(all, agreement.Seat{ID: uint64(i + 1), Address: v})
+	}
+	return all
+}
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -87,16 +87,17 @@
 		return own
 	}
 	above := map[string][]string{ // by folder, what it may import of the project
-		"routing":         {"brain", "internal/decisions/"},
-		"protocol":        {"brain", "internal/routing"},
-		"transport":       {"brain", "internal/routing", "internal/protocol", "internal/decisions/"},
-		"transport/http2": {"brain", "internal/routing", "internal/protocol", "internal/decisions/", "internal/transport"},
-		"fleet":           {"internal/decisions/", "internal/fleet"},
-		"fleet/log":       {"internal/decisions/"},
-		"operator":        {"internal/diag", "internal/fleet", "internal/protocol", "internal/transport", "internal/savedlist"},
-		"emulator":        {"brain", "internal/load"},
-		"load":            {"internal/protocol", "internal/diag"},
-		"savedlist":       {"brain", "internal/routing", "internal/protocol"},
+		"routing":          {"brain", "internal/decisions/"},
+		"protocol":         {"brain", "internal/routing"},
+		"transport":        {"brain", "internal/routing", "internal/protocol", "internal/decisions/"},
+		"transport/http2":  {"brain", "internal/routing", "internal/protocol", "internal/decisions/", "internal/transport"},
+		"fleet":            {"internal/decisions/", "internal/fleet", "internal/diag"},
+		"fleet/log":        {"internal/decisions/"},
+		"fleet/membership": {},
+		"operator":         {"internal/diag", "internal/fleet", "internal/protocol", "internal/transport", "internal/savedlist"},
+		"emulator":         {"brain", "internal/load"},
+		"load":             {"internal/protocol", "internal/diag"},
+		"savedlist":        {"brain", "internal/routing", "internal/protocol"},
 	}
 	for dir, may := range above {
 		paths, _ := imports(t, dir)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -221,6 +221,19 @@
 	if _, err := s.Lease(); err != nil {
 		r.bad("bound", `%q is no duration of %v or more, such as "2s".`, s.Bound, fleet.LeastBound)
 	}
+	if _, err := s.Patience(); err != nil {
+		r.bad("replace", `%q is no duration of %v or more, such as "30s".`, s.Replace, fleet.LeastReplace)
+	}
+	for at, to := range s.Reach {
+		for _, address := range []string{at, to} {
+			if _, _, err := net.SplitHostPort(address); err != nil {
+				r.bad("reach", "%v.", err)
+			}
+		}
+	}
+	if s.Rules != "" && !filepath.IsAbs(s.Rules) {
+		s.Rules = filepath.Join(r.dir, s.Rules)
+	}
 	f.Council = &s
 }
 
--- a/internal/program/agreed.go
+++ b/internal/program/agreed.go
@@ -7,6 +7,7 @@
 	"brassdale/brain"
 	"brassdale/internal/decisions/agreement"
 	"brassdale/internal/fleet"
+	"brassdale/internal/protocol"
 )
 
 // agreed is what the fleet's rules are put in force by.
@@ -18,15 +19,47 @@
 	out   []string // boxes that the fleet has out
 	own   float64  // the operator's own bound on further calls; below 0 for none
 	fleet float64  // and the fleet's
+	rules string   // the file that is proposed at SIGHUP; empty for none
+}
+
+// jobs counts those that ended since the start, and those of them that were refused or failed.
+func (a *agreed) jobs() (ended, bad uint64) {
+	for _, t := range a.d.core.Ledger().Figures().Classes {
+		ended += uint64(t.Served + t.Refused + t.Failed)
+		bad += uint64(t.Refused + t.Failed)
+	}
+	return ended, bad
+}
+
+// reloaded proposes the rules in the file that the council's block names, where they are not in force, or says that nothing
+// of the fleet's is read at SIGHUP.
+func (a *agreed) reloaded() {
+	if a == nil {
+		return
+	}
+	if a.rules == "" {
+		a.d.log.Info("the fleet's rules are not read at SIGHUP: 'brassdale fleet propose' changes them")
+		return
+	}
+	r, err := fleet.LoadRules(a.rules)
+	if err != nil {
+		a.d.log.Error("the fleet's rules are not proposed", "err", err)
+		return
+	}
+	go a.agent.ProposeFile(a.d.ctx, *r)
 }
 
 // agree makes the dispatcher's part in the fleet. It does nothing yet.
-func (d *dispatcher) agree(s *fleet.Settings, name string) (err error) {
-	a := &agreed{d: d, own: -1, fleet: -1}
+func (d *dispatcher) agree(s *fleet.Settings, cfg *protocol.Config) (err error) {
+	a := &agreed{d: d, own: -1, fleet: -1, rules: s.Rules}
 	if d.budgeted {
 		a.own = d.retries
 	}
-	if a.agent, err = fleet.New(s, name, a.apply, d.log); err != nil {
+	zone := ""
+	if p := &cfg.Settings; p.Locality >= 0 && p.Locality < len(p.Zones) {
+		zone = p.Zones[p.Locality]
+	}
+	if a.agent, err = fleet.New(fleet.Options{Settings: s, Name: cfg.Name, Zone: zone, Apply: a.apply, Jobs: a.jobs, Log: d.log}); err != nil {
 		return err
 	}
 	d.agreed, d.budgeted = a, true
@@ -43,6 +76,9 @@
 	defer a.mu.Unlock()
 	a.fleet = s.Rules.Retries
 	a.limit()
+	if a.d.accounts != nil {
+		a.d.accounts.Cap(s.Rules.Shares)
+	}
 	own := a.d.operations.file.list()
 	for _, id := range s.Rules.Out {
 		if !slices.Contains(a.out, id) {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -218,7 +218,7 @@
 		d.budgeted = true
 	}
 	if op.Council != nil {
-		if err := d.agree(op.Council, cfg.Name); err != nil {
+		if err := d.agree(op.Council, cfg); err != nil {
 			return fmt.Errorf("council: %w", err)
 		}
 	}
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -87,6 +87,7 @@
 		}
 	}
 	r.d.core.Ledger().Reloaded(true)
+	r.d.agreed.reloaded()
 	r.d.log.Info("reloaded", "discovery", cfg.Discovery, "classes", len(cfg.Settings.Classes), "from_next_start", later)
 }
 
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -182,10 +182,7 @@
 		s.watching = false // until the module asks again
 		return
 	}
-	if s.faults > 0 {
-		s.log.Info("discovery answers again", "failed_calls", s.faults)
-		s.fault, s.faults = "", 0
-	}
+	defer s.mended() // behind the list's own line: who reads that discovery answers again finds its list in force
 	fresh := m.update.Revision != s.revision || len(m.update.Destinations) > 0
 	kind := brain.ListChange
 	if m.update.Complete {
@@ -208,6 +205,14 @@
 	s.watch(ctx, time.Now().Add(pacing.Rewatch(fresh, m.update.Early, s.dispatchers(), rand.Float64())))
 }
 
+// mended notes that calls succeed again.
+func (s *Destinations) mended() {
+	if s.faults > 0 {
+		s.log.Info("discovery answers again", "failed_calls", s.faults)
+		s.fault, s.faults = "", 0
+	}
+}
+
 // failed notes a failed call. The same fault again is no news: a list that is wrong is wrong at every call.
 func (s *Destinations) failed(err error) {
 	level := slog.LevelWarn
--- a/internal/transport/shares.go
+++ b/internal/transport/shares.go
@@ -11,7 +11,8 @@
 type Shares struct {
 	mu    sync.Mutex
 	set   *SharesSettings
-	other int // jobs that another process has open which acts as the same dispatcher
+	other int                // jobs that another process has open which acts as the same dispatcher
+	caps  map[string]float64 // the most that accounts may have by the fleet's rules
 	table *shares.Table
 }
 
@@ -56,8 +57,24 @@
 	s.tune()
 }
 
+// Cap holds accounts to no more than these shares, whatever the settings say; who is not named is not bound.
+func (s *Shares) Cap(caps map[string]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.caps = caps
+	s.tune()
+}
+
 // tune puts the settings in force; s.mu is held.
-func (s *Shares) tune() { s.table.Retune(max(s.set.Room-s.other, 0), s.set.parts()) }
+func (s *Shares) tune() {
+	parts := s.set.parts()
+	for name, most := range s.caps {
+		if part, ok := parts[name]; ok && most < part {
+			parts[name] = most
+		}
+	}
+	s.table.Retune(max(s.set.Room-s.other, 0), parts)
+}
 
 // Figures gives the numbers, a line each.
 func (s *Shares) Figures() string {
