Rig: links among all over TCP and UDP, scripted events, clocks that pace; a record never runs ahead

Seen by it, each followed through the logs of the process that did not come to the fleet's version: - a dispatcher renewed its lease for 20 s on version 5 while all others kept [5 6]. Its record's revision was ahead of the council's: entries of an answer were put onto a record that the subscription had moved on meanwhile, and an entry that any record takes (who sits in the council) counted twice. Ruled out: the council's logs (all alike), gossip, a trial. At fault: renew.go, renewOnce put them onto holder.Record(). They follow the record asked about now, and what they lead to is checked (TestEntriesFollowTheQuestion). - a stand was not applied while memberlist's UpdateNode waited for somebody to hear it (stack of the process): membership.Say does not block any more. - a learner that had never answered was taken for caught up, as the log was short; and a voter that lost its disk looked at its lost seat, not at the one that it was given: 15 seats given in 20 s. A learner has to have answered; the newest seat counts.

--- a/internal/emulator/play.go
+++ b/internal/emulator/play.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"brassdale/brain"
 	"brassdale/internal/load"
 )
 
@@ -34,6 +35,11 @@
 
 // Start starts a dispatcher's program at the n-th door, with a folder of its own for its files, and waits until it serves.
 func (k *Works) Start(ctx context.Context, binary, dir string, n int, args ...string) (*Node, error) {
+	return k.StartWith(ctx, binary, dir, n, nil, args...)
+}
+
+// StartWith does it with variables of the environment beside the usual.
+func (k *Works) StartWith(ctx context.Context, binary, dir string, n int, env []string, args ...string) (*Node, error) {
 	path, err := k.Write(dir, n)
 	if err != nil {
 		return nil, err
@@ -41,6 +47,7 @@
 	k.Present(n, true)
 	d := &Node{cmd: exec.Command(binary, args...), ended: make(chan struct{}), ready: make(chan struct{})}
 	d.cmd.Env = append(os.Environ(), "GW_CONFIG="+path, "GW_ADMIN=127.0.0.1:0", "TMPDIR="+filepath.Dir(path))
+	d.cmd.Env = append(d.cmd.Env, env...)
 	errs, err := d.cmd.StderrPipe()
 	if err != nil {
 		return nil, err
@@ -126,6 +133,14 @@
 	return <-got
 }
 
+// Boxes are the works' boxes.
+func (k *Works) Boxes() (ids []brain.WorkerID) {
+	for _, b := range k.w.boxes {
+		ids = append(ids, b.id)
+	}
+	return ids
+}
+
 // ClassName is the works' class, the first part of its jobs' path.
 const ClassName = className
 
--- a/internal/faults/file.go
+++ b/internal/faults/file.go
@@ -21,10 +21,23 @@
 	Longest   string       `hcl:"longest,optional"` // fault
 	Rate      float64      `hcl:"rate"`             // jobs a second
 	Proposals string       `hcl:"proposals,optional"`
-	Faults    []string     `hcl:"faults,optional"` // kinds; all where left out
+	Faults    []string     `hcl:"faults,optional"`  // kinds; all where left out
+	Replace   string       `hcl:"replace,optional"` // so long a seat may be silent
+	Older     int          `hcl:"older,optional"`   // processes of an older build
+	Events    []EventFile  `hcl:"event,block"`      // in place of drawn faults
 	Release   *ReleaseFile `hcl:"release,block"`
 }
 
+// EventFile is an event in it.
+type EventFile struct {
+	At      string `hcl:"at"`
+	For     string `hcl:"for,optional"`
+	Kind    string `hcl:"kind"`
+	Process int    `hcl:"process,optional"` // -1 for who leads
+	Group   []int  `hcl:"group,optional"`
+	Reverse bool   `hcl:"reverse,optional"`
+}
+
 // ReleaseFile is a release in it.
 type ReleaseFile struct {
 	At       string  `hcl:"at"`
@@ -90,6 +103,21 @@
 			bad("release", "Shares are from 0 to 1 together, calls not below 0.")
 		}
 	}
+	if f.Replace != "" {
+		spans = append(spans, span{&p.Replace, "replace", f.Replace})
+	}
+	p.Older = f.Older
+	p.Events = make([]Event, len(f.Events))
+	for i, e := range f.Events {
+		p.Events[i] = Event{Kind: Kind(e.Kind), Process: e.Process, Group: e.Group, Reverse: e.Reverse}
+		spans = append(spans, span{&p.Events[i].At, "event", e.At})
+		if e.For != "" {
+			spans = append(spans, span{&p.Events[i].For, "event", e.For})
+		}
+		if !slices.Contains(append(Kinds(), Split, Gone, Anew, Stage, Double), Kind(e.Kind)) || e.Process < Leader || e.Process >= f.Processes {
+			bad("event", "There is no kind %q, or no process %d.", e.Kind, e.Process)
+		}
+	}
 	for _, d := range spans {
 		span, err := time.ParseDuration(d.text)
 		if err != nil || span <= 0 {
--- a/internal/faults/link.go
+++ b/internal/faults/link.go
@@ -16,12 +16,15 @@
 	CutFrom bool          // nothing that the one who is called says does
 	Delay   time.Duration // of each piece, one way
 	Spread  time.Duration // and up to so much more
+	Reorder time.Duration // new connections are passed on after up to so long, so that later ones overtake
 }
 
-// Link is a way from one process to another's listener. Bytes that meet a cut wait there; once it ends their connections are
+// Link is a way from one process to another's listener, over TCP, and over UDP at the same ports: packets go one way there,
+// and answers by the other's own link. Bytes that meet a cut wait there; once it ends their connections are
 // reset, as those of a machine that was cut off.
 type Link struct {
 	listener net.Listener
+	packets  net.PacketConn
 	to       string
 
 	mu    sync.Mutex
@@ -35,15 +38,70 @@
 
 // NewLink listens on a loopback port of the system's choice and passes on to an address.
 func NewLink(to string, seed uint64) (*Link, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	var l net.Listener
+	var packets net.PacketConn
+	var err error
+	for range 20 { // until a port is free for both
+		if l, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+			return nil, err
+		}
+		if packets, err = net.ListenPacket("udp", l.Addr().String()); err == nil {
+			break
+		}
+		l.Close()
+	}
 	if err != nil {
 		return nil, err
 	}
-	k := &Link{listener: l, to: to, held: map[net.Conn]bool{}, conns: map[net.Conn]bool{}, rng: rand.New(rand.NewPCG(seed, 1)), moved: make(chan struct{})}
+	k := &Link{listener: l, packets: packets, to: to, held: map[net.Conn]bool{}, conns: map[net.Conn]bool{}, rng: rand.New(rand.NewPCG(seed, 1)), moved: make(chan struct{})}
 	go k.serve()
+	go k.relay()
 	return k, nil
 }
 
+// relay passes packets on. What meets a cut is lost; delays have later ones overtake.
+func (k *Link) relay() {
+	to, err := net.ResolveUDPAddr("udp", k.to)
+	if err != nil {
+		return
+	}
+	buf := make([]byte, 64<<10)
+	for {
+		n, _, err := k.packets.ReadFrom(buf)
+		if err != nil {
+			k.mu.Lock()
+			over := k.over
+			k.mu.Unlock()
+			if over {
+				return
+			}
+			continue // nobody listens where one went
+		}
+		k.mu.Lock()
+		s := k.state
+		delay := k.delay(s)
+		k.mu.Unlock()
+		if s.CutTo {
+			continue
+		}
+		text := append([]byte(nil), buf[:n]...)
+		if delay == 0 {
+			_, _ = k.packets.WriteTo(text, to)
+		} else {
+			time.AfterFunc(delay, func() { _, _ = k.packets.WriteTo(text, to) })
+		}
+	}
+}
+
+// delay draws a piece's; k.mu is held.
+func (k *Link) delay(s State) time.Duration {
+	delay := s.Delay
+	if s.Spread > 0 {
+		delay += time.Duration(k.rng.Int64N(int64(s.Spread)))
+	}
+	return delay
+}
+
 // Address is where the one who calls reaches it.
 func (k *Link) Address() string { return k.listener.Addr().String() }
 
@@ -77,6 +135,7 @@
 	k.over = true
 	k.mu.Unlock()
 	k.listener.Close()
+	k.packets.Close()
 	k.Reset()
 	k.Set(State{})
 }
@@ -95,6 +154,10 @@
 			return
 		}
 		go func() {
+			k.mu.Lock()
+			overtaken := k.delay(State{Spread: k.state.Reorder})
+			k.mu.Unlock()
+			time.Sleep(overtaken)
 			out, err := net.Dial("tcp", k.to)
 			if err != nil {
 				reset(in)
@@ -150,10 +213,7 @@
 func (k *Link) hold(from, to net.Conn, cut func(State) bool) error {
 	k.mu.Lock()
 	s := k.state
-	delay := s.Delay
-	if s.Spread > 0 {
-		delay += time.Duration(k.rng.Int64N(int64(s.Spread)))
-	}
+	delay := k.delay(s)
 	k.mu.Unlock()
 	if delay > 0 {
 		time.Sleep(delay)
--- /dev/null
+++ b/internal/faults/propose.go
@@ -0,0 +1,150 @@
+package faults
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"brassdale/internal/decisions/agreement"
+)
+
+// proposals announces rules now and then, at some process that is there. Where some are of an older build every other
+// proposal is one that they could not read.
+func (f *play) proposals(end time.Time) {
+	rng := rand.New(rand.NewPCG(f.Seed, 4))
+	n := 0
+	for at := time.Now().Add(f.Proposals); at.Before(end); at = at.Add(f.Proposals) {
+		if !until(f.ctx, at) {
+			return
+		}
+		rules := agreement.Rules{Retries: float64(rng.IntN(10)) / 10, Repeat: rng.IntN(4) > 0}
+		if n++; f.Older > 0 && n%2 == 0 {
+			rules.Shares = map[string]float64{"deeside-aero": 0.5}
+		}
+		f.propose(f.ats[rng.IntN(len(f.ats))], rules, nil)
+	}
+}
+
+// propose announces rules, if nothing is under way, and tells whether that was taken.
+func (f *play) propose(at string, rules agreement.Rules, trial *agreement.Trial) bool {
+	var s struct{ Record agreement.Record }
+	if f.call(at, "status", nil, &s) != nil || s.Record.Announced != nil {
+		return false
+	}
+	text, err := json.Marshal(agreement.Version{Number: s.Record.InForce.Number, Rules: rules, By: "rig", Why: "drawn", At: time.Now(), Trial: trial})
+	var got struct{ Record agreement.Record }
+	if err == nil {
+		err = f.call(at, "propose", text, &got)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err != nil && strings.Contains(err.Error(), "older builds") {
+		f.r.RefusedOlder++
+	}
+	if err != nil || got.Record.Announced == nil {
+		return false
+	}
+	f.r.announced[got.Record.Announced.Number] = time.Now()
+	return true
+}
+
+// stage has half the processes try rules under which nothing is served, until that is taken.
+func (f *play) stage() error {
+	var rules agreement.Rules
+	for _, id := range f.works.Boxes() {
+		rules.Out = append(rules.Out, string(id))
+	}
+	for !f.propose(f.voters[0], rules, &agreement.Trial{Share: 0.5, For: 3 * time.Second, Margin: 0.05}) {
+		if !until(f.ctx, time.Now().Add(50*time.Millisecond)) {
+			return f.ctx.Err()
+		}
+	}
+	return nil
+}
+
+// twice has two rules proposed at two voters at once: one of them at the most is announced.
+func (f *play) twice() error {
+	taken := make([]bool, 2)
+	var wait sync.WaitGroup
+	for i := range taken {
+		wait.Go(func() {
+			taken[i] = f.propose(f.voters[i], agreement.Rules{Retries: float64(i), Repeat: true}, nil)
+		})
+	}
+	wait.Wait()
+	if taken[0] && taken[1] {
+		var s struct{ Record agreement.Record }
+		if err := f.call(f.voters[0], "status", nil, &s); err != nil {
+			return err
+		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if len(f.r.announced) < 2 {
+			return errors.New("two proposals were taken for one version")
+		}
+	}
+	return nil
+}
+
+// leader is the process that leads, or the first where nobody says so.
+func (f *play) leader() int {
+	for range 100 {
+		for i, at := range f.ats {
+			var s struct{ Leads bool }
+			if f.call(at, "status", nil, &s) == nil && s.Leads {
+				return i
+			}
+		}
+		until(f.ctx, time.Now().Add(20*time.Millisecond))
+	}
+	return 0
+}
+
+// known takes what the council knows at the end into the result.
+func (f *play) known() {
+	if f.Voters == 0 {
+		return
+	}
+	var s struct{ Record agreement.Record }
+	for i, at := range f.ats {
+		if f.all[i].lost || f.call(at, "status", nil, &s) != nil {
+			continue
+		}
+		break
+	}
+	f.r.Withdrawn = len(s.Record.Withdrawn)
+	for _, seat := range s.Record.Council {
+		f.r.Seats = append(f.r.Seats, seat.ID)
+	}
+}
+
+func (f *play) call(at, what string, body []byte, to any) error {
+	ctx, stop := context.WithDeadline(f.ctx, time.Now().Add(2*time.Second))
+	defer stop()
+	method := http.MethodPost
+	if body == nil {
+		method = http.MethodGet
+	}
+	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s/council/%s", at, what), bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := f.client.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		var why struct{ Why string }
+		_ = json.NewDecoder(resp.Body).Decode(&why)
+		return fmt.Errorf("status %d: %s", resp.StatusCode, why.Why)
+	}
+	return json.NewDecoder(resp.Body).Decode(to)
+}
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -19,32 +19,49 @@
 	Kill    Kind = "kill"     // SIGKILL, and a start with its disk
 	Blank   Kind = "blank"    // the same, and its disk is lost
 	Flap    Kind = "flapping" // its links are cut and healed ten times a second
+	Reorder Kind = "reorder"  // new connections to and from it overtake each other
+	Pace    Kind = "pace"     // killed, and started with a clock that runs as much faster or slower as is allowed for
+
+	// Not drawn, only played where a scenario says so.
+	Split  Kind = "split"   // a group of processes and the rest cannot reach each other
+	Gone   Kind = "gone"    // SIGKILL, for good
+	Anew   Kind = "anew"    // all processes are killed and started anew, this one with its disk lost
+	Stage  Kind = "propose" // no fault: rules that refuse everything are proposed, to be tried by half the processes
+	Double Kind = "double"  // no fault: two proposals at once
 )
 
-// Kinds are all of them.
-func Kinds() []Kind { return []Kind{Cut, OneWay, Delayed, Resets, Freeze, Kill, Blank, Flap} }
+// Kinds are those that are drawn.
+func Kinds() []Kind {
+	return []Kind{Cut, OneWay, Delayed, Resets, Freeze, Kill, Blank, Flap, Reorder, Pace}
+}
 
 // Event is a fault of one process.
 type Event struct {
 	At, For time.Duration
 	Kind    Kind
-	Process int
-	Reverse bool // of a one-way cut: it speaks and cannot hear
+	Process int   // Leader for who leads when it comes
+	Group   []int // of a split
+	Reverse bool  // of a one-way cut: it speaks and cannot hear; of a clock: it runs slower
 }
 
+// Leader stands for the process that leads.
+const Leader = -1
+
 // Draw gives a schedule of a seed: faults of the kinds given, each beginning every so often on average, of one process each.
-// Voters are the first processes. A disk is lost of a follower only: a voter that has lost its own may vote a second time,
-// which no log survives.
+// Voters are the first processes. A disk of a voter is lost once at the most: what a majority has lost nobody knows.
 func Draw(seed uint64, kinds []Kind, processes, voters int, span, every, longest time.Duration) (all []Event) {
 	rng := rand.New(rand.NewPCG(seed, 2))
 	busy := make([]time.Duration, processes)
+	lost := false
 	for at := every; at < span; at += time.Duration(rng.ExpFloat64() * float64(every)) {
 		e := Event{At: at, Kind: kinds[rng.IntN(len(kinds))], Process: rng.IntN(processes), Reverse: rng.IntN(2) == 0}
 		e.For = time.Duration((0.1 + 0.9*rng.Float64()) * float64(longest))
 		if e.Kind == Blank && e.Process < voters {
-			if processes == voters {
+			switch {
+			case !lost && processes > voters && voters > 1:
+			case processes == voters:
 				e.Kind = Kill
-			} else {
+			default:
 				e.Process = voters + rng.IntN(processes-voters)
 			}
 		}
@@ -52,6 +69,7 @@
 			continue // one fault of a process at a time, and all are over at the end
 		}
 		busy[e.Process] = at + e.For + time.Second
+		lost = lost || e.Kind == Blank && e.Process < voters
 		all = append(all, e)
 	}
 	slices.SortStableFunc(all, func(a, b Event) int { return int(a.At - b.At) })
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -217,8 +217,9 @@
 	a.settle()
 	ctx, stop := context.WithDeadline(context.Background(), time.Now().Add(callWithin))
 	defer stop()
+	q, _ := a.question()
 	for _, s := range a.order() {
-		if _, status, err := a.post(ctx, s.Address, "leave", a.question()); err == nil && status == http.StatusOK {
+		if _, status, err := a.post(ctx, s.Address, "leave", q); err == nil && status == http.StatusOK {
 			return
 		}
 	}
--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -65,11 +65,15 @@
 func (a *Agent) take(ctx context.Context, r agreement.Record) error {
 	first := uint64(a.s.Seat)
 	if len(r.Council) > 0 {
-		i := slices.IndexFunc(r.Council, func(s agreement.Seat) bool { return s.Address == a.address() && (s.Name == "" || s.Name == a.Name) })
-		if i < 0 {
+		var s agreement.Seat // the last that it was given: while it is given anew the one that it lost is still there
+		for _, had := range r.Council {
+			if had.Address == a.address() && (had.Name == "" || had.Name == a.Name) && had.ID > s.ID {
+				s = had
+			}
+		}
+		if s.ID == 0 {
 			return nil
 		}
-		s := r.Council[i]
 		if s.ID != first || r.Era > 0 {
 			_, err := os.Stat(councillog.Path(a.s.Directory, s.ID))
 			if err != nil && !s.Learner { // it has lost its file, with its votes
@@ -391,7 +395,7 @@
 		}
 	}
 	back := answer{LeaseMS: got.LeaseMS}
-	back.Entries, back.Record = s.log.Since(q.Era, q.Revision)
+	back.Entries, back.Record, back.Era, back.Revision = s.log.Since(q.Era, q.Revision)
 	return back, http.StatusOK
 }
 
--- a/internal/fleet/handler.go
+++ b/internal/fleet/handler.go
@@ -157,7 +157,7 @@
 			a.reply(w, http.StatusMisdirectedRequest, answer{Why: "no seat"})
 			return
 		}
-		entries, whole := s.log.Since(era, revision)
+		entries, whole, toEra, to := s.log.Since(era, revision)
 		if entries == nil && whole == nil && waiting {
 			select {
 			case <-news:
@@ -172,7 +172,7 @@
 			a.slow <- struct{}{}
 			defer func() { <-a.slow }()
 		}
-		a.reply(w, http.StatusOK, answer{Entries: entries, Record: whole})
+		a.reply(w, http.StatusOK, answer{Entries: entries, Record: whole, Era: toEra, Revision: to})
 		return
 	}
 }
--- a/internal/fleet/log/log.go
+++ b/internal/fleet/log/log.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math"
 	"path/filepath"
 	"slices"
 	"sync"
@@ -165,9 +166,9 @@
 	return slices.Clone(l.places)
 }
 
-// Since gives what has changed since a revision: entries to apply to the record of that revision where they are still known,
-// else the whole record.
-func (l *Log) Since(era, revision uint64) (entries []agreement.Entry, whole *agreement.Record) {
+// Since gives what has changed since a revision, and the era and revision that this leads to: entries to apply to the record
+// of that revision where they are still known, else the whole record.
+func (l *Log) Since(era, revision uint64) (entries []agreement.Entry, whole *agreement.Record, toEra, to uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.record
@@ -175,12 +176,13 @@
 	case revision == 0: // nothing is known there
 		whole = &r
 	case era == r.Era && revision >= r.Revision:
+		return nil, nil, era, revision
 	case era == r.Era && missing <= uint64(len(l.tail)):
 		entries = slices.Clone(l.tail[uint64(len(l.tail))-missing:])
 	default:
 		whole = &r
 	}
-	return entries, whole
+	return entries, whole, r.Era, r.Revision
 }
 
 // Step takes a message of another voter. It does not block.
@@ -282,8 +284,12 @@
 		} else {
 			delete(l.loading, id)
 		}
+		behind := last - min(pr.Match, last)
+		if pr.Match == 0 { // it has not answered yet, however short the log is
+			behind = math.MaxUint64
+		}
 		places = append(places, agreement.Place{Seat: agreement.Seat{ID: id, Learner: typ == raft.ProgressTypeLearner},
-			Silent: time.Duration(l.silent[id]) * tickEvery, Behind: last - min(pr.Match, last)})
+			Silent: time.Duration(l.silent[id]) * tickEvery, Behind: behind})
 	})
 	for id, ticks := range l.loading {
 		if ticks >= electionTicks {
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -70,7 +70,8 @@
 	t  *transport
 	ml *memberlist.Memberlist
 
-	said *memberlist.TransmitLimitedQueue // words that go round, beside memberlist's own
+	said  *memberlist.TransmitLimitedQueue // words that go round, beside memberlist's own
+	fresh chan struct{}                    // what this member says has changed
 
 	mu      sync.Mutex
 	self    Self
@@ -94,7 +95,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &List{o: o, t: t, self: o.Self, all: map[string]Member{}, leaving: map[string]time.Time{}}
+	l := &List{o: o, t: t, self: o.Self, all: map[string]Member{}, fresh: make(chan struct{}, 1), leaving: map[string]time.Time{}}
 	l.said = &memberlist.TransmitLimitedQueue{NumNodes: func() int { return l.ml.NumMembers() }, RetransmitMult: 4}
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Transport, c.Delegate, c.Events, c.Conflict = o.Self.Name, t, (*delegate)(l), (*delegate)(l), (*delegate)(l)
@@ -136,19 +137,24 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-l.fresh:
+			_ = l.ml.UpdateNode(leaveWithin)
 		case <-time.After(joinEvery):
 		}
 	}
 }
 
-// Say tells the others what has changed.
+// Say tells the others what has changed. It does not block: memberlist does, until somebody has heard it.
 func (l *List) Say(s Self) {
 	l.mu.Lock()
 	same := l.self == s
 	l.self = s
 	l.mu.Unlock()
 	if !same {
-		_ = l.ml.UpdateNode(0) // in the background; a full queue loses nothing but time
+		select {
+		case l.fresh <- struct{}{}:
+		default:
+		}
 	}
 }
 
--- a/internal/fleet/peers_test.go
+++ b/internal/fleet/peers_test.go
@@ -87,6 +87,23 @@
 	})
 }
 
+// Entries follow the record that was asked about. Put onto a newer one, which the subscription had brought meanwhile, those
+// that any record takes were counted twice, and the dispatcher took itself for newer than its council for good.
+func TestEntriesFollowTheQuestion(t *testing.T) {
+	council := func(id uint64) agreement.Entry {
+		return agreement.Entry{Council: []agreement.Seat{{ID: id, Address: "x"}}}
+	}
+	asked, _ := agreement.Record{}.Apply(council(1))
+	got := answer{Entries: []agreement.Entry{council(2)}, Revision: 2}
+	newer, err := got.onto(asked)
+	if err != nil || newer.Revision != 2 {
+		t.Fatalf("%+v, %v", newer, err)
+	}
+	if _, err := got.onto(newer); err == nil {
+		t.Error("entries were taken twice")
+	}
+}
+
 // What was known at the last end holds at the next start, without a lease; what cannot be read is as nothing.
 func TestKnownOutlastsTheProcess(t *testing.T) {
 	o := options(t.TempDir())
--- a/internal/fleet/renew.go
+++ b/internal/fleet/renew.go
@@ -51,7 +51,8 @@
 }
 
 // question is what this dispatcher says when it asks for a lease.
-func (a *Agent) question() question {
+// The answer's entries follow the record that the question is about, whatever was learned meanwhile.
+func (a *Agent) question() (question, agreement.Record) {
 	ended, bad := uint64(0), uint64(0)
 	if a.Jobs != nil {
 		ended, bad = a.Jobs()
@@ -64,7 +65,7 @@
 	if !a.heard { // what is on file has no history
 		q.Revision = 0
 	}
-	return q
+	return q, r
 }
 
 // renew asks for leases, and again sooner where nobody gave one.
@@ -90,7 +91,8 @@
 func (a *Agent) renewOnce(ctx context.Context, asked agreement.Clock, by time.Time) error {
 	ctx, stop := context.WithDeadline(ctx, by)
 	defer stop()
-	q, s := a.question(), a.asks()
+	q, of := a.question()
+	s := a.asks()
 	var got answer
 	var status int
 	if s.ID == q.Seat {
@@ -105,12 +107,12 @@
 		return fmt.Errorf("seat %d: %d %s", s.ID, status, got.Why)
 	}
 	a.mu.Lock()
-	r, err := got.onto(a.holder.Record())
+	r, err := got.onto(of)
 	fresh := err == nil && r.Newer(a.holder.Record())
 	if err == nil {
 		a.holder.Heard(r, asked, time.Duration(got.LeaseMS)*time.Millisecond)
 	}
-	a.heard = err == nil && (a.heard || got.Record != nil)
+	a.heard = err == nil && (a.heard || got.Record != nil) // else the whole is asked for
 	a.mu.Unlock()
 	if err != nil {
 		return err
@@ -144,6 +146,9 @@
 				a.learned(r)
 				continue
 			}
+			a.mu.Lock()
+			a.heard = false
+			a.mu.Unlock()
 		}
 		pause(ctx, a.lease/renewals)
 	}
@@ -188,5 +193,8 @@
 		}
 		r = next
 	}
+	if g.Revision > 0 && (r.Revision != g.Revision || r.Era != g.Era) {
+		return r, fmt.Errorf("entries lead to revision %d, not %d", r.Revision, g.Revision)
+	}
 	return r, nil
 }
--- a/scenarios/fleet/agreement.hcl
+++ b/scenarios/fleet/agreement.hcl
@@ -4,6 +4,7 @@
 processes = 9
 voters    = 5
 bound     = "2s"
+replace   = "4s"
 span      = "20s"
 every     = "700ms"
 longest   = "5s"
