--- a/internal/emulator/play.go
+++ b/internal/emulator/play.go
@@ -101,6 +101,9 @@
 	_ = d.cmd.Wait()
 }
 
+// Pid is its process's number.
+func (d *Node) Pid() int { return d.cmd.Process.Pid }
+
 // Log is what it has logged.
 func (d *Node) Log() string {
 	d.mu.Lock()
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -53,6 +53,7 @@
 	Breaches         []string       `json:"breaches,omitempty"`
 	Versions         uint64         `json:"versions"` // that came in force
 	Withdrawn        int            `json:"withdrawn,omitempty"`
+	Cost             *Cost          `json:"cost,omitempty"`          // of the fleet's own calls, without faults
 	Seats            []uint64       `json:"seats,omitempty"`         // of the council at the end
 	RefusedOlder     int            `json:"refused_older,omitempty"` // proposals that older builds could not have read
 	InForceP50MS     float64        `json:"in_force_p50_ms"`
@@ -149,7 +150,7 @@
 		x := &process{dir: filepath.Join(dir, fmt.Sprintf("disk-%d", i))}
 		f.all = append(f.all, x)
 		for v := range p.Processes {
-			if v == i || p.Voters == 0 {
+			if v == i || p.Voters == 0 || len(p.Kinds)+len(p.Events) == 0 { // nothing befalls a link
 				continue
 			}
 			if f.links[[2]int{i, v}], err = NewLink(f.ats[v], p.Seed+uint64(100*i+v)); err != nil {
@@ -172,6 +173,7 @@
 	}
 	f.r.Begin = time.Now()
 	begin, end := f.r.Begin, f.r.Begin.Add(f.Span)
+	before := f.cost()
 	var wait sync.WaitGroup
 	var failed error
 	for _, e := range f.r.Events {
@@ -207,6 +209,9 @@
 	if f.Voters > 0 {
 		f.settle()
 	}
+	if len(f.r.Events) == 0 && f.Release == nil {
+		f.r.Cost = f.cost().since(before)
+	}
 	f.account()
 	return f.r, nil
 }
--- a/internal/fleet/log/store.go
+++ b/internal/fleet/log/store.go
@@ -125,6 +125,11 @@
 				return err
 			}
 			hard = &raftpb.HardState{Term: proto.Uint64(1), Commit: proto.Uint64(1)}
+			if meta.Get(snapshotKey) == nil { // who recovers the file has nothing else
+				if err := put(meta, snapshotKey, snapshot); err != nil {
+					return err
+				}
+			}
 			if text := meta.Get(votersKey); text == nil {
 				if err := meta.Put(votersKey, binary.BigEndian.AppendUint64(nil, uint64(len(founders)))); err != nil {
 					return err
