A council's record begins at revision 1: followers of a fresh council no longer ask without a pause

Until the first change the record's revision was 0, which a subscription says where it knows nothing, so that it was answered whole at once and asked again. At fault: fleet/log, first() and Since. Ruled out: leases (27 calls a second remain with them).

--- a/internal/fleet/log/log_test.go
+++ b/internal/fleet/log/log_test.go
@@ -191,7 +191,7 @@
 	c.stop(old)
 	c.change(agreement.Entry{ID: "f1", Force: 1})
 	c.start(old)
-	c.agree(2, 1, 2, 3)
+	c.agree(3, 1, 2, 3)
 	for seat := 1; seat <= 3; seat++ {
 		c.stop(seat)
 	}
@@ -200,7 +200,7 @@
 		c.start(seat)
 	}
 	c.change(announce(1))
-	c.agree(3, 1, 2, 3)
+	c.agree(4, 1, 2, 3)
 }
 
 // Of five, two are cut off, the leader among them: it confirms nothing, and neither side of two does. Healed, all agree.
@@ -218,7 +218,7 @@
 	stop()
 	c.change(agreement.Entry{ID: "f1", Force: 1})
 	c.set(func(int, int) bool { return false })
-	c.agree(2, 1, 2, 3, 4, 5)
+	c.agree(3, 1, 2, 3, 4, 5)
 }
 
 // Many ask at once who leads: all are answered, by few questions to the other voters. 300 dispatchers that renew four times a
@@ -278,7 +278,7 @@
 		c.change(agreement.Entry{ID: fmt.Sprint("f", n+1), Force: n + 1})
 	}
 	c.start(behind)
-	c.agree(2*keepBehind, 1, 2, 3)
+	c.agree(2*keepBehind+1, 1, 2, 3)
 	if got := c.at(behind).Record(); got.InForce.Number != keepBehind || len(got.History) == 0 {
 		t.Errorf("caught up to %d", got.InForce.Number)
 	}
@@ -298,7 +298,7 @@
 	c.snaps = 2
 	c.mu.Unlock()
 	c.start(behind)
-	c.agree(2*keepBehind, 1, 2, 3)
+	c.agree(2*keepBehind+1, 1, 2, 3)
 }
 
 // A voter is gone for good: another learns the log, takes its place, and the council stands the loss of a further one. The one
--- a/internal/fleet/log/store.go
+++ b/internal/fleet/log/store.go
@@ -105,7 +105,7 @@
 	for _, s := range founders {
 		cs.Voters = append(cs.Voters, s.ID)
 	}
-	state, err := json.Marshal(agreement.Record{Council: founders, NextSeat: uint64(len(founders)) + 1})
+	state, err := json.Marshal(agreement.Record{Revision: 1, Council: founders, NextSeat: uint64(len(founders)) + 1})
 	return &raftpb.Snapshot{Data: state, Metadata: &raftpb.SnapshotMetadata{ConfState: cs, Index: proto.Uint64(1), Term: proto.Uint64(1)}}, err
 }
 
