--- a/internal/fleet/log/log.go
+++ b/internal/fleet/log/log.go
@@ -78,6 +78,7 @@
 	queue    []chan<- error // wait for the next question to the other voters
 	reads    []chan<- error // and for the answer to the one that is out
 	asked    uint64
+	askedAt  time.Time
 	confirms []confirmed
 	waits    map[string]chan<- error // proposals, by their entries' ids
 	loading  map[uint64]int          // ticks for which a voter's snapshot has been on its way
@@ -251,6 +252,7 @@
 		case <-ticker.C:
 			l.node.Tick()
 			l.look()
+			l.read()
 		case text := <-l.in:
 			m := &raftpb.Message{}
 			if proto.Unmarshal(text, m) != nil || m.GetTo() != l.o.Seat || m.GetFrom() == 0 {
@@ -361,12 +363,14 @@
 }
 
 // read asks the other voters whether this one leads, once for all that wait. One question is out at a time: raft repeats it
-// with its heartbeats until a majority has answered. Who comes meanwhile waits for the next.
+// with its heartbeats until a majority has answered. Who comes meanwhile waits for the next, which comes no sooner than a
+// tick behind the last: each costs a call to and from every voter, and 300 dispatchers ask all the time.
 func (l *Log) read() {
-	if len(l.reads) > 0 || len(l.queue) == 0 {
+	if len(l.reads) > 0 || len(l.queue) == 0 || time.Since(l.askedAt) < tickEvery-tickEvery/10 {
 		return
 	}
 	l.reads, l.queue = l.queue, nil
+	l.askedAt = time.Now()
 	l.asked++
 	l.node.ReadIndex(binary.BigEndian.AppendUint64(nil, l.asked))
 }
