--- a/internal/faults/link.go
+++ b/internal/faults/link.go
@@ -16,6 +16,7 @@
 	CutFrom bool          // nothing that the one who is called says does
 	Delay   time.Duration // of each piece, one way
 	Spread  time.Duration // and up to so much more
+	Slow    bool          // a few bytes at a time
 	Reorder time.Duration // new connections are passed on after up to so long, so that later ones overtake
 }
 
@@ -199,7 +200,7 @@
 			if k.hold(from, to, cut) != nil {
 				return
 			}
-			if _, err := to.Write(buf[:n]); err != nil {
+			if k.write(to, buf[:n]) != nil {
 				return
 			}
 		}
@@ -209,6 +210,30 @@
 	}
 }
 
+// write writes a piece, a few bytes at a time where the link is slow.
+func (k *Link) write(to net.Conn, text []byte) error {
+	for len(text) > 0 {
+		k.mu.Lock()
+		slow := k.state.Slow && !k.over
+		k.mu.Unlock()
+		n := len(text)
+		if slow {
+			n = min(n, slowPiece)
+			time.Sleep(slowEvery)
+		}
+		if _, err := to.Write(text[:n]); err != nil {
+			return err
+		}
+		text = text[n:]
+	}
+	return nil
+}
+
+const (
+	slowPiece = 64 // bytes
+	slowEvery = 20 * time.Millisecond
+)
+
 // hold waits out a piece's delay, and a cut; behind a cut its connection is of no use any more.
 func (k *Link) hold(from, to net.Conn, cut func(State) bool) error {
 	k.mu.Lock()
--- a/internal/faults/process.go
+++ b/internal/faults/process.go
@@ -74,6 +74,8 @@
 		f.link(e.Process, State{CutTo: !e.Reverse, CutFrom: e.Reverse})
 	case Delayed:
 		f.link(e.Process, State{Delay: 50 * time.Millisecond, Spread: 250 * time.Millisecond})
+	case Slow:
+		f.link(e.Process, State{Slow: true})
 	case Reorder:
 		f.link(e.Process, State{Reorder: 400 * time.Millisecond})
 	case Split:
@@ -216,5 +218,5 @@
 	from, to := f.all[ends[0]].state, f.all[ends[1]].state
 	apart := f.split[ends[0]] != f.split[ends[1]]
 	f.links[ends].Set(State{CutTo: apart || from.CutTo || to.CutFrom, CutFrom: apart || from.CutFrom || to.CutTo,
-		Delay: max(from.Delay, to.Delay), Spread: max(from.Spread, to.Spread), Reorder: max(from.Reorder, to.Reorder)})
+		Delay: max(from.Delay, to.Delay), Spread: max(from.Spread, to.Spread), Reorder: max(from.Reorder, to.Reorder), Slow: from.Slow || to.Slow})
 }
--- a/internal/faults/schedule.go
+++ b/internal/faults/schedule.go
@@ -20,6 +20,7 @@
 	Blank   Kind = "blank"    // the same, and its disk is lost
 	Flap    Kind = "flapping" // its links are cut and healed ten times a second
 	Reorder Kind = "reorder"  // new connections to and from it overtake each other
+	Slow    Kind = "slow"     // its links pass some 3 kB a second
 	Pace    Kind = "pace"     // killed, and started with a clock that runs as much faster or slower as is allowed for
 
 	// Not drawn, only played where a scenario says so.
@@ -32,7 +33,7 @@
 
 // Kinds are those that are drawn.
 func Kinds() []Kind {
-	return []Kind{Cut, OneWay, Delayed, Resets, Freeze, Kill, Blank, Flap, Reorder, Pace}
+	return []Kind{Cut, OneWay, Delayed, Resets, Freeze, Kill, Blank, Flap, Reorder, Slow, Pace}
 }
 
 // Event is a fault of one process.
