--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -53,4 +53,6 @@
 #   seat      = 1
 #   directory = "/var/lib/brassdale/fleet"
 #   bound     = "2s"
+#   replace   = "30s"
+#   rules     = "rules.hcl"
 # }
--- a/internal/fleet/log/log_test.go
+++ b/internal/fleet/log/log_test.go
@@ -379,6 +379,49 @@
 	}
 }
 
+// A voter whose disk fails ends rather than give its word; the others go on, and with its file again it catches up. A file
+// whose end was torn off is not opened: what it promised is not known.
+func TestDiskFault(t *testing.T) {
+	c := newCouncil(t, 3)
+	c.change(announce(0))
+	lead, _ := c.leader()
+	c.mu.Lock()
+	l, end := c.seats[lead], c.ends[lead]
+	c.mu.Unlock()
+	l.store.db.Close() // as a disk that takes nothing more
+	ctx, stop := context.WithDeadline(context.Background(), time.Now().Add(10*time.Second))
+	defer stop()
+	if err := l.Propose(ctx, agreement.Entry{ID: "f1", Force: 1}); err == nil {
+		t.Error("it gave its word without a disk")
+	}
+	if err := <-end; err == nil {
+		t.Error("it ended without a fault")
+	}
+	c.mu.Lock()
+	c.seats[lead] = nil
+	c.mu.Unlock()
+	c.change(agreement.Entry{ID: "f1 again", Force: 1})
+	c.start(lead)
+	c.change(announce(1))
+	c.agree(4, 1, 2, 3)
+
+	c.stop(lead)
+	path := Path(c.dirs[lead], uint64(lead))
+	for _, left := range []int64{1, 4096, 9000} {
+		if err := os.Truncate(path, left); err != nil {
+			t.Fatal(err)
+		}
+		torn, err := Open(Options{Seat: uint64(lead), Founders: founders(3), Directory: c.dirs[lead], Log: slog.New(slog.NewTextHandler(io.Discard, nil))})
+		if err == nil {
+			torn.store.db.Close()
+			t.Errorf("a file of %d bytes was opened", left)
+		}
+		if err := os.Truncate(path, 32768); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
 // A founder's file says with whom the council was founded, from then on.
 func TestFounder(t *testing.T) {
 	dir := t.TempDir()
