--- /dev/null
+++ b/internal/decisions/failover/plan.go
@@ -0,0 +1,167 @@
+package failover
+
+import (
+	"math"
+	"slices"
+)
+
+// Part is a share of what arrives that is served in a zone.
+type Part struct {
+	Zone  string  `json:"zone"`
+	Share float64 `json:"share"`
+}
+
+// Plan says for each zone of arrival and class where its jobs are served. What the parts lack of 1 is shed where it arrives.
+// A zone or class that it does not name is served in its own zone.
+type Plan struct {
+	Number uint64                       `json:"number"`
+	Parts  map[string]map[string][]Part `json:"parts"`
+	Why    map[string]string            `json:"why,omitempty"` // by zone, for people
+}
+
+// parts gives an entry.
+func (p *Plan) parts(zone, class string) []Part {
+	if p != nil {
+		if all, ok := p.Parts[zone][class]; ok {
+			return all
+		}
+	}
+	return []Part{{zone, 1}}
+}
+
+// Share gives how much of what arrives a zone serves.
+func (p *Plan) Share(from, class, to string) float64 {
+	for _, part := range p.parts(from, class) {
+		if part.Zone == to {
+			return part.Share
+		}
+	}
+	return 0
+}
+
+// Choose gives the zone for a job, by a number from 0 to 1 that is the job's own: the same plan gives the same zone, and a
+// plan that moves a little moves few jobs. It is not ok where the job is shed.
+func (p *Plan) Choose(from, class string, own float64) (zone string, ok bool) {
+	for _, part := range p.parts(from, class) {
+		if own < part.Share {
+			return part.Zone, true
+		}
+		own -= part.Share
+	}
+	return "", false
+}
+
+// planOf makes a plan of a flow.
+func planOf(demands []Demand, zones []Zone, f Flow) *Plan {
+	p := &Plan{Parts: map[string]map[string][]Part{}}
+	for i, d := range demands {
+		if d.Work <= tiny {
+			continue
+		}
+		parts := []Part{}
+		for j, z := range zones {
+			if share := f.Served[i][j] / d.Work; share > 1e-6 {
+				parts = append(parts, Part{z.Name, math.Min(share, 1)})
+			}
+		}
+		if p.Parts[d.Zone] == nil {
+			p.Parts[d.Zone] = map[string][]Part{}
+		}
+		// The own zone first, then by name: what a job's own number gives then moves least from plan to plan.
+		slices.SortFunc(parts, func(a, b Part) int {
+			switch {
+			case a.Zone == d.Zone:
+				return -1
+			case b.Zone == d.Zone:
+				return 1
+			case a.Zone < b.Zone:
+				return -1
+			}
+			return 1
+		})
+		p.Parts[d.Zone][d.Class] = parts
+	}
+	return p
+}
+
+// Load gives the work that a plan has each zone serve.
+func (p *Plan) Load(demands []Demand) map[string]float64 {
+	load := map[string]float64{}
+	for _, d := range demands {
+		for _, part := range p.parts(d.Zone, d.Class) {
+			load[part.Zone] += d.Work * part.Share
+		}
+	}
+	return load
+}
+
+// Mixed gives the most that each zone may get while some dispatchers act on one plan and others on the next.
+func Mixed(a, b *Plan, demands []Demand) map[string]float64 {
+	load := map[string]float64{}
+	for _, d := range demands {
+		for _, zone := range zonesOf(a.parts(d.Zone, d.Class), b.parts(d.Zone, d.Class)) {
+			load[zone] += d.Work * max(a.Share(d.Zone, d.Class, zone), b.Share(d.Zone, d.Class, zone))
+		}
+	}
+	return load
+}
+
+func zonesOf(a, b []Part) (zones []string) {
+	for _, part := range append(slices.Clone(a), b...) {
+		if !slices.Contains(zones, part.Zone) {
+			zones = append(zones, part.Zone)
+		}
+	}
+	return zones
+}
+
+// Apart is the most by which a share of two plans differs, over what is asked for.
+func Apart(a, b *Plan, demands []Demand) (most float64) {
+	for _, d := range demands {
+		if d.Work <= tiny {
+			continue
+		}
+		for _, zone := range zonesOf(a.parts(d.Zone, d.Class), b.parts(d.Zone, d.Class)) {
+			most = max(most, math.Abs(a.Share(d.Zone, d.Class, zone)-b.Share(d.Zone, d.Class, zone)))
+		}
+	}
+	return most
+}
+
+// Between gives the plan so far on the way from one to another, from 0 to 1. Where both are safe it is.
+func Between(a, b *Plan, demands []Demand, far float64) *Plan {
+	p := &Plan{Parts: map[string]map[string][]Part{}}
+	for _, d := range demands {
+		from, to := a.parts(d.Zone, d.Class), b.parts(d.Zone, d.Class)
+		parts := []Part{}
+		for _, zone := range zonesOf(to, from) {
+			if share := (1-far)*a.Share(d.Zone, d.Class, zone) + far*b.Share(d.Zone, d.Class, zone); share > 1e-6 {
+				parts = append(parts, Part{zone, share})
+			}
+		}
+		if p.Parts[d.Zone] == nil {
+			p.Parts[d.Zone] = map[string][]Part{}
+		}
+		p.Parts[d.Zone][d.Class] = parts
+	}
+	return p
+}
+
+// Without gives a plan with nothing to zones that are out for whom they are out, and nothing put in its place: what may be
+// done at once, by everybody alone.
+func (p *Plan) Without(demands []Demand, ways Ways) *Plan {
+	q := &Plan{Parts: map[string]map[string][]Part{}}
+	for _, d := range demands {
+		if q.Parts[d.Zone] == nil {
+			q.Parts[d.Zone] = map[string][]Part{}
+		}
+		parts := []Part{}
+		for _, part := range p.parts(d.Zone, d.Class) {
+			if _, ok := ways(d.Zone, part.Zone, d.Class); ok {
+				parts = append(parts, part)
+			}
+		}
+		q.Parts[d.Zone][d.Class] = parts
+	}
+	return q
+}
