Failover in the model: zones lost, cut one way, far; four ways to decide; jobs bound to zones

The module takes the zones that a job may use with the job; the model has regions, faults of zones, a council that plans by reports half a second old, and counts worth by second and the peak of each zone. Seen first: a planner that weighed answered against unanswered calls found a loss after 4.4 to 8.7 s, as a dispatcher that gets no answer sends no more, so that the ratio froze. It goes by when a zone last answered and what was asked for since.

--- a/brain/api.go
+++ b/brain/api.go
@@ -120,6 +120,7 @@
 	Expires Clock
 	Work    time.Duration // rough hint of its work; 0 when not told
 	Key     uint64        // what it needs at a worker: jobs of one key belong together; 0 when not told
+	Within  uint64        // zones that it may be sent to, a bit for each number; 0 for all
 }
 
 // Outcome is how an attempt ended.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -451,7 +451,7 @@
 // may tells whether the rules let the request go to the worker at all.
 func (d *Dispatcher) may(r *request, w *worker) bool {
 	c := &r.set.Classes[r.class]
-	if !w.listed || w.out || c.Kind >= 0 && c.Kind != w.Kind {
+	if !w.listed || w.out || r.away(w.Zone) || c.Kind >= 0 && c.Kind != w.Kind {
 		return false
 	}
 	for i := range r.attempts {
@@ -504,7 +504,7 @@
 	r := &request{
 		id: e.ID, set: d.set, class: class, slots: e.Slots, key: e.Key,
 		hint: max(e.Work, 0), expires: e.Expires, seq: d.seq,
-		born: d.now,
+		born: d.now, within: e.Within,
 	}
 	// A repeat has less time left than a first try; one with very little is an impatient client's.
 	if left > c.span/2 {
--- a/brain/state.go
+++ b/brain/state.go
@@ -93,11 +93,15 @@
 	slots          float64
 	key            uint64
 	hint           time.Duration
-	born, expires  Clock // born: when its client first asked
+	born, expires  Clock  // born: when its client first asked
+	within         uint64 // zones, a bit for each number; 0 for all
 	attempts       []attempt
 	done, streamed bool // done: final answer given, or nothing owed
 }
 
+// away tells whether a zone is none of those that the request may be sent to.
+func (r *request) away(zone int) bool { return r.within != 0 && r.within>>uint(zone&63)&1 == 0 }
+
 type classState struct {
 	scale float64 // mean run time, per unit of hint or in seconds
 	usual float64 // the same as a mean of logarithms, which few long jobs do not sway
--- a/internal/decisions/failover/planner.go
+++ b/internal/decisions/failover/planner.go
@@ -23,12 +23,18 @@
 
 // Sight is what a dispatcher saw of a zone with jobs of a class, lately.
 type Sight struct {
-	To      string  `json:"to"`
-	Class   string  `json:"class"`
-	Tried   float64 `json:"tried"`   // calls, and probes where the class is empty
-	Reached float64 `json:"reached"` // of them those that anybody answered
-	InTime  float64 `json:"in_time"` // of those reached
-	Full    float64 `json:"full"`    // of those reached: turned away
+	To     string  `json:"to"`
+	Class  string  `json:"class"`
+	Ended  float64 `json:"ended"`   // calls that anybody answered
+	InTime float64 `json:"in_time"` // of those
+	Full   float64 `json:"full"`    // of those: turned away
+}
+
+// Hearing is when a dispatcher last had an answer of a zone, to a call or a probe.
+type Hearing struct {
+	To         string        `json:"to"`
+	Since      time.Duration `json:"since"`      // then
+	Unanswered int           `json:"unanswered"` // calls and probes since then
 }
 
 // Asked is what came to a dispatcher, a second.
@@ -43,6 +49,7 @@
 	Dispatcher string             `json:"dispatcher"`
 	Zone       string             `json:"zone"`
 	Sights     []Sight            `json:"sights,omitempty"`
+	Heard      []Hearing          `json:"heard,omitempty"`
 	Asked      []Asked            `json:"asked,omitempty"`
 	Capacity   map[string]float64 `json:"capacity,omitempty"` // slots by zone, by its list, cold boxes at what they can do now
 }
@@ -77,10 +84,22 @@
 	at Clock
 }
 
+// says gives a dispatcher's word on a way: bad where nothing was answered for a while though it was asked for, fine where
+// something was. A zone that is too full to begin jobs answers probes, and that it is full: that is no way that is out.
+func (h Hearing) says() (bad, any bool) {
+	switch {
+	case h.Unanswered >= unanswered && h.Since >= SilentAfter:
+		return true, true
+	case h.Since < fineFor:
+		return false, true
+	}
+	return false, false
+}
+
 const (
 	reportsLast = 3 * time.Second // an older report says nothing of now
-	fewTries    = 3               // of a dispatcher: fewer say nothing
-	reachedLess = 0.5             // of its tries, and it says that a way is out
+	unanswered  = 2               // calls or probes
+	fineFor     = 2 * time.Second // an older answer says nothing
 	lateLess    = 0.5             // of a zone's answers in time, and it has less capacity than it seems
 	lateFactor  = 0.9             // a second
 	fineFactor  = 0.05            // a second, back
@@ -103,6 +122,10 @@
 // Hear takes a report in.
 func (p *Planner) Hear(r Report, now Clock) { p.reports[r.Dispatcher] = heard{r, now} }
 
+func sane(s Sight) bool {
+	return s.Ended >= 0 && s.InTime >= 0 && s.Full >= 0 && !math.IsInf(s.Ended+s.InTime+s.Full, 0)
+}
+
 // Hold has a zone get no more than a share of its capacity, by people's word; 1 ends that.
 func (p *Planner) Hold(zone string, share float64) {
 	if p.held[zone] = share; share >= 1 {
@@ -235,29 +258,24 @@
 	seen := map[way]tally{}
 	inTime := map[[2]string][2]float64{} // by zone and class: in time, of those reached and not turned away
 	for _, h := range p.reports {
-		tried := map[string][2]float64{}
 		for _, s := range h.Sights {
-			if !(s.Tried >= 0) || !(s.Reached >= 0) || !(s.InTime >= 0) || !(s.Full >= 0) || math.IsInf(s.Tried+s.Reached+s.InTime+s.Full, 0) {
-				continue
-			}
-			t := tried[s.To]
-			tried[s.To] = [2]float64{t[0] + s.Tried, t[1] + min(s.Reached, s.Tried)}
-			if s.Class != "" {
+			if sane(s) && s.Class != "" {
 				k := [2]string{s.To, s.Class}
-				inTime[k] = [2]float64{inTime[k][0] + min(s.InTime, s.Reached), inTime[k][1] + max(s.Reached-s.Full, 0)}
+				inTime[k] = [2]float64{inTime[k][0] + min(s.InTime, s.Ended), inTime[k][1] + max(s.Ended-s.Full, 0)}
 			}
 		}
-		for to, t := range tried {
-			if t[0] < fewTries {
+		for _, x := range h.Heard {
+			bad, any := x.says()
+			if !any {
 				continue
 			}
-			y := seen[way{h.Zone, to, ""}]
-			if t[1]/t[0] < reachedLess {
+			y := seen[way{h.Zone, x.To, ""}]
+			if bad {
 				y.bad++
 			} else {
 				y.fine++
 			}
-			seen[way{h.Zone, to, ""}] = y
+			seen[way{h.Zone, x.To, ""}] = y
 		}
 	}
 	for w, y := range seen {
--- a/internal/emulator/box.go
+++ b/internal/emulator/box.go
@@ -72,6 +72,9 @@
 	zone    int  // of the dispatcher
 	report  *brain.Report
 
+	beganAt   time.Duration // when its dispatcher heard so
+	sentAt    time.Duration
+	silent    bool // counted as one that nobody has answered
 	connected bool // it has a connection
 }
 
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -103,10 +103,14 @@
 
 // between is a way from a dispatcher's zone to a box or back.
 func (w *world) between(zone int, b *box, chance *rand.Rand) time.Duration {
+	way := time.Duration(float64(w.s.Network.Cross) * (0.9 + 0.2*chance.Float64()))
 	if zone == b.zone {
-		return w.delay(chance)
+		way = w.delay(chance)
 	}
-	return time.Duration(float64(w.s.Network.Cross) * (0.9 + 0.2*chance.Float64()))
+	if times := w.far[b.zone]; times > 0 {
+		way = time.Duration(float64(way) * times)
+	}
+	return way
 }
 
 // connect gives how much longer a job's way to a box is for want of a connection that stands idle; not ok where the box
--- a/internal/emulator/dispatcher.go
+++ b/internal/emulator/dispatcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"brassdale/brain"
+	"brassdale/internal/decisions/failover"
 )
 
 // Policy decides, as the module does: events in, actions out. The actions are read before the next call.
@@ -20,6 +21,9 @@
 	policy     Policy
 	open       map[brain.RequestID]*open
 	told       map[brain.WorkerID]time.Duration // of which start of a box
+	watcher    *failover.Watcher                // nil where nobody plans
+	plan       *failover.Plan
+	listedAs   map[brain.WorkerID]brain.WorkerInfo
 	subscribed bool
 	chance     *rand.Rand
 }
@@ -89,7 +93,12 @@
 	d.open[id] = &open{job: j, expires: expires}
 	d.w.audit.asked(uint64(id), d.w.class(j))
 	d.w.after(expires-d.w.now, func() { d.expired(id) })
-	d.feed(brain.Arrived{ID: id, Class: j.class, Slots: float64(j.slots), Work: j.hint, Key: uint64(j.subject), Expires: expires})
+	within, ok := d.guided(j)
+	if !ok { // shed where it arrives
+		d.w.after(0, func() { d.answer(id, refused, time.Duration((0.5+d.chance.Float64())*float64(time.Second))) })
+		return
+	}
+	d.feed(brain.Arrived{ID: id, Class: j.class, Slots: float64(j.slots), Work: j.hint, Key: uint64(j.subject), Expires: expires, Within: within})
 }
 
 // expired ends what is out when a client gives up.
@@ -115,7 +124,7 @@
 	b := d.w.byID[a.Worker]
 	attempt := len(o.runs)
 	r := &run{job: o.job, attempt: attempt, from: d, work: o.job.work, zone: d.zone}
-	r.box = a.Worker
+	r.box, r.sentAt = a.Worker, d.w.now
 	o.runs, o.out = append(o.runs, r), append(o.out, true)
 	o.left++
 	if o.answered || d.w.now >= o.expires || attempt >= d.w.s.Rules.MaxAttempts || b == nil {
@@ -135,7 +144,8 @@
 	}
 	d.w.audit.sent(d.w.now, d.n, uint64(a.ID), b.id, b.bay, b.zone)
 	d.w.after(more+d.w.between(d.zone, b, d.chance), func() {
-		if !r.over {
+		if !r.over && !d.cutOff(b) {
+			d.w.pushedAt(b, r.work)
 			b.take(r)
 		}
 	})
@@ -158,6 +168,7 @@
 	if out == brain.Served || out == brain.Full {
 		report = r.report
 	}
+	d.saw(r, o, out)
 	if out == brain.Served {
 		d.answer(id, served, 0)
 	}
@@ -167,12 +178,22 @@
 
 // started, over, knows and way make it an origin of attempts.
 func (d *dispatcher) started(r *run) {
+	if d.cutOff(d.w.boxOf(r)) {
+		return
+	}
 	if o := d.open[r.id]; o != nil && o.out[r.attempt] {
+		if r.beganAt = d.w.now; d.watcher != nil {
+			d.watcher.Heard(d.w.zoneName(d.w.boxOf(r).zone), d.w.now)
+		}
 		d.feed(brain.Began{ID: r.id, Attempt: r.attempt, Worker: r.box})
 	}
 }
 
-func (d *dispatcher) over(r *run, o brain.Outcome)          { d.ended(r.id, r.attempt, o) }
+func (d *dispatcher) over(r *run, o brain.Outcome) {
+	if !d.cutOff(d.w.boxOf(r)) { // else nothing of it is heard before the client gives up
+		d.ended(r.id, r.attempt, o)
+	}
+}
 func (d *dispatcher) knows(id brain.WorkerID) time.Duration { return d.told[id] }
 func (d *dispatcher) way() *rand.Rand                       { return d.chance }
 
@@ -199,6 +220,9 @@
 func (d *dispatcher) listed(kind brain.ListKind, ws []brain.WorkerInfo) {
 	for _, w := range ws {
 		d.w.audit.told(d.w.now, d.n, w.ID, w.State)
+		if d.listedAs != nil {
+			d.listedAs[w.ID] = w
+		}
 		d.told[w.ID] = max(d.told[w.ID], w.Since)
 	}
 	d.feed(brain.Listed{Kind: kind, Workers: ws})
@@ -212,13 +236,24 @@
 	answer := func(o brain.Outcome, r *brain.Report) {
 		if !over {
 			over = true
+			if d.watcher != nil {
+				if o == brain.Served {
+					d.watcher.Heard(d.w.zoneName(b.zone), d.w.now)
+				} else {
+					d.watcher.Silent(d.w.zoneName(b.zone), d.w.now)
+				}
+			}
 			d.feed(brain.Probed{Worker: id, Outcome: o, Report: r})
 		}
 	}
 	d.w.after(probeWithin, func() { answer(brain.TimedOut, nil) })
 	d.w.after(d.w.between(d.zone, b, d.chance), func() {
 		b.probe(func(o brain.Outcome, r *brain.Report) {
-			d.w.after(d.w.between(d.zone, b, d.chance), func() { answer(o, r) })
+			d.w.after(d.w.between(d.zone, b, d.chance), func() {
+				if !d.cutOff(b) {
+					answer(o, r)
+				}
+			})
 		})
 	})
 }
--- a/internal/emulator/result.go
+++ b/internal/emulator/result.go
@@ -27,6 +27,11 @@
 	Accounts   []AccountResult
 	Breaches   []Breach
 	Notes      []string
+
+	Seconds     []second      // by when jobs were asked for
+	ZonePeak    float64       // most work that came to a zone over some seconds, of what it could do
+	PlanChanges int           // where zones are planned
+	Moved, Back time.Duration // until nothing was planned into a lost zone, and until it had its share again
 }
 
 // AccountResult is what came of an account's jobs.
@@ -44,6 +49,10 @@
 			r.WorstClass = min(r.WorstClass, t.good/t.asked)
 		}
 	}
+	r.Seconds, r.ZonePeak = w.seconds, w.peak()
+	if f := w.failover; f != nil {
+		r.PlanChanges, r.Moved, r.Back = f.changes, f.moved, f.back
+	}
 	asked, good := 0.0, 0.0
 	for i, t := range w.tallies {
 		r.Jobs, r.Served, r.Late, r.Refused, r.Failed = r.Jobs+t.jobs, r.Served+t.served, r.Late+t.late, r.Refused+t.refused, r.Failed+t.failed
--- a/internal/emulator/world.go
+++ b/internal/emulator/world.go
@@ -30,6 +30,12 @@
 	byClass     []tally
 	burst, tail float64
 
+	failover *council
+	apart    map[[2]int]int // faults between a zone's dispatchers and another's boxes
+	far      map[int]float64
+	perZone  []zoneTally
+	seconds  []second
+
 	sends, probes, crossings int
 	worked, wasted           float64
 	speed                    float64 // sum over served jobs of work by time
@@ -90,6 +96,7 @@
 		w.after(0, func() { d.listed(brain.ListSaved, w.list()) })
 	}
 	w.troubles()
+	w.plans()
 	w.after(warmUp, w.arrive)
 	if s.LiveWeights {
 		w.after(weighEvery, w.weigh)
@@ -109,6 +116,7 @@
 	w.lines = make([][]*job, s.Traffic.Users)
 	w.clients, w.drawn, w.burst = w.source(1), w.source(3), 1
 	w.kinds = s.Traffic.classes()
+	w.apart, w.far, w.perZone = map[[2]int]int{}, map[int]float64{}, make([]zoneTally, max(s.Network.Zones, 1))
 	w.byClass = make([]tally, len(w.kinds))
 	w.store = &queueOf{w: w, slots: s.Store.Slots}
 	chance := w.source(2)
@@ -326,6 +334,7 @@
 		defer w.nextOf(j)
 	}
 	w.count(&w.tallies[j.account], v, j, w.now-j.asked)
+	w.countAt(j, v)
 	if v == served && w.inTime(j, w.now-j.asked) {
 		w.byClass[j.class].good += w.value(j)
 	}
@@ -369,6 +378,10 @@
 		w.after(f.For, func() { w.tail = 0 })
 		return
 	}
+	if f.Kind >= ZoneLost {
+		w.befallZone(f)
+		return
+	}
 	if f.Kind == ListDown || f.Kind == ListHung {
 		w.unlisted(f.Kind, 1)
 		w.after(f.For, func() { w.unlisted(f.Kind, -1) })
