--- a/internal/decisions/agreement/agreement.go
+++ b/internal/decisions/agreement/agreement.go
@@ -21,6 +21,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"brassdale/internal/decisions/failover"
 )
 
 // Clock is a point in time of one process: since an epoch of its own, never moved back.
@@ -128,14 +130,16 @@
 
 // Record is what the fleet has agreed on. The council's log makes it, entry by entry; everybody has it as of some revision.
 type Record struct {
-	Era       uint64       `json:"era,omitempty"` // goes up where a council is made anew without its majority
-	Revision  uint64       `json:"revision"`      // entries that changed it
-	InForce   Version      `json:"in_force"`
-	Announced *Version     `json:"announced,omitempty"`
-	History   []Version    `json:"history,omitempty"`   // those that were in force, the newest last
-	Withdrawn []Withdrawal `json:"withdrawn,omitempty"` // the newest last
-	Council   []Seat       `json:"council,omitempty"`
-	NextSeat  uint64       `json:"next_seat,omitempty"` // no number is used twice
+	Era       uint64         `json:"era,omitempty"` // goes up where a council is made anew without its majority
+	Revision  uint64         `json:"revision"`      // entries that changed it
+	InForce   Version        `json:"in_force"`
+	Announced *Version       `json:"announced,omitempty"`
+	History   []Version      `json:"history,omitempty"`   // those that were in force, the newest last
+	Withdrawn []Withdrawal   `json:"withdrawn,omitempty"` // the newest last
+	Council   []Seat         `json:"council,omitempty"`
+	Plan      *failover.Plan `json:"plan,omitempty"`      // where zones' jobs are served; nil where nobody plans
+	Holds     []Hold         `json:"holds,omitempty"`     // zones that people hold at a share of their capacity
+	NextSeat  uint64         `json:"next_seat,omitempty"` // no number is used twice
 }
 
 // Withdrawal is a version that was announced and given up.
@@ -144,6 +148,15 @@
 	Why     string  `json:"why"`
 }
 
+// Hold is a zone that people hold at a share of its capacity; 0 drains it.
+type Hold struct {
+	Zone  string  `json:"zone"`
+	Share float64 `json:"share"` // 1 lets it go
+	By    string  `json:"by"`
+	Why   string  `json:"why"`
+	Force bool    `json:"force,omitempty"` // though there is no room elsewhere
+}
+
 // Newer tells whether a record is newer than another.
 func (r Record) Newer(o Record) bool {
 	return r.Era > o.Era || r.Era == o.Era && r.Revision > o.Revision
@@ -151,13 +164,15 @@
 
 // Entry is a command in the council's log.
 type Entry struct {
-	ID       string   `json:"id"`                 // of the proposer's choice
-	Announce *Version `json:"announce,omitempty"` // Number is the one that it follows; it gets the next
-	Force    uint64   `json:"force,omitempty"`    // the number of the announced version
-	Withdraw uint64   `json:"withdraw,omitempty"` // the same: it is given up
-	Widen    uint64   `json:"widen,omitempty"`    // the same: its trial is over, all keep to it
-	Why      string   `json:"why,omitempty"`      // of a withdrawal
-	Council  []Seat   `json:"council,omitempty"`  // who sits in the council from now on
+	ID       string         `json:"id"`                 // of the proposer's choice
+	Announce *Version       `json:"announce,omitempty"` // Number is the one that it follows; it gets the next
+	Force    uint64         `json:"force,omitempty"`    // the number of the announced version
+	Withdraw uint64         `json:"withdraw,omitempty"` // the same: it is given up
+	Widen    uint64         `json:"widen,omitempty"`    // the same: its trial is over, all keep to it
+	Why      string         `json:"why,omitempty"`      // of a withdrawal
+	Council  []Seat         `json:"council,omitempty"`  // who sits in the council from now on
+	Plan     *failover.Plan `json:"plan,omitempty"`     // the next one
+	Hold     *Hold          `json:"hold,omitempty"`
 }
 
 // The reasons for which an entry changes nothing.
@@ -166,6 +181,7 @@
 	ErrBase     = errors.New("it does not follow the version in force")
 	ErrNone     = errors.New("no such version is announced")
 	ErrTrial    = errors.New("its trial is not over")
+	ErrHold     = errors.New("a hold names a zone and a share from 0 to 1")
 )
 
 // Apply gives the record behind an entry. Where it gives an error the record is as it was.
@@ -185,6 +201,19 @@
 		v := *e.Announce
 		v.Number++
 		next.Announced = &v
+	case e.Plan != nil:
+		if r.Plan != nil && e.Plan.Number <= r.Plan.Number {
+			return r, ErrBase
+		}
+		next.Plan = e.Plan
+	case e.Hold != nil:
+		if e.Hold.Zone == "" || !(e.Hold.Share >= 0 && e.Hold.Share <= 1) {
+			return r, ErrHold
+		}
+		next.Holds = slices.DeleteFunc(slices.Clone(r.Holds), func(h Hold) bool { return h.Zone == e.Hold.Zone })
+		if e.Hold.Share < 1 {
+			next.Holds = append(next.Holds, *e.Hold)
+		}
 	case e.Council != nil:
 		next.Council = e.Council
 		for _, seat := range e.Council {
--- a/internal/decisions/agreement/lease.go
+++ b/internal/decisions/agreement/lease.go
@@ -101,6 +101,7 @@
 	Seat     uint64 `json:"seat,omitempty"`  // in which it votes, or learns
 	Ended    uint64 `json:"ended,omitempty"` // jobs, since its start
 	Bad      uint64 `json:"bad,omitempty"`   // of them refused or failed
+	Plan     uint64 `json:"plan,omitempty"`  // the number of the plan that it acts on
 }
 
 type member struct {
@@ -161,6 +162,16 @@
 	return len(waits) == 0, waits
 }
 
+// Planned tells whether all that hold leases act on a plan, or know a newer one.
+func (c *Council) Planned(plan uint64, now Clock) bool {
+	for _, m := range c.members {
+		if now < m.at+c.lease && m.Plan < plan {
+			return false
+		}
+	}
+	return true
+}
+
 // Present are the dispatchers that hold leases, by name.
 func (c *Council) Present(now Clock) (all []Member) {
 	for _, m := range c.members {
--- a/internal/decisions/failover/planner.go
+++ b/internal/decisions/failover/planner.go
@@ -1,7 +1,6 @@
 package failover
 
 import (
-	"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -133,6 +132,9 @@
 	}
 }
 
+// Regions are the zones' regions by zone.
+func (p *Planner) Regions() map[string]string { return p.zones }
+
 // Plan is the one that was made last.
 func (p *Planner) Plan() *Plan { return p.plan }
 
@@ -169,6 +171,10 @@
 		if most := p.s.Step * min((now-p.at).Seconds(), 1); apart > most {
 			next = Between(p.plan, target, demands, most/apart)
 		}
+		// While some act on the last plan and others on this one no zone gets more than all of it.
+		for far := 0.5; far > 0.05 && !p.mixes(next, zones, demands); far /= 2 {
+			next = Between(p.plan, next, demands, far)
+		}
 	}
 	next.Why = why
 	if p.plan != nil {
@@ -182,6 +188,36 @@
 	return next, true
 }
 
+// mixes tells whether the last plan and the next, mixed, keep within all zones.
+func (p *Planner) mixes(next *Plan, zones []Zone, demands []Demand) bool {
+	most := Mixed(p.plan, next, demands)
+	for _, z := range zones {
+		if most[z.Name] > max(z.Capacity, p.plan.Load(demands)[z.Name])+tiny {
+			return false
+		}
+	}
+	return true
+}
+
+// Room tells how much work a second is shed now, and how much would be with a zone at a share of its capacity.
+func (p *Planner) Room(zone string, share float64, now Clock) (shed, then float64) {
+	zones, demands := p.world(now)
+	ways := func(from, to, class string) (float64, bool) { return p.s.Distance(from, to), !p.out(from, to, class) }
+	sum := func() (all float64) {
+		for _, x := range Solve(zones, demands, ways, p.s.Headroom).Shed {
+			all += x
+		}
+		return all
+	}
+	shed = sum()
+	for i := range zones {
+		if zones[i].Name == zone {
+			zones[i].Capacity *= share
+		}
+	}
+	return shed, sum()
+}
+
 func sameText(a, b map[string]string) bool { return maps.Equal(a, b) }
 
 // world is the zones and what is asked for.
@@ -374,68 +410,6 @@
 	return false
 }
 
-// why gives the reasons that people see, by zone. They name causes, not figures that move: a new figure is no new plan.
-func (p *Planner) why(zones []Zone, demands []Demand, target *Plan) map[string]string {
-	why := map[string]string{}
-	for _, z := range zones {
-		var says []string
-		if share, ok := p.held[z.Name]; ok {
-			says = append(says, fmt.Sprintf("held at %g of its capacity", share))
-		}
-		if p.lost(z.Name) {
-			says = append(says, "lost for most zones")
-		}
-		var from []string
-		for _, o := range zones {
-			if s := p.ways[way{o.Name, z.Name, ""}]; s != nil && s.out && !p.lost(z.Name) {
-				from = append(from, o.Name)
-			}
-		}
-		if len(from) > 0 {
-			says = append(says, "not reached from "+strings.Join(from, ", "))
-		}
-		classes := map[string]bool{}
-		returning := false
-		for w, s := range p.ways {
-			if w.to == z.Name && w.class != "" && s.out {
-				classes[w.class] = true
-			}
-			returning = returning || w.to == z.Name && w.class == "" && !s.out && s.relapses > 0
-		}
-		for _, c := range slices.Sorted(maps.Keys(classes)) {
-			says = append(says, "answers no "+c)
-		}
-		if p.factor[z.Name] < 0.7 {
-			says = append(says, "late")
-		}
-		if returning {
-			says = append(says, "filled step by step")
-		}
-		shed, crosses := false, false
-		for _, d := range demands {
-			if d.Zone != z.Name {
-				continue
-			}
-			sum := 0.0
-			for _, part := range target.parts(d.Zone, d.Class) {
-				sum += part.Share
-				crosses = crosses || part.Zone != z.Name && part.Share > leastMove
-			}
-			shed = shed || sum < 1-leastMove
-		}
-		if crosses {
-			says = append(says, "more than it has room for goes elsewhere")
-		}
-		if shed {
-			says = append(says, "what is worth least is shed here")
-		}
-		if len(says) > 0 {
-			why[z.Name] = strings.Join(says, "; ")
-		}
-	}
-	return why
-}
-
 func median(xs []float64) float64 {
 	xs = slices.DeleteFunc(slices.Clone(xs), func(x float64) bool { return !(x >= 0) || math.IsInf(x, 0) })
 	if len(xs) == 0 {
--- /dev/null
+++ b/internal/decisions/failover/why.go
@@ -0,0 +1,115 @@
+package failover
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// View is what the planner makes of a zone.
+type View struct {
+	Zone     string   `json:"zone"`
+	Region   string   `json:"region"`
+	Capacity float64  `json:"capacity"` // slots, as it is planned with
+	Planned  float64  `json:"planned"`  // slots' work that the plan has it serve
+	Asked    float64  `json:"asked"`    // that comes there
+	Shed     float64  `json:"shed"`     // of what comes there
+	Factor   float64  `json:"factor"`   // of its capacity that its times bear out
+	OutFrom  []string `json:"out_from,omitempty"`
+	Why      string   `json:"why,omitempty"`
+}
+
+// Views gives it for all zones, by name.
+func (p *Planner) Views(now Clock) (all []View) {
+	zones, demands := p.world(now)
+	load := p.plan.Load(demands)
+	for _, z := range zones {
+		v := View{Zone: z.Name, Region: z.Region, Capacity: z.Capacity, Planned: load[z.Name], Factor: 1}
+		if f, ok := p.factor[z.Name]; ok {
+			v.Factor = f
+		}
+		for _, d := range demands {
+			if d.Zone == z.Name {
+				v.Asked += d.Work
+				served := 0.0
+				for _, part := range p.plan.parts(d.Zone, d.Class) {
+					served += part.Share
+				}
+				v.Shed += d.Work * max(1-served, 0)
+			}
+		}
+		for _, o := range zones {
+			if p.out(o.Name, z.Name, "") {
+				v.OutFrom = append(v.OutFrom, o.Name)
+			}
+		}
+		if p.plan != nil {
+			v.Why = p.plan.Why[z.Name]
+		}
+		all = append(all, v)
+	}
+	return all
+}
+
+// why gives the reasons that people see, by zone. They name causes, not figures that move: a new figure is no new plan.
+func (p *Planner) why(zones []Zone, demands []Demand, target *Plan) map[string]string {
+	why := map[string]string{}
+	for _, z := range zones {
+		var says []string
+		if share, ok := p.held[z.Name]; ok {
+			says = append(says, fmt.Sprintf("held at %g of its capacity", share))
+		}
+		if p.lost(z.Name) {
+			says = append(says, "lost for most zones")
+		}
+		var from []string
+		for _, o := range zones {
+			if s := p.ways[way{o.Name, z.Name, ""}]; s != nil && s.out && !p.lost(z.Name) {
+				from = append(from, o.Name)
+			}
+		}
+		if len(from) > 0 {
+			says = append(says, "not reached from "+strings.Join(from, ", "))
+		}
+		classes := map[string]bool{}
+		returning := false
+		for w, s := range p.ways {
+			if w.to == z.Name && w.class != "" && s.out {
+				classes[w.class] = true
+			}
+			returning = returning || w.to == z.Name && w.class == "" && !s.out && s.relapses > 0
+		}
+		for _, c := range slices.Sorted(maps.Keys(classes)) {
+			says = append(says, "answers no "+c)
+		}
+		if p.factor[z.Name] < 0.7 {
+			says = append(says, "late")
+		}
+		if returning {
+			says = append(says, "filled step by step")
+		}
+		shed, crosses := false, false
+		for _, d := range demands {
+			if d.Zone != z.Name {
+				continue
+			}
+			sum := 0.0
+			for _, part := range target.parts(d.Zone, d.Class) {
+				sum += part.Share
+				crosses = crosses || part.Zone != z.Name && part.Share > leastMove
+			}
+			shed = shed || sum < 1-leastMove
+		}
+		if crosses {
+			says = append(says, "more than it has room for goes elsewhere")
+		}
+		if shed {
+			says = append(says, "what is worth least is shed here")
+		}
+		if len(says) > 0 {
+			why[z.Name] = strings.Join(says, "; ")
+		}
+	}
+	return why
+}
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -41,7 +41,7 @@
 // virtual tells whether a scenario has any of it.
 func (s *Scenario) virtual() bool {
 	sized := slices.ContainsFunc(s.Faults, func(f Fault) bool { return f.Kind == Burst || f.Kind == HeavyTail })
-	return sized || len(s.Traffic.Classes) > 0 || s.Traffic.Hints || s.Traffic.Memory > 0 || s.Network.Zones > 1 || s.Network.Handshake > 0 ||
+	return sized || len(s.Traffic.Classes) > 0 || s.Traffic.Hints || s.Traffic.Memory > 0 || s.Network.Handshake > 0 ||
 		s.LiveWeights || s.Queue > 0 || s.Pushed || s.Keeps || s.Reports.Answers
 }
 
--- a/internal/emulator/play.go
+++ b/internal/emulator/play.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -136,6 +137,25 @@
 	return <-got
 }
 
+// Load is what has come to the boxes.
+type Load struct {
+	Sends, Crossings int
+	Peak             float64 // most work that came to a zone over some seconds, of what it could do
+}
+
+// Load gives it.
+func (k *Works) Load() Load {
+	got := make(chan Load, 1)
+	k.w.post(func() { got <- Load{k.w.sends, k.w.crossings, k.w.peak()} })
+	return <-got
+}
+
+// InTime tells whether an answer so long after the client asked counts, by the job's result, which says its work.
+func (s *Scenario) InTime(result string, after time.Duration) bool {
+	work, err := strconv.ParseFloat(result, 64)
+	return err == nil && after.Seconds() <= s.Traffic.Aim.Seconds()+s.Traffic.Stretch*work
+}
+
 // Boxes are the works' boxes.
 func (k *Works) Boxes() (ids []brain.WorkerID) {
 	for _, b := range k.w.boxes {
--- a/internal/emulator/registry.go
+++ b/internal/emulator/registry.go
@@ -204,7 +204,7 @@
 		if since >= 0 && e.at <= since || since < 0 && e.info.State == brain.Gone {
 			continue
 		}
-		m := member{ID: string(id), HostPort: d.gates[id].address, Locality: "llanelli", Flavor: d.works.w.s.Kinds[e.info.Kind].Name,
+		m := member{ID: string(id), HostPort: d.gates[id].address, Locality: d.works.zones()[e.info.Zone], Flavor: d.works.w.s.Kinds[e.info.Kind].Name,
 			Cell: e.info.Cell, Phase: phaseNames[e.info.State], Size: e.info.Weight}
 		if e.info.Since > 0 {
 			m.UpSinceMS = d.works.begin.Add(e.info.Since - epoch).UnixMilli()
--- a/internal/emulator/works.go
+++ b/internal/emulator/works.go
@@ -41,6 +41,7 @@
 type Door struct {
 	works  *Works
 	n      int
+	zone   int
 	listen net.Listener // of discovery
 	server *http.Server
 	gates  map[brain.WorkerID]*gate
@@ -73,7 +74,7 @@
 func Open(s Scenario) (*Works, error) {
 	w, err := newWorld(&s)
 	if err == nil && s.virtual() {
-		err = errors.New("classes, zones, memory, connections, live weights, bounded queues, pushed lists, reports in answers, bursts and heavy tails are played in virtual time only")
+		err = errors.New("classes, memory, connections, live weights, bounded queues, pushed lists, reports in answers, bursts and heavy tails are played in virtual time only")
 	}
 	if err != nil {
 		return nil, err
@@ -104,6 +105,7 @@
 			d.fail(w.down > 0, w.hung > 0)
 		}
 	})
+	w.after(0, w.able)
 	go func() {
 		defer close(k.ended)
 		w.live(ctx, epoch, k.begin, k.sync)
@@ -131,7 +133,7 @@
 func (k *Works) Troubles() { k.w.post(k.w.troubles) }
 
 func (k *Works) door(n int) (*Door, error) {
-	d := &Door{works: k, n: n, gates: map[brain.WorkerID]*gate{}, told: map[brain.WorkerID]time.Duration{}, chance: k.w.source(uint64(100 + n)),
+	d := &Door{works: k, n: n, zone: n % max(k.w.s.Network.Zones, 1), gates: map[brain.WorkerID]*gate{}, told: map[brain.WorkerID]time.Duration{}, chance: k.w.source(uint64(100 + n)),
 		entries: map[brain.WorkerID]entry{}, news: make(chan struct{})}
 	var err error
 	if err = d.listens(); err != nil {
@@ -210,8 +212,8 @@
 	k.w.post(func() {
 		k.w.probes++
 		g.b.probe(func(o brain.Outcome, report *brain.Report) {
-			if o == brain.Served {
-				k.w.after(k.w.delay(g.door.chance), func() { answer <- report })
+			if o == brain.Served && !g.cutOff() {
+				k.w.after(2*k.w.between(g.door.zone, g.b, g.door.chance), func() { answer <- report })
 			}
 		})
 	})
@@ -229,9 +231,16 @@
 	says chan string // lines, with room for all of a run's; empty for the end of the connection
 }
 
-func (x *exchange) started(*run) { x.says <- `"state":"started"` }
+func (x *exchange) started(*run) {
+	if !x.g.cutOff() {
+		x.says <- `"state":"started"`
+	}
+}
 func (x *exchange) over(r *run, o brain.Outcome) {
 	k := x.g.door.works
+	if x.g.cutOff() { // nothing of it is heard
+		return
+	}
 	k.w.audit.ended(uint64(r.id), r.attempt, o)
 	if o == brain.Served {
 		x.says <- fmt.Sprintf(`"state":"done","result":"%.3f"`, r.work)
@@ -250,7 +259,7 @@
 	}
 	x := &exchange{g, make(chan string, 4)}
 	j := k.w.s.jobOf(r.Header.Get("Idempotency-Key"))
-	a := &run{job: j, box: g.b.id, from: x, work: j.work}
+	a := &run{job: j, box: g.b.id, from: x, work: j.work, zone: g.door.zone}
 	k.w.post(func() { k.take(a, id, g) })
 	flush := http.NewResponseController(w)
 	w.Header().Set("Content-Type", "application/json")
@@ -286,9 +295,13 @@
 	a.id, a.attempt = brain.RequestID(q.id), q.sends
 	q.sends++
 	k.w.sends++
+	if g.b.zone != g.door.zone {
+		k.w.crossings++
+	}
 	k.w.audit.sent(k.w.now, g.door.n, q.id, g.b.id, g.b.bay, g.b.zone)
-	k.w.after(k.w.delay(g.door.chance), func() {
-		if !a.over {
+	k.w.after(k.w.between(g.door.zone, g.b, g.door.chance), func() {
+		if !a.over && !g.cutOff() {
+			k.w.pushedAt(g.b, a.work)
 			g.b.take(a)
 		}
 	})
@@ -323,12 +336,12 @@
 	settings := object{
 		"classes": []object{{"aim": micros(c.Aim), "credit": c.Worth, "deadline": micros(c.Deadline), "dedupScope": "cell", "effect": effect,
 			"lateWorth": 0, "name": className, "stream": false, "window": micros(c.Window)}},
-		"countedBy": "work", "discovery": "ask", "flavors": kinds, "zones": []string{"llanelli"},
+		"prices": object{"crossZone": s.Network.CrossPrice}, "countedBy": "work", "discovery": "ask", "flavors": kinds, "zones": k.zones(),
 		"familyInfo": object{"classKind": []int{-1}, "classStretch": []float64{c.Stretch}, "progress": 0, "tellsStart": true},
 		"limits": object{"cancel": m.MayCancel, "connIdle": 10_000_000, "connectTimeout": 200_000, "maxAttempts": m.MaxAttempts,
 			"maxRetryAfter": micros(m.MaxRetryAfter), "mayDuplicate": m.MayCopy, "probing": true, "retryAfter": true},
 		"loadReport": object{"columns": []string{"cpu_share", "pending", "x0", "x1"}, "via": "pull"},
-		"locality":   0, "ordinal": n, "replicasOfMe": s.Dispatchers,
+		"locality":   d.zone, "ordinal": n, "replicasOfMe": s.Dispatchers,
 		"rules": object{"answerSlack": micros(m.AnswerSlack), "askWithin": micros(m.AskWithin), "cold": micros(m.Cold), "drainGrace": micros(s.Rules.DrainGrace),
 			"fall": micros(m.Fall), "startCapacity": m.StartCapacity, "tipMultiple": m.TipMultiple},
 	}
@@ -340,5 +353,19 @@
 		"seed": fmt.Sprintf("%016x", s.Seed), "limits": object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": known, "settings": settings}, "", " ")
 }
 
+// zones are their names.
+func (k *Works) zones() (names []string) {
+	if k.w.s.Network.Zones < 2 {
+		return []string{"llanelli"}
+	}
+	for z := range k.w.s.Network.Zones {
+		names = append(names, k.w.zoneName(z))
+	}
+	return names
+}
+
+// cutOff tells whether nothing goes between the door's dispatcher and the box.
+func (g *gate) cutOff() bool { return g.door.works.w.apart[[2]int{g.door.zone, g.b.zone}] > 0 }
+
 // className is the one class of a scenario's jobs.
 const className = "price-part"
--- /dev/null
+++ b/internal/failover/guide.go
@@ -0,0 +1,209 @@
+// Package failover has a dispatcher act on the fleet's plan of zones: it says to which zone a job may go, counts what becomes
+// of calls, and reports it. What is planned decisions/failover decides at the council's leader.
+package failover
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/decisions/failover"
+	"brassdale/internal/protocol"
+	"brassdale/internal/routing"
+)
+
+// Guide is the dispatcher's part. It is routing's Guide.
+type Guide struct {
+	params *protocol.Live
+
+	mu      sync.Mutex
+	watcher *failover.Watcher
+	zone    string // of the dispatcher
+	boxes   map[brain.WorkerID]brain.WorkerInfo
+	plan    *failover.Plan
+	alone   bool
+	now     brain.Clock
+	keys    map[uint64]kept // zones of keys whose window is not over
+	swept   brain.Clock
+	shed    int
+}
+
+type kept struct {
+	zone  string
+	until brain.Clock
+}
+
+var _ routing.Guide = (*Guide)(nil)
+
+// New makes it for a dispatcher.
+func New(name string, p *protocol.Live) *Guide {
+	g := &Guide{params: p, boxes: map[brain.WorkerID]brain.WorkerInfo{}, keys: map[uint64]kept{}}
+	s := p.Now()
+	g.zone = zoneName(s, s.Locality)
+	g.watcher = failover.NewWatcher(name, g.zone, 0)
+	return g
+}
+
+func zoneName(p *protocol.Params, zone int) string {
+	if zone >= 0 && zone < len(p.Zones) {
+		return p.Zones[zone]
+	}
+	return ""
+}
+
+// Follow has a plan acted on from now on; alone tells that this dispatcher has been cut off from the council for too long to
+// trust it: it serves near only.
+func (g *Guide) Follow(p *failover.Plan, alone bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.plan, g.alone = p, alone
+}
+
+// Shed counts the jobs that the plan had refused where they arrived.
+func (g *Guide) Shed() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.shed
+}
+
+// Listed takes news of the boxes.
+func (g *Guide) Listed(now brain.Clock, l brain.Listed) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.now = now
+	if l.Kind == brain.ListFull || l.Kind == brain.ListSaved {
+		clear(g.boxes)
+	}
+	for _, w := range l.Workers {
+		g.boxes[w.ID] = w
+	}
+}
+
+const (
+	leastAway = 500 * time.Millisecond // for which a client that is shed is told to stay away
+	sweepEach = time.Second
+)
+
+// Arrived says to which zones a job may be sent, a bit for each number; not ok where it is shed here, and for how long its
+// client should stay away. Jobs of an idempotency key keep their zone for the window in which a repeat is dropped.
+func (g *Guide) Arrived(now brain.Clock, class, key string) (within uint64, away time.Duration, ok bool) {
+	p := g.params.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.now = now
+	worth, window := 1.0, time.Duration(0)
+	if i, known := p.Class(class); known {
+		worth, window = p.Classes[i].Credit, p.Classes[i].Window.Span()
+	}
+	g.watcher.Asked(class, worth)
+	zone, ok := g.zone, true
+	if g.plan != nil && !g.alone {
+		own, hash := rand.Float64(), uint64(0)
+		if key != "" {
+			h := fnv.New64a()
+			h.Write([]byte(key))
+			hash = h.Sum64() * 0x9e3779b97f4a7c15
+			own = float64(hash>>11) / (1 << 53)
+		}
+		was, had := g.keys[hash]
+		if had = had && hash != 0 && now < was.until; had {
+			zone = was.zone
+		} else if zone, ok = g.plan.Choose(g.zone, class, own); !ok {
+			g.shed++
+			return 0, leastAway + time.Duration(rand.Float64()*float64(3*leastAway)), false
+		}
+		if hash != 0 && window > 0 && !had {
+			g.keys[hash] = kept{zone, now + window}
+		}
+		if now-g.swept > sweepEach {
+			g.swept = now
+			for k, x := range g.keys {
+				if now >= x.until {
+					delete(g.keys, k)
+				}
+			}
+		}
+	}
+	for i, z := range p.Zones {
+		if z == zone {
+			return 1 << uint(i&63), 0, true
+		}
+	}
+	return 0, 0, true
+}
+
+// at gives the zone of a box.
+func (g *Guide) at(id brain.WorkerID) string { return zoneName(g.params.Now(), g.boxes[id].Zone) }
+
+// Began notes that a box has begun a job.
+func (g *Guide) Began(now brain.Clock, id brain.WorkerID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.now = now
+	g.watcher.Heard(g.at(id), now)
+}
+
+// Ended counts a call: how long its job waited at the box and ran; silent where nobody answered.
+func (g *Guide) Ended(now brain.Clock, id brain.WorkerID, class string, o brain.Outcome, took, ran time.Duration) {
+	p := g.params.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.now = now
+	switch o {
+	case brain.NeverSent:
+	case brain.Cancelled:
+		if ran == 0 && took >= failover.SilentAfter/4 {
+			g.watcher.Silent(g.at(id), now)
+		}
+	case brain.TimedOut, brain.NoConnect, brain.Reset:
+		g.watcher.Silent(g.at(id), now)
+	default:
+		inTime := o == brain.Served
+		if i, known := p.Class(class); known {
+			inTime = inTime && took <= p.Classes[i].Aim.Span()+time.Duration(p.Classes[i].AimStretch*float64(ran))
+		}
+		g.watcher.Ended(g.at(id), class, o == brain.Full, inTime, ran, now)
+	}
+}
+
+// Silent counts a call of which there was no sign for a while.
+func (g *Guide) Silent(now brain.Clock, id brain.WorkerID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.watcher.Silent(g.at(id), now)
+}
+
+// Probed counts a probe.
+func (g *Guide) Probed(id brain.WorkerID, o brain.Outcome) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch o {
+	case brain.Served:
+		g.watcher.Heard(g.at(id), g.now)
+	case brain.NeverSent:
+	default:
+		g.watcher.Silent(g.at(id), g.now)
+	}
+}
+
+// Report gives what was seen since the last one. Sizes in the list are taken for slots.
+func (g *Guide) Report() *failover.Report {
+	p := g.params.Now()
+	cold, start := p.Rules.Cold.Span(), p.Rules.StartCapacity
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	capacity := map[string]float64{}
+	for _, b := range g.boxes {
+		if b.State == brain.Ready {
+			age := cold
+			if b.Since > 0 {
+				age = g.now - b.Since
+			}
+			capacity[zoneName(p, b.Zone)] += failover.Capacity(b.Weight, start, age, cold)
+		}
+	}
+	r := g.watcher.Report(g.now, capacity)
+	return &r
+}
--- a/internal/faults/file.go
+++ b/internal/faults/file.go
@@ -8,6 +8,7 @@
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 
 	"brassdale/internal/diag"
+	"brassdale/internal/emulator"
 )
 
 // File is a scenario of a fleet as an operator writes it.
@@ -19,15 +20,39 @@
 	Span      string       `hcl:"span"`
 	Every     string       `hcl:"every,optional"`   // between faults, on average; left out: there are none
 	Longest   string       `hcl:"longest,optional"` // fault
-	Rate      float64      `hcl:"rate"`             // jobs a second
+	Rate      float64      `hcl:"rate,optional"`    // jobs a second; by the load where there are towns
 	Proposals string       `hcl:"proposals,optional"`
 	Faults    []string     `hcl:"faults,optional"`  // kinds; all where left out
 	Replace   string       `hcl:"replace,optional"` // so long a seat may be silent
 	Older     int          `hcl:"older,optional"`   // processes of an older build
 	Events    []EventFile  `hcl:"event,block"`      // in place of drawn faults
 	Release   *ReleaseFile `hcl:"release,block"`
+	Towns     *TownsFile   `hcl:"towns,block"`
 }
 
+// TownsFile are zones in it.
+type TownsFile struct {
+	Zones    int         `hcl:"zones"`
+	Regions  int         `hcl:"regions"`
+	Boxes    int         `hcl:"boxes"`
+	Load     float64     `hcl:"load"`
+	Headroom float64     `hcl:"headroom"`
+	ReturnIn string      `hcl:"return_in"`
+	Faults   []ZoneFault `hcl:"fault,block"`
+}
+
+// ZoneFault is one of a zone.
+type ZoneFault struct {
+	Kind string  `hcl:"kind,label"` // lost, apart or far
+	At   string  `hcl:"at"`
+	For  string  `hcl:"for"`
+	Zone int     `hcl:"zone"` // from 1
+	From int     `hcl:"from,optional"`
+	Size float64 `hcl:"size,optional"`
+}
+
+var zoneFaults = map[string]emulator.Trouble{"lost": emulator.ZoneLost, "apart": emulator.Apart, "far": emulator.Far}
+
 // EventFile is an event in it.
 type EventFile struct {
 	At      string `hcl:"at"`
@@ -118,6 +143,21 @@
 			bad("event", "There is no kind %q, or no process %d.", e.Kind, e.Process)
 		}
 	}
+	if t := f.Towns; t != nil {
+		p.Towns = &Towns{Zones: t.Zones, Regions: t.Regions, Boxes: t.Boxes, Load: t.Load, Plans: true, Headroom: t.Headroom, Faults: make([]emulator.Fault, len(t.Faults))}
+		spans = append(spans, span{&p.Towns.ReturnIn, "towns", t.ReturnIn})
+		for i, x := range t.Faults {
+			kind, ok := zoneFaults[x.Kind]
+			p.Towns.Faults[i] = emulator.Fault{Kind: kind, Zone: x.Zone, From: x.From, Size: x.Size, Share: 1}
+			spans = append(spans, span{&p.Towns.Faults[i].At, "towns", x.At}, span{&p.Towns.Faults[i].For, "towns", x.For})
+			if !ok || x.Zone < 1 || x.Zone > t.Zones || x.From < 0 || x.From > t.Zones {
+				bad("towns", "There is no fault %q, or no zone %d or %d.", x.Kind, x.Zone, x.From)
+			}
+		}
+		if t.Zones < 2 || t.Regions < 1 || t.Regions > t.Zones || t.Boxes < t.Zones || !(t.Load > 0) || !(t.Headroom >= 0 && t.Headroom < 1) {
+			bad("towns", "There must be zones in regions, a box for each, a load above 0 and a headroom from 0 to less than 1.")
+		}
+	}
 	for _, d := range spans {
 		span, err := time.ParseDuration(d.text)
 		if err != nil || span <= 0 {
@@ -128,7 +168,7 @@
 	if f.Voters != 0 && f.Voters != 1 && f.Voters != 3 && f.Voters != 5 || f.Voters > f.Processes {
 		bad("voters", "There must be 0, 1, 3 or 5, and no more than processes.")
 	}
-	if f.Rate <= 0 {
+	if f.Rate <= 0 && f.Towns == nil {
 		bad("rate", "It must be above 0.")
 	}
 	if faulty && len(f.Faults) == 0 {
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -32,6 +32,7 @@
 	Release           *Release      // nil for none
 	Replace           time.Duration // a silent seat's
 	Events            []Event       // in place of drawn ones
+	Towns             *Towns        // nil for one zone
 	Older             int           // of the processes, the last ones, are of an older build
 }
 
@@ -53,8 +54,9 @@
 	Breaches         []string       `json:"breaches,omitempty"`
 	Versions         uint64         `json:"versions"` // that came in force
 	Withdrawn        int            `json:"withdrawn,omitempty"`
-	Cost             *Cost          `json:"cost,omitempty"`          // of the fleet's own calls, without faults
-	Seats            []uint64       `json:"seats,omitempty"`         // of the council at the end
+	Cost             *Cost          `json:"cost,omitempty"`  // of the fleet's own calls, without faults
+	Seats            []uint64       `json:"seats,omitempty"` // of the council at the end
+	Towns            *TownsResult   `json:"failover,omitempty"`
 	RefusedOlder     int            `json:"refused_older,omitempty"` // proposals that older builds could not have read
 	InForceP50MS     float64        `json:"in_force_p50_ms"`
 	InForceP99MS     float64        `json:"in_force_p99_ms"`
@@ -93,15 +95,16 @@
 // play is a plan being played.
 type play struct {
 	Plan
-	ctx    context.Context
-	works  *emulator.Works
-	binary string
-	dir    string
-	voters []string
-	ats    []string         // the processes' councils' addresses
-	links  map[[2]int]*Link // from a process to another
-	split  map[int]bool     // who is on one side of a split
-	client *http.Client
+	ctx      context.Context
+	works    *emulator.Works
+	scenario emulator.Scenario
+	binary   string
+	dir      string
+	voters   []string
+	ats      []string         // the processes' councils' addresses
+	links    map[[2]int]*Link // from a process to another
+	split    map[int]bool     // who is on one side of a split
+	client   *http.Client
 
 	mu  sync.Mutex
 	all []*process
@@ -115,12 +118,16 @@
 	if p.Release != nil {
 		p.Release.works(&s)
 	}
+	if p.Towns != nil {
+		p.Towns.works(&s)
+		p.Rate = s.Traffic.Rate
+	}
 	works, err := emulator.Open(s)
 	if err != nil {
 		return nil, err
 	}
 	defer works.Close()
-	f := &play{Plan: p, ctx: ctx, works: works, binary: binary, dir: dir, links: map[[2]int]*Link{},
+	f := &play{Plan: p, scenario: s, ctx: ctx, works: works, binary: binary, dir: dir, links: map[[2]int]*Link{},
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 		r: &Result{Seed: p.Seed, Processes: p.Processes, Faults: map[string]int{}, BoundMS: float64(p.Bound.Milliseconds()),
 			announced: map[uint64]time.Time{}, force: map[uint64]time.Time{}}}
@@ -174,6 +181,9 @@
 	f.r.Begin = time.Now()
 	begin, end := f.r.Begin, f.r.Begin.Add(f.Span)
 	before := f.cost()
+	if f.Towns != nil {
+		f.works.Troubles()
+	}
 	var wait sync.WaitGroup
 	var failed error
 	for _, e := range f.r.Events {
@@ -261,7 +271,7 @@
 	f.mu.Unlock()
 	ctx, stop := context.WithDeadline(f.ctx, sent.Add(jobWithin+500*time.Millisecond))
 	defer stop()
-	status := 0
+	status, result := 0, ""
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s", node.Address, emulator.ClassName), strings.NewReader("drawing"))
 	if err == nil {
 		id := fmt.Sprintf("%016x%016x", f.Seed, n)
@@ -271,14 +281,16 @@
 		}
 		var resp *http.Response
 		if resp, err = f.client.Do(r); err == nil {
-			_, err = io.Copy(io.Discard, resp.Body)
+			var text []byte
+			text, err = io.ReadAll(resp.Body)
 			resp.Body.Close()
-			status = resp.StatusCode
+			status, result = resp.StatusCode, string(text)
 		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.r.Jobs++
+	f.count(sent, err == nil && status == http.StatusOK && f.scenario.InTime(result, time.Since(sent)))
 	switch {
 	case err == nil:
 		f.r.AnsweredOnce++
@@ -354,6 +366,7 @@
 		r.Away, r.Logs = append(r.Away, x.away), append(r.Logs, x.logs+x.node.Log())
 	}
 	f.known()
+	f.towns()
 	contradiction, lapsed := Apart(r.Stands)
 	r.ContradictionMS, r.LapsedApartMS = float64(contradiction.Milliseconds()), float64(lapsed.Milliseconds())
 	asked := f.works.Asked()
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -18,6 +18,7 @@
 	"github.com/google/renameio/v2"
 
 	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/decisions/failover"
 	"brassdale/internal/fleet/membership"
 )
 
@@ -34,6 +35,10 @@
 	Zone     string                     // where its settings say none
 	Apply    func(agreement.Stand)      // is told of each change of what may be acted on; must not block
 	Jobs     func() (ended, bad uint64) // since the start; bad are those refused or failed
+
+	Failover *Failover                  // nil where nobody plans
+	Report   func() *failover.Report    // what this dispatcher saw of zones since the last one
+	Planned  func(*failover.Plan, bool) // is told of each plan, and whether this dispatcher is cut off from it for too long; must not block
 	Log      *slog.Logger
 }
 
@@ -61,6 +66,9 @@
 	founder *agreement.Founder // what this dispatcher's file says, while it founds or has founded
 	leads   *agreement.Council // nil while it does not lead
 	trying  *agreement.Trying  // nil while it leads no trial
+	planner *failover.Planner  // nil while it does not lead
+	planned string             // what was said of plans
+	planAt  agreement.Clock    // when the leader looks for another one
 	turn    int                // seats that were asked in vain, one after the other
 	heard   bool               // a whole record was got since the start
 	last    string             // what was applied
@@ -255,6 +263,25 @@
 		a.log.Info("acting on", "versions", fmt.Sprint(s.Versions), "lapsed", s.Lapsed, "at_ms", time.Now().UnixMilli())
 		a.Apply(s)
 	}
+	a.settlePlan(s.Lapsed)
+}
+
+// settlePlan has a plan acted on, where it is another, or where the lease has been gone for too long; a.mu is held.
+func (a *Agent) settlePlan(lapsed bool) {
+	if a.Failover == nil {
+		return
+	}
+	patience, _ := time.ParseDuration(a.Failover.Alone)
+	alone := lapsed && a.now() >= a.holder.Until()+patience
+	plan, number := a.holder.Record().Plan, uint64(0)
+	if plan != nil {
+		number = plan.Number
+	}
+	if text := fmt.Sprint(number, alone); text != a.planned {
+		a.planned = text
+		a.log.Info("plan", "number", number, "alone", alone, "at_ms", time.Now().UnixMilli())
+		a.Planned(plan, alone)
+	}
 }
 
 // learned takes a record in that came without a lease.
--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/decisions/failover"
 	councillog "brassdale/internal/fleet/log"
 )
 
@@ -167,7 +168,7 @@
 func (a *Agent) stand(why string) {
 	a.mu.Lock()
 	s := a.seat
-	a.seat, a.leads, a.trying = nil, nil, nil
+	a.seat, a.leads, a.trying, a.planner = nil, nil, nil, nil
 	a.mu.Unlock()
 	if s == nil {
 		return
@@ -244,9 +245,13 @@
 // elected is told by the log. A new leader begins without knowing of any lease.
 func (a *Agent) elected(leads bool) {
 	a.mu.Lock()
-	a.leads, a.trying = nil, nil
+	a.leads, a.trying, a.planner = nil, nil, nil
 	if leads {
 		a.leads = agreement.NewCouncil(a.lease, a.now())
+		if a.Failover != nil {
+			s, regions := a.Failover.planner()
+			a.planner = failover.NewPlanner(s, regions, a.holder.Record().Plan, a.now())
+		}
 	}
 	a.mu.Unlock()
 	a.log.Info("council", "leads", leads)
@@ -286,12 +291,16 @@
 
 // due gives the entry whose time has come.
 func (a *Agent) due(s *seat, leads *agreement.Council) (agreement.Entry, bool) {
-	v := s.log.Record().Announced
+	r := s.log.Record()
+	v := r.Announced
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if e, ok := a.plans(r, leads); ok {
+		return e, true
+	}
 	if v == nil {
 		return agreement.Entry{}, false
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	if v.Trial != nil {
 		if a.trying == nil || a.trying.Version() != v.Number {
 			a.trying = agreement.NewTrying(v.Number, a.now())
@@ -308,6 +317,91 @@
 	return agreement.Entry{ID: rand.Text(), Force: v.Number}, may
 }
 
+// planEvery is how often the leader looks whether another plan is called for.
+const planEvery = 250 * time.Millisecond
+
+// plans gives the next plan, once all that hold leases act on the last: two plans at a time are in use, and no more; a.mu is
+// held.
+func (a *Agent) plans(r agreement.Record, leads *agreement.Council) (agreement.Entry, bool) {
+	last := uint64(0)
+	if r.Plan != nil {
+		last = r.Plan.Number
+	}
+	if a.planner == nil || a.now() < a.planAt || !leads.Planned(last, a.now()) {
+		return agreement.Entry{}, false
+	}
+	a.planAt = a.now() + planEvery
+	for zone := range a.planner.Regions() {
+		share := 1.0
+		for _, h := range r.Holds {
+			if h.Zone == zone {
+				share = h.Share
+			}
+		}
+		a.planner.Hold(zone, share)
+	}
+	if p, made := a.planner.Next(a.now()); made {
+		a.log.Info("plan made", "number", p.Number, "why", fmt.Sprint(p.Why))
+		return agreement.Entry{ID: rand.Text(), Plan: p}, true
+	}
+	return agreement.Entry{}, false
+}
+
+// hold has a zone held at a share of its capacity, where there is room for the rest elsewhere or it is forced.
+func (a *Agent) hold(ctx context.Context, h agreement.Hold, passed bool) (answer, int) {
+	a.mu.Lock()
+	s, planner := a.seat, a.planner
+	var shed, then float64
+	known := false
+	if planner != nil {
+		shed, then = planner.Room(h.Zone, h.Share, a.now())
+		_, known = planner.Regions()[h.Zone]
+	}
+	a.mu.Unlock()
+	if planner == nil {
+		return a.toLeader(ctx, "hold", h, passed)
+	}
+	room := fmt.Sprintf("%.1f slots' work a second is shed now, %.1f with %s at %g", shed, then, h.Zone, h.Share)
+	switch {
+	case !known:
+		return answer{Why: fmt.Sprintf("there is no zone %q", h.Zone)}, http.StatusNotFound
+	case then > shed+0.5 && !h.Force:
+		return answer{Why: "no room elsewhere: " + room}, http.StatusConflict
+	}
+	by, stop := context.WithDeadline(ctx, time.Now().Add(3*callWithin))
+	defer stop()
+	if err := s.log.Propose(by, agreement.Entry{ID: rand.Text(), Hold: &h}); err != nil {
+		return answer{Why: err.Error()}, http.StatusServiceUnavailable
+	}
+	return answer{Why: room}, http.StatusOK
+}
+
+// toLeader passes on what only the leader can do.
+func (a *Agent) toLeader(ctx context.Context, what string, body any, passed bool) (answer, int) {
+	a.mu.Lock()
+	s := a.seat
+	a.mu.Unlock()
+	to := a.asks()
+	if s != nil {
+		if passed { // by one that thought this one leads
+			return answer{Why: "does not lead"}, http.StatusMisdirectedRequest
+		}
+		r, leader := s.log.Record(), s.log.Leader()
+		i := slices.IndexFunc(r.Council, func(o agreement.Seat) bool { return o.ID == leader })
+		if i < 0 || leader == s.id() {
+			return answer{Why: "nobody leads"}, http.StatusServiceUnavailable
+		}
+		to, what = r.Council[i], what+"?passed=1"
+	}
+	by, stop := context.WithDeadline(ctx, time.Now().Add(4*callWithin))
+	defer stop()
+	got, status, err := a.post(by, to.Address, what, body)
+	if err != nil {
+		return answer{Why: err.Error()}, http.StatusServiceUnavailable
+	}
+	return got, status
+}
+
 // grants gives leases to those who ask, if this seat leads. That somebody asked is noted first: a version waits for it from
 // then on. Then a majority confirms who leads, so a leader that was cut off gives none.
 func (a *Agent) grants(ctx context.Context, all []question) (answer, int) {
@@ -323,9 +417,14 @@
 			}
 			if err != nil {
 				got.Refused[q.Name] = err.Error()
-			} else if a.trying != nil {
+				continue
+			}
+			if a.trying != nil {
 				a.trying.See(q.Member)
 			}
+			if a.planner != nil && q.Report != nil {
+				a.planner.Hear(*q.Report, a.now())
+			}
 		}
 	}
 	a.mu.Unlock()
@@ -497,29 +596,7 @@
 			return answer{Why: err.Error()}, http.StatusServiceUnavailable
 		}
 	}
-	if passed { // by one that thought this one leads
-		return answer{Why: "does not lead"}, http.StatusMisdirectedRequest
-	}
-	to := a.asks()
-	if s != nil {
-		r, leader := s.log.Record(), s.log.Leader()
-		i := slices.IndexFunc(r.Council, func(o agreement.Seat) bool { return o.ID == leader })
-		if i < 0 {
-			return answer{Why: "nobody leads"}, http.StatusServiceUnavailable
-		}
-		to = r.Council[i]
-	}
-	what := "propose"
-	if s != nil {
-		what = "propose?passed=1"
-	}
-	by, stop := context.WithDeadline(ctx, time.Now().Add(4*callWithin))
-	defer stop()
-	got, status, err := a.post(by, to.Address, what, v)
-	if err != nil {
-		return answer{Why: err.Error()}, http.StatusServiceUnavailable
-	}
-	return got, status
+	return a.toLeader(ctx, "propose", v, passed)
 }
 
 // left takes a dispatcher's word that it has dropped its lease, to the leader.
--- a/internal/fleet/handler.go
+++ b/internal/fleet/handler.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/decisions/failover"
 	"brassdale/internal/fleet/membership"
 )
 
@@ -26,6 +27,8 @@
 	Waits   []string            `json:"waits,omitempty"`   // for whom an announced version waits
 	Places  []agreement.Place   `json:"places,omitempty"`  // the council's seats, where this one leads
 	Members []membership.Member `json:"members,omitempty"` // by gossip
+	Zones   []failover.View     `json:"zones,omitempty"`   // as the leader plans them
+	Alone   bool                `json:"alone,omitempty"`   // it does not trust its plan any more
 	Counts  Counts              `json:"counts"`
 }
 
@@ -42,6 +45,13 @@
 	if a.seat != nil {
 		st.Leader, st.Record, st.Places = a.seat.log.Leader(), a.seat.log.Record(), a.seat.log.Places()
 	}
+	if a.planner != nil {
+		st.Zones = a.planner.Views(a.now())
+	}
+	if a.Failover != nil {
+		patience, _ := time.ParseDuration(a.Failover.Alone)
+		st.Alone = s.Lapsed && a.now() >= a.holder.Until()+patience
+	}
 	if a.leads != nil {
 		st.Present = a.leads.Present(a.now())
 		if v := st.Record.Announced; v != nil {
@@ -92,6 +102,15 @@
 		got, status := a.propose(r.Context(), v, r.URL.Query().Get("passed") != "")
 		a.reply(w, status, got)
 	})
+	mux.HandleFunc("POST /council/hold", func(w http.ResponseWriter, r *http.Request) {
+		var h agreement.Hold
+		if err := a.decode(r, &h); err != nil || h.Zone == "" || !(h.Share >= 0 && h.Share <= 1) || a.Failover == nil {
+			a.reply(w, http.StatusBadRequest, answer{Why: "no hold of a zone"})
+			return
+		}
+		got, status := a.hold(r.Context(), h, r.URL.Query().Get("passed") != "")
+		a.reply(w, status, got)
+	})
 	mux.HandleFunc("GET /council/founder", func(w http.ResponseWriter, _ *http.Request) {
 		a.mu.Lock()
 		f := a.founder
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/decisions/failover"
 )
 
 const (
@@ -24,7 +25,8 @@
 // question asks for a lease.
 type question struct {
 	agreement.Member
-	Revision uint64 `json:"revision"` // of the record that is known; 0 for the whole record
+	Revision uint64           `json:"revision"` // of the record that is known; 0 for the whole record
+	Report   *failover.Report `json:"report,omitempty"`
 }
 
 // form is that of this build: 2 has shares in rules. What a build cannot read is refused, not guessed at.
--- a/internal/fleet/renew.go
+++ b/internal/fleet/renew.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/decisions/failover"
 )
 
 // order gives the council's seats in the order in which this dispatcher asks them; its own first.
@@ -57,11 +58,18 @@
 	if a.Jobs != nil {
 		ended, bad = a.Jobs()
 	}
+	var report *failover.Report
+	if a.Report != nil {
+		report = a.Report()
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := a.holder.Record()
-	q := question{Member: agreement.Member{Name: a.Name, Instance: a.instance, Acked: a.holder.Acknowledged(), Form: a.form, Era: r.Era,
+	q := question{Report: report, Member: agreement.Member{Name: a.Name, Instance: a.instance, Acked: a.holder.Acknowledged(), Form: a.form, Era: r.Era,
 		Address: a.address(), Region: a.s.Region, Zone: a.Zone, Seat: a.seat.id(), Ended: ended, Bad: bad}, Revision: r.Revision}
+	if r.Plan != nil {
+		q.Plan = r.Plan.Number
+	}
 	if !a.heard { // what is on file has no history
 		q.Revision = 0
 	}
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -6,10 +6,12 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"time"
 
 	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/decisions/failover"
 )
 
 // Settings are the operator's, in a block council.
@@ -27,6 +29,42 @@
 	Reach     map[string]string `hcl:"reach,optional"` // where others' addresses are reached from here, if elsewhere
 }
 
+// Failover is the operator's, in a block failover: zones' jobs are served by a plan that the council makes.
+type Failover struct {
+	Regions  []Region `hcl:"region,block"`
+	Headroom float64  `hcl:"headroom,optional"`  // of a zone's capacity that no plan may plan away
+	ReturnIn string   `hcl:"return_in,optional"` // a zone that is back is given its traffic over so long at least
+	Alone    string   `hcl:"alone,optional"`     // how long a dispatcher without a lease may act on the last plan
+	Detect   string   `hcl:"detect,optional"`    // a trouble shorter than that changes nothing
+}
+
+// Region is a part of the world with zones near each other.
+type Region struct {
+	Name  string   `hcl:"name,label"`
+	Zones []string `hcl:"zones"`
+}
+
+// DefaultFailover gives what holds where the block says nothing.
+func DefaultFailover() Failover {
+	return Failover{Headroom: 0.15, ReturnIn: "60s", Alone: "10s", Detect: "1s"}
+}
+
+// plannerStep is by how much shares move a second where nothing is out.
+const plannerStep = 0.1
+
+// planner gives its settings in the planner's terms, and the zones' regions. Zones of a region lie by their order.
+func (f *Failover) planner() (failover.Settings, map[string]string) {
+	regions, place := map[string]string{}, map[string]int{}
+	for _, r := range f.Regions {
+		for _, z := range r.Zones {
+			regions[z], place[z] = r.Name, len(place)
+		}
+	}
+	span := func(text string) time.Duration { d, _ := time.ParseDuration(text); return d }
+	return failover.Settings{Headroom: f.Headroom, ReturnIn: span(f.ReturnIn), Detect: span(f.Detect), Step: plannerStep,
+		Distance: func(from, to string) float64 { return math.Abs(float64(place[from] - place[to])) }}, regions
+}
+
 // Default gives what holds where the block says nothing.
 func Default() Settings { return Settings{Bound: "2s", Replace: "30s"} }
 
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"reflect"
 	"strings"
+	"time"
 
 	"github.com/hashicorp/hcl/v2"
 	"github.com/hashicorp/hcl/v2/gohcl"
@@ -36,6 +37,7 @@
 	Saved    *savedlist.Settings
 	Fleet    *transport.FleetSettings
 	Council  *fleet.Settings
+	Failover *fleet.Failover
 }
 
 // Keyed gives the settings of the table of keys; nil where there is none. Fronts beside the platform's need it: a key
@@ -70,6 +72,7 @@
 	{"accounts", "", readAccounts, func(f *File) any { return orNil(f.Accounts) }},
 	{"fleet", "", readFleet, func(f *File) any { return orNil(f.Fleet) }},
 	{"council", "", readCouncil, func(f *File) any { return orNil(f.Council) }},
+	{"failover", "", readFailover, func(f *File) any { return orNil(f.Failover) }},
 	{"saved_list", "", readSaved, func(f *File) any { return orNil(f.Saved) }},
 }
 
@@ -237,6 +240,34 @@
 	f.Council = &s
 }
 
+func readFailover(f *File, r *reader) {
+	s := fleet.DefaultFailover()
+	if !r.decode(&s) {
+		return
+	}
+	seen := map[string]bool{}
+	for _, region := range s.Regions {
+		for _, z := range region.Zones {
+			if z == "" || seen[z] {
+				r.badIn(r.inner("region"), "zones", "The zone %q has a region already, or no name.", z)
+			}
+			seen[z] = true
+		}
+	}
+	if len(seen) < 2 || len(seen) > 64 {
+		r.bad("region", "There must be 2 to 64 zones in regions.")
+	}
+	if !(s.Headroom >= 0 && s.Headroom < 1) {
+		r.bad("headroom", "It must be from 0 to less than 1.")
+	}
+	for name, text := range map[string]string{"return_in": s.ReturnIn, "alone": s.Alone, "detect": s.Detect} {
+		if d, err := time.ParseDuration(text); err != nil || d <= 0 {
+			r.bad(name, `%q is no duration above 0, such as "10s".`, text)
+		}
+	}
+	f.Failover = &s
+}
+
 func readSaved(f *File, r *reader) {
 	s := savedlist.Default()
 	if !r.decode(&s) {
--- a/internal/program/agreed.go
+++ b/internal/program/agreed.go
@@ -6,6 +6,7 @@
 
 	"brassdale/brain"
 	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/failover"
 	"brassdale/internal/fleet"
 	"brassdale/internal/protocol"
 )
@@ -16,10 +17,11 @@
 	agent *fleet.Agent
 
 	mu    sync.Mutex
-	out   []string // boxes that the fleet has out
-	own   float64  // the operator's own bound on further calls; below 0 for none
-	fleet float64  // and the fleet's
-	rules string   // the file that is proposed at SIGHUP; empty for none
+	out   []string        // boxes that the fleet has out
+	own   float64         // the operator's own bound on further calls; below 0 for none
+	fleet float64         // and the fleet's
+	guide *failover.Guide // nil where nobody plans zones
+	rules string          // the file that is proposed at SIGHUP; empty for none
 }
 
 // jobs counts those that ended since the start, and those of them that were refused or failed.
@@ -50,7 +52,7 @@
 }
 
 // agree makes the dispatcher's part in the fleet. It does nothing yet.
-func (d *dispatcher) agree(s *fleet.Settings, cfg *protocol.Config) (err error) {
+func (d *dispatcher) agree(s *fleet.Settings, zones *fleet.Failover, cfg *protocol.Config) (err error) {
 	a := &agreed{d: d, own: -1, fleet: -1, rules: s.Rules}
 	if d.budgeted {
 		a.own = d.retries
@@ -59,7 +61,13 @@
 	if p := &cfg.Settings; p.Locality >= 0 && p.Locality < len(p.Zones) {
 		zone = p.Zones[p.Locality]
 	}
-	if a.agent, err = fleet.New(fleet.Options{Settings: s, Name: cfg.Name, Zone: zone, Apply: a.apply, Jobs: a.jobs, Log: d.log}); err != nil {
+	o := fleet.Options{Settings: s, Name: cfg.Name, Zone: zone, Apply: a.apply, Jobs: a.jobs, Log: d.log}
+	if zones != nil {
+		a.guide = failover.New(cfg.Name, d.params)
+		d.core.Guided(a.guide)
+		o.Failover, o.Report, o.Planned = zones, a.guide.Report, a.guide.Follow
+	}
+	if a.agent, err = fleet.New(o); err != nil {
 		return err
 	}
 	d.agreed, d.budgeted = a, true
--- a/internal/program/operations.go
+++ b/internal/program/operations.go
@@ -39,6 +39,9 @@
 	if o.d.agreed != nil {
 		s := o.d.agreed.agent.Stand()
 		figures += fmt.Sprintf("repeats_denied=%d\nfleet_version=%d\nfleet_lapsed=%t\n", counted.RepeatsDenied, s.Versions[len(s.Versions)-1], s.Lapsed)
+		if g := o.d.agreed.guide; g != nil {
+			figures += fmt.Sprintf("zones_shed=%d\n", g.Shed())
+		}
 	}
 	if o.d.saved != nil {
 		figures += o.d.saved.figures()
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -217,8 +217,11 @@
 		d.limit(op.Fleet.RetryBudget)
 		d.budgeted = true
 	}
+	if op.Failover != nil && op.Council == nil {
+		return fmt.Errorf("failover: it needs a block council")
+	}
 	if op.Council != nil {
-		if err := d.agree(op.Council, cfg); err != nil {
+		if err := d.agree(op.Council, op.Failover, cfg); err != nil {
 			return fmt.Errorf("council: %w", err)
 		}
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -46,6 +46,7 @@
 	Rules     Rules
 	Work      time.Duration // a guess at its work; 0 when not told
 	Key       uint64        // what the job needs at an endpoint: jobs of one key belong together; 0 when not told
+	Repeat    string        // the key by which endpoints know a repeat; empty for none
 	Deadline  time.Time
 	Job       any // what endpoints need to know; not read here
 	Client    Client
@@ -120,12 +121,14 @@
 	timers   timers
 	budget   *retries.Budget // of further calls; nil for no bound but the module's
 	repeats  func() bool     // whether anything may be sent a second time now; nil for always
+	guide    Guide           // nil where nobody says to which zones jobs may go
 }
 
 type request struct {
 	Inbound
 	expires  brain.Clock
-	answered bool // final answer given, or the client left: nothing is owed
+	came     brain.Clock // for the guide
+	answered bool        // final answer given, or the client left: nothing is owed
 	timedOut bool
 	calls    []call
 	out      int // calls without an outcome
@@ -135,6 +138,7 @@
 	endpoint    brain.WorkerID
 	out         bool
 	sent, began brain.Clock // began is 0 until its job has
+	silent      bool        // the guide has been told that there is no sign of it
 }
 
 // Witness hears what comes from endpoints, beside the module. No method blocks.
@@ -222,6 +226,9 @@
 	if w := c.witness.Load(); w != nil {
 		(*w).Probed(id, o, r != nil)
 	}
+	if c.guide != nil {
+		c.guide.Probed(id, o)
+	}
 	c.box.Post(brain.Probed{Worker: id, Outcome: o, Report: r})
 }
 
@@ -281,6 +288,12 @@
 func (c *Core) Run(ctx context.Context) {
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
+	var look <-chan time.Time
+	if c.guide != nil {
+		ticker := time.NewTicker(SilentAfter / 4)
+		defer ticker.Stop()
+		look = ticker.C
+	}
 	for {
 		if len(c.timers) > 0 {
 			alarm.Reset(time.Until(c.clock.Time(c.timers[0].at)))
@@ -290,6 +303,7 @@
 			return
 		case <-c.box.Signal():
 		case <-alarm.C:
+		case <-look:
 		}
 		// One reading of the clock for all that has come: the module takes what is found together after
 		// a standstill of this process as one turn.
@@ -305,6 +319,9 @@
 				c.overdue(t.guard)
 			}
 		}
+		if c.guide != nil {
+			c.listen()
+		}
 		c.ledger.avoids(c.module.Avoided())
 	}
 }
@@ -315,7 +332,11 @@
 		r := &request{Inbound: m.in, expires: c.clock.At(m.in.Deadline)}
 		c.requests[m.id] = r
 		heap.Push(&c.timers, timer{at: r.expires + r.Rules.AnswerSlack + guardAfter, guard: m.id})
-		c.feed(brain.Arrived{ID: m.id, Class: r.Class, Slots: r.Slots, Work: r.Work, Key: r.Key, Expires: r.expires})
+		within, ok := c.bound(m.id, r)
+		if !ok {
+			return
+		}
+		c.feed(brain.Arrived{ID: m.id, Class: r.Class, Slots: r.Slots, Work: r.Work, Key: r.Key, Expires: r.expires, Within: within})
 	case left:
 		if r := c.requests[m.id]; r != nil && !r.answered {
 			r.answered = true
@@ -325,7 +346,9 @@
 		}
 	case began:
 		if r, a := c.call(m.id); a != nil {
-			a.began = c.now
+			if a.began = c.now; c.guide != nil {
+				c.guide.Began(c.now, a.endpoint)
+			}
 			if !r.answered {
 				r.Client.Began(m.id.Attempt)
 			}
@@ -361,6 +384,9 @@
 	case knows:
 		m.answer <- c.module.Knows(m.id) // has room
 	case brain.Event:
+		if l, ok := m.(brain.Listed); ok && c.guide != nil {
+			c.guide.Listed(c.now, l)
+		}
 		c.feed(m)
 	}
 }
@@ -384,6 +410,7 @@
 	a.out = false
 	r.out--
 	r.timedOut = r.timedOut || end.Outcome == brain.TimedOut
+	c.told(r, a, end.Outcome)
 	if end.Outcome == brain.Served {
 		if w := c.witness.Load(); w != nil {
 			(*w).Worked(a.endpoint, r.Class, c.now-cmp.Or(a.began, a.sent))
--- /dev/null
+++ b/internal/routing/guide.go
@@ -0,0 +1,66 @@
+package routing
+
+import (
+	"time"
+
+	"brassdale/brain"
+)
+
+// Guide says to which zones jobs may go, and hears what becomes of their calls. No method blocks. Probed may be called by
+// anybody, the others by the core alone.
+type Guide interface {
+	Listed(now brain.Clock, l brain.Listed)
+	// Arrived gives the zones, a bit for each number, 0 for all; not ok where the job is to be refused here, and for how long
+	// its client should stay away.
+	Arrived(now brain.Clock, class, repeat string) (within uint64, away time.Duration, ok bool)
+	Began(now brain.Clock, id brain.WorkerID)
+	Silent(now brain.Clock, id brain.WorkerID) // a call has been without any sign for SilentAfter
+	// Ended tells how a call ended, how long ago its job came and for how long it ran; 0 where it has not begun.
+	Ended(now brain.Clock, id brain.WorkerID, class string, o brain.Outcome, took, ran time.Duration)
+	Probed(id brain.WorkerID, o brain.Outcome)
+}
+
+// SilentAfter is how long a call may be without any sign before a guide hears of it.
+const SilentAfter = 500 * time.Millisecond
+
+// Guided names the guide. It is set before Run.
+func (c *Core) Guided(g Guide) { c.guide = g }
+
+// bound asks the guide where a request may go. One that it has refused has its answer behind this.
+func (c *Core) bound(id brain.RequestID, r *request) (within uint64, ok bool) {
+	if c.guide == nil {
+		return 0, true
+	}
+	r.came = c.now
+	within, away, ok := c.guide.Arrived(c.now, r.ClassName, r.Repeat)
+	if !ok {
+		c.final(id, Answer{Verdict: Refused, RetryAfter: away})
+	}
+	return within, ok
+}
+
+// told tells the guide how a call ended.
+func (c *Core) told(r *request, a *call, o brain.Outcome) {
+	if c.guide == nil {
+		return
+	}
+	ran := time.Duration(0)
+	if a.began > 0 {
+		ran = c.now - a.began
+	}
+	if !a.silent || o == brain.Served || o == brain.Full || o == brain.Errored || o == brain.Rejected {
+		c.guide.Ended(c.now, a.endpoint, r.ClassName, o, c.now-r.came, ran)
+	}
+}
+
+// listen looks for calls without any sign.
+func (c *Core) listen() {
+	for _, r := range c.requests {
+		for i := range r.calls {
+			if a := &r.calls[i]; a.out && !a.silent && a.began == 0 && c.now-a.sent >= SilentAfter {
+				a.silent = true
+				c.guide.Silent(c.now, a.endpoint)
+			}
+		}
+	}
+}
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -60,7 +60,7 @@
 // inboundOf gives a job in the core's terms.
 func inboundOf(j *protocol.Job, c routing.Client) routing.Inbound {
 	return routing.Inbound{Class: j.Class, ClassName: j.ClassName, Account: j.Account, Name: j.ID, Rules: j.Rules, Slots: j.Slots,
-		Work: j.Work, Key: j.Subject, Deadline: j.Deadline, Job: j, Client: c}
+		Work: j.Work, Key: j.Subject, Repeat: j.Key, Deadline: j.Deadline, Job: j, Client: c}
 }
 
 // single is a client that waits for its answer alone.
