--- a/internal/decisions/failover/planner.go
+++ b/internal/decisions/failover/planner.go
@@ -71,6 +71,7 @@
 	reports map[string]heard
 	ways    map[way]*state
 	asked   map[[2]string]Asked // by zone of arrival and class, smoothed
+	losses  map[string]*loss    // by zone
 	factor  map[string]float64  // of a zone's capacity that its times bear out
 	held    map[string]float64  // zones that people have put out, wholly or to a share of their capacity
 	plan    *Plan
@@ -115,7 +116,7 @@
 // NewPlanner begins with the plan in force; nil for none.
 func NewPlanner(s Settings, regions map[string]string, plan *Plan, now Clock) *Planner {
 	return &Planner{s: s, zones: regions, reports: map[string]heard{}, ways: map[way]*state{}, asked: map[[2]string]Asked{},
-		factor: map[string]float64{}, held: map[string]float64{}, plan: plan, at: now, looked: now}
+		losses: map[string]*loss{}, factor: map[string]float64{}, held: map[string]float64{}, plan: plan, at: now, looked: now}
 }
 
 // Hear takes a report in.
@@ -245,15 +246,19 @@
 	return zones, demands
 }
 
-// returned is how much of its capacity a zone gets that was out for others.
+// returned is how much of its capacity a zone gets that was lost. One that some could not reach was there all the time.
 func (p *Planner) returned(zone string, now Clock) float64 {
-	least := 1.0
-	for w, s := range p.ways {
-		if w.to == zone && w.class == "" && !s.out && s.relapses > 0 {
-			least = min(least, max((now-s.back).Seconds()/max(p.s.ReturnIn.Seconds(), 1e-3), 0.05))
-		}
+	l := p.losses[zone]
+	if l == nil || l.now || p.s.ReturnIn <= 0 {
+		return 1
 	}
-	return least
+	return min(max((now-l.back).Seconds()/p.s.ReturnIn.Seconds(), 0.05), 1)
+}
+
+// loss is that of a whole zone, now or before.
+type loss struct {
+	now  bool
+	back Clock
 }
 
 // ask sums up what dispatchers say that clients ask for.
@@ -318,6 +323,14 @@
 		p.mark(w, y.bad > y.fine, now) // a way is out by the word of most of those who use it
 	}
 	for zone := range p.zones {
+		switch l := p.losses[zone]; {
+		case p.lost(zone):
+			p.losses[zone] = &loss{now: true}
+		case l != nil && l.now:
+			l.now, l.back = false, now
+		case l != nil && now-l.back > 2*p.s.ReturnIn:
+			delete(p.losses, zone)
+		}
 		good, all := 0.0, 0.0
 		for k, x := range inTime {
 			if k[0] == zone {
--- a/internal/decisions/failover/watcher.go
+++ b/internal/decisions/failover/watcher.go
@@ -109,10 +109,13 @@
 	return r
 }
 
-// Capacity is what boxes of a size in slots can do now: one that started so long ago is at a share of it that rises evenly.
+// Capacity is what boxes of a size in slots can take now from everybody: one that started so long ago is at a share of its
+// size that rises evenly, and is given jobs by a few dispatchers only, as its budget is dealt out among all.
 func Capacity(size, start float64, age, cold time.Duration) float64 {
 	if cold <= 0 || age >= cold {
 		return size
 	}
-	return size * (start + (1-start)*max(age.Seconds(), 0)/cold.Seconds())
+	return size * coldUse * (start + (1-start)*max(age.Seconds(), 0)/cold.Seconds())
 }
+
+const coldUse = 0.2
--- a/internal/decisions/failover/why.go
+++ b/internal/decisions/failover/why.go
@@ -73,13 +73,13 @@
 			says = append(says, "not reached from "+strings.Join(from, ", "))
 		}
 		classes := map[string]bool{}
-		returning := false
 		for w, s := range p.ways {
 			if w.to == z.Name && w.class != "" && s.out {
 				classes[w.class] = true
 			}
-			returning = returning || w.to == z.Name && w.class == "" && !s.out && s.relapses > 0
 		}
+		l := p.losses[z.Name]
+		returning := l != nil && !l.now
 		for _, c := range slices.Sorted(maps.Keys(classes)) {
 			says = append(says, "answers no "+c)
 		}
--- a/internal/emulator/dispatcher.go
+++ b/internal/emulator/dispatcher.go
@@ -145,7 +145,9 @@
 	d.w.audit.sent(d.w.now, d.n, uint64(a.ID), b.id, b.bay, b.zone)
 	d.w.after(more+d.w.between(d.zone, b, d.chance), func() {
 		if !r.over && !d.cutOff(b) {
-			d.w.pushedAt(b, r.work)
+			if b.cut == 0 && !b.down {
+				d.w.pushedAt(b, r.work)
+			}
 			b.take(r)
 		}
 	})
--- a/internal/emulator/failover.go
+++ b/internal/emulator/failover.go
@@ -240,7 +240,11 @@
 				pushed += t.pushed[k]
 				able += t.able[k]
 			}
-			if least := 0.3 * t.able[0] * peakOver; able > least {
+			whole := true // cold or warm, but there all the time
+			for k := i - peakOver; k < i; k++ {
+				whole = whole && t.able[k] > 0
+			}
+			if whole {
 				most = max(most, pushed/able)
 			}
 		}
--- a/internal/emulator/works.go
+++ b/internal/emulator/works.go
@@ -301,7 +301,9 @@
 	k.w.audit.sent(k.w.now, g.door.n, q.id, g.b.id, g.b.bay, g.b.zone)
 	k.w.after(k.w.between(g.door.zone, g.b, g.door.chance), func() {
 		if !a.over && !g.cutOff() {
-			k.w.pushedAt(g.b, a.work)
+			if g.b.cut == 0 && !g.b.down {
+				k.w.pushedAt(g.b, a.work)
+			}
 			g.b.take(a)
 		}
 	})
--- /dev/null
+++ b/internal/experiment/failover.go
@@ -0,0 +1,231 @@
+package experiment
+
+import (
+	"context"
+	"encoding/csv"
+	"fmt"
+	"io"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"brassdale/brain"
+	"brassdale/internal/emulator"
+)
+
+// Towns is a works of four zones in two regions for experiments on failover.
+type Towns struct {
+	Dispatchers, Boxes int
+	Seeds              int
+}
+
+// TownCase is a trouble, with the load that it comes at.
+type TownCase struct {
+	Name   string
+	Load   float64
+	Faults []emulator.Fault
+}
+
+const (
+	townSlots = 5
+	townWork  = 0.2 // seconds
+	townAt    = 15 * time.Second
+	townFor   = 20 * time.Second
+	townSpan  = 75 * time.Second
+)
+
+// TownCases are what is played. Times are of the run.
+func TownCases() []TownCase {
+	fault := func(kind emulator.Trouble, at, span time.Duration, zone, from int, size float64) emulator.Fault {
+		return emulator.Fault{Kind: kind, At: at, For: span, Zone: zone, From: from, Size: size, Share: 1}
+	}
+	var flaps []emulator.Fault
+	for at := townAt; at < townAt+townFor; at += 6 * time.Second {
+		flaps = append(flaps, fault(emulator.ZoneLost, at, 3*time.Second, 1, 0, 0))
+	}
+	return []TownCase{
+		{"calm", 0.6, nil},
+		{"lost", 0.55, []emulator.Fault{fault(emulator.ZoneLost, townAt, townFor, 1, 0, 0)}},
+		{"lost, full", 0.66, []emulator.Fault{fault(emulator.ZoneLost, townAt, townFor, 1, 0, 0)}},
+		{"two lost", 0.7, []emulator.Fault{fault(emulator.ZoneLost, townAt, townFor, 1, 0, 0), fault(emulator.ZoneLost, townAt+5*time.Second, townFor-5*time.Second, 3, 0, 0)}},
+		{"cut one way", 0.6, []emulator.Fault{fault(emulator.Apart, townAt, townFor, 1, 1, 0)}},
+		{"regions cut", 0.6, []emulator.Fault{fault(emulator.Apart, townAt, townFor, 1, 3, 0), fault(emulator.Apart, townAt, townFor, 1, 4, 0),
+			fault(emulator.Apart, townAt, townFor, 2, 3, 0), fault(emulator.Apart, townAt, townFor, 2, 4, 0), fault(emulator.Apart, townAt, townFor, 3, 1, 0),
+			fault(emulator.Apart, townAt, townFor, 4, 1, 0), fault(emulator.Apart, townAt, townFor, 3, 2, 0), fault(emulator.Apart, townAt, townFor, 4, 2, 0)}},
+		{"ten times as far", 0.6, []emulator.Fault{fault(emulator.Far, townAt, townFor, 1, 0, 10)}},
+		{"flapping", 0.55, flaps},
+	}
+}
+
+// TownModes are who decides, in the order of the tables.
+var TownModes = []string{"", "near", "spread", "plan"}
+
+var townNames = map[string]string{"": "each for itself", "near": "nearest only", "spread": "spread over all", "plan": "planned in common"}
+
+// TownRow is one run.
+type TownRow struct {
+	Case, Mode                   string
+	Seed                         uint64
+	Fault, Behind, Return, All   float64 // share of worth in time
+	Crossings, Peak, Moved, Back float64
+	Plans, Breaches              int
+	P99                          float64
+}
+
+// Scenario gives the works of a case.
+func (t Towns) Scenario(c TownCase, mode string, seed uint64) emulator.Scenario {
+	s := emulator.LlanelliWorks(seed)
+	s.Span, s.Dispatchers = townSpan, t.Dispatchers
+	s.Kinds = []emulator.Kind{{Name: "box", Count: t.Boxes, Slots: townSlots, SpeedMin: 0.9, SpeedMax: 1.1}}
+	s.Network.Zones, s.Network.Regions, s.Network.CrossPrice, s.Network.Cross = 4, 2, 0.03, 10*time.Millisecond
+	s.Traffic.Work, s.Traffic.Subjects, s.Traffic.Effect = townWork, 0, brain.Safe
+	s.Traffic.Rate = c.Load * float64(t.Boxes*townSlots) / townWork
+	s.Faults = slices.Clone(c.Faults)
+	s.Failover = emulator.Failover{Mode: mode, Headroom: 0.1, ReturnIn: 20 * time.Second, Detect: time.Second, Step: 0.1}
+	return s
+}
+
+// RunTowns plays all cases in all modes over seeds, so many at a time. each is called behind every run.
+func RunTowns(ctx context.Context, t Towns, together int, each func()) (rows []TownRow, err error) {
+	type job struct {
+		c    TownCase
+		mode string
+		seed uint64
+	}
+	var jobs []job
+	for _, c := range TownCases() {
+		for _, mode := range TownModes {
+			for seed := range t.Seeds {
+				jobs = append(jobs, job{c, mode, uint64(seed + 1)})
+			}
+		}
+	}
+	rows = make([]TownRow, len(jobs))
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	next := make(chan int)
+	for range together {
+		wait.Go(func() {
+			for i := range next {
+				j := jobs[i]
+				r, failed := emulator.Run(t.Scenario(j.c, j.mode, j.seed), func(s brain.Settings, seed uint64) emulator.Policy { return brain.New(s, seed) })
+				mu.Lock()
+				if failed != nil {
+					err = failed
+				} else {
+					rows[i] = TownRow{Case: j.c.Name, Mode: j.mode, Seed: j.seed, Fault: r.Within(townAt+3*time.Second, townAt+townFor), Behind: r.Within(townAt+townFor, townAt+townFor+15*time.Second),
+						Return: r.Within(townAt+townFor+15*time.Second, townSpan), All: r.Service, Crossings: r.Crossings, Peak: r.ZonePeak, Moved: r.Moved.Seconds(),
+						Back: r.Back.Seconds(), Plans: r.PlanChanges, Breaches: len(r.Breaches), P99: r.P99.Seconds()}
+				}
+				mu.Unlock()
+				each()
+			}
+		})
+	}
+	for i := range jobs {
+		if ctx.Err() != nil {
+			break
+		}
+		next <- i
+	}
+	close(next)
+	wait.Wait()
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return rows, err
+}
+
+// SaveTowns keeps the rows, a table and a chart in a folder.
+func SaveTowns(dir string, rows []TownRow) error {
+	if err := write(dir, map[string]func(io.Writer) error{"rows.csv": func(w io.Writer) error { return townCSV(w, rows) }, "table.txt": func(w io.Writer) error { return TownTable(w, rows) }}); err != nil {
+		return err
+	}
+	for name, of := range map[string]func(TownRow) float64{"served": func(r TownRow) float64 { return r.Fault }, "peak": func(r TownRow) float64 { return r.Peak }} {
+		if err := townChart(filepath.Join(dir, name+".svg"), name, rows, of); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func townCSV(out io.Writer, rows []TownRow) error {
+	w := csv.NewWriter(out)
+	_ = w.Write([]string{"case", "mode", "seed", "served_fault", "served_behind", "served_return", "served", "crossings", "zone_peak_over_capacity", "moved_s", "back_s", "plan_changes", "p99_s", "breaches"})
+	for _, r := range rows {
+		line := []string{r.Case, townNames[r.Mode], strconv.FormatUint(r.Seed, 10)}
+		for _, x := range []float64{r.Fault, r.Behind, r.Return, r.All, r.Crossings, r.Peak, r.Moved, r.Back, float64(r.Plans), r.P99, float64(r.Breaches)} {
+			line = append(line, strconv.FormatFloat(x, 'f', 4, 64))
+		}
+		_ = w.Write(line)
+	}
+	w.Flush()
+	return w.Error()
+}
+
+// group gives a case's rows in a mode.
+func group(rows []TownRow, name, mode string, of func(TownRow) float64) (xs []float64) {
+	for _, r := range rows {
+		if r.Case == name && r.Mode == mode {
+			xs = append(xs, of(r))
+		}
+	}
+	return xs
+}
+
+// TownTable sets the modes beside each other, case by case: means over seeds.
+func TownTable(out io.Writer, rows []TownRow) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprint(w, "case\tdecided by\tin the fault\t15 s behind\tthen\tcrossings\tpeak\tpeak, most\tp99 s\tmoved s\tback s\tplans\tbreaches\n")
+	for _, c := range TownCases() {
+		for _, mode := range TownModes {
+			mean := func(of func(TownRow) float64) float64 { return stat.Mean(group(rows, c.Name, mode, of), nil) }
+			breaches, most := 0.0, 0.0
+			for _, x := range group(rows, c.Name, mode, func(r TownRow) float64 { return float64(r.Breaches) }) {
+				breaches += x
+			}
+			for _, x := range group(rows, c.Name, mode, func(r TownRow) float64 { return r.Peak }) {
+				most = max(most, x)
+			}
+			fmt.Fprintf(w, "%s at %.2f\t%s\t%.3f\t%.3f\t%.3f\t%.2f\t%.2f\t%.2f\t%.2f\t%.1f\t%.1f\t%.0f\t%.0f\n", c.Name, c.Load, townNames[mode], mean(func(r TownRow) float64 { return r.Fault }),
+				mean(func(r TownRow) float64 { return r.Behind }), mean(func(r TownRow) float64 { return r.Return }), mean(func(r TownRow) float64 { return r.Crossings }),
+				mean(func(r TownRow) float64 { return r.Peak }), most, mean(func(r TownRow) float64 { return r.P99 }), mean(func(r TownRow) float64 { return r.Moved }),
+				mean(func(r TownRow) float64 { return r.Back }), mean(func(r TownRow) float64 { return float64(r.Plans) }), breaches)
+		}
+	}
+	return w.Flush()
+}
+
+func townChart(path, title string, rows []TownRow, of func(TownRow) float64) error {
+	p := plot.New()
+	p.Title.Text = map[string]string{"served": "share of worth in time from 3 s into the fault", "peak": "most work that came to a zone over 5 s, of what it could do"}[title]
+	p.Legend.Top = true
+	var names []string
+	for _, c := range TownCases() {
+		names = append(names, c.Name)
+	}
+	for i, mode := range TownModes {
+		var values plotter.Values
+		for _, c := range TownCases() {
+			values = append(values, stat.Mean(group(rows, c.Name, mode, of), nil))
+		}
+		b, err := plotter.NewBarChart(values, vg.Points(10))
+		if err != nil {
+			return err
+		}
+		b.Color, b.Offset = plotutil.Color(i), vg.Points(float64(11*i-16))
+		p.Add(b)
+		p.Legend.Add(townNames[mode], b)
+	}
+	p.NominalX(names...)
+	return p.Save(900, 360, path)
+}
