--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -56,3 +56,13 @@
 #   replace   = "30s"
 #   rules     = "rules.hcl"
 # }
+
+# Where zones' jobs are served, decided by the council (docs/failover.md). Off without the block; needs the one above.
+#
+# failover {
+#   region "north" { zones = ["llanelli", "swansea"] }
+#   region "south" { zones = ["bristol", "cardiff"] }
+#   headroom  = 0.15
+#   return_in = "60s"
+#   alone     = "10s"
+# }
--- /dev/null
+++ b/internal/decisions/budgets/budgets.go
@@ -0,0 +1,229 @@
+// Package budgets deals a rate that all dispatchers have together out among them, as leases that run out: further calls,
+// probes, new connections. Values in, verdicts out: no I/O, no clock, no goroutine.
+//
+// It promises, whatever is lost, late, doubled, frozen or restarted, as long as clocks run within Drift of each other's pace:
+//
+//  1. The sum of all leases that are valid at any time, and of what dispatchers may do without one, never exceeds the budget.
+//  2. Who asks for less than its fair part gets what it asks for; the rest is dealt out alike among the others, floors first.
+//  3. What one holds that is gone comes back when its lease has run out, no sooner; demand that rises is met within two leases.
+package budgets
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Clock is a point in time of one process: since an epoch of its own, never moved back.
+type Clock = time.Duration
+
+// Drift is by how much a holder's clock may run slower than the dealer's.
+const Drift = 0.01
+
+// Settings are a budget's.
+type Settings struct {
+	Rate  float64       // a second, of all dispatchers together
+	Free  float64       // share of it that is dealt out by number, for those without a lease
+	Among int           // dispatchers that there are at the most
+	Lease time.Duration // how long a lease lasts
+}
+
+// Alone is what each dispatcher may do without a lease.
+func (s Settings) Alone() float64 { return s.Rate * s.Free / float64(max(s.Among, 1)) }
+
+// Dealer is the leader's part. What it has given it alone knows: a new one gives nothing for as long as leases of the one
+// before may last.
+type Dealer struct {
+	s       Settings
+	elected Clock
+	holders map[string]*holder
+}
+
+type holder struct {
+	demand, floor float64
+	asked         Clock
+	grants        []grant // that may still be valid
+}
+
+type grant struct {
+	rate  float64
+	until Clock // by the dealer's clock, lengthened by drift
+}
+
+// NewDealer makes the part of a leader that was elected then.
+func NewDealer(s Settings, elected Clock) *Dealer {
+	return &Dealer{s: s, elected: elected, holders: map[string]*holder{}}
+}
+
+// Retune changes the budget. One that shrinks is kept once what was given has run out.
+func (d *Dealer) Retune(s Settings) { d.s = s }
+
+func (d *Dealer) lasts() time.Duration {
+	return d.s.Lease + time.Duration(Drift*float64(d.s.Lease))
+}
+
+// expire forgets what has run out.
+func (d *Dealer) expire(now Clock) {
+	maps.DeleteFunc(d.holders, func(_ string, h *holder) bool {
+		h.grants = slices.DeleteFunc(h.grants, func(g grant) bool { return now >= g.until })
+		return len(h.grants) == 0 && now >= h.asked+d.lasts()
+	})
+}
+
+// out is the most that a holder may use by what it was given.
+func (h *holder) out() (most float64) {
+	for _, g := range h.grants {
+		most = max(most, g.rate)
+	}
+	return most
+}
+
+// Grant gives a dispatcher a rate for a lease from when it asked, by what it wants now; floor is what it has first claim to. It
+// is never below what it may do without a lease.
+func (d *Dealer) Grant(name string, demand, floor float64, now Clock) float64 {
+	alone := d.s.Alone()
+	if now < d.elected+d.lasts() {
+		return alone
+	}
+	d.expire(now)
+	h := d.holders[name]
+	if h == nil {
+		if len(d.holders) >= d.s.Among { // more than there are to be: those without a lease may use all that is left
+			return 0
+		}
+		h = &holder{}
+		d.holders[name] = h
+	}
+	h.demand, h.floor, h.asked = max(demand, 0), max(floor, 0), now
+	given := 0.0
+	for other, o := range d.holders {
+		if other != name {
+			given += max(o.out(), alone)
+		}
+	}
+	given += alone * float64(d.s.Among-len(d.holders))
+	rate := max(min(d.fair(name), d.s.Rate-given), alone)
+	h.grants = append(h.grants, grant{rate, now + d.lasts()})
+	return rate
+}
+
+// fair is a holder's part of the budget: floors first, then a level up to which everybody gets what it asks for.
+func (d *Dealer) fair(name string) float64 {
+	alone := d.s.Alone()
+	left := d.s.Rate - alone*float64(d.s.Among-len(d.holders))
+	first := func(h *holder) float64 { return max(min(h.floor, h.demand), alone) }
+	floors := 0.0
+	for _, h := range d.holders {
+		floors += first(h)
+	}
+	scale := 1.0
+	if floors > left {
+		scale = max(left, 0) / floors
+	}
+	left -= floors * scale
+	// The level of the rest by filling: those who want least are served first.
+	wants := make([]float64, 0, len(d.holders))
+	for _, h := range d.holders {
+		wants = append(wants, max(spare*h.demand-first(h), 0))
+	}
+	slices.Sort(wants)
+	level := 0.0
+	for i, want := range wants {
+		part := left / float64(len(wants)-i)
+		if want > part {
+			level = part
+			break
+		}
+		level = want
+		left -= want
+	}
+	h := d.holders[name]
+	return first(h)*scale + min(max(spare*h.demand-first(h), 0), max(level, 0))
+}
+
+// spare is how much more than it asked for a dispatcher gets where there is enough: demand that rises is met at once then.
+const spare = 1.25
+
+// Given is the most that all may use at a time now, with what those may without a lease.
+func (d *Dealer) Given(now Clock) (sum float64) {
+	d.expire(now)
+	for _, h := range d.holders {
+		sum += max(h.out(), d.s.Alone())
+	}
+	return sum + d.s.Alone()*float64(d.s.Among-len(d.holders))
+}
+
+// Holder is a dispatcher's part: a bucket that fills at the rate of its lease, looked at before each use.
+type Holder struct {
+	alone  float64
+	rate   float64
+	until  Clock
+	tokens float64
+	at     Clock
+	wanted float64 // a second, uses asked for, smoothed
+	denied int
+}
+
+// NewHolder makes one without a lease.
+func NewHolder(alone float64, now Clock) *Holder { return &Holder{alone: alone, at: now} }
+
+// Alone sets what it may do without a lease.
+func (h *Holder) Alone(rate float64) { h.alone = rate }
+
+// Granted takes a lease in, counted from when it was asked for.
+func (h *Holder) Granted(rate float64, asked Clock, lease time.Duration, now Clock) {
+	h.fill(now)
+	if until := asked + lease; until >= h.until || now >= h.until {
+		h.rate, h.until = rate, until
+	}
+}
+
+// Rate is what it may do a second now.
+func (h *Holder) Rate(now Clock) float64 {
+	if now < h.until {
+		return h.rate
+	}
+	return h.alone
+}
+
+// burst is for how long unused rate is kept: what several spend at once counts in the sum for so long.
+const burst = time.Second
+
+// fill adds what has come since the last look, at the rates that held.
+func (h *Holder) fill(now Clock) {
+	if now <= h.at {
+		return
+	}
+	leased := max(min(now, h.until)-h.at, 0)
+	h.tokens += h.rate*leased.Seconds() + h.alone*(now-h.at-leased).Seconds()
+	// What is kept is no more than the rate of now: who wakes behind a freeze has no more than anybody.
+	h.tokens = min(h.tokens, max(h.Rate(now)*burst.Seconds(), min(h.Rate(now), 1)))
+	h.wanted *= decay(now - h.at)
+	h.at = now
+}
+
+// decay is a smoothing over two seconds.
+func decay(span time.Duration) float64 {
+	return 1 / (1 + span.Seconds()/2)
+}
+
+// Use takes one use, if there is room.
+func (h *Holder) Use(now Clock) bool {
+	h.fill(now)
+	h.wanted += 0.5
+	if h.tokens < 1 {
+		h.denied++
+		return false
+	}
+	h.tokens--
+	return true
+}
+
+// Demand is how many uses a second were asked for lately.
+func (h *Holder) Demand(now Clock) float64 {
+	h.fill(now)
+	return h.wanted
+}
+
+// Denied is how many there was no room for.
+func (h *Holder) Denied() int { return h.denied }
--- a/internal/faults/towns.go
+++ b/internal/faults/towns.go
@@ -24,17 +24,18 @@
 
 // TownsResult is what came of them. The names of its figures are kept.
 type TownsResult struct {
-	Served           float64 `json:"served_share"` // of the jobs in time
-	ServedNoFailover float64 `json:"served_share_no_failover,omitempty"`
-	ServedFault      float64 `json:"served_share_fault"`  // of those that came from 3 s after the first fault to its end
-	ServedBehind     float64 `json:"served_share_behind"` // and in the 15 s behind
-	Crossing         float64 `json:"crossing_share"`      // of the calls
-	CrossingLeast    float64 `json:"crossing_least"`      // that had to cross, by what zones could do
+	Served           float64 `json:"served_share"`                       // of the jobs in time
+	ServedNoFailover float64 `json:"served_share_no_failover,omitempty"` // the model's: each process by itself
+	ServedFault      float64 `json:"served_share_fault"`                 // of those that came from 3 s after the first fault to its end
+	ServedBehind     float64 `json:"served_share_behind"`                // and in the 15 s behind
+	Crossing         float64 `json:"crossing_share"`                     // of the calls
+	CrossingLeast    float64 `json:"crossing_least"`                     // that had to cross, by what zones could do
 	Peak             float64 `json:"zone_peak_over_capacity"`
 	PlanChanges      uint64  `json:"plan_changes"`
-	DetectMS         float64 `json:"detect_ms"` // from the first fault to the first plan behind it
-	MovedMS          float64 `json:"moved_ms"`  // until all processes acted on it
-	BackMS           float64 `json:"back_ms"`   // from its end to the last plan
+	DetectMS         float64 `json:"detect_ms"`                  // from the first fault to the first plan behind it
+	MovedMS          float64 `json:"moved_ms"`                   // until all processes acted on it
+	BackMS           float64 `json:"back_ms"`                    // from its end to the last plan
+	ServedVirtual    float64 `json:"served_share_fault_virtual"` // the model's, of the same works
 	each             []instant
 }
 
@@ -115,6 +116,19 @@
 	from, to := f.r.Begin.Add(first.At), f.r.Begin.Add(first.At+first.For)
 	r.ServedFault, r.ServedBehind = share(from.Add(3*time.Second), to), share(to, to.Add(15*time.Second))
 	r.CrossingLeast = f.Towns.least(f.Span)
+	for _, mode := range []string{"", "plan"} { // the model of the same works, without the processes' own faults
+		s := f.scenario
+		s.Failover = emulator.Failover{Mode: mode, Headroom: f.Towns.Headroom, ReturnIn: f.Towns.ReturnIn, Detect: time.Second, Step: 0.1}
+		v, err := emulator.Run(s, func(s brain.Settings, seed uint64) emulator.Policy { return brain.New(s, seed) })
+		if err != nil {
+			continue
+		}
+		if mode == "" {
+			r.ServedNoFailover = v.Service
+		} else {
+			r.ServedVirtual = v.Within(first.At+3*time.Second, first.At+first.For)
+		}
+	}
 	var detected, moved, last time.Time
 	for _, x := range f.all {
 		log := x.logs
--- a/scenarios/fleet/failover.hcl
+++ b/scenarios/fleet/failover.hcl
@@ -1,4 +1,4 @@
-# Four zones in two regions; one is lost outright and comes back cold:
+# Four zones in two regions; one is lost outright and comes back cold, while processes are cut off, frozen and killed:
 #   bin/brassdale-lab fleet scenarios/fleet/failover.hcl --seed 7 --processes 9 --out results/x
 title     = "a zone is lost"
 processes = 9
@@ -6,6 +6,9 @@
 bound     = "2s"
 span      = "45s"
 proposals = "20s"
+every     = "4s"
+longest   = "3s"
+faults    = ["cut", "one-way", "freeze", "kill", "delayed"]
 
 towns {
   zones     = 4
