Further calls and probes of a fleet are dealt out as leases that never add up to more

Each dispatcher's budgets go by its own count or by replicasOfMe; nothing holds their sum. Change: a block overload beside council; the leader deals further calls (a share of the fleet's first ones) and probes out with each renewal; the core asks before a further call and a probe leaves.

--- a/cmd/brassdale/council_test.go
+++ b/cmd/brassdale/council_test.go
@@ -188,10 +188,7 @@
 	if code, _, _ := run(t, "fleet", "rollback", "--why", "none", "--address", f.at[3]); code == 0 {
 		t.Error("a change went through without a majority")
 	}
-	back := &node{t: t, registry: f.nodes[0].registry, tmp: f.nodes[0].tmp, exited: make(chan struct{})}
-	back.launch(f.nodes[0].config, f.operator(0))
-	back.serves("")
-	f.nodes[0] = back
+	f.again(0)
 	f.acts(1, 0, 2, 3)
 	f.propose("retries = 0.2\n", 3)
 	f.acts(2, 0, 2, 3)
--- a/deploy/operator.hcl
+++ b/deploy/operator.hcl
@@ -57,6 +57,13 @@
 #   rules     = "rules.hcl"
 # }
 
+# What all dispatchers together may do (docs/overload.md). Off without the block; needs the one above.
+#
+# overload {
+#   retries = 0.1
+#   probes  = 40
+# }
+
 # Where zones' jobs are served, decided by the council (docs/failover.md). Off without the block; needs the one above.
 #
 # failover {
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -33,7 +33,7 @@
 	serve.flags(root)
 	sub := &cobra.Command{Use: "serve", Short: "Serve until SIGTERM and all is answered", Args: cobra.NoArgs, RunE: serve.run}
 	serve.flags(sub)
-	root.AddCommand(sub, check(), saved(), fleetCommand(), zonesCommand(), version())
+	root.AddCommand(sub, check(), saved(), fleetCommand(), zonesCommand(), budgetsCommand(), version())
 	return root
 }
 
--- a/internal/decisions/budgets/budgets.go
+++ b/internal/decisions/budgets/budgets.go
@@ -1,6 +1,8 @@
 // Package budgets deals a rate that all dispatchers have together out among them, as leases that run out: further calls,
 // probes, new connections. Values in, verdicts out: no I/O, no clock, no goroutine.
 //
+// A rate is of uses over time: each holder may keep a second's worth, or one use, and spend it at once.
+//
 // It promises, whatever is lost, late, doubled, frozen or restarted, as long as clocks run within Drift of each other's pace:
 //
 //  1. The sum of all leases that are valid at any time, and of what dispatchers may do without one, never exceeds the budget.
@@ -196,8 +198,8 @@
 	}
 	leased := max(min(now, h.until)-h.at, 0)
 	h.tokens += h.rate*leased.Seconds() + h.alone*(now-h.at-leased).Seconds()
-	// What is kept is no more than the rate of now: who wakes behind a freeze has no more than anybody.
-	h.tokens = min(h.tokens, max(h.Rate(now)*burst.Seconds(), min(h.Rate(now), 1)))
+	// What is kept is no more than a second's at the rate of now, and one use: who wakes behind a freeze has no more than anybody.
+	h.tokens = min(h.tokens, max(h.Rate(now)*burst.Seconds(), 1))
 	h.wanted *= decay(now - h.at)
 	h.at = now
 }
--- a/internal/emulator/play.go
+++ b/internal/emulator/play.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -137,6 +138,16 @@
 	return <-got
 }
 
+// Spent is when first calls, further ones and probes came, by all dispatchers.
+type Spent struct{ Firsts, Furthers, Probes []time.Duration }
+
+// Spent gives it.
+func (k *Works) Spent() Spent {
+	got := make(chan Spent, 1)
+	k.w.post(func() { got <- Spent{slices.Clone(k.firsts), slices.Clone(k.furthers), slices.Clone(k.asked)} })
+	return <-got
+}
+
 // Load is what has come to the boxes.
 type Load struct {
 	Sends, Crossings int
--- a/internal/emulator/works.go
+++ b/internal/emulator/works.go
@@ -28,7 +28,8 @@
 	ended chan struct{}
 
 	// Owned by the engine.
-	requests map[string]*request
+	requests                map[string]*request
+	firsts, furthers, asked []time.Duration // when first calls, further ones and probes came
 }
 
 // request is what was sent of one client's try.
@@ -211,6 +212,7 @@
 	answer := make(chan *brain.Report, 1)
 	k.w.post(func() {
 		k.w.probes++
+		k.asked = append(k.asked, k.w.now)
 		g.b.probe(func(o brain.Outcome, report *brain.Report) {
 			if o == brain.Served && !g.cutOff() {
 				k.w.after(2*k.w.between(g.door.zone, g.b, g.door.chance), func() { answer <- report })
@@ -293,6 +295,11 @@
 		k.requests[id] = q
 	}
 	a.id, a.attempt = brain.RequestID(q.id), q.sends
+	if q.sends == 0 {
+		k.firsts = append(k.firsts, k.w.now)
+	} else {
+		k.furthers = append(k.furthers, k.w.now)
+	}
 	q.sends++
 	k.w.sends++
 	if g.b.zone != g.door.zone {
--- a/internal/faults/fleet.go
+++ b/internal/faults/fleet.go
@@ -33,44 +33,46 @@
 	Replace           time.Duration // a silent seat's
 	Events            []Event       // in place of drawn ones
 	Towns             *Towns        // nil for one zone
+	Overload          *Overload     // nil for none
 	Older             int           // of the processes, the last ones, are of an older build
 }
 
 // Result is what came of it. The names of its figures are kept.
 type Result struct {
-	Seed             uint64         `json:"seed"`
-	Processes        int            `json:"processes"`
-	Faults           map[string]int `json:"faults"`
-	ContradictionMS  float64        `json:"contradiction_max_ms"`
-	LapsedApartMS    float64        `json:"lapsed_apart_max_ms"` // one of the two held no lease, and sent nothing twice
-	BoundMS          float64        `json:"bound_ms"`
-	Jobs             int            `json:"jobs"`
-	AnsweredOnce     int            `json:"answered_once"`
-	AnsweredNever    int            `json:"answered_never"`
-	AnsweredTwice    int            `json:"answered_twice"`
-	LostWithProcess  int            `json:"lost_with_process"` // their process was killed or stood still meanwhile
-	Refused          int            `json:"refused"`           // of those answered once
-	RulesBroken      int            `json:"rules_broken"`
-	Breaches         []string       `json:"breaches,omitempty"`
-	Versions         uint64         `json:"versions"` // that came in force
-	Withdrawn        int            `json:"withdrawn,omitempty"`
-	Cost             *Cost          `json:"cost,omitempty"`  // of the fleet's own calls, without faults
-	Seats            []uint64       `json:"seats,omitempty"` // of the council at the end
-	Towns            *TownsResult   `json:"failover,omitempty"`
-	RefusedOlder     int            `json:"refused_older,omitempty"` // proposals that older builds could not have read
-	InForceP50MS     float64        `json:"in_force_p50_ms"`
-	InForceP99MS     float64        `json:"in_force_p99_ms"`
-	SettledMS        float64        `json:"settled_ms"` // behind the last fault, until all acted on one version with leases
-	Restarted        int            `json:"restarted,omitempty"`
-	ListCalls        int            `json:"list_calls,omitempty"`
-	ListCallsMost    int            `json:"list_calls_most_s,omitempty"` // of all processes in any second
-	ListRefused      int            `json:"list_refused,omitempty"`
-	WatchGapMS       float64        `json:"watch_gap_max_ms,omitempty"` // that a process which was there had no call open
-	Stands           [][]Stand      `json:"-"`
-	Away             [][]Away       `json:"-"`
-	Events           []Event        `json:"-"`
-	Begin            time.Time      `json:"-"`
-	Logs             []string       `json:"-"` // of the processes
+	Seed             uint64          `json:"seed"`
+	Processes        int             `json:"processes"`
+	Faults           map[string]int  `json:"faults"`
+	ContradictionMS  float64         `json:"contradiction_max_ms"`
+	LapsedApartMS    float64         `json:"lapsed_apart_max_ms"` // one of the two held no lease, and sent nothing twice
+	BoundMS          float64         `json:"bound_ms"`
+	Jobs             int             `json:"jobs"`
+	AnsweredOnce     int             `json:"answered_once"`
+	AnsweredNever    int             `json:"answered_never"`
+	AnsweredTwice    int             `json:"answered_twice"`
+	LostWithProcess  int             `json:"lost_with_process"` // their process was killed or stood still meanwhile
+	Refused          int             `json:"refused"`           // of those answered once
+	RulesBroken      int             `json:"rules_broken"`
+	Breaches         []string        `json:"breaches,omitempty"`
+	Versions         uint64          `json:"versions"` // that came in force
+	Withdrawn        int             `json:"withdrawn,omitempty"`
+	Cost             *Cost           `json:"cost,omitempty"`  // of the fleet's own calls, without faults
+	Seats            []uint64        `json:"seats,omitempty"` // of the council at the end
+	Towns            *TownsResult    `json:"failover,omitempty"`
+	Overload         *OverloadResult `json:"overload,omitempty"`
+	RefusedOlder     int             `json:"refused_older,omitempty"` // proposals that older builds could not have read
+	InForceP50MS     float64         `json:"in_force_p50_ms"`
+	InForceP99MS     float64         `json:"in_force_p99_ms"`
+	SettledMS        float64         `json:"settled_ms"` // behind the last fault, until all acted on one version with leases
+	Restarted        int             `json:"restarted,omitempty"`
+	ListCalls        int             `json:"list_calls,omitempty"`
+	ListCallsMost    int             `json:"list_calls_most_s,omitempty"` // of all processes in any second
+	ListRefused      int             `json:"list_refused,omitempty"`
+	WatchGapMS       float64         `json:"watch_gap_max_ms,omitempty"` // that a process which was there had no call open
+	Stands           [][]Stand       `json:"-"`
+	Away             [][]Away        `json:"-"`
+	Events           []Event         `json:"-"`
+	Begin            time.Time       `json:"-"`
+	Logs             []string        `json:"-"` // of the processes
 	announced, force map[uint64]time.Time
 }
 
@@ -118,6 +120,9 @@
 	if p.Release != nil {
 		p.Release.works(&s)
 	}
+	if p.Overload != nil {
+		p.Overload.works(&s)
+	}
 	if p.Towns != nil {
 		p.Towns.works(&s)
 		p.Rate = s.Traffic.Rate
@@ -181,7 +186,7 @@
 	f.r.Begin = time.Now()
 	begin, end := f.r.Begin, f.r.Begin.Add(f.Span)
 	before := f.cost()
-	if f.Towns != nil {
+	if f.Towns != nil || f.Overload != nil {
 		f.works.Troubles()
 	}
 	var wait sync.WaitGroup
@@ -367,6 +372,7 @@
 	}
 	f.known()
 	f.towns()
+	f.overload()
 	contradiction, lapsed := Apart(r.Stands)
 	r.ContradictionMS, r.LapsedApartMS = float64(contradiction.Milliseconds()), float64(lapsed.Milliseconds())
 	asked := f.works.Asked()
--- a/internal/faults/process.go
+++ b/internal/faults/process.go
@@ -36,7 +36,7 @@
 			text += fmt.Sprintf("  %q = %q\n", f.ats[ends[1]], l.Address())
 		}
 	}
-	return text + " }\n}\n" + f.Towns.operator()
+	return text + " }\n}\n" + f.Towns.operator() + f.Overload.operator()
 }
 
 func (f *play) start(i int) error {
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -36,6 +36,10 @@
 	Apply    func(agreement.Stand)      // is told of each change of what may be acted on; must not block
 	Jobs     func() (ended, bad uint64) // since the start; bad are those refused or failed
 
+	Overload *Overload     // nil where nothing is dealt out
+	Among    func() int    // dispatchers that there are at the most
+	Firsts   func() uint64 // first calls since the start
+
 	Failover *Failover                  // nil where nobody plans
 	Report   func() *failover.Report    // what this dispatcher saw of zones since the last one
 	Planned  func(*failover.Plan, bool) // is told of each plan, and whether this dispatcher is cut off from it for too long; must not block
@@ -58,23 +62,25 @@
 	members  *membership.List
 	changed  chan struct{} // what may be acted on may have changed
 	renewNow chan struct{}
+	purse    *purse
 	slow     chan struct{} // has a place for each whole record that is being sent
 
-	mu      sync.Mutex
-	holder  *agreement.Holder
-	seat    *seat              // nil for a follower
-	founder *agreement.Founder // what this dispatcher's file says, while it founds or has founded
-	leads   *agreement.Council // nil while it does not lead
-	trying  *agreement.Trying  // nil while it leads no trial
-	planner *failover.Planner  // nil while it does not lead
-	planned string             // what was said of plans
-	planAt  agreement.Clock    // when the leader looks for another one
-	turn    int                // seats that were asked in vain, one after the other
-	heard   bool               // a whole record was got since the start
-	last    string             // what was applied
-	turned  string             // what was said of a seat that it has not
-	news    chan struct{}      // closed when the council's record changes
-	counts  Counts
+	mu       sync.Mutex
+	holder   *agreement.Holder
+	seat     *seat              // nil for a follower
+	founder  *agreement.Founder // what this dispatcher's file says, while it founds or has founded
+	leads    *agreement.Council // nil while it does not lead
+	trying   *agreement.Trying  // nil while it leads no trial
+	planner  *failover.Planner  // nil while it does not lead
+	treasury *treasury          // the same, and where nothing is dealt out
+	planned  string             // what was said of plans
+	planAt   agreement.Clock    // when the leader looks for another one
+	turn     int                // seats that were asked in vain, one after the other
+	heard    bool               // a whole record was got since the start
+	last     string             // what was applied
+	turned   string             // what was said of a seat that it has not
+	news     chan struct{}      // closed when the council's record changes
+	counts   Counts
 }
 
 // Counts are what the fleet costs this dispatcher.
@@ -104,6 +110,7 @@
 	a := &Agent{Options: o, s: s, instance: rand.Text(), lease: lease, patience: patience, start: time.Now(), pace: testPace(), form: testForm(), log: o.Log,
 		client: newClient(), changed: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), slow: make(chan struct{}, 8), news: make(chan struct{})}
 	a.holder = agreement.NewHolder(o.Name, a.kept())
+	a.purse = newPurse(o.Overload, a.among(), a.now())
 	return a, nil
 }
 
--- /dev/null
+++ b/internal/fleet/budgets.go
@@ -0,0 +1,162 @@
+package fleet
+
+import (
+	"sync"
+	"time"
+
+	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/decisions/budgets"
+)
+
+// purse is what this dispatcher may spend of the fleet's budgets.
+type purse struct {
+	mu      sync.Mutex
+	holders map[string]*budgets.Holder
+	firsts  uint64
+	at      agreement.Clock
+}
+
+func newPurse(o *Overload, among int, now agreement.Clock) *purse {
+	p := &purse{holders: map[string]*budgets.Holder{}, at: now}
+	for _, kind := range o.kinds() {
+		s := budgets.Settings{Rate: o.rate(kind, 0), Free: freeShare, Among: among}
+		p.holders[kind] = budgets.NewHolder(s.Alone(), now)
+	}
+	return p
+}
+
+// May takes one use of a budget, if there is room. What has no budget is free.
+func (a *Agent) May(kind string) bool {
+	a.purse.mu.Lock()
+	defer a.purse.mu.Unlock()
+	h := a.purse.holders[kind]
+	return h == nil || h.Use(a.now())
+}
+
+// wants is what this dispatcher asks of each budget, and how many first calls it makes a second.
+func (a *Agent) wants() (demand map[string]float64, firsts float64) {
+	if a.Overload == nil {
+		return nil, 0
+	}
+	now, all := a.now(), uint64(0)
+	if a.Firsts != nil {
+		all = a.Firsts()
+	}
+	p := a.purse
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	demand = map[string]float64{}
+	for kind, h := range p.holders {
+		demand[kind] = h.Demand(now)
+	}
+	if span := now - p.at; span > 0 {
+		firsts = float64(all-p.firsts) / span.Seconds()
+	}
+	p.firsts, p.at = all, now
+	return demand, firsts
+}
+
+// leased takes the rates of a lease in.
+func (a *Agent) leased(rates map[string]float64, asked agreement.Clock, lease time.Duration) {
+	a.purse.mu.Lock()
+	defer a.purse.mu.Unlock()
+	for kind, rate := range rates {
+		if h := a.purse.holders[kind]; h != nil {
+			h.Granted(rate, asked, lease, a.now())
+		}
+	}
+}
+
+// Spent is how a budget stands at this dispatcher.
+type Spent struct {
+	Kind   string  `json:"kind"`
+	Rate   float64 `json:"rate"`   // a second, that it may spend now
+	Demand float64 `json:"demand"` // that it asked for lately
+	Denied int     `json:"denied"` // uses, since the start
+}
+
+func (a *Agent) spent() (all []Spent) {
+	a.purse.mu.Lock()
+	defer a.purse.mu.Unlock()
+	for _, kind := range a.Overload.kinds() {
+		h := a.purse.holders[kind]
+		all = append(all, Spent{kind, h.Rate(a.now()), h.Demand(a.now()), h.Denied()})
+	}
+	return all
+}
+
+// Dealt is how a budget stands at the leader.
+type Dealt struct {
+	Kind  string  `json:"kind"`
+	Rate  float64 `json:"rate"`  // a second, of all together
+	Given float64 `json:"given"` // that leases and those without one may spend now
+}
+
+// treasury is the leader's part.
+type treasury struct {
+	dealers map[string]*budgets.Dealer
+	rates   map[string]float64
+	firsts  map[string]first
+}
+
+type first struct {
+	rate float64
+	at   agreement.Clock
+}
+
+// newTreasury begins without knowing of any lease.
+func (a *Agent) newTreasury() *treasury {
+	t := &treasury{dealers: map[string]*budgets.Dealer{}, rates: map[string]float64{}, firsts: map[string]first{}}
+	for _, kind := range a.Overload.kinds() {
+		t.dealers[kind] = budgets.NewDealer(a.budget(kind, 0), a.now())
+	}
+	return t
+}
+
+func (a *Agent) budget(kind string, firsts float64) budgets.Settings {
+	return budgets.Settings{Rate: a.Overload.rate(kind, firsts), Free: freeShare, Among: a.among(), Lease: a.lease}
+}
+
+// among is how many dispatchers there are at the most.
+func (a *Agent) among() int {
+	if a.Among == nil {
+		return 1
+	}
+	return max(a.Among(), 1)
+}
+
+// deal gives a dispatcher its rates; a.mu is held.
+func (a *Agent) deal(q question) map[string]float64 {
+	t := a.treasury
+	if t == nil || q.Demand == nil {
+		return nil
+	}
+	now, firsts := a.now(), 0.0
+	t.firsts[q.Name] = first{q.Firsts, now}
+	for name, f := range t.firsts {
+		if now-f.at > 2*a.lease {
+			delete(t.firsts, name)
+			continue
+		}
+		firsts += f.rate
+	}
+	rates := map[string]float64{}
+	for kind, d := range t.dealers {
+		s := a.budget(kind, firsts)
+		t.rates[kind] = s.Rate
+		d.Retune(s)
+		rates[kind] = d.Grant(q.Name, q.Demand[kind], 0, now)
+	}
+	return rates
+}
+
+// dealt is how the budgets stand; a.mu is held.
+func (a *Agent) dealt() (all []Dealt) {
+	if a.treasury == nil {
+		return nil
+	}
+	for _, kind := range a.Overload.kinds() {
+		all = append(all, Dealt{kind, a.treasury.rates[kind], a.treasury.dealers[kind].Given(a.now())})
+	}
+	return all
+}
--- /dev/null
+++ b/internal/fleet/grant.go
@@ -0,0 +1,179 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"brassdale/internal/decisions/agreement"
+)
+
+// grants gives leases to those who ask, if this seat leads. That somebody asked is noted first: a version waits for it from
+// then on. Then a majority confirms who leads, so a leader that was cut off gives none.
+func (a *Agent) grants(ctx context.Context, all []question) (answer, int) {
+	a.mu.Lock()
+	s, leads := a.seat, a.leads
+	got := answer{Refused: map[string]string{}, Rates: map[string]map[string]float64{}}
+	if s != nil && leads != nil {
+		r := s.log.Record()
+		for _, q := range all {
+			err := a.fits(q, r)
+			if err == nil {
+				err = leads.Renewed(q.Member, a.now())
+			}
+			if err != nil {
+				got.Refused[q.Name] = err.Error()
+				continue
+			}
+			if rates := a.deal(q); rates != nil {
+				got.Rates[q.Name] = rates
+			}
+			if a.trying != nil {
+				a.trying.See(q.Member)
+			}
+			if a.planner != nil && q.Report != nil {
+				a.planner.Hear(*q.Report, a.now())
+			}
+		}
+	}
+	a.mu.Unlock()
+	if s == nil {
+		return answer{Why: "no seat"}, http.StatusMisdirectedRequest
+	}
+	if leads == nil {
+		return answer{Leader: s.log.Leader(), Why: "does not lead"}, http.StatusMisdirectedRequest
+	}
+	if err := s.log.Confirm(ctx); err != nil {
+		return answer{Why: err.Error()}, http.StatusServiceUnavailable
+	}
+	r := s.log.Record()
+	got.Era, got.Revision, got.LeaseMS = r.Era, r.Revision, a.lease.Milliseconds()
+	return got, http.StatusOK
+}
+
+// fits tells whether who asks can be of the fleet as it stands.
+func (a *Agent) fits(q question, r agreement.Record) error {
+	needs := r.InForce.Rules.Needs()
+	if v := r.Announced; v != nil {
+		needs = max(needs, v.Rules.Needs())
+	}
+	switch {
+	case q.Era > r.Era:
+		a.fenced(q.Era)
+		return agreement.ErrOlder
+	case q.Form < leastForm || q.Form < needs:
+		return fmt.Errorf("form %d of messages: the fleet needs %d", q.Form, max(needs, leastForm))
+	}
+	return nil
+}
+
+// granted has one lease given: by this seat if it leads, else by the leader, asked by this seat for all that wait.
+func (a *Agent) granted(ctx context.Context, q question) (answer, int) {
+	a.mu.Lock()
+	s, leads := a.seat, a.leads != nil
+	a.mu.Unlock()
+	if s == nil {
+		return answer{Why: "no seat"}, http.StatusMisdirectedRequest
+	}
+	var got answer
+	var status int
+	if leads {
+		got, status = a.grants(ctx, []question{q})
+	} else {
+		got, status = s.relay.ask(ctx, q)
+	}
+	if status != http.StatusOK {
+		return got, status
+	}
+	if why := got.Refused[q.Name]; why != "" {
+		return answer{Why: why}, http.StatusConflict
+	}
+	// The record goes from here, once this seat has what the leader had.
+	for {
+		a.mu.Lock()
+		news := a.news
+		a.mu.Unlock()
+		if r := s.log.Record(); r.Era == got.Era && r.Revision >= got.Revision {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return answer{Why: "this seat is behind"}, http.StatusServiceUnavailable
+		case <-news:
+		}
+	}
+	back := answer{LeaseMS: got.LeaseMS}
+	if rates := got.Rates[q.Name]; rates != nil {
+		back.Rates = map[string]map[string]float64{q.Name: rates}
+	}
+	back.Entries, back.Record, back.Era, back.Revision = s.log.Since(q.Era, q.Revision)
+	return back, http.StatusOK
+}
+
+// relay gathers questions for the leader.
+type relay struct{ in chan asked }
+
+type asked struct {
+	q      question
+	answer chan<- relayedAnswer
+}
+
+type relayedAnswer struct {
+	answer
+	status int
+}
+
+func (r *relay) ask(ctx context.Context, q question) (answer, int) {
+	back := make(chan relayedAnswer, 1)
+	select {
+	case r.in <- asked{q, back}:
+	default:
+		return answer{Why: "too many questions wait"}, http.StatusServiceUnavailable
+	}
+	select {
+	case got := <-back:
+		return got.answer, got.status
+	case <-ctx.Done():
+		return answer{Why: ctx.Err().Error()}, http.StatusServiceUnavailable
+	}
+}
+
+// relayed asks the leader, one call at a time with all that wait.
+func (a *Agent) relayed(ctx context.Context, s *seat) {
+	for {
+		var all []asked
+		select {
+		case <-ctx.Done():
+			return
+		case q := <-s.relay.in:
+			all = append(all, q)
+		}
+		for len(s.relay.in) > 0 && len(all) < mostBatch {
+			all = append(all, <-s.relay.in)
+		}
+		var questions []question
+		for _, q := range all {
+			questions = append(questions, q.q)
+		}
+		got, status := answer{Why: "nobody leads"}, http.StatusServiceUnavailable
+		r, leader := s.log.Record(), s.log.Leader()
+		if leader == s.id() { // since a moment ago
+			by, stop := context.WithDeadline(ctx, time.Now().Add(callWithin))
+			got, status = a.grants(by, questions)
+			stop()
+		} else if i := slices.IndexFunc(r.Council, func(o agreement.Seat) bool { return o.ID == leader }); i >= 0 {
+			by, stop := context.WithDeadline(ctx, time.Now().Add(min(callWithin, a.lease/3)))
+			var err error
+			if got, status, err = a.post(by, r.Council[i].Address, "grant", questions); err != nil {
+				got, status = answer{Why: err.Error()}, http.StatusServiceUnavailable
+			}
+			stop()
+		}
+		for _, q := range all {
+			q.answer <- relayedAnswer{got, status} // has room
+		}
+		pause(ctx, relayEvery)
+	}
+}
--- a/internal/fleet/handler.go
+++ b/internal/fleet/handler.go
@@ -29,6 +29,8 @@
 	Members []membership.Member `json:"members,omitempty"` // by gossip
 	Zones   []failover.View     `json:"zones,omitempty"`   // as the leader plans them
 	Alone   bool                `json:"alone,omitempty"`   // it does not trust its plan any more
+	Spent   []Spent             `json:"spent,omitempty"`   // of the fleet's budgets, here
+	Dealt   []Dealt             `json:"dealt,omitempty"`   // and by all, where this one leads
 	Counts  Counts              `json:"counts"`
 }
 
@@ -45,6 +47,7 @@
 	if a.seat != nil {
 		st.Leader, st.Record, st.Places = a.seat.log.Leader(), a.seat.log.Record(), a.seat.log.Places()
 	}
+	st.Spent, st.Dealt = a.spent(), a.dealt()
 	if a.planner != nil {
 		st.Zones = a.planner.Views(a.now())
 	}
--- /dev/null
+++ b/internal/fleet/lead.go
@@ -0,0 +1,235 @@
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/decisions/failover"
+)
+
+// elected is told by the log. A new leader begins without knowing of any lease.
+func (a *Agent) elected(leads bool) {
+	a.mu.Lock()
+	a.leads, a.trying, a.planner, a.treasury = nil, nil, nil, nil
+	if leads && a.Overload != nil {
+		a.treasury = a.newTreasury()
+	}
+	if leads {
+		a.leads = agreement.NewCouncil(a.lease, a.now())
+		if a.Failover != nil {
+			s, regions := a.Failover.planner()
+			a.planner = failover.NewPlanner(s, regions, a.holder.Record().Plan, a.now())
+		}
+	}
+	a.mu.Unlock()
+	a.log.Info("council", "leads", leads)
+	wake(a.changed)
+}
+
+// lead does what the leader does by itself: versions whose time has come, trials, seats that are silent.
+func (a *Agent) lead(ctx context.Context) {
+	for ; ctx.Err() == nil; pause(ctx, leadEvery) {
+		a.mu.Lock()
+		s, leads := a.seat, a.leads
+		a.mu.Unlock()
+		if s == nil || leads == nil {
+			continue
+		}
+		if e, ok := a.due(s, leads); ok {
+			by, stop := context.WithDeadline(ctx, time.Now().Add(callWithin))
+			if err := s.log.Propose(by, e); err == nil {
+				a.log.Info("council's entry", "force", e.Force, "widen", e.Widen, "withdraw", e.Withdraw, "why", e.Why)
+			}
+			stop()
+			continue
+		}
+		a.mu.Lock()
+		present := leads.Present(a.now())
+		a.mu.Unlock()
+		places, next := s.log.Places(), s.log.Record().NextSeat
+		if m, ok := agreement.Reseat(places, present, next, a.patience); ok {
+			by, stop := context.WithDeadline(ctx, time.Now().Add(callWithin))
+			err := s.log.Reseat(by, m)
+			stop()
+			a.log.Info("council's seats", "learns", m.Learn, "votes", m.Seat, "goes", m.Unseat, "err", err)
+			pause(ctx, 5*sitEvery)
+		}
+	}
+}
+
+// due gives the entry whose time has come.
+func (a *Agent) due(s *seat, leads *agreement.Council) (agreement.Entry, bool) {
+	r := s.log.Record()
+	v := r.Announced
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if e, ok := a.plans(r, leads); ok {
+		return e, true
+	}
+	if v == nil {
+		return agreement.Entry{}, false
+	}
+	if v.Trial != nil {
+		if a.trying == nil || a.trying.Version() != v.Number {
+			a.trying = agreement.NewTrying(v.Number, a.now())
+		}
+		switch o, why := a.trying.Judge(v.Trial, a.now()); o {
+		case agreement.Passed:
+			return agreement.Entry{ID: rand.Text(), Widen: v.Number}, true
+		case agreement.Stopped:
+			return agreement.Entry{ID: rand.Text(), Withdraw: v.Number, Why: why}, true
+		}
+		return agreement.Entry{}, false
+	}
+	may, _ := leads.May(v.Number, a.now())
+	return agreement.Entry{ID: rand.Text(), Force: v.Number}, may
+}
+
+// planEvery is how often the leader looks whether another plan is called for.
+const planEvery = 250 * time.Millisecond
+
+// plans gives the next plan, once all that hold leases act on the last: two plans at a time are in use, and no more; a.mu is
+// held.
+func (a *Agent) plans(r agreement.Record, leads *agreement.Council) (agreement.Entry, bool) {
+	last := uint64(0)
+	if r.Plan != nil {
+		last = r.Plan.Number
+	}
+	if a.planner == nil || a.now() < a.planAt || !leads.Planned(last, a.now()) {
+		return agreement.Entry{}, false
+	}
+	a.planAt = a.now() + planEvery
+	for zone := range a.planner.Regions() {
+		share := 1.0
+		for _, h := range r.Holds {
+			if h.Zone == zone {
+				share = h.Share
+			}
+		}
+		a.planner.Hold(zone, share)
+	}
+	if p, made := a.planner.Next(a.now()); made {
+		a.log.Info("plan made", "number", p.Number, "why", fmt.Sprint(p.Why))
+		return agreement.Entry{ID: rand.Text(), Plan: p}, true
+	}
+	return agreement.Entry{}, false
+}
+
+// hold has a zone held at a share of its capacity, where there is room for the rest elsewhere or it is forced.
+func (a *Agent) hold(ctx context.Context, h agreement.Hold, passed bool) (answer, int) {
+	a.mu.Lock()
+	s, planner := a.seat, a.planner
+	var shed, then float64
+	known := false
+	if planner != nil {
+		shed, then = planner.Room(h.Zone, h.Share, a.now())
+		_, known = planner.Regions()[h.Zone]
+	}
+	a.mu.Unlock()
+	if planner == nil {
+		return a.toLeader(ctx, "hold", h, passed)
+	}
+	room := fmt.Sprintf("%.1f slots' work a second is shed now, %.1f with %s at %g", shed, then, h.Zone, h.Share)
+	switch {
+	case !known:
+		return answer{Why: fmt.Sprintf("there is no zone %q", h.Zone)}, http.StatusNotFound
+	case then > shed+0.5 && !h.Force:
+		return answer{Why: "no room elsewhere: " + room}, http.StatusConflict
+	}
+	by, stop := context.WithDeadline(ctx, time.Now().Add(3*callWithin))
+	defer stop()
+	if err := s.log.Propose(by, agreement.Entry{ID: rand.Text(), Hold: &h}); err != nil {
+		return answer{Why: err.Error()}, http.StatusServiceUnavailable
+	}
+	return answer{Why: room}, http.StatusOK
+}
+
+// toLeader passes on what only the leader can do.
+func (a *Agent) toLeader(ctx context.Context, what string, body any, passed bool) (answer, int) {
+	a.mu.Lock()
+	s := a.seat
+	a.mu.Unlock()
+	to := a.asks()
+	if s != nil {
+		if passed { // by one that thought this one leads
+			return answer{Why: "does not lead"}, http.StatusMisdirectedRequest
+		}
+		r, leader := s.log.Record(), s.log.Leader()
+		i := slices.IndexFunc(r.Council, func(o agreement.Seat) bool { return o.ID == leader })
+		if i < 0 || leader == s.id() {
+			return answer{Why: "nobody leads"}, http.StatusServiceUnavailable
+		}
+		to, what = r.Council[i], what+"?passed=1"
+	}
+	by, stop := context.WithDeadline(ctx, time.Now().Add(4*callWithin))
+	defer stop()
+	got, status, err := a.post(by, to.Address, what, body)
+	if err != nil {
+		return answer{Why: err.Error()}, http.StatusServiceUnavailable
+	}
+	return got, status
+}
+
+// propose announces a version, at whichever seat leads.
+func (a *Agent) propose(ctx context.Context, v agreement.Version, passed bool) (answer, int) {
+	if err := v.Rules.Check(); err != nil {
+		return answer{Why: err.Error()}, http.StatusBadRequest
+	}
+	if err := v.Trial.Check(); err != nil {
+		return answer{Why: err.Error()}, http.StatusBadRequest
+	}
+	a.mu.Lock()
+	s, leads := a.seat, a.leads
+	var cannot []string
+	if leads != nil {
+		cannot = leads.Readable(v.Rules, a.now())
+	}
+	a.mu.Unlock()
+	if s != nil && leads != nil {
+		if len(cannot) > 0 {
+			return answer{Why: fmt.Sprintf("older builds could not read it: %v", cannot)}, http.StatusConflict
+		}
+		ctx, stop := context.WithDeadline(ctx, time.Now().Add(3*callWithin))
+		defer stop()
+		err := s.log.Propose(ctx, agreement.Entry{ID: rand.Text(), Announce: &v})
+		record := s.log.Record()
+		switch {
+		case err == nil:
+			return answer{Record: &record}, http.StatusOK
+		case errors.Is(err, agreement.ErrUnderWay), errors.Is(err, agreement.ErrBase):
+			return answer{Why: err.Error(), Record: &record}, http.StatusConflict
+		default: // nobody knows whether it is announced: the status tells
+			return answer{Why: err.Error()}, http.StatusServiceUnavailable
+		}
+	}
+	return a.toLeader(ctx, "propose", v, passed)
+}
+
+// left takes a dispatcher's word that it has dropped its lease, to the leader.
+func (a *Agent) left(ctx context.Context, q question, passed bool) (answer, int) {
+	a.mu.Lock()
+	s, leads := a.seat, a.leads
+	if leads != nil {
+		leads.Left(q.Name, q.Instance)
+	}
+	a.mu.Unlock()
+	if leads != nil {
+		return answer{}, http.StatusOK
+	}
+	if s == nil || passed {
+		return answer{Why: "does not lead"}, http.StatusMisdirectedRequest
+	}
+	r, leader := s.log.Record(), s.log.Leader()
+	if i := slices.IndexFunc(r.Council, func(o agreement.Seat) bool { return o.ID == leader }); i >= 0 {
+		if got, status, err := a.post(ctx, r.Council[i].Address, "leave?passed=1", q); err == nil {
+			return got, status
+		}
+	}
+	return answer{Why: "nobody leads"}, http.StatusServiceUnavailable
+}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -25,8 +25,10 @@
 // question asks for a lease.
 type question struct {
 	agreement.Member
-	Revision uint64           `json:"revision"` // of the record that is known; 0 for the whole record
-	Report   *failover.Report `json:"report,omitempty"`
+	Revision uint64             `json:"revision"` // of the record that is known; 0 for the whole record
+	Report   *failover.Report   `json:"report,omitempty"`
+	Demand   map[string]float64 `json:"demand,omitempty"` // uses a second of each budget
+	Firsts   float64            `json:"firsts,omitempty"` // first calls a second
 }
 
 // form is that of this build: 2 has shares in rules. What a build cannot read is refused, not guessed at.
@@ -37,14 +39,15 @@
 
 // answer gives a lease, or news of the record, or says who may.
 type answer struct {
-	Record   *agreement.Record `json:"record,omitempty"`  // whole, ...
-	Entries  []agreement.Entry `json:"entries,omitempty"` // ... or what changed since the revision that was said
-	LeaseMS  int64             `json:"lease_ms,omitempty"`
-	Era      uint64            `json:"era,omitempty"`
-	Revision uint64            `json:"revision,omitempty"` // that the leader has
-	Leader   uint64            `json:"leader,omitempty"`   // a seat
-	Refused  map[string]string `json:"refused,omitempty"`  // who gets no lease, and why
-	Why      string            `json:"why,omitempty"`
+	Record   *agreement.Record             `json:"record,omitempty"`  // whole, ...
+	Entries  []agreement.Entry             `json:"entries,omitempty"` // ... or what changed since the revision that was said
+	LeaseMS  int64                         `json:"lease_ms,omitempty"`
+	Era      uint64                        `json:"era,omitempty"`
+	Revision uint64                        `json:"revision,omitempty"` // that the leader has
+	Leader   uint64                        `json:"leader,omitempty"`   // a seat
+	Refused  map[string]string             `json:"refused,omitempty"`  // who gets no lease, and why
+	Rates    map[string]map[string]float64 `json:"rates,omitempty"`    // by dispatcher and budget
+	Why      string                        `json:"why,omitempty"`
 }
 
 func newClient() *http.Client {
--- a/internal/fleet/renew.go
+++ b/internal/fleet/renew.go
@@ -58,6 +58,7 @@
 	if a.Jobs != nil {
 		ended, bad = a.Jobs()
 	}
+	demand, firsts := a.wants()
 	var report *failover.Report
 	if a.Report != nil {
 		report = a.Report()
@@ -65,7 +66,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := a.holder.Record()
-	q := question{Report: report, Member: agreement.Member{Name: a.Name, Instance: a.instance, Acked: a.holder.Acknowledged(), Form: a.form, Era: r.Era,
+	q := question{Report: report, Demand: demand, Firsts: firsts, Member: agreement.Member{Name: a.Name, Instance: a.instance, Acked: a.holder.Acknowledged(), Form: a.form, Era: r.Era,
 		Address: a.address(), Region: a.s.Region, Zone: a.Zone, Seat: a.seat.id(), Ended: ended, Bad: bad}, Revision: r.Revision}
 	if r.Plan != nil {
 		q.Plan = r.Plan.Number
@@ -125,6 +126,7 @@
 	if err != nil {
 		return err
 	}
+	a.leased(got.Rates[a.Name], asked, time.Duration(got.LeaseMS)*time.Millisecond)
 	if fresh {
 		a.keep(r)
 		wake(a.renewNow)
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -44,6 +44,42 @@
 	Zones []string `hcl:"zones"`
 }
 
+// Overload is the operator's, in a block overload: what all dispatchers together may do is dealt out by the council.
+type Overload struct {
+	Retries float64 `hcl:"retries"`         // further calls for each first one of the fleet
+	Probes  float64 `hcl:"probes,optional"` // a second, at all boxes together; 0 for no bound
+}
+
+// Budgets that are dealt out.
+const (
+	Retries = "retries"
+	Probes  = "probes"
+)
+
+// kinds are those that the settings bound.
+func (o *Overload) kinds() []string {
+	if o == nil {
+		return nil
+	}
+	if o.Probes > 0 {
+		return []string{Retries, Probes}
+	}
+	return []string{Retries}
+}
+
+const (
+	freeShare    = 0.1 // of a budget, for those without a lease
+	leastRetries = 1.0 // a second, of a fleet that has next to nothing to do
+)
+
+// rate is a budget's, by the first calls that the fleet makes a second.
+func (o *Overload) rate(kind string, firsts float64) float64 {
+	if kind == Probes {
+		return o.Probes
+	}
+	return max(o.Retries*firsts, leastRetries)
+}
+
 // DefaultFailover gives what holds where the block says nothing.
 func DefaultFailover() Failover {
 	return Failover{Headroom: 0.15, ReturnIn: "60s", Alone: "10s", Detect: "1s"}
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -94,7 +94,7 @@
 		"fleet":            {"internal/decisions/", "internal/fleet", "internal/diag"},
 		"fleet/log":        {"internal/decisions/"},
 		"fleet/membership": {},
-		"operator":         {"internal/diag", "internal/fleet", "internal/protocol", "internal/transport", "internal/savedlist"},
+		"operator":         {"internal/decisions/agreement", "internal/diag", "internal/fleet", "internal/protocol", "internal/transport", "internal/savedlist"},
 		"emulator":         {"brain", "internal/load", "internal/decisions/failover"},
 		"load":             {"internal/protocol", "internal/diag"},
 		"savedlist":        {"brain", "internal/routing", "internal/protocol"},
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/hcl/v2/hclsyntax"
 	"github.com/hashicorp/hcl/v2/hclwrite"
 
+	"brassdale/internal/decisions/agreement"
 	"brassdale/internal/diag"
 	"brassdale/internal/fleet"
 	"brassdale/internal/protocol"
@@ -38,6 +39,7 @@
 	Fleet    *transport.FleetSettings
 	Council  *fleet.Settings
 	Failover *fleet.Failover
+	Overload *fleet.Overload
 }
 
 // Keyed gives the settings of the table of keys; nil where there is none. Fronts beside the platform's need it: a key
@@ -73,6 +75,7 @@
 	{"fleet", "", readFleet, func(f *File) any { return orNil(f.Fleet) }},
 	{"council", "", readCouncil, func(f *File) any { return orNil(f.Council) }},
 	{"failover", "", readFailover, func(f *File) any { return orNil(f.Failover) }},
+	{"overload", "", readOverload, func(f *File) any { return orNil(f.Overload) }},
 	{"saved_list", "", readSaved, func(f *File) any { return orNil(f.Saved) }},
 }
 
@@ -240,6 +243,20 @@
 	f.Council = &s
 }
 
+func readOverload(f *File, r *reader) {
+	s := fleet.Overload{}
+	if !r.decode(&s) {
+		return
+	}
+	if !(s.Retries >= 0 && s.Retries <= agreement.MostRetries) {
+		r.bad("retries", "It must be between 0 and %d.", agreement.MostRetries)
+	}
+	if !(s.Probes >= 0 && s.Probes <= 1e6) {
+		r.bad("probes", "It must be between 0 and a million a second.")
+	}
+	f.Overload = &s
+}
+
 func readFailover(f *File, r *reader) {
 	s := fleet.DefaultFailover()
 	if !r.decode(&s) {
--- a/internal/program/agreed.go
+++ b/internal/program/agreed.go
@@ -24,6 +24,12 @@
 	rules string          // the file that is proposed at SIGHUP; empty for none
 }
 
+// spend asks the fleet's budgets.
+type spend struct{ agent *fleet.Agent }
+
+func (s spend) Further() bool { return s.agent.May(fleet.Retries) }
+func (s spend) Probe() bool   { return s.agent.May(fleet.Probes) }
+
 // jobs counts those that ended since the start, and those of them that were refused or failed.
 func (a *agreed) jobs() (ended, bad uint64) {
 	for _, t := range a.d.core.Ledger().Figures().Classes {
@@ -52,7 +58,7 @@
 }
 
 // agree makes the dispatcher's part in the fleet. It does nothing yet.
-func (d *dispatcher) agree(s *fleet.Settings, zones *fleet.Failover, cfg *protocol.Config) (err error) {
+func (d *dispatcher) agree(s *fleet.Settings, zones *fleet.Failover, load *fleet.Overload, cfg *protocol.Config) (err error) {
 	a := &agreed{d: d, own: -1, fleet: -1, rules: s.Rules}
 	if d.budgeted {
 		a.own = d.retries
@@ -67,10 +73,16 @@
 		d.core.Guided(a.guide)
 		o.Failover, o.Report, o.Planned = zones, a.guide.Report, a.guide.Follow
 	}
+	if load != nil {
+		o.Overload, o.Firsts, o.Among = load, d.core.Firsts, func() int { return d.params.Now().ReplicasOfMe }
+	}
 	if a.agent, err = fleet.New(o); err != nil {
 		return err
 	}
 	d.agreed, d.budgeted = a, true
+	if load != nil {
+		d.core.Spending(spend{a.agent})
+	}
 	may := func() bool { return a.agent.Stand().Rules.Repeat }
 	d.core.Repeats(may)
 	d.fleet.Repeats = may
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -217,11 +217,11 @@
 		d.limit(op.Fleet.RetryBudget)
 		d.budgeted = true
 	}
-	if op.Failover != nil && op.Council == nil {
-		return fmt.Errorf("failover: it needs a block council")
+	if op.Council == nil && (op.Failover != nil || op.Overload != nil) {
+		return fmt.Errorf("blocks failover and overload need a block council")
 	}
 	if op.Council != nil {
-		if err := d.agree(op.Council, op.Failover, cfg); err != nil {
+		if err := d.agree(op.Council, op.Failover, op.Overload, cfg); err != nil {
 			return fmt.Errorf("council: %w", err)
 		}
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -114,6 +114,7 @@
 	lastID    atomic.Uint64
 	ledger    Ledger
 	witness   atomic.Pointer[Witness]
+	firsts    atomic.Uint64 // first calls
 
 	// Owned by Run.
 	now      brain.Clock
@@ -121,6 +122,7 @@
 	timers   timers
 	budget   *retries.Budget // of further calls; nil for no bound but the module's
 	repeats  func() bool     // whether anything may be sent a second time now; nil for always
+	spend    Spend           // nil where the fleet has no budgets
 	guide    Guide           // nil where nobody says to which zones jobs may go
 }
 
@@ -468,6 +470,10 @@
 		case brain.Drop:
 			c.endpoints.Drop(a.Worker, a.Idle)
 		case brain.Probe:
+			if c.spend != nil && !c.spend.Probe() {
+				c.Probed(a.Worker, brain.NeverSent, nil)
+				continue
+			}
 			c.endpoints.Probe(a.Worker)
 		case brain.Subscribe:
 			c.subscribe()
@@ -506,6 +512,13 @@
 		c.Finished(id, End{Outcome: brain.NeverSent})
 		return
 	}
+	if id.Attempt == 0 {
+		c.firsts.Add(1)
+	} else if c.spend != nil && !c.spend.Further() {
+		c.ledger.repeatDenied()
+		c.Finished(id, End{Outcome: brain.NeverSent})
+		return
+	}
 	if c.budget != nil {
 		if id.Attempt == 0 {
 			c.budget.First(c.now, r.ClassName, r.Account)
--- a/internal/routing/guide.go
+++ b/internal/routing/guide.go
@@ -20,6 +20,18 @@
 	Probed(id brain.WorkerID, o brain.Outcome)
 }
 
+// Spend says whether there is room for one more in what all dispatchers together may do. No method blocks.
+type Spend interface {
+	Further() bool // a further call of a job
+	Probe() bool
+}
+
+// Spending names who says so. It is set before Run.
+func (c *Core) Spending(s Spend) { c.spend = s }
+
+// Firsts is how many first calls there were.
+func (c *Core) Firsts() uint64 { return c.firsts.Load() }
+
 // SilentAfter is how long a call may be without any sign before a guide hears of it.
 const SilentAfter = 500 * time.Millisecond
 
