--- a/internal/decisions/agreement/lease.go
+++ b/internal/decisions/agreement/lease.go
@@ -12,19 +12,36 @@
 type Holder struct {
 	name   string
 	record Record
+	stand  Stand // by the record, as with a lease
 	until  Clock
 	held   bool // a lease was held at any time
 }
 
 // NewHolder makes the part of a dispatcher of a name, that knows a record from before and holds no lease.
-func NewHolder(name string, known Record) *Holder { return &Holder{name: name, record: known} }
+func NewHolder(name string, known Record) *Holder {
+	h := &Holder{name: name}
+	h.know(known)
+	return h
+}
+
+// know takes a record in, and what follows from it: rules may be large, and are asked for at each call.
+func (h *Holder) know(r Record) {
+	same := h.stand.Versions != nil && r.Era == h.record.Era && r.Revision == h.record.Revision
+	if h.record = r; same {
+		return
+	}
+	h.stand = Stand{Versions: []uint64{r.InForce.Number}, Rules: r.InForce.rules()}
+	if a := h.announced(); a != nil {
+		h.stand.Versions, h.stand.Rules = append(h.stand.Versions, a.Number), h.stand.Rules.Stricter(a.Rules)
+	}
+}
 
 // Heard takes an answer of the council in: the record, and a lease counted from when this dispatcher asked.
 func (h *Holder) Heard(r Record, asked Clock, lease time.Duration) {
 	if h.record.Newer(r) { // an older answer that came later, or of a council that is none any more; so is its lease
 		return
 	}
-	h.record = r
+	h.know(r)
 	if until := asked + lease; !h.held || until > h.until {
 		h.until, h.held = until, true
 	}
@@ -35,7 +52,7 @@
 	if !r.Newer(h.record) {
 		return false
 	}
-	h.record = r
+	h.know(r)
 	return true
 }
 
@@ -70,11 +87,8 @@
 
 // Stand is what it may act on now.
 func (h *Holder) Stand(now Clock) Stand {
-	s := Stand{Versions: []uint64{h.record.InForce.Number}, Rules: h.record.InForce.rules(), Lapsed: !h.held || now >= h.until}
-	if a := h.announced(); a != nil {
-		s.Versions, s.Rules = append(s.Versions, a.Number), s.Rules.Stricter(a.Rules)
-	}
-	if s.Lapsed {
+	s := h.stand
+	if s.Lapsed = !h.held || now >= h.until; s.Lapsed {
 		s.Rules.Repeat = false
 	}
 	return s
--- a/internal/emulator/deployment.go
+++ b/internal/emulator/deployment.go
@@ -103,9 +103,11 @@
 
 // between is a way from a dispatcher's zone to a box or back.
 func (w *world) between(zone int, b *box, chance *rand.Rand) time.Duration {
-	way := time.Duration(float64(w.s.Network.Cross) * (0.9 + 0.2*chance.Float64()))
+	var way time.Duration
 	if zone == b.zone {
 		way = w.delay(chance)
+	} else {
+		way = time.Duration(float64(w.s.Network.Cross) * (0.9 + 0.2*chance.Float64()))
 	}
 	if times := w.far[b.zone]; times > 0 {
 		way = time.Duration(float64(way) * times)
--- a/internal/experiment/failover.go
+++ b/internal/experiment/failover.go
@@ -5,6 +5,7 @@
 	"encoding/csv"
 	"fmt"
 	"io"
+	"os"
 	"path/filepath"
 	"slices"
 	"strconv"
@@ -147,6 +148,9 @@
 
 // SaveTowns keeps the rows, a table and a chart in a folder.
 func SaveTowns(dir string, rows []TownRow) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
 	if err := write(dir, map[string]func(io.Writer) error{"rows.csv": func(w io.Writer) error { return townCSV(w, rows) }, "table.txt": func(w io.Writer) error { return TownTable(w, rows) }}); err != nil {
 		return err
 	}
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -265,7 +265,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s := a.holder.Stand(a.now())
-	if text := fmt.Sprint(s); text != a.last {
+	if text := fmt.Sprint(a.holder.Record().Era, s.Versions, s.Lapsed); text != a.last { // rules follow from these
 		a.last = text
 		a.log.Info("acting on", "versions", fmt.Sprint(s.Versions), "lapsed", s.Lapsed, "at_ms", time.Now().UnixMilli())
 		a.Apply(s)
--- a/internal/program/agreed.go
+++ b/internal/program/agreed.go
@@ -17,7 +17,7 @@
 	agent *fleet.Agent
 
 	mu    sync.Mutex
-	out   []string        // boxes that the fleet has out
+	out   map[string]bool // boxes that the fleet has out
 	own   float64         // the operator's own bound on further calls; below 0 for none
 	fleet float64         // and the fleet's
 	guide *failover.Guide // nil where nobody plans zones
@@ -100,17 +100,18 @@
 		a.d.accounts.Cap(s.Rules.Shares)
 	}
 	own := a.d.operations.file.list()
+	out := make(map[string]bool, len(s.Rules.Out))
 	for _, id := range s.Rules.Out {
-		if !slices.Contains(a.out, id) {
+		if out[id] = true; !a.out[id] {
 			a.d.core.Put(brain.WorkerID(id), true)
 		}
 	}
-	for _, id := range a.out {
-		if !slices.Contains(s.Rules.Out, id) && !slices.Contains(own, id) {
+	for id := range a.out {
+		if !out[id] && !slices.Contains(own, id) {
 			a.d.core.Put(brain.WorkerID(id), false)
 		}
 	}
-	a.out = slices.Clone(s.Rules.Out)
+	a.out = out
 }
 
 // limit puts the smaller bound in force; a.mu is held.
@@ -129,7 +130,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return slices.Contains(a.out, id)
+	return a.out[id]
 }
 
 // limit puts the operator's own bound on further calls in force.
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -54,8 +54,8 @@
 		}
 	}
 	if err != nil {
+		r.d.log.Error("reload refused, the old file stays in force", "err", err) // first: who sees the figure finds the reason
 		r.d.core.Ledger().Reloaded(false)
-		r.d.log.Error("reload refused, the old file stays in force", "err", err)
 		return
 	}
 	put()
@@ -86,9 +86,9 @@
 			later = append(later, f.field)
 		}
 	}
-	r.d.core.Ledger().Reloaded(true)
 	r.d.agreed.reloaded()
 	r.d.log.Info("reloaded", "discovery", cfg.Discovery, "classes", len(cfg.Settings.Classes), "from_next_start", later)
+	r.d.core.Ledger().Reloaded(true)
 }
 
 // prepare reads what the operator's file names, and gives what puts it in force.
