--- a/cmd/brassdale/pushed_test.go
+++ b/cmd/brassdale/pushed_test.go
@@ -12,14 +12,16 @@
 	return strings.Replace(config, `"discovery":"ask"`, `"discovery":"push"`, 1)
 }
 
-// leaves has the agent tell that a box drains, waits until the program has heard it, and then looks that the box gets
-// no job while another does.
-func (n *node) leaves(g *registry, b, stays *box) {
+// leaves has the agent tell that a box drains, waits until the program has heard it, and others that clients may still reach
+// at its address, and then looks that the box gets no job while another does.
+func (n *node) leaves(g *registry, b, stays *box, others ...*node) {
 	n.t.Helper()
 	g.set(func() { b.phase, stays.phase, g.hang = "leaving", "active", false })
-	n.waitFor("what the agent has", func() bool {
-		return strings.Contains(n.log(), fmt.Sprintf("msg=\"destination set\" revision=%d ", g.revision))
-	})
+	for _, m := range append(others, n) {
+		m.waitFor("what the agent has", func() bool {
+			return strings.Contains(m.log(), fmt.Sprintf("msg=\"destination set\" revision=%d ", g.revision))
+		})
+	}
 	_, before := b.count()
 	for i := range 10 {
 		if status, _, _ := n.do(request(n.url, fmt.Sprintf("%s-%d-%d", b.id, g.revision, i))); status != 200 {
@@ -66,7 +68,7 @@
 	m.launch(n.config, "")
 	m.serves("")
 	n.passesOn(1)
-	m.leaves(moved, b, a)
+	m.leaves(moved, b, a, n) // a connection that was kept leads to the process that is being replaced
 	n.stop()
 }
 
