--- a/internal/decisions/agreement/agreement.go
+++ b/internal/decisions/agreement/agreement.go
@@ -142,6 +142,15 @@
 	NextSeat  uint64         `json:"next_seat,omitempty"` // no number is used twice
 }
 
+// Seat gives the council's seat of a number.
+func (r Record) Seat(id uint64) (Seat, bool) {
+	i := slices.IndexFunc(r.Council, func(s Seat) bool { return s.ID == id })
+	if i < 0 {
+		return Seat{}, false
+	}
+	return r.Council[i], true
+}
+
 // Withdrawal is a version that was announced and given up.
 type Withdrawal struct {
 	Version Version `json:"version"`
--- a/internal/decisions/budgets/budgets.go
+++ b/internal/decisions/budgets/budgets.go
@@ -169,9 +169,6 @@
 // NewHolder makes one without a lease.
 func NewHolder(alone float64, now Clock) *Holder { return &Holder{alone: alone, at: now} }
 
-// Alone sets what it may do without a lease.
-func (h *Holder) Alone(rate float64) { h.alone = rate }
-
 // Granted takes a lease in, counted from when it was asked for.
 func (h *Holder) Granted(rate float64, asked Clock, lease time.Duration, now Clock) {
 	h.fill(now)
--- a/internal/decisions/failover/plan.go
+++ b/internal/decisions/failover/plan.go
@@ -146,22 +146,3 @@
 	}
 	return p
 }
-
-// Without gives a plan with nothing to zones that are out for whom they are out, and nothing put in its place: what may be
-// done at once, by everybody alone.
-func (p *Plan) Without(demands []Demand, ways Ways) *Plan {
-	q := &Plan{Parts: map[string]map[string][]Part{}}
-	for _, d := range demands {
-		if q.Parts[d.Zone] == nil {
-			q.Parts[d.Zone] = map[string][]Part{}
-		}
-		parts := []Part{}
-		for _, part := range p.parts(d.Zone, d.Class) {
-			if _, ok := ways(d.Zone, part.Zone, d.Class); ok {
-				parts = append(parts, part)
-			}
-		}
-		q.Parts[d.Zone][d.Class] = parts
-	}
-	return q
-}
--- a/internal/decisions/failover/planner.go
+++ b/internal/decisions/failover/planner.go
@@ -179,7 +179,7 @@
 	}
 	next.Why = why
 	if p.plan != nil {
-		if Apart(p.plan, next, demands) < leastMove/4 && sameText(p.plan.Why, next.Why) {
+		if Apart(p.plan, next, demands) < leastMove/4 && maps.Equal(p.plan.Why, next.Why) {
 			return p.plan, false
 		}
 		next.Number = p.plan.Number
@@ -219,8 +219,6 @@
 	return shed, sum()
 }
 
-func sameText(a, b map[string]string) bool { return maps.Equal(a, b) }
-
 // world is the zones and what is asked for.
 func (p *Planner) world(now Clock) (zones []Zone, demands []Demand) {
 	capacity := map[string][]float64{}
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -53,8 +53,9 @@
 	instance string
 	lease    time.Duration
 	patience time.Duration
-	start    time.Time // what its clock counts from
-	pace     float64   // of its clock, in tests
+	trusted  time.Duration // for which a plan is, without a lease
+	start    time.Time     // what its clock counts from
+	pace     float64       // of its clock, in tests
 	form     int
 	log      *slog.Logger
 	client   *http.Client
@@ -109,6 +110,9 @@
 	}
 	a := &Agent{Options: o, s: s, instance: rand.Text(), lease: lease, patience: patience, start: time.Now(), pace: testPace(), form: testForm(), log: o.Log,
 		client: newClient(), changed: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), slow: make(chan struct{}, 8), news: make(chan struct{})}
+	if o.Failover != nil {
+		a.trusted, _ = time.ParseDuration(o.Failover.Alone) // the operator's file was checked
+	}
 	a.holder = agreement.NewHolder(o.Name, a.kept())
 	a.purse = newPurse(o.Overload, a.among(), a.now())
 	return a, nil
@@ -273,13 +277,17 @@
 	a.settlePlan(s.Lapsed)
 }
 
+// cutOff tells whether the lease has been gone for longer than the last plan is to be trusted; a.mu is held.
+func (a *Agent) cutOff(lapsed bool) bool {
+	return lapsed && a.now() >= a.holder.Until()+a.trusted
+}
+
 // settlePlan has a plan acted on, where it is another, or where the lease has been gone for too long; a.mu is held.
 func (a *Agent) settlePlan(lapsed bool) {
 	if a.Failover == nil {
 		return
 	}
-	patience, _ := time.ParseDuration(a.Failover.Alone)
-	alone := lapsed && a.now() >= a.holder.Until()+patience
+	alone := a.cutOff(lapsed)
 	plan, number := a.holder.Record().Plan, uint64(0)
 	if plan != nil {
 		number = plan.Number
--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -46,7 +46,7 @@
 		a.mu.Unlock()
 		if own != nil {
 			mine := own.log.Record()
-			has := slices.ContainsFunc(r.Council, func(s agreement.Seat) bool { return s.ID == own.id() })
+			_, has := r.Seat(own.id())
 			if r.Era > mine.Era || len(r.Council) > 0 && !has && r.Newer(mine) {
 				a.stand("another has the seat")
 			}
--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"brassdale/internal/decisions/agreement"
@@ -163,10 +162,10 @@
 			by, stop := context.WithDeadline(ctx, time.Now().Add(callWithin))
 			got, status = a.grants(by, questions)
 			stop()
-		} else if i := slices.IndexFunc(r.Council, func(o agreement.Seat) bool { return o.ID == leader }); i >= 0 {
+		} else if to, ok := r.Seat(leader); ok {
 			by, stop := context.WithDeadline(ctx, time.Now().Add(min(callWithin, a.lease/3)))
 			var err error
-			if got, status, err = a.post(by, r.Council[i].Address, "grant", questions); err != nil {
+			if got, status, err = a.post(by, to.Address, "grant", questions); err != nil {
 				got, status = answer{Why: err.Error()}, http.StatusServiceUnavailable
 			}
 			stop()
--- a/internal/fleet/handler.go
+++ b/internal/fleet/handler.go
@@ -51,10 +51,7 @@
 	if a.planner != nil {
 		st.Zones = a.planner.Views(a.now())
 	}
-	if a.Failover != nil {
-		patience, _ := time.ParseDuration(a.Failover.Alone)
-		st.Alone = s.Lapsed && a.now() >= a.holder.Until()+patience
-	}
+	st.Alone = a.Failover != nil && a.cutOff(s.Lapsed)
 	if a.leads != nil {
 		st.Present = a.leads.Present(a.now())
 		if v := st.Record.Announced; v != nil {
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"brassdale/internal/decisions/agreement"
@@ -161,11 +160,11 @@
 			return answer{Why: "does not lead"}, http.StatusMisdirectedRequest
 		}
 		r, leader := s.log.Record(), s.log.Leader()
-		i := slices.IndexFunc(r.Council, func(o agreement.Seat) bool { return o.ID == leader })
-		if i < 0 || leader == s.id() {
+		seat, ok := r.Seat(leader)
+		if !ok || leader == s.id() {
 			return answer{Why: "nobody leads"}, http.StatusServiceUnavailable
 		}
-		to, what = r.Council[i], what+"?passed=1"
+		to, what = seat, what+"?passed=1"
 	}
 	by, stop := context.WithDeadline(ctx, time.Now().Add(4*callWithin))
 	defer stop()
@@ -226,8 +225,8 @@
 		return answer{Why: "does not lead"}, http.StatusMisdirectedRequest
 	}
 	r, leader := s.log.Record(), s.log.Leader()
-	if i := slices.IndexFunc(r.Council, func(o agreement.Seat) bool { return o.ID == leader }); i >= 0 {
-		if got, status, err := a.post(ctx, r.Council[i].Address, "leave?passed=1", q); err == nil {
+	if to, ok := r.Seat(leader); ok {
+		if got, status, err := a.post(ctx, to.Address, "leave?passed=1", q); err == nil {
 			return got, status
 		}
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"brassdale/brain"
+	"brassdale/internal/decisions/failover"
 	"brassdale/internal/decisions/retries"
 )
 
@@ -292,7 +293,7 @@
 	defer alarm.Stop()
 	var look <-chan time.Time
 	if c.guide != nil {
-		ticker := time.NewTicker(SilentAfter / 4)
+		ticker := time.NewTicker(failover.SilentAfter / 4)
 		defer ticker.Stop()
 		look = ticker.C
 	}
--- a/internal/routing/guide.go
+++ b/internal/routing/guide.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"brassdale/brain"
+	"brassdale/internal/decisions/failover"
 )
 
 // Guide says to which zones jobs may go, and hears what becomes of their calls. No method blocks. Probed may be called by
@@ -14,7 +15,7 @@
 	// its client should stay away.
 	Arrived(now brain.Clock, class, repeat string) (within uint64, away time.Duration, ok bool)
 	Began(now brain.Clock, id brain.WorkerID)
-	Silent(now brain.Clock, id brain.WorkerID) // a call has been without any sign for SilentAfter
+	Silent(now brain.Clock, id brain.WorkerID) // a call has been without any sign for failover.SilentAfter
 	// Ended tells how a call ended, how long ago its job came and for how long it ran; 0 where it has not begun.
 	Ended(now brain.Clock, id brain.WorkerID, class string, o brain.Outcome, took, ran time.Duration)
 	Probed(id brain.WorkerID, o brain.Outcome)
@@ -32,9 +33,6 @@
 // Firsts is how many first calls there were.
 func (c *Core) Firsts() uint64 { return c.firsts.Load() }
 
-// SilentAfter is how long a call may be without any sign before a guide hears of it.
-const SilentAfter = 500 * time.Millisecond
-
 // Guided names the guide. It is set before Run.
 func (c *Core) Guided(g Guide) { c.guide = g }
 
@@ -69,7 +67,7 @@
 func (c *Core) listen() {
 	for _, r := range c.requests {
 		for i := range r.calls {
-			if a := &r.calls[i]; a.out && !a.silent && a.began == 0 && c.now-a.sent >= SilentAfter {
+			if a := &r.calls[i]; a.out && !a.silent && a.began == 0 && c.now-a.sent >= failover.SilentAfter {
 				a.silent = true
 				c.guide.Silent(c.now, a.endpoint)
 			}
