Copies are fewer the more jobs wait where few workers are drawn from; cold parts in turns

Lines at fault: review's copy behind copyGrace, where loads are known roughly: these workers keep what is called off, which many dispatchers cannot tell.

Cold workers: owners were as many as each dispatcher's own reckoning made them, so those that reckoned otherwise (no job served yet, fewer slots seen) had more than the budget together, and a process restarted after a kill had its part once more. Now the jobs that fill the budget are dealt out in turns by the worker's id, a process leaves one that was there before it alone for the first Fall, and before jobs were served a job counts as four aims. Tests of the budget begin with a dispatcher that has been here for a while, as its rule now asks.

Send.By: the last byte of a further attempt leaves inside the window of the first, also where it waits for a connection.

--- a/brain/api.go
+++ b/brain/api.go
@@ -227,10 +227,11 @@
 type Action interface{ action() }
 
 // Send starts an attempt. A request's attempts are numbered 0, 1, 2 ... as they are sent. An
-// attempt lasts until the client gives up.
+// attempt lasts until the client gives up. One that has not left whole by By does not leave.
 type Send struct {
 	ID     RequestID
 	Worker WorkerID
+	By     Clock // 0 for no such bound
 }
 
 // Cancel calls an attempt off; its outcome follows as usual.
@@ -258,6 +259,9 @@
 // Probe asks a worker for a sign of life and its report.
 type Probe struct{ Worker WorkerID }
 
+// AskMost is how long after a failure, or after its start, the module asks for the list at the latest.
+const AskMost = 900 * time.Millisecond
+
 // Subscribe asks for the list's changes from now on, starting with what was missed.
 type Subscribe struct{}
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -11,7 +11,6 @@
 	"fmt"
 	"math"
 	"math/bits"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
@@ -74,30 +73,22 @@
 	idleLeast    = 200 * time.Millisecond // a connection used since is open
 	idleMemory   = 15 * time.Second       // how long a lost idle connection is remembered
 
-	probeEvery  = time.Second // where reports come by probe ...
-	probersMost = 2           // ... from so many dispatchers at most; of more each asks less often
-	coldShare   = 0.6         // part of the cold budget that is used: work is known by its mean only
-	jamMost     = 0.3         // part of the recent jobs that waited: beyond it cold workers get theirs first
-
-	firstAsk   = 500 * time.Millisecond // asking for the list anew: first wait, doubled up to the last
-	lastAsk    = 4 * time.Second
-	askSpread  = 50 * time.Millisecond  // for each dispatcher: so wide are the calls of all spread
+	probeEvery  = time.Second     // where reports come by probe ...
+	probersMost = 2               // ... from so many dispatchers at most; of more each asks less often
+	coldShare   = 0.6             // part of the cold budget that is used: work is known by its mean only ...
+	coldJob     = 4               // ... and at first by an aim, of which it is a multiple, ...
+	coldDoubt   = 4               // ... as if so many jobs had been served
+	sendLate    = time.Second / 5 // so late a pushed job may leave, about: a connection must come up
+	jamMost     = 0.3             // part of the recent jobs that waited: beyond it cold workers get theirs first
+
+	askLeast   = 100 * time.Millisecond // asking for the list anew: the wait of one that is alone, ...
+	askSpread  = 50 * time.Millisecond  // ... so much more for each dispatcher, as a spread, ...
+	askFirst   = 4 * time.Second        // ... and where nothing has failed yet: the longest, at least
 	tickMost   = 20 * time.Millisecond  // pause between looks while something is held
 	tickIdle   = 200 * time.Millisecond // and while nothing is open
 	stallLeast = 100 * time.Millisecond // a turn that comes so late: this process stood still
 )
 
-// New makes a dispatcher. The same settings, seed and events give the same actions.
-func New(s Settings, seed uint64) *Dispatcher {
-	set := s.usable()
-	return &Dispatcher{
-		set: set, rng: rand.New(rand.NewPCG(seed, uint64(set.Me))), cursor: set.Me, allow: firstAllow,
-		byID: map[WorkerID]*worker{}, out: map[WorkerID]bool{}, processes: 1, open: map[RequestID]*request{},
-		keys: tally{count: map[uint64]float64{}}, ways: map[int]time.Duration{},
-		kindTop: map[int]float64{}, kindLag: map[int]float64{}, classes: make([]classState, len(set.Classes)),
-	}
-}
-
 // Handle takes one event and returns what to do. The result is valid until the next call.
 func (d *Dispatcher) Handle(now Clock, ev Event) []Action {
 	d.now = max(d.now, now)
@@ -183,31 +174,14 @@
 		}
 	}
 	for _, in := range e.Workers {
-		w := d.byID[in.ID]
-		if w == nil {
-			w = &worker{increment: firstIncrement, hash: hash(in.ID), out: d.out[in.ID]}
-			w.classes = make([]health, len(d.classes))
-			d.byID[in.ID] = w
-			at, _ := slices.BinarySearchFunc(d.workers, in.ID,
-				func(w *worker, id WorkerID) int { return cmp.Compare(w.ID, id) })
-			d.workers = slices.Insert(d.workers, at, w)
-		} else if in.Since > w.Since { // restarted
-			d.anew(w)
-		}
-		in.Since = w.since(in) // an older list does not make it older
-		w.WorkerInfo = in
-		w.listed = in.State == Ready
+		d.enter(in)
 	}
 	d.choose()
-	switch {
-	case !d.set.Ask:
-	case e.Kind == ListFailed:
-		d.asks++
-		d.ask()
-	case e.Kind == ListSaved:
-		d.ask()
-	default:
-		d.asks = 0
+	switch e.Kind {
+	case ListSaved:
+		d.ask(max(d.set.AskWithin/2, askFirst))
+	case ListFailed:
+		d.ask(AskMost)
 	}
 }
 
@@ -232,14 +206,14 @@
 	d.choose()
 }
 
-// ask subscribes after a jittered wait that doubles with each failure after the first (a call that hung is
-// late already): the list service is small, and dispatchers that restart together would overrun it.
-func (d *Dispatcher) ask() {
-	wait := firstAsk/5 + min(askSpread*time.Duration(d.set.Dispatchers), max(d.set.AskWithin/2, lastAsk))
-	if d.asks > 1 {
-		wait += min(firstAsk<<min(d.asks-1, 8), lastAsk)
+// ask subscribes after a jittered wait, the longer the more dispatchers there are: the list service is small,
+// and those that restart together would overrun it. Behind a failure it is AskMost at the longest: what there
+// is to tell counts as told 6 s after it could be had, whatever failed; pacing has the sum of these.
+func (d *Dispatcher) ask(most time.Duration) {
+	if d.set.Ask {
+		wait := askLeast + min(askSpread*time.Duration(d.set.Dispatchers), most-askLeast)
+		d.do(Wake{Token: askToken, After: time.Duration(float64(wait)*(0.2+0.8*d.rng.Float64())) + 1})
 	}
-	d.do(Wake{Token: askToken, After: time.Duration(float64(wait)*(0.2+0.8*d.rng.Float64())) + 1})
 }
 
 // choose picks the workers that jobs are drawn to. Where jobs have keys it is all: what a key needs is at
@@ -280,7 +254,7 @@
 	for i := range ws {
 		w := ws[(from+i)%len(ws)]
 		cold := d.warmth(w) < 1
-		if cold && d.owns(w) || !cold && want > 0 {
+		if cold && d.part(w) > 0 || !cold && want > 0 {
 			d.near = append(d.near, w)
 		}
 		if !cold && w.strikes == 0 {
@@ -451,7 +425,8 @@
 // may tells whether the rules let the request go to the worker at all.
 func (d *Dispatcher) may(r *request, w *worker) bool {
 	c := &r.set.Classes[r.class]
-	if !w.listed || w.out || r.away(w.Zone) || c.Kind >= 0 && c.Kind != w.Kind {
+	by := d.repeatBy(r)
+	if !w.listed || w.out || r.away(w.Zone) || c.Kind >= 0 && c.Kind != w.Kind || by > 0 && d.now >= by {
 		return false
 	}
 	for i := range r.attempts {
@@ -463,14 +438,23 @@
 		case a.out && !r.set.MayCopy, c.Effect == Unsafe:
 			return false
 		case c.Effect == Safe:
-		case d.now >= a.sent+c.Window-d.tick(), c.Scope == ScopeZone && a.w.Zone != w.Zone,
-			c.Scope == ScopeCell && a.w.Cell != w.Cell:
+		case c.Scope == ScopeZone && a.w.Zone != w.Zone, c.Scope == ScopeCell && a.w.Cell != w.Cell:
 			return false
 		}
 	}
 	return len(r.attempts) < r.set.MaxAttempts
 }
 
+// repeatBy is when the last byte of a further attempt must have left, or 0: repeats are dropped for the
+// window of their class from the first attempt that may have run, which left no sooner than it was pushed.
+func (d *Dispatcher) repeatBy(r *request) Clock {
+	c := &r.set.Classes[r.class]
+	if i := slices.IndexFunc(r.attempts, maybe); i >= 0 && c.Effect == Keyed {
+		return r.attempts[i].sent + c.Window - d.tick()
+	}
+	return 0
+}
+
 // ---- Request life ----
 
 func (d *Dispatcher) onArrived(e Arrived) {
@@ -646,12 +630,13 @@
 	if w.pushes++; w.pushes >= pushesToHalve {
 		w.increment, w.pushes = max(w.increment/2, leastIncrement), 0
 	}
+	by := d.repeatBy(r)
 	a := attempt{w: w, sent: d.now, out: true, maybe: true, idle: idle, trial: w.own == r.slots && d.unheard(w)}
 	if a.trial {
 		d.trials++
 	}
 	r.attempts = append(r.attempts, a)
-	d.do(Send{ID: r.id, Worker: w.ID})
+	d.do(Send{ID: r.id, Worker: w.ID, By: by})
 }
 
 func (d *Dispatcher) onBegan(e Began) {
@@ -843,7 +828,9 @@
 // to keep what is called off: it is in the way all the same, and its client comes again. Where copies are
 // allowed and loads known roughly, one that has not begun soon gets another at the next worker, and the first
 // to begin calls the others off: a search for a free slot. Where all loads are known it finds none and costs
-// what it waits for: there only a worker that says nothing for a usual stay has its jobs copied.
+// what it waits for: there only a worker that says nothing for a usual stay has its jobs copied. Where few
+// workers are drawn from, their loads are known as well, but not what others send there, nor whether what is
+// called off is kept and runs for nothing: there are few copies then, and the fewer the more jobs wait.
 func (d *Dispatcher) review(r *request) {
 	var last *attempt
 	begun, sound := false, false
@@ -871,11 +858,14 @@
 		stuck := d.stuck(last, copyGrace+seconds(d.jam*jamGrace.Seconds()))
 		if d.small {
 			stuck = d.stuck(last, seconds(cmp.Or(d.stay, 1))) && last.w.heard <= last.sent
+		} else if len(d.near) < len(d.workers) {
+			stuck = stuck && d.copies.at(d.now) < (jamMost-d.jam)*d.recent.at(d.now)
 		}
 		if late || !stuck && d.sound(last.w, r.class) {
 			return
 		}
 		if w := d.pick(r, d.allow); w != nil && !r.tried(w) {
+			d.copies.add(d.now, 1)
 			d.send(r, w)
 		}
 	case !sound && r.set.MayCancel:
@@ -975,19 +965,22 @@
 
 // ---- Cold budget ----
 
-// affords tells whether a cold worker may be sent the request within this dispatcher's part of
-// what it can stand.
+// affords tells whether a cold worker may be sent the request within this dispatcher's part of what it can
+// stand. Who was here before, and was killed, may have sent its part to one that was there by then.
 func (d *Dispatcher) affords(w *worker, r *request) bool {
 	if d.warmth(w) == 1 || d.set.TipMultiple <= 0 || d.set.Fall <= 0 {
 		return true
 	}
-	from := d.now - d.set.Fall
-	w.sent = slices.DeleteFunc(w.sent, func(s spend) bool { return s.at < from })
+	span := d.set.Fall + sendLate
+	if w.Since <= d.first && d.now < d.first+span {
+		return false
+	}
+	w.sent = slices.DeleteFunc(w.sent, func(s spend) bool { return s.at < d.now-span })
 	spent := d.cost(r)
 	for _, s := range w.sent {
 		spent += s.work
 	}
-	return d.owns(w) && spent <= d.budget(w)/float64(d.owners(w))
+	return spent <= d.part(w)
 }
 
 // budget is the work that a cold worker may be sent within any Fall by all dispatchers together.
@@ -996,16 +989,19 @@
 	return coldShare / float64(d.processes) * d.set.TipMultiple * work
 }
 
-// owners is how many dispatchers share a cold worker's budget: so many that each part holds a job.
-func (d *Dispatcher) owners(w *worker) int {
-	job := cmp.Or(d.mean, d.set.Classes[0].Aim.Seconds(), 1) // as cost has it before one was served
-	return min(max(int(d.budget(w)/job), 1), d.set.Dispatchers)
+// part is this dispatcher's part of that. Of the jobs that fill the budget each has one in turn, beginning
+// at a place that follows from the worker's id: who reckons with another budget, or with other jobs, has its
+// own turns all the same, and all together send no more than the largest of these budgets.
+func (d *Dispatcher) part(w *worker) float64 {
+	n := uint64(d.set.Dispatchers)
+	turn, jobs := float64((uint64(d.set.Me)+w.hash%n)%n), max(d.budget(w)/d.job(), 1)
+	return d.job() * max(math.Ceil((math.Floor(jobs)-turn)/float64(n)), 0) * jobs / math.Floor(jobs)
 }
 
-// owns tells whether this dispatcher is one of them: which they are follows from the worker's id.
-func (d *Dispatcher) owns(w *worker) bool {
-	n := uint64(d.set.Dispatchers)
-	return (uint64(d.set.Me)+w.hash%n)%n < uint64(d.owners(w))
+// job is the mean work of a job, as cautious as so few that were served make it: short ones end first.
+func (d *Dispatcher) job() float64 {
+	known := float64(d.jobs)
+	return (d.mean*known + coldDoubt*coldJob*cmp.Or(d.set.Classes[0].Aim.Seconds(), 1)) / (known + coldDoubt)
 }
 
 // cost is the work that a request may bring, in slot-seconds.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -29,6 +29,15 @@
 	return &driver{t: t, d: New(s, 1), now: start}
 }
 
+// aged is a dispatcher that has been here for so long that no other one's pushes count beside its own.
+func aged(t *testing.T, s Settings) *driver {
+	t.Helper()
+	v := newDriver(t, s)
+	v.give(Woke{})
+	v.now += s.Fall + sendLate
+	return v
+}
+
 // give passes an event and returns the actions.
 func (v *driver) give(ev Event) []Action {
 	v.acts = append([]Action(nil), v.d.Handle(v.now, ev)...)
@@ -341,10 +350,10 @@
 // window stays within this dispatcher's part of its budget.
 func TestColdBudget(t *testing.T) {
 	s := plain()
-	v := newDriver(t, s)
+	v := aged(t, s)
 	v.list(WorkerInfo{ID: "w", Since: v.now - ms})
 	v.d.seen(v.d.workers[0], 4)
-	v.d.classes[0] = classState{scale: 0.1, usual: math.Log(0.1), jobs: 100}
+	v.d.classes[0], v.d.mean, v.d.jobs = classState{scale: 0.1, usual: math.Log(0.1), jobs: 100}, 0.1, 100
 	sent := 0
 	for id := RequestID(1); id <= 50; id++ {
 		if v.arrive(id, 0) != "" {
@@ -362,10 +371,10 @@
 // During a release (hunted day ha8faba, incident i1f5a28) cold workers stood unused: under load the hold
 // limit, multiplied by their slowness, left no room for a first job, and many warm by working.
 func TestUnusedColdWorkerHasRoom(t *testing.T) {
-	v := newDriver(t, plain())
+	v := aged(t, plain())
 	v.list(WorkerInfo{ID: "w", Since: v.now - 2*time.Second})
 	v.d.seen(v.d.workers[0], 2)
-	v.d.classes[0] = classState{scale: 0.05, usual: math.Log(0.05), jobs: 100}
+	v.d.classes[0], v.d.mean, v.d.jobs = classState{scale: 0.05, usual: math.Log(0.05), jobs: 100}, 0.05, 100
 	v.d.allow = leastAllow
 	if v.arrive(1, 0) == "" {
 		t.Error("no room for a first job within the budget")
--- a/brain/example_test.go
+++ b/brain/example_test.go
@@ -29,7 +29,7 @@
 	show(at+90*time.Millisecond, brain.Finished{ID: 1, Attempt: 1, Worker: "b", Outcome: brain.Served, Final: true,
 		Report: &brain.Report{Busy: 0.1, Requests: -1, FreeSlots: 3}})
 	// Output:
-	// brain.Send{ID:1 Worker:a}
+	// brain.Send{ID:1 Worker:a By:0s}
 	// brain.Wake{Token:1 After:51ms}
-	// brain.Send{ID:1 Worker:b}
+	// brain.Send{ID:1 Worker:b By:0s}
 }
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -280,7 +280,7 @@
 		v.list(ws...)
 		own := 0
 		for _, w := range v.d.workers {
-			own += oneIf(v.d.warmth(w) < 1 && v.d.owns(w))
+			own += oneIf(v.d.warmth(w) < 1 && v.d.part(w) > 0)
 		}
 		if own > 30 {
 			t.Errorf("dispatcher %d owns %d of 90 cold workers before its first job", me, own)
--- a/brain/large_test.go
+++ b/brain/large_test.go
@@ -153,16 +153,16 @@
 func TestColdBudgetOfAllDispatchers(t *testing.T) {
 	s := plain()
 	s.Cold = 20 * time.Second
-	ds := crowd(s, 300, 1, []WorkerInfo{{ID: "cold", Since: start - 2*time.Second}})
+	ds := crowd(s, 300, 1, []WorkerInfo{{ID: "cold", Since: start + ms}}) // it started when all dispatchers were here
 	for _, d := range ds {
 		d.seen(d.workers[0], 4)
 		d.classes[0] = classState{scale: 0.2, usual: math.Log(0.2), jobs: 100}
-		d.mean = 0.2
+		d.mean, d.jobs = 0.2, 100
 	}
 	work := 0.0
 	for i := range RequestID(20) {
 		for _, d := range ds {
-			at := start + Clock(i)*45*ms
+			at := start + 2*time.Second + Clock(i)*45*ms
 			if sentTo(d.Handle(at, Arrived{ID: i, Slots: 1, Expires: at + time.Second})) != "" {
 				work += 0.2
 				d.Handle(at, Finished{ID: i, Outcome: Served, Final: true})
@@ -250,11 +250,13 @@
 	}
 }
 
-// roughly drives one of many dispatchers: of so many workers it knows the loads roughly.
+// roughly drives one of many dispatchers: of so many workers, all of which its jobs may go to as they have keys, it knows
+// the loads roughly.
 func roughly(t *testing.T) *driver {
 	s := plain()
 	s.Dispatchers, s.MayCopy = 20, true
 	v := newDriver(t, s)
+	v.d.keyed = true
 	v.list(fleet(30, 1)...)
 	return v
 }
@@ -274,6 +276,39 @@
 	}
 }
 
+// At the billing firm, where jobs have no keys and 300 dispatchers draw from few workers each, a job got two to three
+// copies, none of which was dropped when it was called off: the queues filled, and 0.5 of a calm day was served where random
+// choice served 0.7. So there are fewer copies the more jobs wait.
+func TestFewCopiesWhereFewAreDrawnFrom(t *testing.T) {
+	copies := func(jam float64) (sent int) {
+		s := plain()
+		s.Dispatchers, s.MayCopy = 100, true
+		v := newDriver(t, s)
+		v.list(fleet(66, 1)...)
+		v.d.stay, v.d.classes[1].scale = 0.2, 0.3
+		for id := RequestID(1); id <= 100; id++ {
+			v.arrive(id, 1)
+			v.d.jam = jam
+			for _, w := range v.d.workers {
+				v.d.heard(w) // they live
+			}
+			sent += count[Send](v.pass(200 * ms))
+			v.give(Left{ID: id})
+			for i := range 3 {
+				v.give(Finished{ID: id, Attempt: i, Outcome: Cancelled})
+			}
+			v.now += 100 * ms
+		}
+		if len(v.d.near) == len(v.d.workers) {
+			t.Fatal("all workers are drawn from")
+		}
+		return sent
+	}
+	if few, none := copies(0), copies(jamMost); few == 0 || few > 50 || none > 0 {
+		t.Errorf("of 100 jobs that wait %d were copied where few do, and %d where many do", few, none)
+	}
+}
+
 // The more jobs wait for their start, the later a copy follows: where all queues are full it only makes them longer.
 func TestCopiesHoldBackInAJam(t *testing.T) {
 	for jam, want := range map[float64]time.Duration{0: copyGrace, 0.5: copyGrace + jamGrace/2} {
--- a/brain/state.go
+++ b/brain/state.go
@@ -125,8 +125,9 @@
 	open          map[RequestID]*request
 	order, held   []*request // open ones by arrival; those that wait here
 	cursor, seq   int        // round robin; number of the last request
-	trials, asks  int        // trial attempts that are out; failed calls for the list
+	trials        int        // trial attempts that are out
 	ticking       bool
+	unsure        bool    // no list but an old one has come
 	small         bool    // all workers are drawn from, and known well
 	keyed         bool    // jobs have keys
 	jobs          int     // that were served
@@ -139,7 +140,7 @@
 	ends                Clock                 // when this process ends; 0 while nobody says so
 	stalled             Clock                 // the turn in which this process found that it had stood still
 	rate, mean          float64               // own jobs a second; mean work of a job in slot-seconds
-	recent              fading                // pushes
+	recent, copies      fading                // pushes, and those that were copies
 	keys                tally                 // own jobs by key
 	size                float64               // of all listed workers together, ...
 	all                 int                   // and their number
@@ -152,6 +153,17 @@
 	kindTop             map[int]float64       // most slots seen on a kind of machine
 }
 
+// New makes a dispatcher. The same settings, seed and events give the same actions.
+func New(s Settings, seed uint64) *Dispatcher {
+	set := s.usable()
+	return &Dispatcher{
+		set: set, rng: rand.New(rand.NewPCG(seed, uint64(set.Me))), cursor: set.Me, allow: firstAllow,
+		byID: map[WorkerID]*worker{}, out: map[WorkerID]bool{}, processes: 1, open: map[RequestID]*request{},
+		keys: tally{count: map[uint64]float64{}}, ways: map[int]time.Duration{},
+		kindTop: map[int]float64{}, kindLag: map[int]float64{}, classes: make([]classState, len(set.Classes)),
+	}
+}
+
 // Experience is what a dispatcher has learned and what holds as well for one that goes on in its place.
 type Experience struct {
 	Allow, Stay, Mean float64
@@ -359,7 +371,7 @@
 	for _, w := range d.near {
 		if on(w) {
 			count, members = count+1, members+mix(w.hash)
-			if d.warmth(w) < 1 && d.owns(w) {
+			if d.warmth(w) < 1 && d.part(w) > 0 {
 				d.cold = append(d.cold, w)
 			}
 		}
@@ -492,6 +504,24 @@
 	return r, &r.attempts[n]
 }
 
+// enter takes a line of the list in.
+func (d *Dispatcher) enter(in WorkerInfo) {
+	w := d.byID[in.ID]
+	if w == nil {
+		w = &worker{increment: firstIncrement, hash: hash(in.ID), out: d.out[in.ID]}
+		w.classes = make([]health, len(d.classes))
+		d.byID[in.ID] = w
+		at, _ := slices.BinarySearchFunc(d.workers, in.ID,
+			func(w *worker, id WorkerID) int { return cmp.Compare(w.ID, id) })
+		d.workers = slices.Insert(d.workers, at, w)
+	} else if in.Since > w.Since { // restarted
+		d.anew(w)
+	}
+	in.Since = w.since(in) // an older list does not make it older
+	w.WorkerInfo = in
+	w.listed = in.State == Ready
+}
+
 // anew forgets what was known of a worker's old process.
 func (d *Dispatcher) anew(w *worker) {
 	w.base, w.usual, w.reported, w.full, w.lag, w.jobs, w.last = 0, 0, 0, 0, 0, 0, Report{}
