Clients that have gone show behind unread bytes; connections end by lingering close

Read for crossings. net/http watches for a client's leaving with a read of one byte: with a byte pipelined behind the request it has that byte and watches no more, so requests of clients that had gone were sent on. It also answered 200 with an empty body to one that had shut only its sending side. Shutdown closed connections between the look for unread bytes and the close, and while a request's head was being read, and a close over unread bytes reset the answer before. Calls carry whether their client has gone, and by when they must have left; both are looked at before the first byte.

A connection rests for 20 ms behind an answer before it carries a further call: a second answer some milliseconds late has no id where it is a status, and was taken for the next call's.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -28,6 +28,7 @@
 	killSlack   = 700 * time.Millisecond
 	stayOpen    = 500 * time.Millisecond  // so long the front may still bring clients for sure
 	lastCall    = 1200 * time.Millisecond // before the end no connection brings a further request, ...
+	lastPart    = 3                       // ... where deadlines are short, for this part of the time, ...
 	lastAnswer  = 250 * time.Millisecond  // ... all are answered, ...
 	lastMoment  = 100 * time.Millisecond  // ... and the process ends by itself
 	heldLook    = 20 * time.Millisecond
@@ -309,16 +310,29 @@
 	// nobody else while another dispatcher restarts: then one connection that is refused makes the front give this
 	// one up with all that it could still serve. So the door stays open for as long as answers can be in time.
 	held := func(f *front) bool { return f.gate.Held() > 0 }
-	for now := leave; now.Before(end.Add(-lastCall)) &&
+	last := end.Add(-min(lastCall, max(end.Sub(leave)/lastPart, lastAnswer)))
+	for now := leave; now.Before(last) &&
 		(!passed && now.Before(leave.Add(stayOpen)) || slices.ContainsFunc(d.fronts, held)); now = time.Now() {
 		time.Sleep(heldLook)
 	}
+	// From here on connections end: each behind its answer, those that owe none at once, and what is half read may still
+	// come whole. No connection is closed over bytes that its client would be reset for.
 	for _, f := range d.fronts {
-		f.gate.Dismiss() // what has brought no request by now would only hold up the end
+		if f.listener == f.gate {
+			f.gate.Close()
+		}
+	}
+	for now, open := last, true; open && now.Before(end.Add(-lastMoment)); now = time.Now() {
+		open = false
+		for _, f := range d.fronts {
+			f.gate.Dismiss()
+			open = open || f.listener == f.gate && held(f)
+		}
+		time.Sleep(heldLook)
 	}
 	for _, f := range d.fronts {
-		if f.listener == f.gate {
-			wait.Go(func() { d.shut(ending, f) })
+		if n := f.gate.Serving(); n > 0 {
+			d.log.Error("clients left unanswered", "front", f.name, "jobs", n)
 		}
 	}
 	if d.relayed != nil {
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -51,6 +51,7 @@
 	Deadline  time.Time
 	Job       any // what endpoints need to know; not read here
 	Client    Client
+	Gone      func() bool // whether its client has left, known before Leave is heard; nil where only Leave tells
 }
 
 // CallID names an outbound call.
@@ -64,9 +65,16 @@
 	ID       CallID
 	Endpoint brain.WorkerID
 	Deadline time.Time
+	By       time.Time // its first byte must leave before; zero for no bound but the deadline
+	Gone     func() bool
 	Job      any
 }
 
+// Void tells whether a call that has not left yet must not leave any more, whatever its endpoint and its deadline say.
+func (c *Call) Void(now time.Time) bool {
+	return !c.By.IsZero() && !now.Before(c.By) || c.Gone != nil && c.Gone()
+}
+
 // End is how a call ended.
 type End struct {
 	Outcome brain.Outcome
@@ -504,7 +512,11 @@
 	id.Attempt = len(r.calls)
 	r.calls = append(r.calls, call{endpoint: a.Worker, out: true, sent: c.now})
 	r.out++
-	if r.answered || c.now >= r.expires || r.Rules.MaxAttempts > 0 && id.Attempt >= r.Rules.MaxAttempts {
+	out := Call{ID: id, Endpoint: a.Worker, Deadline: r.Deadline, Job: r.Job, Gone: r.Gone}
+	if a.By > 0 {
+		out.By = c.clock.Time(a.By)
+	}
+	if r.answered || c.now >= r.expires || out.Void(c.clock.Time(c.now)) || r.Rules.MaxAttempts > 0 && id.Attempt >= r.Rules.MaxAttempts {
 		c.Finished(id, End{Outcome: brain.NeverSent})
 		return
 	}
@@ -529,7 +541,7 @@
 			return
 		}
 	}
-	c.endpoints.Send(Call{ID: id, Endpoint: a.Worker, Deadline: r.Deadline, Job: r.Job})
+	c.endpoints.Send(out)
 }
 
 // timer is a Wake of the module, or the guard of a request's deadline.
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -30,6 +30,10 @@
 	// A call may still be written this much before the grace for a drain ends: its first byte counts
 	// when it leaves, which on a busy core is later than the look at the clock.
 	drainMargin = 50 * time.Millisecond
+
+	// A connection rests for so long behind an answer before it carries a further call: a second answer may come some
+	// milliseconds behind the first, and would be taken for that call's.
+	restFor = 20 * time.Millisecond
 )
 
 // endpoint is the actor of one endpoint. It alone owns the endpoint's connections: a connection is idle
@@ -56,6 +60,7 @@
 	quota *io.LimitedReader // of what in may read
 	in    *bufio.Reader
 	since time.Time // idle since
+	used  bool      // it has carried something
 }
 
 // exchange is a call or a probe, from its start here to its outcome.
@@ -68,6 +73,11 @@
 	idle     time.Duration // for so long that had stood idle
 }
 
+// void tells whether an exchange must not leave any more, if it has not yet.
+func (x *exchange) void(now time.Time) bool {
+	return x.cut.Load() || !now.Before(x.deadline) || !x.probe && x.call.Void(now)
+}
+
 // The messages of the actor, beside routing.Destination and routing.Call.
 type (
 	cancel  struct{ id routing.CallID }
@@ -156,20 +166,26 @@
 		if !m.x.probe {
 			delete(e.calls, m.x.call.ID)
 		}
-		if m.reuse && m.x.wire.in.Buffered() == 0 && m.x.wire.to == e.dest.Address {
-			e.free(m.x.wire)
+		// One that was cut meanwhile is closed. To wait for this one's rest is no use to who waits for room.
+		if m.reuse && !m.x.cut.Load() && m.x.wire.in.Buffered() == 0 && m.x.wire.to == e.dest.Address && len(e.starved) == 0 {
+			e.rest(m.x.wire)
 		} else {
 			e.close(m.x.wire)
 		}
 	}
 }
 
-// start puts an exchange on an idle connection, the one last used first, or opens a new one for it.
+// start puts an exchange on an idle connection, of those that have rested the one last used first, or opens a new one
+// for it.
 func (e *endpoint) start(x *exchange) {
-	for len(e.idle) > 0 {
-		w := e.idle[len(e.idle)-1]
-		e.idle = e.idle[:len(e.idle)-1]
-		if now := time.Now(); now.Before(e.fleet.idleUntil(w.since)) && alive(w.conn) {
+	now := time.Now()
+	for i := len(e.idle) - 1; i >= 0; i-- {
+		w := e.idle[i]
+		if w.used && now.Sub(w.since) < restFor {
+			continue
+		}
+		e.idle = slices.Delete(e.idle, i, i+1)
+		if now.Before(e.fleet.idleUntil(w.since)) && alive(w.conn) {
 			x.idle = now.Sub(w.since)
 			if !e.carry(x, w) {
 				e.free(w)
@@ -178,7 +194,7 @@
 		}
 		e.close(w)
 	}
-	if !time.Now().Before(x.deadline) {
+	if x.void(now) {
 		e.end(x, routing.End{Outcome: brain.NeverSent})
 		return
 	}
@@ -254,6 +270,11 @@
 			}
 		}
 	}
+	e.rest(w)
+}
+
+// rest lets a connection stand idle, if it may.
+func (e *endpoint) rest(w *wire) {
 	if len(e.idle) >= e.fleet.idleMost() || e.dest.State == brain.Gone {
 		e.close(w)
 		return
@@ -270,11 +291,11 @@
 		return !told.IsZero() && now.After(told.Add(e.fleet.params.Now().Rules.DrainGrace.Span()-drainMargin))
 	}
 	second := !x.probe && x.call.ID.Attempt > 0 && e.fleet.Repeats != nil && !e.fleet.Repeats()
-	if x.cut.Load() || second || !now.Before(x.deadline) || !x.probe && (over(e.dest.Told) || over(e.barred)) {
+	if x.void(now) || second || !x.probe && (over(e.dest.Told) || over(e.barred)) {
 		e.end(x, routing.End{Outcome: brain.NeverSent})
 		return false
 	}
-	x.wire = w
+	x.wire, w.used = w, true
 	go e.exchange(x)
 	return true
 }
@@ -353,6 +374,14 @@
 	return err == nil && ok
 }
 
+// writeBy is when the last byte of an exchange must have left.
+func (x *exchange) writeBy() time.Time {
+	if by := x.call.By; !by.IsZero() && by.Before(x.deadline) {
+		return by
+	}
+	return x.deadline
+}
+
 // exchange runs beside the actor: it writes the request and reads the answer, tells the core of all that
 // comes, and hands the connection back. The connection's deadline is the call's.
 func (e *endpoint) exchange(x *exchange) {
@@ -367,7 +396,13 @@
 	} else {
 		text = job.Encode(host, time.Now())
 	}
-	_ = conn.SetDeadline(x.deadline) // fails only on a closed connection, as does what follows
+	if x.void(time.Now()) { // this may have waited for its turn
+		reuse = !x.cut.Load()
+		e.tell(x, routing.End{Outcome: brain.NeverSent})
+		return
+	}
+	_ = conn.SetReadDeadline(x.deadline) // fails only on a closed connection, as does what follows
+	_ = conn.SetWriteDeadline(x.writeBy())
 	if n, err := conn.Write(text); err != nil && n < len(text) {
 		// The endpoint has not begun what it has not got to the last byte.
 		out := brain.NoConnect
--- a/internal/transport/framing.go
+++ b/internal/transport/framing.go
@@ -36,8 +36,9 @@
 	spoiler  = "\n\n"                   // behind a byte that no header has, it ends line and head
 )
 
-// pass tells how much of what came may go on. It may change the last byte of that.
-func (f *framing) pass(b []byte) int {
+// pass tells how much of what came may go on, up to the end of a request, and whether that is its end. It may change the
+// last byte of that.
+func (f *framing) pass(b []byte) (n int, whole bool) {
 	for i := 0; i < len(b); i++ {
 		switch f.where {
 		case inBody:
@@ -46,11 +47,12 @@
 			i += int(skip) - 1
 			if f.left == 0 {
 				f.begin()
+				return i + 1, true
 			}
 		case inRest:
-			return len(b)
+			return len(b), false
 		case inVoid:
-			return i
+			return i, false
 		case inRequestLine:
 			if b[i] == '\n' {
 				f.where = inHead
@@ -58,11 +60,14 @@
 		case inHead:
 			if !f.head(b[i]) {
 				b[i], f.where, f.spoilt = 0, inVoid, len(spoiler)
-				return i + 1
+				return i + 1, false
+			}
+			if f.where == inRequestLine { // a head without a body
+				return i + 1, true
 			}
 		}
 	}
-	return len(b)
+	return len(b), false
 }
 
 // head takes a byte of a head and tells whether it may stand.
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"net"
-	"net/http"
 	"os"
 	"sync"
 	"sync/atomic"
@@ -13,8 +12,6 @@
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"brassdale/internal/decisions/streams"
 )
 
 const (
@@ -34,10 +31,10 @@
 )
 
 // Gate is a front's listener and the table of its connections. It keeps them inside the front's part of the
-// descriptors whatever clients do: past it, one that has said nothing yet goes, the oldest first, then an idle one that
-// never brought a job, one whose request has not gone on for long, one that is idle between jobs, one that has only just
-// come and said nothing, one whose request still comes, and one that carries a job never. Where all carry jobs, the
-// newcomer is served a refusal, up to a small reserve.
+// descriptors whatever clients do: past it, one that is ending goes, then one that has said nothing yet, the oldest
+// first, then an idle one that never brought a job, one whose request has not gone on for long, one that is idle
+// between jobs, one that has only just come and said nothing, one whose request still comes, and one that carries a
+// job never. Where all carry jobs, the newcomer is served a refusal, up to a small reserve.
 type Gate struct {
 	*net.TCPListener
 	room   atomic.Int64 // for the bodies of all requests together, in bytes
@@ -46,38 +43,15 @@
 
 	multiplexed bool // a connection carries many requests at a time
 
-	mu      sync.Mutex
-	streams int           // most jobs of all connections together, where they are multiplexed
-	jobs    int           // that are open now
-	most    int           // connections; a tenth more to refuse on
-	paused  chan struct{} // closed when connections are taken again; nil while they are
-	conns   map[*Conn]struct{}
-	evicted int // since the last line of the log
-	said    time.Time
-}
-
-// phase is what a client's connection is at.
-type phase uint8
-
-const (
-	silent  phase = iota // nothing has come yet
-	idle                 // between requests
-	reading              // a request has begun to come
-	serving              // a job has been taken: its answer is owed
-)
-
-// Conn is a client's connection, as the gate knows it.
-type Conn struct {
-	*net.TCPConn
-	gate    *Gate
-	framing framing
-
-	// Guarded by gate.mu.
-	phase  phase
-	since  time.Time // of the phase; while it is reading, of the last bytes
-	client bool      // it has brought a job
-	began  time.Time // when it was taken, or the first byte of the present request came
-	jobs   int       // open on it, where it is multiplexed
+	mu        sync.Mutex
+	streams   int           // most jobs of all connections together, where they are multiplexed
+	jobs      int           // that are open now
+	most      int           // connections; a tenth more to refuse on
+	dismissed bool          // connections end once they owe nothing
+	paused    chan struct{} // closed when connections are taken again; nil while they are
+	conns     map[*Conn]struct{}
+	evicted   int // since the last line of the log
+	said      time.Time
 }
 
 // Listen listens at a front's address. While a program is replaced, two processes may do so.
@@ -205,6 +179,7 @@
 		if old := g.spare(c.since); old != nil {
 			// The reading side of net/http notices and ends it; the descriptor is free at once.
 			delete(g.conns, old)
+			old.phase = closing // what its reader has in hand is of no request any more
 			old.TCPConn.Close()
 			g.evicted++
 			if c.since.Sub(g.said) > time.Second {
@@ -223,6 +198,8 @@
 func (g *Gate) spare(now time.Time) *Conn {
 	rank := func(c *Conn) int {
 		switch {
+		case c.phase == closing:
+			return 7
 		case c.phase == silent && now.Sub(c.since) > youngAge:
 			return 6
 		case c.phase == idle && !c.client:
@@ -245,130 +222,55 @@
 				worst = c
 			}
 		}
-		if worst == nil || worst.phase == reading || !worst.unread() {
+		if worst == nil || worst.phase == reading || worst.phase == closing || !worst.unread() {
 			return worst
 		}
 		worst.heard(now) // it has only not had its turn to be read
 	}
 }
 
-// unread tells whether bytes wait on the connection.
-func (c *Conn) unread() bool {
-	n := 0
-	if raw, err := c.SyscallConn(); err == nil {
-		_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
-	}
-	return n > 0
-}
-
-// heard notes that bytes of a request came; the gate is locked.
-func (c *Conn) heard(now time.Time) {
-	if c.gate.multiplexed && c.phase != silent { // how far its requests are is not told by bytes
-		return
-	}
-	switch c.phase {
-	case idle:
-		c.began = now
-		fallthrough
-	case silent:
-		c.phase = reading
-	}
-	if c.phase == reading {
-		c.since = now
-	}
-}
+// dismissYoung is how long a client that has just connected has for its request while connections are dismissed.
+const dismissYoung = 300 * time.Millisecond
 
-// Dismiss closes the connections that owe nothing: those that are idle, and those that have brought no whole request.
-// Where connections are multiplexed it does nothing: their protocol has a word for it.
+// Dismiss ends the connections that owe nothing: those that are idle, and those that have brought nothing for a while. From
+// then on each that comes to owe nothing ends too. A request that is half here is read on. Where connections are
+// multiplexed it does nothing: their protocol has a word for it.
 func (g *Gate) Dismiss() {
 	if g.multiplexed {
 		return
 	}
+	now := time.Now()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.dismissed = true
 	for c := range g.conns {
-		if c.phase != serving && !c.unread() {
-			delete(g.conns, c)
-			c.TCPConn.Close()
+		if c.phase == idle && c.behind.Load() == 0 || c.phase == silent && now.Sub(c.since) > dismissYoung {
+			c.phase, c.since = closing, now
+			// Whoever waits there to read finds it over, and lingers. A byte that comes in this very moment finds it so too.
+			_ = c.TCPConn.SetReadDeadline(now)
 		}
 	}
 }
 
-// Close forgets the connection.
-func (c *Conn) Close() error {
-	c.gate.mu.Lock()
-	delete(c.gate.conns, c)
-	c.gate.mu.Unlock()
-	return c.TCPConn.Close()
-}
-
-// Read hands net/http what came, less what may not reach it.
-func (c *Conn) Read(b []byte) (int, error) {
-	for {
-		if f := &c.framing; f.spoilt > 0 && len(b) > 0 {
-			b[0] = spoiler[len(spoiler)-f.spoilt]
-			f.spoilt--
-			return 1, nil
-		}
-		n, err := c.TCPConn.Read(b)
-		if n > 0 {
-			c.gate.mu.Lock()
-			c.heard(time.Now())
-			c.gate.mu.Unlock()
-		}
-		if c.gate.multiplexed {
-			return n, err
-		}
-		if n = c.framing.pass(b[:n]); n > 0 || err != nil || len(b) == 0 {
-			return n, err
-		}
-	}
-}
-
-// enter notes what the connection is at.
-func (c *Conn) enter(p phase) {
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	c.phase, c.since, c.client = p, time.Now(), c.client || p == serving
-}
-
-// take enters a job that the connection brings, and tells whether it may have one more: where connections are
-// multiplexed, one of them must not take all that there is room for.
-func (c *Conn) take() bool {
-	g := c.gate
+// Dismissed tells whether connections end behind their answers.
+func (g *Gate) Dismissed() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.multiplexed {
-		if !streams.Fair(g.streams, g.jobs, c.jobs, surelyStreams) {
-			return false
-		}
-		c.jobs++
-		g.jobs++
-	}
-	c.phase, c.since, c.client = serving, time.Now(), true
-	return true
+	return g.dismissed
 }
 
-// leave ends a job that was taken. Where the connection carries one at a time, net/http tells when it is idle again.
-func (c *Conn) leave() {
-	g := c.gate
+// Serving is how many connections owe an answer, where they carry one request at a time.
+func (g *Gate) Serving() (n int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.multiplexed {
-		return
-	}
-	g.jobs--
-	if c.jobs--; c.jobs == 0 {
-		c.phase, c.since = idle, time.Now()
+	for c := range g.conns {
+		if !g.multiplexed && c.phase == serving {
+			n++
+		}
 	}
+	return n
 }
 
-// Ready tells that a multiplexed connection can carry requests from now on.
-func (c *Conn) Ready() { c.enter(idle) }
-
-// Gated gives the connection: what is wrapped around it has the same method.
-func (c *Conn) Gated() *Conn { return c }
-
 // Full tells whether jobs hold more than the front's part of the descriptors.
 func (g *Gate) Full() bool {
 	g.mu.Lock()
@@ -403,69 +305,9 @@
 	defer g.mu.Unlock()
 	free := -1 // without the one that asks
 	for c := range g.conns {
-		if c.phase != serving {
+		if c.phase != serving && c.phase != closing {
 			free++
 		}
 	}
 	return free < len(g.conns)/spareShare
 }
-
-type connKey struct{}
-
-// note is an http.Server's ConnContext: handlers find their connection by it.
-func note(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// ConnOf gives the connection of a request as its listener gave it; nil where there is none.
-func ConnOf(r *http.Request) net.Conn {
-	c, _ := r.Context().Value(connKey{}).(net.Conn)
-	return c
-}
-
-// gated gives the connection of a request as its gate knows it; nil where it came through none.
-func gated(r *http.Request) *Conn {
-	if c, ok := ConnOf(r).(interface{ Gated() *Conn }); ok {
-		return c.Gated()
-	}
-	return nil
-}
-
-// enter notes what a request's connection is at.
-func enter(r *http.Request, p phase) {
-	if c := gated(r); c != nil {
-		c.enter(p)
-	}
-}
-
-// take enters a request's job at its connection, and tells whether there was room; leave ends it.
-func take(r *http.Request) bool {
-	c := gated(r)
-	return c == nil || c.take()
-}
-
-func leave(r *http.Request) {
-	if c := gated(r); c != nil {
-		c.leave()
-	}
-}
-
-// wholeBy is when a request must be here whole.
-func wholeBy(r *http.Request) time.Time {
-	c := gated(r)
-	if c == nil || c.gate.multiplexed { // its head had its own time, and is whole
-		return time.Now().Add(wholeWithin)
-	}
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	return c.began.Add(wholeWithin)
-}
-
-// watch is an http.Server's ConnState.
-func watch(conn net.Conn, s http.ConnState) {
-	if c, ok := conn.(*Conn); ok {
-		if s == http.StateIdle {
-			c.enter(idle)
-		}
-	}
-}
--- a/internal/transport/inbound.go
+++ b/internal/transport/inbound.go
@@ -42,18 +42,33 @@
 	}
 	defer f.ids.free(job.ID)
 	client := make(single, 1)
-	id := f.core.Submit(inboundOf(job, client))
+	in := inboundOf(job, client)
+	in.Gone = gone(r)
+	id := f.core.Submit(in)
 	select {
 	case a := <-client:
 		f.write(w, r, a)
 	case <-r.Context().Done():
 		f.core.Leave(id)
+		f.left(w, r)
+	}
+}
+
+// left answers a client that has gone: one that has shut only its own side still reads, and net/http would have it
+// take nothing for a job that was served.
+func (f *front) left(w http.ResponseWriter, r *http.Request) {
+	if r.ProtoMajor < 2 { // else its stream is reset already, and the connection has others
+		closeBehind(w)
+		f.write(w, r, routing.Answer{Verdict: routing.Failed})
 	}
 }
 
 // write writes an answer.
 func (f *front) write(w http.ResponseWriter, r *http.Request, a routing.Answer) {
 	defer boundReader(w, r)()
+	if f.gate.Dismissed() {
+		closeBehind(w)
+	}
 	writeAnswer(w, a)
 }
 
--- a/internal/transport/keys.go
+++ b/internal/transport/keys.go
@@ -202,6 +202,7 @@
 		case <-changed:
 		case <-r.Context().Done():
 			f.abandon(j)
+			f.left(w, r)
 			return
 		case <-late:
 			f.abandon(j)
--- a/internal/transport/progress.go
+++ b/internal/transport/progress.go
@@ -117,6 +117,9 @@
 		case <-changed:
 		case <-r.Context().Done(): // the stream dropped; the job goes on until its deadline
 			leave()
+			if !begun {
+				f.left(w, r)
+			}
 			return
 		}
 	}
