--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint run demo
+.PHONY: build test race lint run demo sites
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -20,3 +20,8 @@
 # Needs the platform's variables; see README.md.
 run: build
 	exec bin/brassdale
+
+# Lays what the operators' bench needs beside the variants of deploy/sites, from the kit's folder: make sites KIT=DIR
+sites:
+	test -n "$(KIT)" || { echo "make sites KIT=DIR, the folder of the operators' kit" >&2; exit 2; }
+	install -m 644 "$(KIT)/more/mass/other/real.json" "$(KIT)/more/mass/other/wire.json" "$(KIT)/more/mass/other/unlock.txt" deploy/sites/
