--- a/brain/large_test.go
+++ b/brain/large_test.go
@@ -365,6 +365,28 @@
 	}
 }
 
+// Behind a call that failed, and each further one, nobody waits for longer than the sum in pacing allows, whatever the
+// fleet's size and the chance drawn, nor do all call at once. With 300 it was 5 s, and 4 s more for those that failed again.
+func TestAskedAgainInTime(t *testing.T) {
+	var first, last time.Duration = time.Hour, 0
+	for i := range 300 {
+		s := plain()
+		s.Ask, s.AskWithin, s.Me, s.Dispatchers = true, 10*time.Second, i, 300
+		d := New(s, uint64(i))
+		d.Handle(start, Listed{Kind: ListSaved, Workers: fleet(1, 1)})
+		for n := range 6 {
+			for _, a := range d.Handle(start+time.Duration(n)*time.Second, Listed{Kind: ListFailed}) {
+				if w, ok := a.(Wake); ok && w.Token == askToken {
+					first, last = min(first, w.After), max(last, w.After)
+				}
+			}
+		}
+	}
+	if last > AskMost+ms || last-first < AskMost/2 {
+		t.Errorf("300 dispatchers call again between %v and %v", first, last)
+	}
+}
+
 // Eighty that are killed in a release and start together are a burst for a list service that bears some twenty calls a
 // second and turns away what has waited for two: their first calls are spread over seconds, two dispatchers' are not.
 // With a fifteenth of a second for four of them, half were turned away, and had an old list for as long again.
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -166,7 +166,9 @@
 	fail     bool
 	hang     bool                     // calls are taken and never answered
 	broken   func(list string) string // what is sent in place of a list; nil for the list
-	asked    []int                    // revisions that were asked after
+	asked    []int                    // revisions that were asked after, ...
+	waits    []int                    // ... and for how many milliseconds each call may wait
+	silent   int                      // so many of the first calls say nothing more
 	changed  chan struct{}
 }
 
@@ -194,21 +196,23 @@
 	g.asked = append(g.asked, after)
 	fail := g.fail
 	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	g.waits = append(g.waits, wait)
+	call := len(g.asked)
 	over := time.After(time.Duration(wait) * time.Millisecond)
-	for g.revision <= after && !g.fail || g.hang {
+	for g.revision <= after && !g.fail || g.hang || call <= g.silent {
 		changed := g.changed
 		g.mu.Unlock()
 		select {
 		case <-changed:
 		case <-over:
 			g.mu.Lock()
-			if !g.hang {
+			if !g.hang && call > g.silent {
 				defer g.mu.Unlock()
 				fmt.Fprintf(w, `{"revision":%d,"complete":false,"members":[]}`, g.revision)
 				return
 			}
 			over = nil
-			continue
+			continue // with the lock
 		case <-r.Context().Done():
 			return
 		}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -32,6 +32,8 @@
 	lastAnswer  = 250 * time.Millisecond  // ... all are answered, ...
 	lastMoment  = 100 * time.Millisecond  // ... and the process ends by itself
 	heldLook    = 20 * time.Millisecond
+
+	agentFirst = 200 * time.Millisecond // so long a start waits for the list of an agent
 )
 
 // dispatcher is the program, put together.
@@ -137,12 +139,20 @@
 		go func() { failed <- transport.DoorServer(transport.Door(d.operations, log), log).Serve(gate) }()
 		log.Info("listening", "front", "admin", "address", gate.Addr().String())
 	}
+	go d.core.Run(ctx)
+	go d.set.Run(ctx)
+	if d.params.Now().Pushed() {
+		// What the agent has counts from the first moment on. Clients wait in the listeners' queues for it, but not for one
+		// that is silent.
+		select {
+		case <-d.set.First():
+		case <-time.After(agentFirst):
+		}
+	}
 	for _, f := range d.fronts {
 		go func() { failed <- f.server.Serve(f.listener) }()
 		log.Info("listening", "front", f.name, "address", f.gate.Addr().String())
 	}
-	go d.core.Run(ctx)
-	go d.set.Run(ctx)
 	if d.agreed != nil {
 		go d.agreed.agent.Run(ctx)
 	}
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -5,6 +5,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,10 +52,12 @@
 	stop       context.CancelFunc // ends that call
 
 	dispatchers func() int
-	pushed      func() bool // an agent has the list, and is asked without the module's asking
-	answered    time.Time   // when discovery last answered
-	fault       string      // of the last call; empty where it succeeded
-	faults      int         // calls that failed since one succeeded
+	pushed      func() bool   // an agent has the list, and is asked without the module's asking
+	answered    time.Time     // when discovery last answered; before, when this process began
+	first       chan struct{} // closed when the first call has ended, however
+	firstOnce   sync.Once
+	fault       string // of the last call; empty where it succeeded
+	faults      int    // calls that failed since one succeeded
 }
 
 type (
@@ -72,7 +75,7 @@
 func NewDestinations(c *Core, e Endpoints, d Discovery, saved Update, log *slog.Logger) *Destinations {
 	s := &Destinations{core: c, endpoints: e, discovery: d, log: log, box: NewMailbox[any](),
 		known: map[brain.WorkerID]Destination{}, dispatchers: func() int { return 1 },
-		pushed: func() bool { return false }}
+		pushed: func() bool { return false }, answered: time.Now(), first: make(chan struct{})}
 	s.apply(saved, brain.ListSaved)
 	return s
 }
@@ -97,6 +100,9 @@
 // the actor watches the agent from its start, and again by itself after each call that failed.
 func (s *Destinations) Pushed(pushed func() bool) { s.pushed = pushed }
 
+// First is closed when the first call has ended, however.
+func (s *Destinations) First() <-chan struct{} { return s.first }
+
 // Run is the actor's life.
 func (s *Destinations) Run(ctx context.Context) {
 	alarm := time.NewTimer(time.Hour)
@@ -141,6 +147,7 @@
 				if m.call == s.call {
 					s.take(ctx, m)
 				}
+				s.firstOnce.Do(func() { close(s.first) })
 			}
 		}
 		s.trust(func(now brain.Clock) []savedlist.Verdict { return s.start.Trust.Look(now) })
@@ -260,7 +267,7 @@
 	if d.State != brain.Ready { // told once: neither a repeat nor its end starts the grace of a drain anew
 		if d.Told = cmp.Or(old.Told, d.Told); d.Told.IsZero() { // a predecessor may have been told before
 			d.Told = now
-			if s.pushed() && !s.answered.IsZero() { // what the agent had counts as told: it may have had it since then
+			if s.pushed() { // what the agent had counts as told: it may have had it since then
 				d.Told = s.answered
 			}
 		}
