--- a/brain/large_test.go
+++ b/brain/large_test.go
@@ -309,6 +309,40 @@
 	}
 }
 
+// A further attempt of a keyed job must have left whole inside the window of the first that may have run, however long it
+// waits for a connection; one that is the first, or of a class that may be repeated at will, has no such bound.
+func TestRepeatsLeaveInsideTheWindow(t *testing.T) {
+	s := plain()
+	s.Classes[1].Window = 700 * ms
+	v := newDriver(t, s)
+	v.list(workers(3)...)
+	for class, bound := range []bool{false, true} {
+		id, at := RequestID(1+class), v.now
+		by := func(acts []Action) (by []Clock) {
+			for _, a := range acts {
+				if s, ok := a.(Send); ok && s.ID == id {
+					by = append(by, s.By)
+				}
+			}
+			return by
+		}
+		if got := by(v.give(Arrived{ID: id, Class: class, Slots: 1, Expires: v.now + 5*time.Second})); len(got) != 1 || got[0] != 0 {
+			t.Fatalf("class %d, the first attempt: %v", class, got)
+		}
+		v.now += 100 * ms
+		got := by(v.give(Finished{ID: id, Outcome: Reset}))
+		if len(got) != 1 || bound != (got[0] > 0) || bound && (got[0] > at+700*ms || got[0] < at+600*ms) {
+			t.Errorf("class %d, a further attempt 100 ms later: by %v, the first was at %v", class, got, at)
+		}
+		v.give(Left{ID: id})
+	}
+	v.give(Arrived{ID: 9, Class: 1, Slots: 1, Expires: v.now + 5*time.Second})
+	v.now += 700 * ms
+	if acts := v.give(Finished{ID: 9, Outcome: Reset}); count[Send](acts) != 0 {
+		t.Errorf("behind the window: %v", acts)
+	}
+}
+
 // The more jobs wait for their start, the later a copy follows: where all queues are full it only makes them longer.
 func TestCopiesHoldBackInAJam(t *testing.T) {
 	for jam, want := range map[float64]time.Duration{0: copyGrace, 0.5: copyGrace + jamGrace/2} {
--- a/cmd/brassdale/crossings_test.go
+++ b/cmd/brassdale/crossings_test.go
@@ -272,3 +272,48 @@
 		t.Errorf("told after %v", took)
 	}
 }
+
+// While discovery is down idle clients open more connections than there are descriptors. Room that is kept for discovery,
+// workers and the operators' door stays free: the door answers, a job that is out is not lost, further ones are served, and
+// when discovery is back its list is read.
+func TestDescriptorsFilledWhileDiscoveryIsDown(t *testing.T) {
+	t.Parallel()
+	const sockets = 128
+	release := make(chan struct{})
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+		if r.Header.Get("Idempotency-Key") == "out" {
+			<-release
+		}
+		works(b, c, r)
+	})
+	n := &node{t: t, registry: &registry{revision: 1, boxes: []*box{b}, changed: make(chan struct{})}, exited: make(chan struct{}), descriptors: sockets}
+	n.startHere("", func(c string) string {
+		return strings.Replace(c, `"sockets":1024`, fmt.Sprint(`"sockets":`, sockets), 1)
+	})
+	out := n.begin(b, "out")
+	n.registry.set(func() { n.registry.fail = true })
+	n.waitFor("a failed call", func() bool { return strings.Contains(n.log(), "discovery failed") })
+	for range 3 * sockets {
+		n.dial()
+	}
+	n.waitFor("clients closed for want of room", func() bool { return strings.Contains(n.log(), "closed for want of room") })
+	if got := n.figure("concurrent"); got != 1 {
+		t.Errorf("at the door: %d jobs open", got)
+	}
+	if status, _, _ := n.do(request(n.url, "further")); status != 200 {
+		t.Errorf("a further job: %d", status)
+	}
+	n.registry.set(func() { n.registry.fail = false })
+	begin := time.Now()
+	n.waitFor("the list", func() bool { return strings.Contains(n.log(), "discovery answers again") })
+	if took := time.Since(begin); took > 2*time.Second {
+		t.Errorf("the list was read %v behind discovery's return", took)
+	}
+	close(release)
+	if status := <-out; status != 200 {
+		t.Errorf("the job that was out: %d", status)
+	}
+	if strings.Contains(n.log(), "too many open files") {
+		t.Error("out of descriptors")
+	}
+}
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -240,6 +240,7 @@
 	registry      *registry
 	path, config  string // the platform's file, and its text at the start
 	operator      string // the operator's file
+	descriptors   int    // that the process may hold; 0 for as many as this one
 	tmp           string // $TMPDIR
 	url, progress string // of the fronts
 	h2            string
@@ -340,6 +341,10 @@
 		n.tmp = n.t.TempDir()
 	}
 	n.operator = filepath.Join(dir, "operator.hcl")
+	if n.descriptors > 0 {
+		limit := fmt.Sprintf("ulimit -n %d; exec \"$@\"", n.descriptors)
+		n.cmd = exec.Command("sh", append([]string{"-c", limit, "sh"}, n.cmd.Args...)...)
+	}
 	n.cmd.Env = append(os.Environ(), "BRASSDALE_CHILD=1", "GW_CONFIG="+n.path, "TMPDIR="+n.tmp, "GW_ADMIN=127.0.0.1:0")
 	n.cmd.Stderr = n
 	if err := n.cmd.Start(); err != nil {
--- a/internal/transport/endpoint_test.go
+++ b/internal/transport/endpoint_test.go
@@ -66,18 +66,22 @@
 func TestLookBeforeFirstByte(t *testing.T) {
 	now := time.Now()
 	for name, c := range map[string]struct {
-		told, deadline time.Time
-		cut, sent      bool
+		told, deadline, by time.Time
+		cut, gone, sent    bool
 	}{
 		"may go":          {deadline: now.Add(time.Hour), sent: true},
 		"told just now":   {told: now, deadline: now.Add(time.Hour), sent: true},
 		"told 500 ms ago": {told: now.Add(-500 * time.Millisecond), deadline: now.Add(time.Hour)},
 		"overdue":         {deadline: now},
 		"called off":      {deadline: now.Add(time.Hour), cut: true},
+		"its client left": {deadline: now.Add(time.Hour), gone: true},
+		"window over":     {deadline: now.Add(time.Hour), by: now},
+		"window open":     {deadline: now.Add(time.Hour), by: now.Add(time.Hour), sent: true},
 	} {
 		e, ends, w, there := newIdle(t, c.told)
 		x := newExchange(c.deadline)
 		x.cut.Store(c.cut)
+		x.call.By, x.call.Gone = c.by, func() bool { return c.gone }
 		e.waiting = append(e.waiting, x)
 		e.free(w)
 		if c.sent {
