--- a/internal/transport/endpoint_test.go
+++ b/internal/transport/endpoint_test.go
@@ -144,3 +144,22 @@
 		t.Errorf("%d still wait with room, %d held", len(e.starved), f.Held())
 	}
 }
+
+// A call is called off after its exchange has ended well and before the actor has its connection back: that is closed, and
+// must not stand idle, nor carry whoever waits. One that was not called off rests.
+func TestCutBehindItsEnd(t *testing.T) {
+	for _, cut := range []bool{true, false} {
+		e, _, w, _ := newIdle(t, time.Time{})
+		x := newExchange(time.Now().Add(time.Hour))
+		x.wire = w
+		e.calls[x.call.ID] = x
+		if cut {
+			e.cancel(x.call.ID)
+		}
+		waits := newExchange(time.Now().Add(time.Hour))
+		e.waiting, e.dialing = []*exchange{waits}, 1
+		if e.take(ended{x, true}); waits.wire != nil || cut != (len(e.idle) == 0) {
+			t.Errorf("called off %v: %d idle, carries who waits: %v", cut, len(e.idle), waits.wire != nil)
+		}
+	}
+}
