--- a/cmd/brassdale/crossings_test.go
+++ b/cmd/brassdale/crossings_test.go
@@ -317,3 +317,20 @@
 		t.Error("out of descriptors")
 	}
 }
+
+// What counts as refused at the platform without being a refusal is counted at the door: a job that failed and was never sent
+// on, and a connection that was closed with nothing written. A client that left by itself is none of them.
+func TestUnheardIsCountedAtTheDoor(t *testing.T) {
+	t.Parallel()
+	n := startWith(t, "", func(c string) string {
+		return strings.Replace(c, `"sockets":1024`, `"sockets":128`, 1)
+	})
+	if got, also := n.figure("failed_unsent"), n.figure("connections_unanswered"); got != 0 || also != 0 {
+		t.Errorf("at first %d, %d", got, also)
+	}
+	n.dial().Close()
+	for range 100 { // more than may be held: some are closed again
+		n.dial()
+	}
+	n.waitFor("closed connections in the figures", func() bool { return n.figure("connections_unanswered") > 0 })
+}
--- a/internal/program/operations.go
+++ b/internal/program/operations.go
@@ -27,6 +27,11 @@
 func (o *operations) Figures() string {
 	counted := o.d.core.Ledger().Figures()
 	figures := protocol.Figures(counted)
+	unanswered := 0
+	for _, f := range o.d.fronts {
+		unanswered += f.gate.Unanswered()
+	}
+	figures += fmt.Sprintf("connections_unanswered=%d\n", unanswered)
 	if o.d.http2 != nil {
 		figures += o.d.http2.Figures()
 	}
--- a/internal/protocol/figures.go
+++ b/internal/protocol/figures.go
@@ -16,6 +16,7 @@
 		t := f.Classes[name]
 		fmt.Fprintf(&b, "replies.%[1]s.success=%[2]d\nreplies.%[1]s.overload=%[3]d\nreplies.%[1]s.error=%[4]d\n", name, t.Served, t.Refused, t.Failed)
 	}
+	fmt.Fprintf(&b, "failed_unsent=%d\n", f.FailedUnsent)
 	fmt.Fprintf(&b, "dispatches=%d\nconcurrent=%d\ntargets=%d\ntargets_disabled=%d\nreload_success=%d\nreload_failure=%d\n",
 		f.Dispatches, f.Concurrent, f.Targets, f.Avoided, f.ReloadsTaken, f.ReloadsRefused)
 	return b.String()
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -141,6 +141,7 @@
 	came     brain.Clock // for the guide
 	answered bool        // final answer given, or the client left: nothing is owed
 	timedOut bool
+	sent     bool // a call of it has left, or may have
 	calls    []call
 	out      int // calls without an outcome
 }
@@ -421,6 +422,7 @@
 	a.out = false
 	r.out--
 	r.timedOut = r.timedOut || end.Outcome == brain.TimedOut
+	r.sent = r.sent || end.Outcome != brain.NeverSent && end.Outcome != brain.NoConnect
 	c.told(r, a, end.Outcome)
 	if end.Outcome == brain.Served {
 		if w := c.witness.Load(); w != nil {
@@ -451,7 +453,7 @@
 	}
 	a.Expired = a.Verdict != Served && (r.timedOut || c.now >= r.expires-r.Rules.AnswerSlack)
 	r.answered = true
-	c.ledger.answered(r.ClassName, a.Verdict)
+	c.ledger.answered(r.ClassName, a.Verdict, r.sent || r.out > 0)
 	r.Client.Answered(a)
 }
 
--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -129,3 +129,32 @@
 		t.Errorf("%d answers, %d open", len(f.answers), c.Open())
 	}
 }
+
+// A failure is counted as unsent where no call of the request left: none was made, or each ended before its last byte.
+func TestFailedUnsent(t *testing.T) {
+	for _, r := range []struct {
+		outcomes []brain.Outcome
+		out      int
+		want     int
+	}{
+		{want: 1},
+		{outcomes: []brain.Outcome{brain.NoConnect, brain.NeverSent}, want: 1},
+		{outcomes: []brain.Outcome{brain.NoConnect, brain.Reset}},
+		{outcomes: []brain.Outcome{brain.Full}},
+		{out: 1},
+	} {
+		f := &fake{make(chan Call, 16), make(chan CallID, 16), make(chan Answer, 16)}
+		c := NewCore(brain.New(brain.Settings{}, 1), NewClock(), slog.New(slog.NewTextHandler(io.Discard, nil)))
+		c.Attach(f, func() {})
+		req := &request{Inbound: Inbound{Client: f}}
+		c.requests[1] = req
+		for i, o := range r.outcomes {
+			req.calls, req.out = append(req.calls, call{out: true}), 1
+			c.finish(CallID{1, i}, End{Outcome: o})
+		}
+		req.out = r.out
+		if c.answer(req, Answer{Verdict: Failed}); c.ledger.Figures().FailedUnsent != r.want {
+			t.Errorf("%v, %d out: counted %d times", r.outcomes, r.out, c.ledger.Figures().FailedUnsent)
+		}
+	}
+}
--- a/internal/routing/ledger.go
+++ b/internal/routing/ledger.go
@@ -19,6 +19,7 @@
 	Concurrent                   int              // requests taken and not ended
 	Targets, Avoided             int              // endpoints in the list, and those of them that get nothing now
 	ReloadsTaken, ReloadsRefused int
+	FailedUnsent                 int // requests that failed and were never sent on, which the platform counts as refused
 	RetriesDenied                int // further calls that the budget did not allow
 	RepeatsDenied                int // further calls that the fleet did not allow
 }
@@ -87,8 +88,19 @@
 func (l *Ledger) taken() { l.enter(func(f *Figures) { f.Concurrent++ }) }
 func (l *Ledger) left()  { l.enter(func(f *Figures) { f.Concurrent-- }) }
 
-func (l *Ledger) answered(class string, v Verdict) {
-	l.enter(func(f *Figures) { f.count(class, v); f.Concurrent-- })
+func (l *Ledger) answered(class string, v Verdict, sent bool) {
+	l.enter(func(f *Figures) {
+		f.count(class, v)
+		f.Concurrent--
+		f.FailedUnsent += oneIf(v == Failed && !sent)
+	})
+}
+
+func oneIf(is bool) int {
+	if is {
+		return 1
+	}
+	return 0
 }
 
 func (l *Ledger) listed(n int)  { l.enter(func(f *Figures) { f.Targets = n }) }
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -49,6 +49,7 @@
 	whole   bool   // the present request has come whole and is not answered
 	ahead   []byte // what came behind it
 
+	wrote  atomic.Bool  // something of an answer was written
 	gone   atomic.Bool  // the client has closed its side, or the connection broke
 	behind atomic.Int32 // len(ahead)
 	flood  atomic.Bool  // more than mostAhead came behind a request
@@ -134,6 +135,12 @@
 	}
 }
 
+// Write writes of an answer.
+func (c *Conn) Write(b []byte) (int, error) {
+	c.wrote.Store(true)
+	return c.TCPConn.Write(b)
+}
+
 // next gives what was read ahead, then what comes.
 func (c *Conn) next(b []byte) (int, error) {
 	if len(c.ahead) == 0 {
@@ -216,7 +223,7 @@
 		c.linger()
 	}
 	c.gate.mu.Lock()
-	delete(c.gate.conns, c)
+	c.gate.ended(c)
 	c.gate.mu.Unlock()
 	return c.TCPConn.Close()
 }
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -43,15 +43,16 @@
 
 	multiplexed bool // a connection carries many requests at a time
 
-	mu        sync.Mutex
-	streams   int           // most jobs of all connections together, where they are multiplexed
-	jobs      int           // that are open now
-	most      int           // connections; a tenth more to refuse on
-	dismissed bool          // connections end once they owe nothing
-	paused    chan struct{} // closed when connections are taken again; nil while they are
-	conns     map[*Conn]struct{}
-	evicted   int // since the last line of the log
-	said      time.Time
+	mu         sync.Mutex
+	streams    int           // most jobs of all connections together, where they are multiplexed
+	jobs       int           // that are open now
+	most       int           // connections; a tenth more to refuse on
+	unanswered int           // connections ended here with nothing written
+	dismissed  bool          // connections end once they owe nothing
+	paused     chan struct{} // closed when connections are taken again; nil while they are
+	conns      map[*Conn]struct{}
+	evicted    int // since the last line of the log
+	said       time.Time
 }
 
 // Listen listens at a front's address. While a program is replaced, two processes may do so.
@@ -167,10 +168,18 @@
 		if g.admit(c) {
 			return c, nil
 		}
-		conn.Close()
+		g.turnAway(conn)
 	}
 }
 
+// turnAway closes a connection that there is no room for, not even to refuse it.
+func (g *Gate) turnAway(conn net.Conn) {
+	g.mu.Lock()
+	g.unanswered++
+	g.mu.Unlock()
+	conn.Close()
+}
+
 // admit enters a connection and tells whether there was room even for a refusal.
 func (g *Gate) admit(c *Conn) bool {
 	g.mu.Lock()
@@ -178,7 +187,7 @@
 	if len(g.conns) >= g.most {
 		if old := g.spare(c.since); old != nil {
 			// The reading side of net/http notices and ends it; the descriptor is free at once.
-			delete(g.conns, old)
+			g.ended(old)
 			old.phase = closing // what its reader has in hand is of no request any more
 			old.TCPConn.Close()
 			g.evicted++
@@ -194,6 +203,22 @@
 	return true
 }
 
+// ended takes a connection out of the table; g is locked. One that ends with nothing written, though its client has not
+// gone, is counted.
+func (g *Gate) ended(c *Conn) {
+	if _, held := g.conns[c]; held && !c.wrote.Load() && !c.gone.Load() {
+		g.unanswered++
+	}
+	delete(g.conns, c)
+}
+
+// Unanswered is how many connections were ended here before anything was written on them, and their clients had not gone.
+func (g *Gate) Unanswered() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.unanswered
+}
+
 // spare finds the connection that is missed least.
 func (g *Gate) spare(now time.Time) *Conn {
 	rank := func(c *Conn) int {
