A successor uses cold workers at once: only who follows a kill leaves them alone

At fault: affords, which leaves a worker that started before this process alone for one fall, 3 s there. It is meant for who follows a kill; a successor's predecessor had half its part while there were two. Test: fails without.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -972,7 +972,7 @@
 		return true
 	}
 	span := d.set.Fall + sendLate
-	if w.Since <= d.first && d.now < d.first+span {
+	if w.Since <= d.first && !d.heir && d.now < d.first+span {
 		return false
 	}
 	w.sent = slices.DeleteFunc(w.sent, func(s spend) bool { return s.at < d.now-span })
--- a/brain/cold_test.go
+++ b/brain/cold_test.go
@@ -151,3 +151,25 @@
 		}
 	})
 }
+
+// Who starts anew behind a kill leaves a cold worker that was there by then alone for the time of one fall. Who goes on in
+// the place of another does not: both had half their parts while there were two. On the second deployment's days of replacing
+// successors stood beside workers that had just been put back for 3 s, which cost 0.04 of G.
+func TestSuccessorUsesColdWorkersAtOnce(t *testing.T) {
+	for _, heir := range []bool{false, true} {
+		v := newDriver(t, plain())
+		v.list(WorkerInfo{ID: "w", Since: v.now - ms})
+		v.d.seen(v.d.workers[0], 4)
+		if heir {
+			v.give(Succeeded{Experience: v.d.Experience()})
+		}
+		v.now += 10 * ms
+		if to := v.arrive(1, 0); heir != (to != "") {
+			t.Errorf("successor %v: sent to %q at once", heir, to)
+		}
+		v.now += plain().Fall + sendLate
+		if to := v.arrive(2, 0); !heir && to == "" && v.d.workers[0].own == 0 {
+			t.Error("nothing is sent behind the fall")
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -127,6 +127,7 @@
 	cursor, seq   int        // round robin; number of the last request
 	trials        int        // trial attempts that are out
 	ticking       bool
+	heir          bool    // goes on in the place of another, whose parts were halved
 	unsure        bool    // no list but an old one has come
 	small         bool    // all workers are drawn from, and known well
 	keyed         bool    // jobs have keys
@@ -201,6 +202,7 @@
 // adopt begins with what another has learned, of the workers that are listed and have not started anew since.
 func (d *Dispatcher) adopt(e Experience) {
 	if len(e.Classes) > 0 { // else it tells of workers alone
+		d.heir = true
 		d.allow, d.stay, d.mean = e.Allow, e.Stay, e.Mean
 	}
 	for i, c := range e.Classes {
