--- a/internal/routing/core_test.go
+++ b/internal/routing/core_test.go
@@ -158,3 +158,17 @@
 		}
 	}
 }
+
+// What the agent of a pushed list has counts from a process's first moment: a drain in its first list was told then, not when
+// that was read.
+func TestPushedCountsFromTheStart(t *testing.T) {
+	c, f := startCore(t)
+	u := &updates{fake: f}
+	s := NewDestinations(c, u, nil, Update{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s.Pushed(func() bool { return true })
+	began := time.Now()
+	s.apply(Update{Revision: 1, Complete: true, Destinations: []Destination{{WorkerInfo: brain.WorkerInfo{ID: "a", State: brain.Draining}}}}, brain.ListFull)
+	if got := u.got[len(u.got)-1]; got.Told.IsZero() || got.Told.After(began) {
+		t.Errorf("told %v behind the start", got.Told.Sub(began))
+	}
+}
