What was read behind a request keeps its order past net/http's 4 KB

Seen on reading the change again: Conn.Read put what was left of a read behind what had come later, so of 200 requests pipelined while the first was served the third answer was the 78th's, or a 400. It goes in front now.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -127,7 +128,7 @@
 		passed, whole := c.framing.pass(b[:n])
 		if whole {
 			c.whole = true
-			c.keep(b[passed:n])
+			c.keep(slices.Concat(b[passed:n], c.ahead))
 		}
 		if passed > 0 || err != nil {
 			return passed, err
@@ -149,10 +150,7 @@
 		return n, err
 	}
 	n := copy(b, c.ahead)
-	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
-		c.ahead = nil
-	}
-	c.behind.Store(int32(len(c.ahead)))
+	c.keep(c.ahead[n:])
 	return n, nil
 }
 
@@ -164,16 +162,17 @@
 		c.flood.Store(true)
 		n = 0
 	}
-	c.keep(b[:n])
+	c.keep(append(c.ahead, b[:n]...))
 	c.lost(err)
 	return err
 }
 
-func (c *Conn) keep(b []byte) {
-	if len(b) > 0 {
-		c.ahead = append(c.ahead[:len(c.ahead):len(c.ahead)], b...)
-		c.behind.Store(int32(len(c.ahead)))
+// keep sets what has come and is not given on yet.
+func (c *Conn) keep(ahead []byte) {
+	if c.ahead = ahead; len(ahead) == 0 {
+		c.ahead = nil // its room is free
 	}
+	c.behind.Store(int32(len(ahead)))
 }
 
 // lost notes that the client has gone, where an error tells it.
--- a/internal/transport/conn_test.go
+++ b/internal/transport/conn_test.go
@@ -194,3 +194,50 @@
 	}
 	t.Logf("%d answered, %d not read", both[0], both[1])
 }
+
+// More came behind a request than net/http reads at a time: each is served in its turn, with the body that is its own. What
+// was left of a read once went behind what had come later.
+func TestManyBehindKeepTheirOrder(t *testing.T) {
+	const behind = 200
+	release := make(chan struct{})
+	g, dial := gateFor(t, func(w http.ResponseWriter, r *http.Request) {
+		enter(r, serving)
+		body, _ := io.ReadAll(r.Body)
+		if r.URL.Path == "/0" {
+			<-release
+		}
+		fmt.Fprint(w, r.URL.Path, string(body))
+	})
+	c := dial()
+	ask := func(i int) int {
+		n, _ := fmt.Fprintf(c, "POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n%05d", i, i)
+		return n
+	}
+	ask(0)
+	kept := 0
+	for i := 1; i <= behind; i++ {
+		kept += ask(i)
+	}
+	if kept < 2*4096 || kept > mostAhead {
+		t.Fatalf("%d bytes are no test", kept)
+	}
+	until(t, "all of it kept", func() bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		for c := range g.conns {
+			return int(c.behind.Load()) == kept
+		}
+		return false
+	})
+	close(release)
+	in := bufio.NewReader(c)
+	for i := 0; i <= behind; i++ {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		if body, err := io.ReadAll(resp.Body); string(body) != fmt.Sprintf("/%d%05d", i, i) || err != nil {
+			t.Fatalf("request %d: %d %q, %v", i, resp.StatusCode, body, err)
+		}
+	}
+}
