Read again: one check less per worker, one way to say what is owed, nothing that nobody reads

may looks at the window for repeats where it always did, not once more for every worker; affords and part reckon a part once. Dead: the module's unsure, the list's subscribed, a once beside the call's own number, the branch of shut for fronts that no longer come there. Gate.Owed serves both kinds of fronts, the fronts with one request at a time are named once in leave, and it waits no 20 ms behind the last connection. Two comments said other than the code.

--- a/brain/api.go
+++ b/brain/api.go
@@ -259,7 +259,7 @@
 // Probe asks a worker for a sign of life and its report.
 type Probe struct{ Worker WorkerID }
 
-// AskMost is how long after a failure, or after its start, the module asks for the list at the latest.
+// AskMost is how long after a call that failed the module asks for the list again at the latest.
 const AskMost = 900 * time.Millisecond
 
 // Subscribe asks for the list's changes from now on, starting with what was missed.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -425,8 +425,7 @@
 // may tells whether the rules let the request go to the worker at all.
 func (d *Dispatcher) may(r *request, w *worker) bool {
 	c := &r.set.Classes[r.class]
-	by := d.repeatBy(r)
-	if !w.listed || w.out || r.away(w.Zone) || c.Kind >= 0 && c.Kind != w.Kind || by > 0 && d.now >= by {
+	if !w.listed || w.out || r.away(w.Zone) || c.Kind >= 0 && c.Kind != w.Kind {
 		return false
 	}
 	for i := range r.attempts {
@@ -438,7 +437,8 @@
 		case a.out && !r.set.MayCopy, c.Effect == Unsafe:
 			return false
 		case c.Effect == Safe:
-		case c.Scope == ScopeZone && a.w.Zone != w.Zone, c.Scope == ScopeCell && a.w.Cell != w.Cell:
+		case d.now >= d.repeatBy(r), c.Scope == ScopeZone && a.w.Zone != w.Zone,
+			c.Scope == ScopeCell && a.w.Cell != w.Cell:
 			return false
 		}
 	}
@@ -980,7 +980,8 @@
 	for _, s := range w.sent {
 		spent += s.work
 	}
-	return spent <= d.part(w) || len(w.sent) == 0 && d.part(w) > 0 // a job of its turn, be it short or long
+	part := d.part(w)
+	return spent <= part || len(w.sent) == 0 && part > 0 // a job of its turn, be it short or long
 }
 
 // budget is the work that a cold worker may be sent within any Fall by all dispatchers together.
@@ -993,9 +994,9 @@
 // at a place that follows from the worker's id: who reckons with another budget, or with other jobs, has its
 // own turns all the same, and all together send no more than the largest of these budgets.
 func (d *Dispatcher) part(w *worker) float64 {
-	n := uint64(d.set.Dispatchers)
-	turn, jobs := float64((uint64(d.set.Me)+w.hash%n)%n), max(d.budget(w)/d.job(), 1)
-	return d.job() * max(math.Ceil((math.Floor(jobs)-turn)/float64(n)), 0) * jobs / math.Floor(jobs)
+	n, job := uint64(d.set.Dispatchers), d.job()
+	turn, jobs := float64((uint64(d.set.Me)+w.hash%n)%n), max(d.budget(w)/job, 1)
+	return job * max(math.Ceil((math.Floor(jobs)-turn)/float64(n)), 0) * jobs / math.Floor(jobs)
 }
 
 // job is the mean work of a job, as cautious as so few that were served make it: short ones end first.
--- a/brain/state.go
+++ b/brain/state.go
@@ -128,7 +128,6 @@
 	trials        int        // trial attempts that are out
 	ticking       bool
 	heir          bool    // goes on in the place of another, whose parts were halved
-	unsure        bool    // no list but an old one has come
 	small         bool    // all workers are drawn from, and known well
 	keyed         bool    // jobs have keys
 	jobs          int     // that were served
--- a/cmd/brassdale/crossings_test.go
+++ b/cmd/brassdale/crossings_test.go
@@ -322,12 +322,10 @@
 }
 
 // What counts as refused at the platform without being a refusal is counted at the door: a job that failed and was never sent
-// on, and a connection that was closed with nothing written. A client that left by itself is none of them.
+// on, and a connection that was closed with nothing written.
 func TestUnheardIsCountedAtTheDoor(t *testing.T) {
 	t.Parallel()
-	n := startWith(t, "", func(c string) string {
-		return strings.Replace(c, `"sockets":1024`, `"sockets":128`, 1)
-	})
+	n := startWith(t, "", func(c string) string { return strings.Replace(c, `"sockets":1024`, `"sockets":128`, 1) })
 	if got, also := n.figure("failed_unsent"), n.figure("connections_unanswered"); got != 0 || also != 0 {
 		t.Errorf("at first %d, %d", got, also)
 	}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -308,13 +308,16 @@
 	ending, cancel := context.WithDeadline(context.Background(), end.Add(-lastMoment))
 	defer cancel()
 	var wait sync.WaitGroup
+	var single []*front // whose connections carry one request at a time
 	for _, f := range d.fronts {
-		if f.listener != f.gate { // clients were told to go, and that what they have sent is served: now up to which stream
-			wait.Go(func() {
-				time.Sleep(time.Until(leave.Add(stayOpen)))
-				d.shut(ending, f)
-			})
+		if f.listener == f.gate {
+			single = append(single, f)
+			continue
 		}
+		wait.Go(func() { // clients were told to go, and that what they have sent is served: now up to which stream
+			time.Sleep(time.Until(leave.Add(stayOpen)))
+			_ = f.server.Shutdown(ending) // a client may keep a connection on which it is owed nothing
+		})
 	}
 	// The front brings no client for long, but clients go on using the connections that they have, and perhaps have
 	// nobody else while another dispatcher restarts: then one connection that is refused makes the front give this
@@ -327,38 +330,28 @@
 	}
 	// From here on connections end: each behind its answer, those that owe none at once, and what is half read may still
 	// come whole. No connection is closed over bytes that its client would be reset for.
-	for _, f := range d.fronts {
-		if f.listener == f.gate {
-			f.gate.Close()
-		}
+	for _, f := range single {
+		f.gate.Close()
 	}
-	for now, open := last, true; open && now.Before(end.Add(-lastMoment)); now = time.Now() {
-		open = false
-		for _, f := range d.fronts {
+	if d.relayed != nil {
+		wait.Go(func() { _ = d.relayed.Shutdown(ending) })
+	}
+	for now := time.Now(); now.Before(end.Add(-lastMoment)); now = time.Now() {
+		for _, f := range single {
 			f.gate.Dismiss()
-			open = open || f.listener == f.gate && held(f)
+		}
+		if !slices.ContainsFunc(single, held) {
+			break
 		}
 		time.Sleep(heldLook)
 	}
+	wait.Wait()
 	for _, f := range d.fronts {
-		if n := f.gate.Serving(); n > 0 {
+		if n := f.gate.Owed(); n > 0 {
 			d.log.Error("clients left unanswered", "front", f.name, "jobs", n)
 		}
 	}
-	if d.relayed != nil {
-		wait.Go(func() { _ = d.relayed.Shutdown(ending) })
-	}
-	wait.Wait()
 	if kin := d.kin(); kin != nil && passed {
 		kin.Ask(protocol.Note{Last: true}, end.Add(-lastMoment/2))
 	}
 }
-
-// shut ends a front's server behind all answers.
-func (d *dispatcher) shut(ending context.Context, f *front) {
-	err := f.server.Shutdown(ending)
-	// Over HTTP/2 a client may keep a connection on which it is owed nothing.
-	if err != nil && (f.handler != d.http2 || f.gate.Jobs() > 0) {
-		d.log.Error("clients left unanswered", "front", f.name, "err", err)
-	}
-}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -65,7 +65,7 @@
 	ID       CallID
 	Endpoint brain.WorkerID
 	Deadline time.Time
-	By       time.Time // its first byte must leave before; zero for no bound but the deadline
+	By       time.Time // it must have left whole by then; zero for no bound but the deadline
 	Gone     func() bool
 	Job      any
 }
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -5,7 +5,6 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -41,23 +40,21 @@
 	box       *Mailbox[any]
 
 	// Owned by Run.
-	revision   int64
-	known      map[brain.WorkerID]Destination
-	subscribed bool // the module has asked once: it wants to know
-	watching   bool
-	start      *FromSaved // nil unless this process started from a saved list and nobody told a newer one
-	keeper     Keeper     // nil for none
-	source     atomic.Pointer[Source]
-	call       int                // number of the latest call; what an older one brings is void
-	stop       context.CancelFunc // ends that call
+	revision int64
+	known    map[brain.WorkerID]Destination
+	watching bool
+	start    *FromSaved // nil unless this process started from a saved list and nobody told a newer one
+	keeper   Keeper     // nil for none
+	source   atomic.Pointer[Source]
+	call     int                // number of the latest call; what an older one brings is void
+	stop     context.CancelFunc // ends that call
 
 	dispatchers func() int
 	pushed      func() bool   // an agent has the list, and is asked without the module's asking
 	answered    time.Time     // when discovery last answered; before, when this process began
 	first       chan struct{} // closed when the first call has ended, however
-	firstOnce   sync.Once
-	fault       string // of the last call; empty where it succeeded
-	faults      int    // calls that failed since one succeeded
+	fault       string        // of the last call; empty where it succeeded
+	faults      int           // calls that failed since one succeeded
 }
 
 type (
@@ -124,7 +121,6 @@
 		for _, m := range s.box.Take() {
 			switch m := m.(type) {
 			case subscribe:
-				s.subscribed = true
 				if !s.watching {
 					s.ask(ctx, time.Now(), pacing.Ask)
 				}
@@ -133,7 +129,6 @@
 				// for its whole set: nobody says that both count revisions alike, and a change that the old one
 				// had under way must not be lost. Until the answer the list as known holds.
 				s.discovery, s.revision = m.to, Whole
-				s.subscribed = true
 				s.ask(ctx, time.Now(), pacing.Move)
 			case ask:
 				u := Update{Revision: s.revision, Complete: true}
@@ -147,7 +142,9 @@
 				if m.call == s.call {
 					s.take(ctx, m)
 				}
-				s.firstOnce.Do(func() { close(s.first) })
+				if m.call == 1 {
+					close(s.first)
+				}
 			}
 		}
 		s.trust(func(now brain.Clock) []savedlist.Verdict { return s.start.Trust.Look(now) })
--- a/internal/routing/ledger.go
+++ b/internal/routing/ledger.go
@@ -92,17 +92,12 @@
 	l.enter(func(f *Figures) {
 		f.count(class, v)
 		f.Concurrent--
-		f.FailedUnsent += oneIf(v == Failed && !sent)
+		if v == Failed && !sent {
+			f.FailedUnsent++
+		}
 	})
 }
 
-func oneIf(is bool) int {
-	if is {
-		return 1
-	}
-	return 0
-}
-
 func (l *Ledger) listed(n int)  { l.enter(func(f *Figures) { f.Targets = n }) }
 func (l *Ledger) denied(n int)  { l.enter(func(f *Figures) { f.RetriesDenied = n }) }
 func (l *Ledger) repeatDenied() { l.enter(func(f *Figures) { f.RepeatsDenied++ }) }
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -168,18 +168,10 @@
 		if g.admit(c) {
 			return c, nil
 		}
-		g.turnAway(conn)
+		conn.Close()
 	}
 }
 
-// turnAway closes a connection that there is no room for, not even to refuse it.
-func (g *Gate) turnAway(conn net.Conn) {
-	g.mu.Lock()
-	g.unanswered++
-	g.mu.Unlock()
-	conn.Close()
-}
-
 // admit enters a connection and tells whether there was room even for a refusal.
 func (g *Gate) admit(c *Conn) bool {
 	g.mu.Lock()
@@ -196,6 +188,7 @@
 				g.said, g.evicted = c.since, 0
 			}
 		} else if len(g.conns) >= g.most+g.most/reserveShare {
+			g.unanswered++
 			return false
 		}
 	}
@@ -284,16 +277,17 @@
 	return g.dismissed
 }
 
-// Serving is how many connections owe an answer, where they carry one request at a time.
-func (g *Gate) Serving() (n int) {
+// Owed is how many answers are owed.
+func (g *Gate) Owed() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	owed := g.jobs
 	for c := range g.conns {
 		if !g.multiplexed && c.phase == serving {
-			n++
+			owed++
 		}
 	}
-	return n
+	return owed
 }
 
 // Full tells whether jobs hold more than the front's part of the descriptors.
