Control's bytes and messages are counted at the connection, by kind

Reports and demand travel as they were encoded, so their part of a renewal is known and a seat passes them on unread.

Measured: both ends and a relay between them agree to the byte (test).

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -20,6 +20,7 @@
 	"brassdale/internal/decisions/agreement"
 	"brassdale/internal/decisions/failover"
 	"brassdale/internal/fleet/membership"
+	"brassdale/internal/traffic"
 )
 
 const (
@@ -44,6 +45,7 @@
 	Report   func() *failover.Report    // what this dispatcher saw of zones since the last one
 	Planned  func(*failover.Plan, bool) // is told of each plan, and whether this dispatcher is cut off from it for too long; must not block
 	Log      *slog.Logger
+	Meter    *traffic.Meter // of what control costs this process; nil for one of its own
 }
 
 // Agent is a dispatcher's part in the fleet, and a seat's in the council where it has one.
@@ -87,7 +89,6 @@
 // Counts are what the fleet costs this dispatcher.
 type Counts struct {
 	Calls, Served    uint64 // to others, and of others
-	Sent, Received   uint64 // bytes of bodies, both ways together by who calls and who is called
 	Renewed, Refused uint64 // leases that it got, or did not
 }
 
@@ -108,8 +109,11 @@
 	if s.Zone != "" {
 		o.Zone = s.Zone
 	}
+	if o.Meter == nil {
+		o.Meter = &traffic.Meter{}
+	}
 	a := &Agent{Options: o, s: s, instance: rand.Text(), lease: lease, patience: patience, start: time.Now(), pace: testPace(), form: testForm(), log: o.Log,
-		client: newClient(), changed: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), slow: make(chan struct{}, 8), news: make(chan struct{})}
+		client: newClient(o.Meter), changed: make(chan struct{}, 1), renewNow: make(chan struct{}, 1), slow: make(chan struct{}, 8), news: make(chan struct{})}
 	if o.Failover != nil {
 		a.trusted, _ = time.ParseDuration(o.Failover.Alone) // the operator's file was checked
 	}
@@ -139,7 +143,7 @@
 	if a.listener, err = net.Listen("tcp", a.s.Listen); err != nil {
 		return err
 	}
-	a.members, err = membership.New(membership.Options{Self: a.self(), Seeds: a.s.Voters, Reach: a.s.reach, Log: a.log})
+	a.members, err = membership.New(membership.Options{Self: a.self(), Seeds: a.s.Voters, Reach: a.s.reach, Log: a.log, Meter: a.Meter})
 	if err != nil {
 		a.listener.Close()
 	}
@@ -214,9 +218,9 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	server := &http.Server{Handler: a.handler(), ReadHeaderTimeout: callWithin, ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelDebug)}
+	server := &http.Server{Handler: a.Meter.Handler(a.handler(), kindOf), ConnContext: traffic.Note, ReadHeaderTimeout: callWithin, ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelDebug)}
 	var wait sync.WaitGroup
-	wait.Go(func() { _ = server.Serve(a.listener) })
+	wait.Go(func() { _ = server.Serve(a.Meter.Listen(a.listener)) })
 	wait.Go(func() { a.members.Run(ctx) })
 	wait.Go(func() { a.sit(ctx) })
 	wait.Go(func() { a.lead(ctx) })
--- a/internal/fleet/budgets.go
+++ b/internal/fleet/budgets.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"encoding/json"
 	"sync"
 	"time"
 
@@ -34,7 +35,7 @@
 }
 
 // wants is what this dispatcher asks of each budget, and how many first calls it makes a second.
-func (a *Agent) wants() (demand map[string]float64, firsts float64) {
+func (a *Agent) wants() (demand json.RawMessage, firsts float64) {
 	if a.Overload == nil {
 		return nil, 0
 	}
@@ -45,19 +46,24 @@
 	p := a.purse
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	demand = map[string]float64{}
+	wanted := map[string]float64{}
 	for kind, h := range p.holders {
-		demand[kind] = h.Demand(now)
+		wanted[kind] = h.Demand(now)
 	}
 	if span := now - p.at; span > 0 {
 		firsts = float64(all-p.firsts) / span.Seconds()
 	}
 	p.firsts, p.at = all, now
+	demand, _ = json.Marshal(wanted) // finite numbers
 	return demand, firsts
 }
 
 // leased takes the rates of a lease in.
-func (a *Agent) leased(rates map[string]float64, asked agreement.Clock, lease time.Duration) {
+func (a *Agent) leased(dealt json.RawMessage, asked agreement.Clock, lease time.Duration) {
+	var rates map[string]float64
+	if dealt == nil || json.Unmarshal(dealt, &rates) != nil {
+		return
+	}
 	a.purse.mu.Lock()
 	defer a.purse.mu.Unlock()
 	for kind, rate := range rates {
@@ -126,9 +132,10 @@
 }
 
 // deal gives a dispatcher its rates; a.mu is held.
-func (a *Agent) deal(q question) map[string]float64 {
+func (a *Agent) deal(q question) json.RawMessage {
 	t := a.treasury
-	if t == nil || q.Demand == nil {
+	var demand map[string]float64
+	if t == nil || q.Demand == nil || json.Unmarshal(q.Demand, &demand) != nil {
 		return nil
 	}
 	now, firsts := a.now(), 0.0
@@ -145,9 +152,10 @@
 		s := a.budget(kind, firsts)
 		t.rates[kind] = s.Rate
 		d.Retune(s)
-		rates[kind] = d.Grant(q.Name, q.Demand[kind], 0, now)
+		rates[kind] = d.Grant(q.Name, demand[kind], 0, now)
 	}
-	return rates
+	text, _ := json.Marshal(rates) // finite numbers
+	return text
 }
 
 // dealt is how the budgets stand; a.mu is held.
--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -12,6 +12,7 @@
 
 	"brassdale/internal/decisions/agreement"
 	councillog "brassdale/internal/fleet/log"
+	"brassdale/internal/traffic"
 )
 
 // seat is this dispatcher's place in the council while it has one.
@@ -97,7 +98,7 @@
 				continue
 			}
 			by, stop := context.WithDeadline(ctx, time.Now().Add(callWithin))
-			status, text, err := Call(by, a.client, "http://"+a.s.reach(s.Address)+"/council/founder", nil, time.Now().Add(callWithin))
+			status, text, err := Call(a.Meter.Call(by, traffic.Other), a.client, "http://"+a.s.reach(s.Address)+"/council/founder", nil, time.Now().Add(callWithin))
 			stop()
 			var o agreement.Founder
 			if err == nil && status == http.StatusOK && json.Unmarshal(text, &o) == nil && o.Incarnation != "" {
@@ -222,9 +223,8 @@
 		}
 		a.mu.Lock()
 		a.counts.Calls++
-		a.counts.Sent += uint64(len(batch))
 		a.mu.Unlock()
-		status, text, err := Call(ctx, a.client, fmt.Sprintf("http://%s/council/messages?era=%d", a.s.reach(council[i].Address), r.Era), batch, time.Now().Add(callWithin))
+		status, text, err := Call(a.Meter.Call(ctx, traffic.Raft), a.client, fmt.Sprintf("http://%s/council/messages?era=%d", a.s.reach(council[i].Address), r.Era), batch, time.Now().Add(callWithin))
 		var got answer
 		if err == nil && status == http.StatusGone && json.Unmarshal(text, &got) == nil && got.Era > r.Era {
 			a.fenced(got.Era)
--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
 
 	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/decisions/failover"
+	"brassdale/internal/traffic"
 )
 
 // grants gives leases to those who ask, if this seat leads. That somebody asked is noted first: a version waits for it from
@@ -14,7 +17,7 @@
 func (a *Agent) grants(ctx context.Context, all []question) (answer, int) {
 	a.mu.Lock()
 	s, leads := a.seat, a.leads
-	got := answer{Refused: map[string]string{}, Rates: map[string]map[string]float64{}}
+	got := answer{Refused: map[string]string{}, Rates: map[string]json.RawMessage{}}
 	if s != nil && leads != nil {
 		r := s.log.Record()
 		for _, q := range all {
@@ -32,8 +35,9 @@
 			if a.trying != nil {
 				a.trying.See(q.Member)
 			}
-			if a.planner != nil && q.Report != nil {
-				a.planner.Hear(*q.Report, a.now())
+			var report failover.Report
+			if a.planner != nil && q.Report != nil && json.Unmarshal(q.Report, &report) == nil {
+				a.planner.Hear(report, a.now())
 			}
 		}
 	}
@@ -105,7 +109,7 @@
 	}
 	back := answer{LeaseMS: got.LeaseMS}
 	if rates := got.Rates[q.Name]; rates != nil {
-		back.Rates = map[string]map[string]float64{q.Name: rates}
+		back.Rates = map[string]json.RawMessage{q.Name: rates}
 	}
 	back.Entries, back.Record, back.Era, back.Revision = s.log.Since(q.Era, q.Revision)
 	return back, http.StatusOK
@@ -165,9 +169,13 @@
 		} else if to, ok := r.Seat(leader); ok {
 			by, stop := context.WithDeadline(ctx, time.Now().Add(min(callWithin, a.lease/3)))
 			var err error
+			part(a.Meter, true, questions...)
 			if got, status, err = a.post(by, to.Address, "grant", questions); err != nil {
 				got, status = answer{Why: err.Error()}, http.StatusServiceUnavailable
 			}
+			for _, rates := range got.Rates {
+				a.Meter.Within(traffic.Renewal, traffic.Budget, 0, len(rates))
+			}
 			stop()
 		}
 		for _, q := range all {
--- a/internal/fleet/handler.go
+++ b/internal/fleet/handler.go
@@ -10,6 +10,7 @@
 	"brassdale/internal/decisions/agreement"
 	"brassdale/internal/decisions/failover"
 	"brassdale/internal/fleet/membership"
+	"brassdale/internal/traffic"
 )
 
 // Status is what a dispatcher tells of the fleet.
@@ -32,6 +33,8 @@
 	Spent   []Spent             `json:"spent,omitempty"`   // of the fleet's budgets, here
 	Dealt   []Dealt             `json:"dealt,omitempty"`   // and by all, where this one leads
 	Counts  Counts              `json:"counts"`
+
+	Control map[string]traffic.Count `json:"control"` // bytes and messages that control cost this process, by kind
 }
 
 // Status gives it.
@@ -40,7 +43,7 @@
 	defer a.mu.Unlock()
 	s := a.holder.Stand(a.now())
 	st := Status{Name: a.Name, Fleet: a.s.Name, Seat: a.seat.id(), Acting: s.Versions, Lapsed: s.Lapsed, Record: a.holder.Record(),
-		LeaseMS: max((a.holder.Until() - a.now()).Milliseconds(), 0), Leads: a.leads != nil, Counts: a.counts}
+		LeaseMS: max((a.holder.Until() - a.now()).Milliseconds(), 0), Leads: a.leads != nil, Counts: a.counts, Control: a.Meter.Counts()}
 	if a.members != nil {
 		st.Members = a.members.Members()
 	}
@@ -72,7 +75,9 @@
 			a.reply(w, http.StatusBadRequest, answer{Why: "no question"})
 			return
 		}
+		part(a.Meter, false, q)
 		got, status := a.granted(r.Context(), q)
+		a.Meter.Within(traffic.Renewal, traffic.Budget, len(got.Rates[q.Name]), 0)
 		a.reply(w, status, got)
 	})
 	mux.HandleFunc("POST /council/grant", func(w http.ResponseWriter, r *http.Request) {
@@ -81,7 +86,11 @@
 			a.reply(w, http.StatusBadRequest, answer{Why: "no questions"})
 			return
 		}
+		part(a.Meter, false, all...)
 		got, status := a.grants(r.Context(), all)
+		for _, rates := range got.Rates {
+			a.Meter.Within(traffic.Renewal, traffic.Budget, len(rates), 0)
+		}
 		a.reply(w, status, got)
 	})
 	mux.HandleFunc("POST /council/leave", func(w http.ResponseWriter, r *http.Request) {
@@ -135,7 +144,6 @@
 	a.mu.Lock()
 	s, known := a.seat, a.holder.Record().Era
 	a.counts.Served++
-	a.counts.Received += uint64(len(text))
 	a.mu.Unlock()
 	switch {
 	case err != nil || bad != nil:
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"brassdale/internal/traffic"
 )
 
 // Self is what a dispatcher says of itself.
@@ -53,6 +55,7 @@
 	Seeds []string            // addresses of some others
 	Reach func(string) string // where an address is reached; nil for the address itself
 	Log   *slog.Logger
+	Meter *traffic.Meter // of what goes out and comes in; nil for none
 }
 
 const (
@@ -91,7 +94,7 @@
 	if o.Reach == nil {
 		o.Reach = func(address string) string { return address }
 	}
-	t, err := newTransport(o.Self.Address, o.Reach)
+	t, err := newTransport(o.Self.Address, o.Reach, o.Meter)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/membership/transport.go
+++ b/internal/fleet/membership/transport.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/hashicorp/memberlist"
+
+	"brassdale/internal/traffic"
 )
 
 const (
@@ -25,6 +27,7 @@
 	ip      net.IP
 	port    int
 	reach   func(string) string
+	meter   *traffic.Meter
 	packets chan *memberlist.Packet
 	streams chan net.Conn
 	done    chan struct{}
@@ -34,16 +37,16 @@
 
 var _ memberlist.Transport = (*transport)(nil)
 
-func newTransport(address string, reach func(string) string) (*transport, error) {
+func newTransport(address string, reach func(string) string, meter *traffic.Meter) (*transport, error) {
 	at, err := net.ResolveUDPAddr("udp", address)
 	if err != nil {
 		return nil, err
 	}
-	conn, err := net.ListenUDP("udp", at)
+	packets, err := net.ListenUDP("udp", at)
 	if err != nil {
 		return nil, err
 	}
-	t := &transport{conn: conn, ip: at.IP, port: at.Port, reach: reach, packets: make(chan *memberlist.Packet, waitPackets),
+	t := &transport{conn: meter.Packets(packets, traffic.OfMembers), meter: meter, ip: at.IP, port: at.Port, reach: reach, packets: make(chan *memberlist.Packet, waitPackets),
 		streams: make(chan net.Conn), done: make(chan struct{})}
 	t.wait.Go(t.read)
 	return t, nil
@@ -85,10 +88,12 @@
 // DialTimeout is memberlist's name for it: the interface has a span where this program has deadlines.
 func (t *transport) DialTimeout(address string, within time.Duration) (net.Conn, error) {
 	by := time.Now().Add(within)
-	c, err := (&net.Dialer{Deadline: by}).Dial("tcp", t.reach(address))
+	to, err := (&net.Dialer{Deadline: by}).Dial("tcp", t.reach(address))
 	if err != nil {
 		return nil, err
 	}
+	c := t.meter.Of(to, traffic.Gossip)
+	t.meter.Message(traffic.Gossip)
 	_ = c.SetDeadline(by)
 	_, err = fmt.Fprintf(c, "GET /members/stream HTTP/1.1\r\nHost: %s\r\nConnection: Upgrade\r\nUpgrade: %s\r\n\r\n", address, upgrade)
 	in := bufio.NewReaderSize(c, 256)
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -10,10 +10,11 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"brassdale/internal/decisions/agreement"
-	"brassdale/internal/decisions/failover"
+	"brassdale/internal/traffic"
 )
 
 const (
@@ -25,10 +26,23 @@
 // question asks for a lease.
 type question struct {
 	agreement.Member
-	Revision uint64             `json:"revision"` // of the record that is known; 0 for the whole record
-	Report   *failover.Report   `json:"report,omitempty"`
-	Demand   map[string]float64 `json:"demand,omitempty"` // uses a second of each budget
-	Firsts   float64            `json:"firsts,omitempty"` // first calls a second
+	Revision uint64          `json:"revision"`         // of the record that is known; 0 for the whole record
+	Report   json.RawMessage `json:"report,omitempty"` // a failover.Report
+	Demand   json.RawMessage `json:"demand,omitempty"` // uses a second of each budget, by its name
+	Firsts   float64         `json:"firsts,omitempty"` // first calls a second
+}
+
+// part has the bytes of reports and budgets in questions count as such, at the one who sends them or has received them.
+func part(m *traffic.Meter, sent bool, all ...question) {
+	for _, q := range all {
+		for kind, text := range map[traffic.Kind]json.RawMessage{traffic.Report: q.Report, traffic.Budget: q.Demand} {
+			if n := len(text); n > 0 && sent {
+				m.Within(traffic.Renewal, kind, n, 0)
+			} else if n > 0 {
+				m.Within(traffic.Renewal, kind, 0, n)
+			}
+		}
+	}
 }
 
 // form is that of this build: 2 has shares in rules. What a build cannot read is refused, not guessed at.
@@ -39,20 +53,20 @@
 
 // answer gives a lease, or news of the record, or says who may.
 type answer struct {
-	Record   *agreement.Record             `json:"record,omitempty"`  // whole, ...
-	Entries  []agreement.Entry             `json:"entries,omitempty"` // ... or what changed since the revision that was said
-	LeaseMS  int64                         `json:"lease_ms,omitempty"`
-	Era      uint64                        `json:"era,omitempty"`
-	Revision uint64                        `json:"revision,omitempty"` // that the leader has
-	Leader   uint64                        `json:"leader,omitempty"`   // a seat
-	Refused  map[string]string             `json:"refused,omitempty"`  // who gets no lease, and why
-	Rates    map[string]map[string]float64 `json:"rates,omitempty"`    // by dispatcher and budget
-	Why      string                        `json:"why,omitempty"`
+	Record   *agreement.Record          `json:"record,omitempty"`  // whole, ...
+	Entries  []agreement.Entry          `json:"entries,omitempty"` // ... or what changed since the revision that was said
+	LeaseMS  int64                      `json:"lease_ms,omitempty"`
+	Era      uint64                     `json:"era,omitempty"`
+	Revision uint64                     `json:"revision,omitempty"` // that the leader has
+	Leader   uint64                     `json:"leader,omitempty"`   // a seat
+	Refused  map[string]string          `json:"refused,omitempty"`  // who gets no lease, and why
+	Rates    map[string]json.RawMessage `json:"rates,omitempty"`    // by dispatcher; in each by budget
+	Why      string                     `json:"why,omitempty"`
 }
 
-func newClient() *http.Client {
+func newClient(m *traffic.Meter) *http.Client {
 	dialer := &net.Dialer{Timeout: callWithin / 2}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	return &http.Client{Transport: &http.Transport{DialContext: m.Dial(dialer), MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
 }
 
 // Call posts a body to another dispatcher, or gets where there is none, and reads the answer, by then.
@@ -76,6 +90,27 @@
 	return resp.StatusCode, text, err
 }
 
+// kindOf tells what a request to the council's address is for.
+func kindOf(r *http.Request) traffic.Kind {
+	if r.URL.Path == "/members/stream" {
+		return traffic.Gossip
+	}
+	return kindOfCall(strings.TrimPrefix(r.URL.Path, "/council/"))
+}
+
+// kindOfCall tells it by the call's name.
+func kindOfCall(what string) traffic.Kind {
+	switch what {
+	case "renew", "grant", "leave":
+		return traffic.Renewal
+	case "watch":
+		return traffic.Record
+	case "messages":
+		return traffic.Raft
+	}
+	return traffic.Other
+}
+
 // peer has messages for another seat, in their order; what finds no room is lost, as on a network.
 type peer struct{ out chan []byte }
 
@@ -129,7 +164,6 @@
 	}
 	a.mu.Lock()
 	a.counts.Served++
-	a.counts.Received += uint64(len(text))
 	a.mu.Unlock()
 	if err := json.Unmarshal(text, to); err != nil {
 		return fmt.Errorf("body: %w", err)
@@ -142,9 +176,6 @@
 	if err != nil {
 		status, text = http.StatusInternalServerError, []byte("{}")
 	}
-	a.mu.Lock()
-	a.counts.Sent += uint64(len(text))
-	a.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(text)
--- a/internal/fleet/renew.go
+++ b/internal/fleet/renew.go
@@ -5,10 +5,11 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"time"
 
 	"brassdale/internal/decisions/agreement"
-	"brassdale/internal/decisions/failover"
+	"brassdale/internal/traffic"
 )
 
 // order gives the council's seats in the order in which this dispatcher asks them; its own first.
@@ -59,9 +60,9 @@
 		ended, bad = a.Jobs()
 	}
 	demand, firsts := a.wants()
-	var report *failover.Report
+	var report json.RawMessage
 	if a.Report != nil {
-		report = a.Report()
+		report, _ = json.Marshal(a.Report()) // a struct of numbers and names
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -108,9 +109,11 @@
 		got, status = a.granted(ctx, q)
 	} else {
 		var err error
+		part(a.Meter, true, q)
 		if got, status, err = a.post(ctx, s.Address, "renew", q); err != nil {
 			return err
 		}
+		a.Meter.Within(traffic.Renewal, traffic.Budget, 0, len(got.Rates[a.Name]))
 	}
 	if status != http.StatusOK {
 		return fmt.Errorf("seat %d: %d %s", s.ID, status, got.Why)
@@ -179,11 +182,10 @@
 	if !ok {
 		by = time.Now().Add(callWithin)
 	}
-	status, back, err := Call(ctx, a.client, "http://"+a.s.reach(address)+"/council/"+what, text, by)
+	name, _, _ := strings.Cut(what, "?")
+	status, back, err := Call(a.Meter.Call(ctx, kindOfCall(name)), a.client, "http://"+a.s.reach(address)+"/council/"+what, text, by)
 	a.mu.Lock()
 	a.counts.Calls++
-	a.counts.Sent += uint64(len(text))
-	a.counts.Received += uint64(len(back))
 	a.mu.Unlock()
 	if err == nil {
 		err = json.Unmarshal(back, &got)
--- a/internal/program/agreed.go
+++ b/internal/program/agreed.go
@@ -67,7 +67,7 @@
 	if p := &cfg.Settings; p.Locality >= 0 && p.Locality < len(p.Zones) {
 		zone = p.Zones[p.Locality]
 	}
-	o := fleet.Options{Settings: s, Name: cfg.Name, Zone: zone, Apply: a.apply, Jobs: a.jobs, Log: d.log}
+	o := fleet.Options{Settings: s, Name: cfg.Name, Zone: zone, Apply: a.apply, Jobs: a.jobs, Meter: d.meter, Log: d.log}
 	if zones != nil {
 		a.guide = failover.New(cfg.Name, d.params)
 		d.core.Guided(a.guide)
--- a/internal/program/operations.go
+++ b/internal/program/operations.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +46,11 @@
 	if o.d.agreed != nil {
 		s := o.d.agreed.agent.Stand()
 		figures += fmt.Sprintf("repeats_denied=%d\nfleet_version=%d\nfleet_lapsed=%t\n", counted.RepeatsDenied, s.Versions[len(s.Versions)-1], s.Lapsed)
+		control := o.d.meter.Counts()
+		for _, kind := range slices.Sorted(maps.Keys(control)) {
+			c := control[kind]
+			figures += fmt.Sprintf("control_%s_sent=%d\ncontrol_%s_received=%d\ncontrol_%s_messages=%d\n", kind, c.Sent, kind, c.Received, kind, c.Messages)
+		}
 		if g := o.d.agreed.guide; g != nil {
 			figures += fmt.Sprintf("zones_shed=%d\n", g.Shed())
 		}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -18,6 +18,7 @@
 	"brassdale/internal/operator"
 	"brassdale/internal/protocol"
 	"brassdale/internal/routing"
+	"brassdale/internal/traffic"
 	"brassdale/internal/transport"
 	"brassdale/internal/transport/http2"
 )
@@ -56,6 +57,7 @@
 	agreed     *agreed             // nil where the fleet agrees on nothing
 	relayed    *http.Server        // takes readers that the other process relays
 	relay      string              // at this path; empty while nobody can
+	meter      *traffic.Meter      // of what control costs
 	reloader   *reloader
 	operations *operations
 	socket     string      // where successors find this process
@@ -103,7 +105,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	d := &dispatcher{ctx: ctx, log: log, params: &protocol.Live{}, ids: &transport.OpenIDs{}, socket: keptFile(env, cfg, ".sock")}
+	d := &dispatcher{ctx: ctx, log: log, params: &protocol.Live{}, meter: &traffic.Meter{}, ids: &transport.OpenIDs{}, socket: keptFile(env, cfg, ".sock")}
 	pred := d.meet()
 	if err := d.build(env, options, cfg, op, pred); err != nil {
 		return err
@@ -208,7 +210,7 @@
 	if from != nil {
 		known = routing.Update{}
 	}
-	discovery := transport.NewDiscovery(cfg.Discovery, p)
+	discovery := transport.NewDiscovery(cfg.Discovery, p, d.meter)
 	d.set = routing.NewDestinations(d.core, d.fleet, discovery, known, log)
 	d.set.SetSource(source)
 	d.set.Among(func() int { return p.Now().ReplicasOfMe })
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -71,7 +71,7 @@
 	r.d.params.Put(&cfg.Settings, r.d.core.Retune)
 	r.d.register(&cfg.Settings)
 	if cfg.Discovery != old.Discovery || !slices.Equal(cfg.Settings.Zones, old.Settings.Zones) || !slices.Equal(cfg.Settings.Flavors, old.Settings.Flavors) {
-		next := transport.NewDiscovery(cfg.Discovery, r.discovery.Params)
+		next := transport.NewDiscovery(cfg.Discovery, r.discovery.Params, r.d.meter)
 		r.d.set.Move(next)
 		r.discovery.Close()
 		r.discovery = next
--- /dev/null
+++ b/internal/traffic/traffic_test.go
@@ -0,0 +1,178 @@
+package traffic
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// relay passes one connection's bytes on and counts them by itself.
+type relay struct {
+	net.Listener
+	mu       sync.Mutex
+	to, back int
+}
+
+func (r *relay) run(target string) {
+	for {
+		in, err := r.Accept()
+		if err != nil {
+			return
+		}
+		out, err := net.Dial("tcp", target)
+		if err != nil {
+			in.Close()
+			continue
+		}
+		pass := func(from, to net.Conn, n *int) {
+			defer to.Close()
+			buf := make([]byte, 4096)
+			for {
+				k, err := from.Read(buf)
+				r.mu.Lock()
+				*n += k
+				r.mu.Unlock()
+				if _, werr := to.Write(buf[:k]); err != nil || werr != nil {
+					return
+				}
+			}
+		}
+		go pass(in, out, &r.to)
+		go pass(out, in, &r.back)
+	}
+}
+
+// Two ends of HTTP calls of several kinds, on connections that are used again: each end counts every byte that a relay
+// between them saw, heads included, both name them alike, and what one end counts as sent the other has as received.
+func TestBothEndsCountWhatGoesBetween(t *testing.T) {
+	var client, server Meter
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	kinds := map[string]Kind{"/renew": Renewal, "/watch": Record}
+	s := &http.Server{ConnContext: Note, Handler: server.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text, _ := io.ReadAll(r.Body)
+		fmt.Fprint(w, strings.Repeat("x", 3*len(text)+5000))
+	}), func(r *http.Request) Kind { return kinds[r.URL.Path] })}
+	go s.Serve(server.Listen(l))
+	defer s.Close()
+	between, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{Listener: between}
+	go r.run(l.Addr().String())
+	transport := &http.Transport{DialContext: client.Dial(&net.Dialer{})}
+	c := &http.Client{Transport: transport}
+	for i := range 40 {
+		path := []string{"/renew", "/watch", "/other"}[i%3]
+		ctx := client.Call(context.Background(), kinds[path])
+		q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+between.Addr().String()+path, bytes.NewReader(make([]byte, 100*i)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp, err := c.Do(q)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+	}
+	transport.CloseIdleConnections()
+	between.Close()
+	s.Close()
+	var mine, its map[string]Count
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		mine, its = client.Counts(), server.Counts()
+		r.mu.Lock()
+		done := uint64(r.to) == Total(mine).Sent && uint64(r.to) == Total(its).Received && uint64(r.back) == Total(its).Sent && uint64(r.back) == Total(mine).Received
+		r.mu.Unlock()
+		if done {
+			break
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if Total(mine).Sent != uint64(r.to) || Total(mine).Received != uint64(r.back) {
+		t.Errorf("the client counts %+v, between them went %d and %d", Total(mine), r.to, r.back)
+	}
+	for _, k := range []Kind{Renewal, Record, Other} {
+		m, o := mine[k.String()], its[k.String()]
+		if m.Sent != o.Received || m.Received != o.Sent || m.Messages != o.Messages || m.Messages == 0 {
+			t.Errorf("%v: the client counts %+v, the server %+v", k, m, o)
+		}
+	}
+}
+
+// Packets of memberlist's are told apart by what they begin with, alone, summed or many in one.
+func TestOfMembers(t *testing.T) {
+	ping, news := append([]byte{memberPing}, "ping........"...), append([]byte{4}, "alive......"...)
+	compound := func(all ...[]byte) []byte {
+		b := []byte{memberCompound, byte(len(all))}
+		for _, m := range all {
+			b = append(b, byte(len(m)>>8), byte(len(m)))
+		}
+		return append(b, bytes.Join(all, nil)...)
+	}
+	summed := func(b []byte) []byte { return append([]byte{memberSummed, 1, 2, 3, 4}, b...) }
+	for _, x := range []struct {
+		what   string
+		packet []byte
+		kind   Kind
+	}{
+		{"ping", ping, Probe}, {"news", news, Gossip}, {"summed ping", summed(ping), Probe}, {"summed news", summed(news), Gossip},
+		{"ping with news", summed(compound(ping, news, news)), Probe}, {"much news", summed(compound(news, news)), Gossip},
+		{"ack", []byte{memberAck, 0}, Probe}, {"nothing", nil, Gossip}, {"cut short", []byte{memberCompound, 9, 0}, Gossip},
+	} {
+		if k := OfMembers(x.packet); k != x.kind {
+			t.Errorf("%s is counted as %v", x.what, k)
+		}
+	}
+}
+
+// FuzzOfMembers takes what is no packet.
+func FuzzOfMembers(f *testing.F) {
+	f.Add([]byte{memberCompound, 2, 0, 1, 0, 200, 0, 4})
+	f.Add([]byte{memberSummed, 0, 0, 0, 0, memberCompound, 255})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if k := OfMembers(b); k != Gossip && k != Probe {
+			t.Fatalf("%v is counted as %v", b, k)
+		}
+	})
+}
+
+// Whatever is counted in whatever order, a part that is moved to another kind changes no sum.
+func TestSums(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var m Meter
+		var sent, received uint64
+		for range rapid.IntRange(0, 50).Draw(t, "steps") {
+			k, n := Kind(rapid.IntRange(0, int(kinds)-1).Draw(t, "kind")), rapid.IntRange(0, 1000).Draw(t, "bytes")
+			m.Sent(k, n)
+			m.Received(k, 2*n)
+			m.Message(k)
+			sent, received = sent+uint64(n), received+uint64(2*n)
+			part := rapid.IntRange(0, n).Draw(t, "part")
+			m.Within(k, Kind(rapid.IntRange(0, int(kinds)-1).Draw(t, "as")), part, 2*part)
+		}
+		if all := Total(m.Counts()); all.Sent != sent || all.Received != received {
+			t.Fatalf("%+v, not %d and %d", all, sent, received)
+		}
+	})
+	var none *Meter
+	none.Sent(Gossip, 4)
+	none.Within(Gossip, Report, 1, 1)
+	if len(none.Counts()) > 0 {
+		t.Error("a meter that is none counts")
+	}
+}
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -11,6 +11,7 @@
 	"brassdale/internal/decisions/pacing"
 	"brassdale/internal/protocol"
 	"brassdale/internal/routing"
+	"brassdale/internal/traffic"
 )
 
 const (
@@ -22,17 +23,19 @@
 type Discovery struct {
 	Address string
 	Params  *protocol.Live
+	meter   *traffic.Meter
 	client  http.Client
 }
 
 // Close gives up the connection of a discovery that is asked no more.
 func (d *Discovery) Close() { d.client.CloseIdleConnections() }
 
-// NewDiscovery makes a client of its own: no proxy of the environment may come between.
-func NewDiscovery(address string, p *protocol.Live) *Discovery {
+// NewDiscovery makes a client of its own: no proxy of the environment may come between. The meter counts what its calls cost;
+// nil for none.
+func NewDiscovery(address string, p *protocol.Live, m *traffic.Meter) *Discovery {
 	dialer := &net.Dialer{Timeout: connectWithin}
-	return &Discovery{Address: address, Params: p,
-		client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DialContext: dialer.DialContext}}}
+	return &Discovery{Address: address, Params: p, meter: m,
+		client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DialContext: m.Dial(dialer)}}}
 }
 
 // Call is one call. Its end is set beforehand: a discovery that was cut off keeps a connection open and silent, and
@@ -46,7 +49,7 @@
 	}
 	ctx, stop := context.WithDeadline(ctx, end)
 	defer stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	req, err := http.NewRequestWithContext(d.meter.Call(ctx, traffic.Discovery), http.MethodGet, url, nil)
 	if err != nil {
 		return routing.Update{}, err
 	}
