What a dispatcher says to the members has no version: a change is no news for gossip

Cause: membership.Self carried Version, so with each change each of N members told all N of it, each word sent on some ten times by each: internal/fleet/agent.go, self. Nothing is decided by it, and 'fleet members' has what each acknowledged from its lease.

Ruled out: renewals and subscriptions (their bytes, counted apart, are a tenth).

cost.json of the fleet's rig has bytes at the connection by kind and what the loopback interface received.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -98,7 +98,7 @@
 		for _, m := range s.Members {
 			if m.Name == name {
 				state = string(m.State)
-				said = agreement.Member{Address: m.Address, Region: m.Region, Zone: m.Zone, Seat: m.Seat, Form: m.Form, Acked: m.Version}
+				said = agreement.Member{Address: m.Address, Region: m.Region, Zone: m.Zone, Seat: m.Seat, Form: m.Form, Acked: lease.Acked}
 			}
 		}
 		text := "-"
--- a/internal/faults/cost.go
+++ b/internal/faults/cost.go
@@ -6,31 +6,40 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"brassdale/internal/traffic"
 )
 
-// Cost is what the fleet's own calls cost a process, on average and at the one that pays most, a second.
+// Cost is what control costs a process, on average and at the one that pays most, a second.
 type Cost struct {
-	Calls     float64 `json:"calls"`       // to others
-	Bytes     float64 `json:"bytes"`       // of bodies, both ways
-	CPU       float64 `json:"cpu_ms"`      // of the whole process, with its jobs
-	CallsMost float64 `json:"calls_most"`  // made and served by one process
-	BytesMost float64 `json:"bytes_most"`  // likewise
-	CPUMost   float64 `json:"cpu_ms_most"` // likewise
-	MemoryMB  float64 `json:"memory_mb"`   // resident, on average
-	each      []share // by process, since its start
-	at        time.Time
+	Calls      float64            `json:"calls"`           // to others
+	Bytes      float64            `json:"bytes"`           // at its connections, both ways, heads included
+	ByKind     map[string]float64 `json:"bytes_by_kind"`   // of them
+	Interface  float64            `json:"interface_bytes"` // that the loopback interface received, packet heads, jobs and all that goes over it included
+	CPU        float64            `json:"cpu_ms"`          // of the whole process, with its jobs
+	CallsMost  float64            `json:"calls_most"`      // made and served by one process
+	BytesMost  float64            `json:"bytes_most"`      // likewise
+	CPUMost    float64            `json:"cpu_ms_most"`     // likewise
+	MemoryMB   float64            `json:"memory_mb"`       // resident, on average
+	interfaces float64            // since the machine's start
+	each       []share            // by process, since its start
+	at         time.Time
 }
 
-type share struct{ calls, served, bytes, cpu float64 }
+type share struct {
+	calls, served, cpu float64
+	control            map[string]traffic.Count
+}
 
 const ticksPerSecond = 100 // of the kernel's clock in /proc
 
 // cost reads what each process has used.
 func (f *play) cost() *Cost {
-	c := &Cost{at: time.Now()}
+	c := &Cost{at: time.Now(), interfaces: loopback()}
 	for i, x := range f.all {
 		var s struct {
-			Counts struct{ Calls, Served, Sent, Received float64 }
+			Counts  struct{ Calls, Served float64 }
+			Control map[string]traffic.Count
 		}
 		if f.Voters > 0 {
 			_ = f.call(f.ats[i], "status", nil, &s)
@@ -44,17 +53,34 @@
 			ticks = user + system
 			pages, _ = strconv.ParseFloat(fields[21], 64)
 		}
-		c.each = append(c.each, share{s.Counts.Calls, s.Counts.Served, s.Counts.Sent + s.Counts.Received, ticks * 1000 / ticksPerSecond})
+		c.each = append(c.each, share{s.Counts.Calls, s.Counts.Served, ticks * 1000 / ticksPerSecond, s.Control})
 		c.MemoryMB += pages * float64(os.Getpagesize()) / (1 << 20) / float64(len(f.all))
 	}
 	return c
 }
 
+// loopback gives the bytes that the loopback interface has received; 0 where the system does not tell.
+func loopback() (bytes float64) {
+	text, _ := os.ReadFile("/proc/net/dev")
+	for line := range strings.Lines(string(text)) {
+		if name, rest, ok := strings.Cut(line, ":"); ok && strings.TrimSpace(name) == "lo" {
+			bytes, _ = strconv.ParseFloat(strings.Fields(rest)[0], 64)
+		}
+	}
+	return bytes
+}
+
 func (c *Cost) since(before *Cost) *Cost {
 	seconds, n := c.at.Sub(before.at).Seconds(), float64(len(c.each))
+	c.Interface, c.ByKind = (c.interfaces-before.interfaces)/seconds/n, map[string]float64{}
 	for i, s := range c.each {
-		b := before.each[i]
-		calls, served, bytes, cpu := (s.calls-b.calls)/seconds, (s.served-b.served)/seconds, (s.bytes-b.bytes)/seconds, (s.cpu-b.cpu)/seconds
+		b, bytes := before.each[i], 0.0
+		for kind, k := range s.control {
+			rate := float64(k.Bytes()-b.control[kind].Bytes()) / seconds
+			bytes += rate
+			c.ByKind[kind] += rate / n
+		}
+		calls, served, cpu := (s.calls-b.calls)/seconds, (s.served-b.served)/seconds, (s.cpu-b.cpu)/seconds
 		c.Calls, c.Bytes, c.CPU = c.Calls+calls/n, c.Bytes+bytes/n, c.CPU+cpu/n
 		c.CallsMost, c.BytesMost, c.CPUMost = max(c.CallsMost, calls+served), max(c.BytesMost, bytes), max(c.CPUMost, cpu)
 	}
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -193,7 +193,7 @@
 func (a *Agent) self() membership.Self {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return membership.Self{Name: a.Name, Address: a.address(), Region: a.s.Region, Zone: a.Zone, Version: a.holder.Acknowledged(),
+	return membership.Self{Name: a.Name, Address: a.address(), Region: a.s.Region, Zone: a.Zone,
 		Era: a.holder.Record().Era, Seat: a.seat.id(), Form: a.form}
 }
 
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -26,7 +26,6 @@
 	Address string `json:"a"`
 	Region  string `json:"r,omitempty"`
 	Zone    string `json:"z,omitempty"`
-	Version uint64 `json:"v,omitempty"` // that it acts on
 	Era     uint64 `json:"e,omitempty"`
 	Seat    uint64 `json:"s,omitempty"`
 	Form    int    `json:"f"` // of messages that it can read
--- a/internal/fleet/membership/membership_test.go
+++ b/internal/fleet/membership/membership_test.go
@@ -99,7 +99,7 @@
 		m.sees(t, "back", map[State]int{Alive: 8, Left: 1})
 	}
 	said := all[3].self
-	said.Version, said.Seat = 12, 4
+	said.Era, said.Seat = 12, 4
 	all[3].Say(said)
 	for end := time.Now().Add(30 * time.Second); ; time.Sleep(10 * time.Millisecond) {
 		heard := 0
