A dispatcher applies a version before it says that it keeps to it

Seen: a trial of the scale rig on a busy machine had 43 ms of contradiction: version 3 was in force at one dispatcher while five of one process, with leases, still acted on 2 alone; they applied [2 3] 38 to 43 ms later.

Cause: Agent.learned and renewOnce put a record into the holder, wrote it to disk (fsync) and only then had it applied; inLog left that to another goroutine. The question for the next lease was meanwhile asked with the holder's new number, so the leader took a version for kept that was not. Lines: agent.go learned, renew.go renewOnce, council.go inLog.

Ruled out: the clock's drift and the leader's waiting (its table had the acknowledgement), a lapsed lease (none was).

Change: whoever takes a record in has it applied before it lets go of the lock under which the question is made.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -272,6 +272,12 @@
 func (a *Agent) settle() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.settled()
+}
+
+// settled does it; a.mu is held. Whoever takes a record in does this before it lets go of a.mu: what is said to be kept with
+// the next question has to be applied by then.
+func (a *Agent) settled() {
 	s := a.holder.Stand(a.now())
 	if text := fmt.Sprint(a.holder.Record().Era, s.Versions, s.Lapsed); text != a.last { // rules follow from these
 		a.last = text
@@ -307,10 +313,10 @@
 func (a *Agent) learned(r agreement.Record) {
 	a.mu.Lock()
 	fresh := a.holder.Learned(r)
+	a.settled()
 	a.mu.Unlock()
 	if fresh {
 		a.keep(r)
-		a.settle()
 		wake(a.changed)
 		wake(a.renewNow) // it is acknowledged at once
 	}
--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -185,6 +185,7 @@
 func (a *Agent) inLog(r agreement.Record) {
 	a.mu.Lock()
 	a.holder.Learned(r)
+	a.settled()
 	close(a.news)
 	a.news = make(chan struct{})
 	a.mu.Unlock()
--- a/internal/fleet/renew.go
+++ b/internal/fleet/renew.go
@@ -123,6 +123,7 @@
 	fresh := err == nil && r.Newer(a.holder.Record())
 	if err == nil {
 		a.holder.Heard(r, asked, time.Duration(got.LeaseMS)*time.Millisecond)
+		a.settled()
 	}
 	a.heard = err == nil && (a.heard || got.Record != nil) // else the whole is asked for
 	a.mu.Unlock()
@@ -135,7 +136,6 @@
 		wake(a.renewNow)
 		wake(a.changed)
 	}
-	a.settle()
 	return nil
 }
 
