--- a/internal/scale/fit/compare.go
+++ b/internal/scale/fit/compare.go
@@ -125,7 +125,7 @@
 	return nil
 }
 
-// SaveCompared keeps the comparison as compared.txt in a folder.
+// SaveCompared keeps the comparison in a file.
 func SaveCompared(path string, before, after []Row) error {
 	return keep(path, func(w io.Writer) error { return CompareTable(w, before, after) })
 }
--- a/internal/scale/fit/draw.go
+++ b/internal/scale/fit/draw.go
@@ -133,6 +133,12 @@
 	return nil
 }
 
+// shade gives a colour to each of so many that the soft ones do not do.
+func shade(i int) color.Color {
+	all := append(slices.Clone(plotutil.SoftColors), plotutil.DarkColors...)
+	return all[i%len(all)]
+}
+
 // stacked draws what a dispatcher's bytes are made of: a band for each kind, at the medians over seeds.
 func stacked(path string, along []Row, held string) error {
 	const prefix = "bytes_by_kind."
@@ -161,7 +167,8 @@
 		if err != nil {
 			return err
 		}
-		l.Color, l.FillColor = plotutil.Color(len(bands)), plotutil.Color(len(bands))
+		l.Color = shade(len(bands))
+		l.FillColor = l.Color
 		bands, labels = append(bands, l), append(labels, strings.TrimPrefix(figure, prefix))
 	}
 	for i, l := range slices.Backward(bands) { // the lower in front of the higher
--- a/internal/scale/fit/files_test.go
+++ b/internal/scale/fit/files_test.go
@@ -125,6 +125,36 @@
 	}
 }
 
+// One size alone is drawn as points, and nothing is fitted; so many kinds as there are have a band each; figures that are all 0 do no harm.
+func TestOneSize(t *testing.T) {
+	var rows []Row
+	for seed := range 3 {
+		r := Row{From: "x", Numbers: map[string]float64{"dispatchers": 300, "seed": float64(seed), "control_bytes_s_p50": 3000, "leader_bytes_s": 0}}
+		for _, kind := range []string{"other", "renewal", "record", "report", "budget", "gossip", "member_probe", "raft", "discovery"} {
+			r.Numbers["bytes_by_kind."+kind] = 100
+		}
+		rows = append(rows, r)
+	}
+	dir := t.TempDir()
+	if err := Save(dir, rows); err != nil {
+		t.Fatal(err)
+	}
+	files := bytesOf(t, dir)
+	if !strings.Contains(files["table.txt"], "against dispatchers: nothing fitted") || strings.Contains(files["slopes.json"], "intercept") || strings.Count(files["slopes.csv"], "\n") != 1 {
+		t.Errorf("a number was invented:\n%s", files["table.txt"])
+	}
+	if files["bytes.svg"] == "" || files["seats.svg"] == "" || files["kinds.svg"] == "" || files["cpu.svg"] != "" {
+		t.Errorf("charts: %v", slices.Sorted(maps.Keys(files)))
+	}
+	colours := map[string]bool{}
+	for i := range 9 {
+		colours[fmt.Sprint(shade(i))] = true
+	}
+	if len(colours) != 9 {
+		t.Errorf("%d colours for nine kinds", len(colours))
+	}
+}
+
 // Runs are read from files of one or many, and from folders; no file counts twice, and a gathered file stands for its folder.
 func TestRead(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/scale/fit/fit_test.go
+++ b/internal/scale/fit/fit_test.go
@@ -142,7 +142,9 @@
 	}
 }
 
-// Verdicts over 1,000 seeded draws at the sizes of the plan, on two seeds each, with noise of 5% of the figure.
+// Verdicts over 1,000 seeded draws at the sizes of the plan, on two seeds each, with noise of 5% of the figure. The
+// bounds lie about four standard deviations of the count from what the draws gave; what is flat is not told so once in 20 by
+// the interval's own measure.
 func TestVerdicts(t *testing.T) {
 	const draws = 1000
 	for _, c := range []struct {
@@ -153,9 +155,9 @@
 		never  []Verdict
 		rarely float64 // of the draws, the most that say what should never be said
 	}{
-		{"flat", func(float64) float64 { return 3000 }, Flat, 0.93, []Verdict{Linear, Logarithmic}, 0.06},
+		{"flat", func(float64) float64 { return 3000 }, Flat, 0.93, []Verdict{Linear, Logarithmic}, 0.04},
 		{"linear", func(x float64) float64 { return 1000 + 3*x }, Linear, 0.95, []Verdict{Flat, Logarithmic}, 0.002},
-		{"logarithmic", func(x float64) float64 { return 300 * math.Log2(x) }, Logarithmic, 0.65, []Verdict{Flat, Linear}, 0.08},
+		{"logarithmic", func(x float64) float64 { return 300 * math.Log2(x) }, Logarithmic, 0.82, []Verdict{Flat, Linear}, 0.065},
 		{"steep logarithm", func(x float64) float64 { return 1000*math.Log2(x) - 5000 }, Logarithmic, 0.95, []Verdict{Flat, Linear}, 0.002},
 	} {
 		said := map[Verdict]float64{}
--- a/internal/scale/fit/rows.go
+++ b/internal/scale/fit/rows.go
@@ -88,11 +88,14 @@
 			return nil, err
 		}
 		for _, file := range files {
-			if whole, err := filepath.Abs(file); err != nil || read[whole] {
+			whole, err := filepath.Abs(file)
+			if err != nil {
+				return nil, err
+			}
+			if read[whole] {
 				continue
-			} else {
-				read[whole] = true
 			}
+			read[whole] = true
 			text, err := os.ReadFile(file)
 			if err != nil {
 				return nil, err
