--- /dev/null
+++ b/cmd/brassdale/council_members_test.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"brassdale/internal/faults"
+)
+
+// known is what a dispatcher's 'members' says of another: what gossip has of it there, its lease, its seat.
+func (f *allied) known(at, of int) (gossip, lease string, seat uint64) {
+	var rows []struct {
+		Name          string
+		Gossip, Lease string
+		Seat          uint64
+	}
+	code, out, _ := run(f.t, "fleet", "members", "--json", "--address", f.at[at])
+	if code != 0 || json.Unmarshal([]byte(out), &rows) != nil {
+		return "", "", 0
+	}
+	for _, r := range rows {
+		if r.Name == fmt.Sprint("n", of) {
+			return r.Gossip, r.Lease, r.Seat
+		}
+	}
+	return "", "", 0
+}
+
+// gossips waits for what gossip tells: it asks one neighbour a second, and waits for seconds before it says that one is gone.
+func (f *allied) gossips(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(60 * time.Second); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			f.t.Fatalf("never seen: %s", what)
+		}
+	}
+}
+
+// Eight dispatchers in two zones: whoever is asked tells of all by their leases, and of its own zone by gossip too. One that is told
+// to end says that it leaves, to the leader and to its neighbours; one that is killed has not; both are told apart, and the
+// other zone gossips of neither. One that wakes behind a freeze is there again for all.
+func TestMembers(t *testing.T) {
+	t.Parallel()
+	zone := func(i int) string { return string("ab"[i%2]) }
+	f := allyWith(t, 24, 3, 5, func(i int) string { return fmt.Sprintf("zone = %q\n", zone(i)) })
+	f.propose("retries = 0.5\n", 0)
+	f.acts(1, f.all()...)
+	see := func(what string, of int, lease string, gossip map[string]string) {
+		t.Helper()
+		for at := range f.nodes {
+			select {
+			case <-f.nodes[at].exited:
+				continue
+			default:
+			}
+			want := "-"
+			if zone(at) == zone(of) {
+				want = gossip[zone(of)]
+			}
+			f.gossips(fmt.Sprintf("%s: dispatcher %d at %d with %q and %q", what, of, at, want, lease), func() bool {
+				g, l, _ := f.known(at, of)
+				return g == want && strings.HasPrefix(l, lease)
+			})
+		}
+	}
+	for of := range f.nodes {
+		see("all there", of, "acknowledged 1", map[string]string{zone(of): "alive"})
+	}
+	f.nodes[7].stop()
+	<-f.nodes[7].exited
+	see("told to end", 7, "left", map[string]string{"b": "left"})
+	f.kill(6)
+	see("killed", 6, "ran out", map[string]string{"a": "gone"})
+	f.nodes[5].cmd.Process.Signal(syscall.SIGSTOP)
+	f.gossips("the frozen one gone", func() bool { g, l, _ := f.known(3, 5); return g == "gone" && strings.HasPrefix(l, "ran out") })
+	f.away[5] = append(f.away[5], faults.Away{From: time.Now()})
+	f.nodes[5].cmd.Process.Signal(syscall.SIGCONT)
+	see("awake", 5, "acknowledged", map[string]string{"b": "alive"})
+	if apart := f.apart(); apart > 0 {
+		t.Errorf("contradiction for %v", apart)
+	}
+}
+
+// A machine that is set aside wants no jobs, is ready for its operators, serves what comes all the same, and is given the next seat
+// before any other; the fleet's bytes are at its door by what they are for.
+func TestSetAside(t *testing.T) {
+	t.Parallel()
+	f := allyWith(t, 25, 3, 3, func(i int) string {
+		return fmt.Sprintf("replace = \"3s\"\nset_aside = %t\n", i == 5)
+	})
+	f.propose("retries = 0.5\n", 0)
+	f.acts(1, f.all()...)
+	ready := func(i int) int {
+		resp, err := http.Get(f.nodes[i].url + "/health/ready")
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	if a, b := ready(4), ready(5); a != 200 || b != 503 {
+		t.Errorf("ready: %d, and set aside %d", a, b)
+	}
+	if status, _ := f.nodes[5].call("GET", "/_ready", ""); status != 200 {
+		t.Errorf("at the door: %d", status)
+	}
+	if status, _, _ := f.nodes[5].do(request(f.nodes[5].url, "aside")); status != 200 {
+		t.Errorf("a job that came all the same: %d", status)
+	}
+	f.kill(2)
+	f.nodes[5].waitFor("a seat", func() bool { _, _, seat := f.known(0, 5); return seat > 3 })
+	_, figures := f.nodes[5].call("GET", "/_vars", "")
+	var missing []string
+	for _, kind := range []string{"renewal", "record", "gossip", "member_probe", "raft", "discovery"} {
+		if !strings.Contains(figures, "control_"+kind+"_received=") {
+			missing = append(missing, kind)
+		}
+	}
+	if slices.Sort(missing); len(missing) > 0 {
+		t.Errorf("nothing at the door of %v:\n%s", missing, figures)
+	}
+}
--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -39,7 +39,7 @@
 	c.PersistentFlags().BoolVar(&f.asJSON, "json", false, "as JSON")
 	c.AddCommand(
 		f.show("status", "Versions, who leads, who holds leases", statusTable),
-		f.show("members", "Who is there, by gossip, and who holds a lease, as the leader knows (ask the leader)", membersTable),
+		f.members(),
 		f.show("council", "The council's seats, as the leader sees them (ask the leader)", councilTable),
 		f.show("history", "Versions that were in force, and those that were withdrawn", historyTable),
 		f.diff(), f.watch(), f.recover(),
@@ -82,31 +82,65 @@
 	}
 }
 
-func membersTable(w io.Writer, s fleet.Status) {
-	fmt.Fprint(w, "dispatcher\tstate\tregion\tzone\taddress\tseat\tform\tversion\tlease\n")
-	names := map[string]bool{}
-	leases := map[string]agreement.Member{}
-	for _, m := range s.Present {
-		leases[m.Name], names[m.Name] = m, true
-	}
-	for _, m := range s.Members {
-		names[m.Name] = true
-	}
-	for _, name := range slices.Sorted(maps.Keys(names)) {
-		lease, held := leases[name]
-		state, said := "not heard of", lease
-		for _, m := range s.Members {
-			if m.Name == name {
-				state = string(m.State)
-				said = agreement.Member{Address: m.Address, Region: m.Region, Zone: m.Zone, Seat: m.Seat, Form: m.Form, Acked: lease.Acked}
+// memberOf is a dispatcher of a fleet, by all that is known of it.
+type memberOf struct {
+	agreement.Member
+	Gossip string // what its neighbour that was asked knows of it; "-" of other zones
+	Lease  string
+}
+
+// members lists who holds a lease or held one lately, as the leader knows, and the neighbours of the dispatcher that is asked,
+// by gossip. Where no leader is reached it lists the neighbours alone, and says so.
+func (f *allies) members() *cobra.Command {
+	return &cobra.Command{Use: "members", Short: "Who is there: by leases, as the leader knows, and by gossip, the neighbours of the one that is asked", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := f.status(c.Context())
+			if err != nil {
+				return err
 			}
-		}
-		text := "-"
-		if held {
-			text = fmt.Sprint("acknowledged ", lease.Acked)
-		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", name, state, said.Region, said.Zone, said.Address, said.Seat, said.Form, said.Acked, text)
-	}
+			var known struct {
+				Present []agreement.Member
+				Absent  []agreement.Absent
+			}
+			if err := f.ask(c.Context(), "known", nil, &known); err != nil {
+				fmt.Fprintf(c.ErrOrStderr(), "nobody leads, so these are neighbours alone: %v\n", err)
+			}
+			all := map[string]memberOf{}
+			for _, m := range s.Members {
+				all[m.Name] = memberOf{agreement.Member{Name: m.Name, Address: m.Address, Region: m.Region, Zone: m.Zone, Seat: m.Seat, Form: m.Form}, string(m.State), "-"}
+			}
+			gossip := func(name string) string {
+				if m, ok := all[name]; ok {
+					return m.Gossip
+				}
+				return "-"
+			}
+			for _, a := range known.Absent {
+				lease := fmt.Sprintf("ran out %v ago", a.For.Round(time.Second))
+				if a.Left {
+					lease = fmt.Sprintf("left %v ago", a.For.Round(time.Second))
+				}
+				all[a.Name] = memberOf{a.Member, gossip(a.Name), lease}
+			}
+			for _, m := range known.Present {
+				all[m.Name] = memberOf{m, gossip(m.Name), fmt.Sprint("acknowledged ", m.Acked)}
+			}
+			var rows []memberOf
+			for _, name := range slices.Sorted(maps.Keys(all)) {
+				rows = append(rows, all[name])
+			}
+			if f.asJSON {
+				e := json.NewEncoder(c.OutOrStdout())
+				e.SetIndent("", "  ")
+				return e.Encode(rows)
+			}
+			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
+			fmt.Fprint(w, "dispatcher\tgossip\tregion\tzone\taddress\tseat\tform\tlease\n")
+			for _, m := range rows {
+				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", m.Name, m.Gossip, m.Region, m.Zone, m.Address, m.Seat, m.Form, m.Lease)
+			}
+			return w.Flush()
+		}}
 }
 
 func councilTable(w io.Writer, s fleet.Status) {
--- a/internal/decisions/agreement/lease.go
+++ b/internal/decisions/agreement/lease.go
@@ -100,8 +100,20 @@
 	lease   time.Duration // lengthened by drift
 	elected Clock
 	members map[string]member
+	absent  map[string]Absent
 }
 
+// Absent is a dispatcher that held a lease and holds none any more.
+type Absent struct {
+	Member
+	Left bool          `json:"left,omitempty"` // it said so
+	For  time.Duration `json:"for"`
+	at   Clock
+}
+
+// keepAbsent is for how long who is absent is remembered.
+const keepAbsent = time.Hour
+
 // Member is a dispatcher that asks for a lease.
 type Member struct {
 	Name     string `json:"name"`
@@ -112,10 +124,11 @@
 	Address  string `json:"address,omitempty"`
 	Region   string `json:"region,omitempty"`
 	Zone     string `json:"zone,omitempty"`
-	Seat     uint64 `json:"seat,omitempty"`  // in which it votes, or learns
-	Ended    uint64 `json:"ended,omitempty"` // jobs, since its start
-	Bad      uint64 `json:"bad,omitempty"`   // of them refused or failed
-	Plan     uint64 `json:"plan,omitempty"`  // the number of the plan that it acts on
+	Seat     uint64 `json:"seat,omitempty"`      // in which it votes, or learns
+	Ended    uint64 `json:"ended,omitempty"`     // jobs, since its start
+	Bad      uint64 `json:"bad,omitempty"`       // of them refused or failed
+	Plan     uint64 `json:"plan,omitempty"`      // the number of the plan that it acts on
+	SetAside bool   `json:"set_aside,omitempty"` // its machine is for control, and is given seats first
 }
 
 type member struct {
@@ -134,7 +147,7 @@
 
 // NewCouncil makes the part of a leader that was elected then.
 func NewCouncil(lease time.Duration, elected Clock) *Council {
-	return &Council{lease: lease + time.Duration(Drift*float64(lease)), elected: elected, members: map[string]member{}}
+	return &Council{lease: lease + time.Duration(Drift*float64(lease)), elected: elected, members: map[string]member{}, absent: map[string]Absent{}}
 }
 
 // Renewed notes that a dispatcher asked for a lease. It is called before the lease is given. Of two processes of one name
@@ -149,23 +162,49 @@
 	}
 	m.Acked = max(m.Acked, had.Acked)
 	c.members[m.Name] = member{m, now}
+	delete(c.absent, m.Name)
 	return nil
 }
 
 // Left notes that a process has dropped its lease for good. It is called behind that.
-func (c *Council) Left(name, instance string) {
-	if c.members[name].Instance == instance {
+func (c *Council) Left(name, instance string, now Clock) {
+	if m, ok := c.members[name]; ok && m.Instance == instance {
 		delete(c.members, name)
+		c.absent[name] = Absent{Member: m.Member, Left: true, at: now}
 	}
 }
 
+// expire forgets leases that have run out: whoever comes back hears of what was announced first.
+func (c *Council) expire(now Clock) {
+	for name, m := range c.members {
+		if now >= m.at+c.lease {
+			delete(c.members, name)
+			c.absent[name] = Absent{Member: m.Member, at: m.at + c.lease}
+		}
+	}
+	for name, a := range c.absent {
+		if now >= a.at+keepAbsent {
+			delete(c.absent, name)
+		}
+	}
+}
+
+// Absent are those that held leases of this leader within the last hour and hold none now, by name.
+func (c *Council) Absent(now Clock) (all []Absent) {
+	c.expire(now)
+	for _, a := range c.absent {
+		a.For = now - a.at
+		all = append(all, a)
+	}
+	slices.SortFunc(all, func(a, b Absent) int { return strings.Compare(a.Name, b.Name) })
+	return all
+}
+
 // May tells whether a version may be in force now, and if not, for whom it waits.
 func (c *Council) May(version uint64, now Clock) (may bool, waits []string) {
+	c.expire(now)
 	for name, m := range c.members {
-		switch {
-		case now >= m.at+c.lease:
-			delete(c.members, name) // its lease has run out, and whoever comes back hears of the version first
-		case m.Acked < version:
+		if m.Acked < version {
 			waits = append(waits, name)
 		}
 	}
--- a/internal/decisions/agreement/seats.go
+++ b/internal/decisions/agreement/seats.go
@@ -40,7 +40,8 @@
 // Reseat tells what the leader does about a council of which a seat has been silent for longer than patience: a dispatcher
 // that holds a lease learns the log, and takes the silent one's place once it has caught up. Nothing is done while a seat is
 // silent for a moment, one thing at a time, and never one that would leave fewer seats that are there than now. members are
-// who holds a lease. The one who is taken is of the region and zone with the fewest seats.
+// who holds a lease. The one who is taken has its machine set aside for control, if there is such a one, and is of the region
+// and zone with the fewest seats.
 func Reseat(council []Place, members []Member, next uint64, patience time.Duration) (m Move, ok bool) {
 	var gone, learner *Place
 	for i := range council {
@@ -64,25 +65,28 @@
 		return Move{}, false
 	}
 	var best *Member
-	var least [2]int
+	var least [3]int
 	for i := range members {
 		m := &members[i]
 		if m.Seat != 0 || m.Address == "" || slices.ContainsFunc(council, func(p Place) bool { return p.Address == m.Address && p.ID != gone.ID }) {
 			continue
 		}
-		has := [2]int{}
+		has := [3]int{}
+		if !m.SetAside {
+			has[0] = 1
+		}
 		for _, p := range council {
 			if p.ID == gone.ID {
 				continue
 			}
 			if p.Region == m.Region {
-				has[0]++
+				has[1]++
 			}
 			if p.Zone == m.Zone {
-				has[1]++
+				has[2]++
 			}
 		}
-		if best == nil || cmp.Or(cmp.Compare(has[0], least[0]), cmp.Compare(has[1], least[1]), cmp.Compare(m.Name, best.Name)) < 0 {
+		if best == nil || cmp.Or(slices.Compare(has[:], least[:]), cmp.Compare(m.Name, best.Name)) < 0 {
 			best, least = m, has
 		}
 	}
--- a/internal/decisions/budgets/budgets.go
+++ b/internal/decisions/budgets/budgets.go
@@ -39,14 +39,25 @@
 	s       Settings
 	elected Clock
 	holders map[string]*holder
+
+	// Reckoned now and then, as each is over all holders and one asks some times a second.
+	at    Clock   // when that was
+	stale bool    // it is to be done before the next grant
+	sum   float64 // at least the most that all holders may use by what they were given
+	scale float64 // of the floors that there is room for
+	level float64 // up to which the rest is dealt out to everybody
 }
 
 type holder struct {
 	demand, floor float64
 	asked         Clock
 	grants        []grant // that may still be valid
+	counts        float64 // in the sum
 }
 
+// reckonEvery is for how long parts go by what others asked for.
+const reckonEvery = 50 * time.Millisecond
+
 type grant struct {
 	rate  float64
 	until Clock // by the dealer's clock, lengthened by drift
@@ -54,11 +65,15 @@
 
 // NewDealer makes the part of a leader that was elected then.
 func NewDealer(s Settings, elected Clock) *Dealer {
-	return &Dealer{s: s, elected: elected, holders: map[string]*holder{}}
+	return &Dealer{s: s, elected: elected, holders: map[string]*holder{}, stale: true}
 }
 
 // Retune changes the budget. One that shrinks is kept once what was given has run out.
-func (d *Dealer) Retune(s Settings) { d.s = s }
+func (d *Dealer) Retune(s Settings) {
+	if s != d.s {
+		d.s, d.stale = s, true
+	}
+}
 
 func (d *Dealer) lasts() time.Duration {
 	return d.s.Lease + time.Duration(Drift*float64(d.s.Lease))
@@ -87,60 +102,69 @@
 	if now < d.elected+d.lasts() {
 		return alone
 	}
-	d.expire(now)
 	h := d.holders[name]
 	if h == nil {
-		if len(d.holders) >= d.s.Among { // more than there are to be: those without a lease may use all that is left
+		if d.expire(now); len(d.holders) >= d.s.Among { // more than there are to be: those without a lease may use all that is left
 			return 0
 		}
 		h = &holder{}
-		d.holders[name] = h
+		d.holders[name], d.stale = h, true
 	}
 	h.demand, h.floor, h.asked = max(demand, 0), max(floor, 0), now
-	given := 0.0
-	for other, o := range d.holders {
-		if other != name {
-			given += max(o.out(), alone)
-		}
+	if d.stale || now >= d.at+reckonEvery {
+		d.reckon(now)
 	}
-	given += alone * float64(d.s.Among-len(d.holders))
-	rate := max(min(d.fair(name), d.s.Rate-given), alone)
+	others := d.sum - h.counts + alone*float64(d.s.Among-len(d.holders))
+	rate := max(min(d.fair(h), d.s.Rate-others), alone)
 	h.grants = append(h.grants, grant{rate, now + d.lasts()})
+	d.sum -= h.counts
+	h.counts = max(h.out(), alone)
+	d.sum += h.counts
 	return rate
 }
 
+// first is what a holder has first claim to.
+func (d *Dealer) first(h *holder) float64 { return max(min(h.floor, h.demand), d.s.Alone()) }
+
 // fair is a holder's part of the budget: floors first, then a level up to which everybody gets what it asks for.
-func (d *Dealer) fair(name string) float64 {
+func (d *Dealer) fair(h *holder) float64 {
+	first := d.first(h)
+	return first*d.scale + min(max(spare*h.demand-first, 0), max(d.level, 0))
+}
+
+// reckon goes through all holders. What runs out until the next time is in the sum until then, which is on the careful side.
+func (d *Dealer) reckon(now Clock) {
+	d.expire(now)
+	d.at, d.stale, d.sum = now, false, 0
 	alone := d.s.Alone()
 	left := d.s.Rate - alone*float64(d.s.Among-len(d.holders))
-	first := func(h *holder) float64 { return max(min(h.floor, h.demand), alone) }
 	floors := 0.0
 	for _, h := range d.holders {
-		floors += first(h)
+		h.counts = max(h.out(), alone)
+		d.sum += h.counts
+		floors += d.first(h)
 	}
-	scale := 1.0
+	d.scale = 1
 	if floors > left {
-		scale = max(left, 0) / floors
+		d.scale = max(left, 0) / floors
 	}
-	left -= floors * scale
+	left -= floors * d.scale
 	// The level of the rest by filling: those who want least are served first.
 	wants := make([]float64, 0, len(d.holders))
 	for _, h := range d.holders {
-		wants = append(wants, max(spare*h.demand-first(h), 0))
+		wants = append(wants, max(spare*h.demand-d.first(h), 0))
 	}
 	slices.Sort(wants)
-	level := 0.0
+	d.level = 0
 	for i, want := range wants {
 		part := left / float64(len(wants)-i)
 		if want > part {
-			level = part
+			d.level = part
 			break
 		}
-		level = want
+		d.level = want
 		left -= want
 	}
-	h := d.holders[name]
-	return first(h)*scale + min(max(spare*h.demand-first(h), 0), max(level, 0))
 }
 
 // spare is how much more than it asked for a dispatcher gets where there is enough: demand that rises is met at once then.
--- a/internal/decisions/failover/watcher.go
+++ b/internal/decisions/failover/watcher.go
@@ -1,6 +1,9 @@
 package failover
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Watcher is a dispatcher's part: it counts what the reports say.
 type Watcher struct {
@@ -8,6 +11,7 @@
 	sights     map[[2]string]*Sight // by zone and class
 	asked      map[string]*asked
 	heard      map[string]hearing
+	said       map[string]bool // ways that were bad by the last report
 	last       Clock
 }
 
@@ -24,7 +28,7 @@
 
 // NewWatcher begins.
 func NewWatcher(name, zone string, now Clock) *Watcher {
-	return &Watcher{name: name, zone: zone, sights: map[[2]string]*Sight{}, asked: map[string]*asked{}, heard: map[string]hearing{}, last: now}
+	return &Watcher{name: name, zone: zone, sights: map[[2]string]*Sight{}, asked: map[string]*asked{}, heard: map[string]hearing{}, said: map[string]bool{}, last: now}
 }
 
 func (w *Watcher) class(class string) *asked {
@@ -98,17 +102,40 @@
 		}
 		delete(w.sights, key)
 	}
+	clear(w.said)
 	for to, h := range w.heard {
-		r.Heard = append(r.Heard, Hearing{to, now - h.at, h.unanswered})
+		x := Hearing{to, (now - h.at).Round(time.Millisecond), h.unanswered}
+		bad, any := x.says()
+		if !any && x.Unanswered == 0 {
+			continue // an old answer, and nothing asked for since: it says nothing
+		}
+		w.said[to] = bad
+		r.Heard = append(r.Heard, x)
 	}
 	for class, a := range w.asked {
-		r.Asked = append(r.Asked, Asked{class, a.jobs / seconds * a.ran, a.worth})
+		r.Asked = append(r.Asked, Asked{class, short(a.jobs / seconds * a.ran), a.worth})
 		a.jobs = 0
 	}
+	for zone, c := range r.Capacity {
+		r.Capacity[zone] = short(c)
+	}
 	w.last = now
 	return r
 }
 
+// Urgent tells whether a way is bad that was not by the last report, or the other way round.
+func (w *Watcher) Urgent(now Clock) bool {
+	for to, h := range w.heard {
+		if bad, any := (Hearing{to, now - h.at, h.unanswered}).says(); any && bad != w.said[to] {
+			return true
+		}
+	}
+	return false
+}
+
+// short rounds to a thousandth: nobody plans by less, and each digit is sent by every dispatcher every second.
+func short(x float64) float64 { return math.Round(x*1000) / 1000 }
+
 // Capacity is what boxes of a size in slots can take now from everybody: one that started so long ago is at a share of its
 // size that rises evenly, and is given jobs by a few dispatchers only, as its budget is dealt out among all.
 func Capacity(size, start float64, age, cold time.Duration) float64 {
--- /dev/null
+++ b/internal/decisions/neighbours/neighbours.go
@@ -0,0 +1,174 @@
+// Package neighbours decides which dispatchers of a fleet gossip with each other, and when two of them exchange all that they
+// know. Neighbours are those of one zone. Who is there beyond it the council's leader knows by the leases that it gives
+// anyway. Values in, verdicts out: no I/O, no clock, no goroutine.
+//
+// With each question for a lease a dispatcher says how many neighbours it knows, and a sum over their names. The leader holds
+// that against those of the zone that hold leases, and where the two differ it names a few of them. So nobody exchanges
+// anything while all know the same, however many they are.
+//
+// It promises, whatever is lost, late or doubled:
+//
+//  1. A dispatcher whose neighbours are those that the leader knows is named nobody, and exchanges nothing.
+//  2. One that is alone and not the only one of its zone is named a neighbour with its first lease, and meets it at once.
+//  3. Two parts of a zone that do not know each other meet, once both hold leases: the smaller one within seconds.
+//  4. A dispatcher begins at most one exchange in Spacing for each neighbour, whatever anybody says; where exchanges change
+//     nothing, one in sixteen times that.
+package neighbours
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Clock is a point in time of one process: since an epoch of its own, never moved back.
+type Clock = time.Duration
+
+const (
+	// Spacing is the least time between two exchanges that a dispatcher begins, for each of its neighbours: an exchange
+	// takes bytes by their number.
+	Spacing = 200 * time.Millisecond
+	// Settle is for how long the leader has to know others than a dispatcher before it exchanges all with one of them:
+	// gossip tells it by itself who came and who fell silent, and takes up to so long. One that knows no more than half of
+	// those that the leader knows does not wait: gossip does not reach it.
+	Settle = 20 * time.Second
+
+	leastSpacing = 2 * time.Second
+	mostPatience = 16
+	named        = 2 // neighbours at a time
+)
+
+// Near tells whether two dispatchers gossip with each other.
+func Near(region, zone, otherRegion, otherZone string) bool {
+	return region == otherRegion && zone == otherZone
+}
+
+// Roll is who is of a zone, as somebody knows it, without their names.
+type Roll struct {
+	Count int    `json:"n"`
+	Sum   uint64 `json:"s"` // of the names' hashes, in whatever order
+}
+
+// Of gives the roll of names, each of which is there once.
+func Of(names []string) (r Roll) {
+	for _, name := range names {
+		h := fnv.New64a()
+		h.Write([]byte(name))
+		r.Count++
+		r.Sum += h.Sum64() * 0x9e3779b97f4a7c15
+	}
+	return r
+}
+
+// Member is a dispatcher that holds a lease.
+type Member struct {
+	Name, Address, Region, Zone string
+}
+
+// Register is the leader's: who holds leases in each zone, as of its last look.
+type Register struct {
+	looked Clock
+	zones  map[[2]string]*zone
+	turn   uint64
+}
+
+type zone struct {
+	roll    Roll
+	members []Member // by name
+}
+
+// NewRegister makes an empty one. It is to be looked at before anybody is named.
+func NewRegister() *Register { return &Register{looked: -lookEvery, zones: map[[2]string]*zone{}} }
+
+const lookEvery = 250 * time.Millisecond
+
+// Due tells whether the register is to be made anew.
+func (g *Register) Due(now Clock) bool { return now-g.looked >= lookEvery }
+
+// Look takes in who holds leases now.
+func (g *Register) Look(members []Member, now Clock) {
+	g.looked = now
+	clear(g.zones)
+	for _, m := range members {
+		at := [2]string{m.Region, m.Zone}
+		z := g.zones[at]
+		if z == nil {
+			z = &zone{}
+			g.zones[at] = z
+		}
+		z.members = append(z.members, m)
+	}
+	for _, z := range g.zones {
+		slices.SortFunc(z.members, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+		names := make([]string, len(z.members))
+		for i, m := range z.members {
+			names[i] = m.Name
+		}
+		z.roll = Of(names)
+	}
+}
+
+// Named is what the leader says to one who knows other neighbours than the register has.
+type Named struct {
+	Count     int      `json:"n"` // that the register has
+	Addresses []string `json:"a"` // of some of them
+}
+
+// Name names some neighbours of one who knows others than the register has; nil where both know the same. Each question is
+// answered by others, so whoever asks often enough is named each.
+func (g *Register) Name(asks Member, knows Roll) *Named {
+	z := g.zones[[2]string{asks.Region, asks.Zone}]
+	if z == nil || z.roll == knows || len(z.members) < 2 && knows.Count < 2 {
+		return nil
+	}
+	g.turn++
+	n := &Named{Count: z.roll.Count}
+	h := fnv.New64a()
+	fmt.Fprint(h, asks.Name, g.turn)
+	begin := int(h.Sum64() * 0x9e3779b97f4a7c15 >> 33)
+	for i := range z.members {
+		m := z.members[(begin+i)%len(z.members)]
+		if m.Name != asks.Name && m.Address != "" {
+			if n.Addresses = append(n.Addresses, m.Address); len(n.Addresses) == named {
+				break
+			}
+		}
+	}
+	return n
+}
+
+// Visitor is a dispatcher's part.
+type Visitor struct {
+	differs  bool
+	since    Clock // that the leader knows others
+	next     Clock // when it may begin another exchange
+	patience int   // times the spacing
+	knew     Roll  // at the last exchange
+	visited  bool
+}
+
+// Visit tells whether to exchange all with one of those that the leader has named, and with whom, by what this dispatcher
+// knows now; nil says that the leader knows the same.
+func (v *Visitor) Visit(n *Named, knows Roll, now Clock) (address string, ok bool) {
+	if n == nil || len(n.Addresses) == 0 {
+		v.differs, v.patience = false, 0
+		return "", false
+	}
+	if !v.differs {
+		v.differs, v.since = true, now
+	}
+	far := 2*knows.Count <= n.Count || knows.Count <= 1
+	if now < v.next || !far && now-v.since < Settle {
+		return "", false
+	}
+	if v.visited && knows == v.knew { // the last exchange changed nothing
+		v.patience = min(max(2*v.patience, 2), mostPatience)
+	} else {
+		v.patience = 1
+	}
+	v.visited, v.knew = true, knows
+	v.next = now + max(leastSpacing, time.Duration(knows.Count*v.patience)*Spacing)
+	return n.Addresses[0], true
+}
--- /dev/null
+++ b/internal/decisions/neighbours/neighbours_test.go
@@ -0,0 +1,355 @@
+package neighbours
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// play is a fleet in steps of half a second: every dispatcher asks for a lease at each, unless it is cut off or frozen. What
+// it knows of its neighbours goes by exchanges, and by gossip among those that know each other, which loses what is cut.
+type play struct {
+	all      map[string]*one
+	register *Register
+	now      Clock
+	leases   map[string]Clock // until when the leader knows them
+	cut      map[string]bool  // zones of which two halves do not reach each other
+	lost     func() bool
+	late     map[string]*Named // the answer before, which comes again in place of one
+
+	// What may be broken on purpose.
+	name   func(r *Register, m Member, knows Roll) *Named
+	spaced bool
+	filter bool
+}
+
+type one struct {
+	Member
+	knows   map[string]bool
+	frozen  bool
+	visitor Visitor
+	met     []Clock
+	half    int
+}
+
+const (
+	step  = 500 * time.Millisecond
+	lease = 2 * time.Second
+)
+
+func newPlay() *play {
+	return &play{all: map[string]*one{}, register: NewRegister(), leases: map[string]Clock{}, cut: map[string]bool{}, late: map[string]*Named{},
+		lost: func() bool { return false }, name: (*Register).Name, spaced: true, filter: true}
+}
+
+func (p *play) join(name, zone string, half int) {
+	p.all[name] = &one{Member: Member{name, "at-" + name, "r", zone}, knows: map[string]bool{name: true}, half: half}
+}
+
+func (p *play) at(address string) *one {
+	for _, o := range p.all {
+		if o.Address == address {
+			return o
+		}
+	}
+	return nil
+}
+
+// reach tells whether one hears another.
+func (p *play) reach(a, b *one) bool {
+	return b != nil && !a.frozen && !b.frozen && (a.Zone != b.Zone || !p.cut[a.Zone] || a.half == b.half)
+}
+
+// let has one know another, if they are neighbours.
+func (p *play) let(a *one, b *one) {
+	if !p.filter || Near(a.Region, a.Zone, b.Region, b.Zone) {
+		a.knows[b.Name] = true
+	}
+}
+
+func (p *play) step() {
+	p.now += step
+	names := slices.Sorted(maps.Keys(p.all))
+	for _, name := range names { // gossip: news among those that know each other, and who does not answer is gone
+		o := p.all[name]
+		for _, other := range slices.Sorted(maps.Keys(o.knows)) {
+			b := p.all[other]
+			if other == name {
+				continue
+			}
+			if b == nil || !p.reach(o, b) && !o.frozen {
+				delete(o.knows, other)
+				continue
+			}
+			if p.reach(o, b) && !p.lost() {
+				p.let(b, o)
+				for third := range o.knows {
+					if c := p.all[third]; c != nil && p.reach(b, c) {
+						p.let(b, c)
+					}
+				}
+			}
+		}
+	}
+	for _, name := range names {
+		o := p.all[name]
+		if o.frozen || p.lost() {
+			continue
+		}
+		p.leases[name] = p.now + lease
+		if p.register.Due(p.now) {
+			var present []Member
+			for held, until := range p.leases {
+				if x := p.all[held]; x != nil && p.now < until {
+					present = append(present, x.Member)
+				}
+			}
+			p.register.Look(present, p.now)
+		}
+		named := p.name(p.register, o.Member, o.roll())
+		if p.lost() { // the answer: an older one comes in its place, or none
+			if named = p.late[name]; named == nil {
+				continue
+			}
+		}
+		p.late[name] = named
+		if address, ok := o.visitor.Visit(named, o.roll(), p.now); ok || !p.spaced && named != nil && len(named.Addresses) > 0 {
+			if !ok {
+				address = named.Addresses[0]
+			}
+			o.met = append(o.met, p.now)
+			if b := p.at(address); p.reach(o, b) {
+				for _, x := range [][2]*one{{o, b}, {b, o}} {
+					for third := range x[1].knows {
+						if c := p.all[third]; c != nil {
+							p.let(x[0], c)
+						}
+					}
+				}
+			}
+		}
+	}
+}
+
+func (o *one) roll() Roll { return Of(slices.Collect(maps.Keys(o.knows))) }
+
+// wrong tells what does not hold though nothing has befallen the fleet for long: who does not know its neighbours, or
+// exchanges still, or has exchanged too often.
+func (p *play) wrong(since Clock) string {
+	for _, name := range slices.Sorted(maps.Keys(p.all)) {
+		o := p.all[name]
+		for _, other := range p.all {
+			if near := o.Zone == other.Zone; o.knows[other.Name] != near {
+				return fmt.Sprintf("%s of %s knows %s of %s: %t", name, o.Zone, other.Name, other.Zone, o.knows[other.Name])
+			}
+		}
+		if n := len(o.met); n > 0 && o.met[n-1] > since {
+			return fmt.Sprintf("%s met somebody at %v, though all know the same", name, o.met[n-1])
+		}
+	}
+	return p.often()
+}
+
+// often tells who has exchanged more often than the spacing lets it.
+func (p *play) often() string {
+	for name, o := range p.all {
+		for i := 1; i < len(o.met); i++ {
+			if o.met[i]-o.met[i-1] < leastSpacing {
+				return fmt.Sprintf("%s met somebody at %v and %v", name, o.met[i-1], o.met[i])
+			}
+		}
+	}
+	return ""
+}
+
+// settle plays on until nothing has been wrong for a minute, or until patience at its longest has passed several times.
+func (p *play) settle() string {
+	begin, last := p.now, ""
+	for fine := p.now; p.now < begin+8*time.Minute; {
+		p.step()
+		if wrong := p.wrong(p.now - step); wrong != "" {
+			fine, last = p.now, wrong
+		}
+		if p.now >= fine+time.Minute {
+			return ""
+		}
+	}
+	return last
+}
+
+// drawn plays joins, deaths, cuts of zones, freezes and losses, heals all, and tells what is wrong behind that.
+func drawn(t *rapid.T, p *play) string {
+	losses := rapid.IntRange(0, 40).Draw(t, "percent lost")
+	p.lost = func() bool { return rapid.IntRange(0, 99).Draw(t, "loss") < losses }
+	zones := []string{"a", "b", "c"}
+	for i := range rapid.IntRange(1, 14).Draw(t, "dispatchers") {
+		p.join(fmt.Sprint("n", i), zones[rapid.IntRange(0, 2).Draw(t, "zone")], i%2)
+	}
+	for n := range rapid.IntRange(0, 10).Draw(t, "events") {
+		for range rapid.IntRange(0, 6).Draw(t, "steps") {
+			p.step()
+		}
+		names := slices.Sorted(maps.Keys(p.all))
+		if len(names) == 0 {
+			break
+		}
+		o := p.all[rapid.SampledFrom(names).Draw(t, "whom")]
+		switch rapid.IntRange(0, 5).Draw(t, "what") {
+		case 0:
+			delete(p.all, o.Name)
+		case 1:
+			p.join(fmt.Sprint("later", n), zones[rapid.IntRange(0, 2).Draw(t, "its zone")], n%2)
+		case 2:
+			p.cut[o.Zone] = !p.cut[o.Zone]
+		case 3:
+			o.frozen = !o.frozen
+		case 4: // started anew under its name, knowing nobody
+			p.join(o.Name, o.Zone, o.half)
+		case 5: // and elsewhere, behind a leave in good order
+			for _, other := range p.all {
+				delete(other.knows, o.Name)
+			}
+			p.join(o.Name, zones[n%3], o.half)
+		}
+	}
+	clear(p.cut)
+	for _, o := range p.all {
+		o.frozen = false
+	}
+	p.lost = func() bool { return false }
+	return p.settle()
+}
+
+// Whatever befalls a fleet: once it is over all of a zone know each other and nobody else, nobody exchanges anything, and
+// nobody ever exchanged more often than the spacing allows.
+func TestDrawnHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		if wrong := drawn(t, newPlay()); wrong != "" {
+			t.Fatal(wrong)
+		}
+	})
+}
+
+// Each mistake made on purpose is found in a history of its kind.
+func TestMistakesAreFound(t *testing.T) {
+	parts := func(p *play) string { // two zones that are cut in two for long, and one dispatcher that starts anew
+		for i := range 8 {
+			p.join(fmt.Sprint("n", i), string("ab"[i%2]), i/2%2)
+		}
+		for range 100 {
+			p.step()
+		}
+		p.cut["a"], p.cut["b"] = true, true
+		for range 100 {
+			p.step()
+		}
+		clear(p.cut)
+		p.join("n3", "b", 1)
+		return p.settle()
+	}
+	if wrong := parts(newPlay()); wrong != "" {
+		t.Fatal(wrong)
+	}
+	for what, broken := range map[string]func(*play){
+		"the leader names nobody": func(p *play) { p.name = func(*Register, Member, Roll) *Named { return nil } },
+		"the leader names one who knows the same": func(p *play) {
+			p.name = func(g *Register, m Member, knows Roll) *Named {
+				g.turn = 0
+				return g.Name(m, Roll{})
+			}
+		},
+		"the leader names the one who asks": func(p *play) {
+			p.name = func(g *Register, m Member, knows Roll) *Named { return &Named{9, []string{m.Address}} }
+		},
+		"the leader names others' neighbours, and they are let in": func(p *play) {
+			p.filter = false
+			p.name = func(g *Register, m Member, knows Roll) *Named {
+				m.Zone = map[string]string{"a": "b", "b": "a"}[m.Zone]
+				return g.Name(m, knows)
+			}
+		},
+		"no spacing": func(p *play) { p.spaced = false },
+		"the same neighbour each time": func(p *play) {
+			p.name = func(g *Register, m Member, knows Roll) *Named {
+				g.turn = 0
+				named := g.Name(m, knows)
+				if named != nil && len(named.Addresses) > 0 && p.at(named.Addresses[0]).half != p.all[m.Name].half {
+					return &Named{9, []string{m.Address}}
+				}
+				return named
+			}
+		},
+	} {
+		p := newPlay()
+		broken(p)
+		if parts(p) == "" {
+			t.Errorf("%s: nothing was found", what)
+		}
+	}
+}
+
+// A dispatcher that is alone meets a neighbour with its first lease; one that knows some waits for gossip first; one whose
+// exchanges change nothing gets patient, and all that by its neighbours' number.
+func TestVisits(t *testing.T) {
+	named := &Named{120, []string{"x"}}
+	var v Visitor
+	if _, ok := v.Visit(named, Of([]string{"me"}), 0); !ok {
+		t.Error("one that is alone does not meet at once")
+	}
+	many := make([]string, 100)
+	for i := range many {
+		many[i] = fmt.Sprint("n", i)
+	}
+	v = Visitor{}
+	if _, ok := v.Visit(named, Of(many[:60]), 0); !ok {
+		t.Error("one that knows half does not meet at once")
+	}
+	v = Visitor{}
+	knows, met := Of(many), []Clock{}
+	for now := Clock(0); now < time.Hour; now += step {
+		if _, ok := v.Visit(named, knows, now); ok {
+			met = append(met, now)
+		}
+	}
+	if len(met) < 3 || met[0] != Settle || met[1]-met[0] != 100*Spacing || met[len(met)-1]-met[len(met)-2] != 16*100*Spacing {
+		t.Errorf("met at %v", met)
+	}
+	if _, ok := v.Visit(nil, knows, 2*time.Hour); ok || v.differs {
+		t.Error("it meets though the leader knows the same")
+	}
+}
+
+// A roll does not go by order, and tells any two sets apart that were drawn.
+func TestRolls(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := rapid.SliceOfNDistinct(rapid.StringN(1, 12, -1), 1, 30, rapid.ID[string]).Draw(t, "names")
+		other := slices.Clone(names)
+		slices.Reverse(other)
+		if Of(names) != Of(other) {
+			t.Fatal("the order counts")
+		}
+		if Of(names) == Of(names[1:]) {
+			t.Fatal("one less is the same")
+		}
+		other[0] += "x"
+		if !slices.Contains(names, other[0]) && Of(names) == Of(other) {
+			t.Fatal("another name is the same")
+		}
+	})
+}
+
+// BenchmarkLook has the leader take in 800 leases of eight zones.
+func BenchmarkLook(b *testing.B) {
+	var all []Member
+	for i := range 800 {
+		all = append(all, Member{fmt.Sprint("n", i), "127.0.0.1:1", fmt.Sprint("r", i%3), fmt.Sprint("z", i%8)})
+	}
+	g := NewRegister()
+	for b.Loop() {
+		g.Look(all, 0)
+	}
+}
--- a/internal/failover/guide.go
+++ b/internal/failover/guide.go
@@ -188,6 +188,13 @@
 	}
 }
 
+// Urgent tells whether the council is to hear at once of a way that has turned bad, or fine again.
+func (g *Guide) Urgent() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.watcher.Urgent(g.now)
+}
+
 // Report gives what was seen since the last one. Sizes in the list are taken for slots.
 func (g *Guide) Report() *failover.Report {
 	p := g.params.Now()
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -19,14 +19,17 @@
 
 	"brassdale/internal/decisions/agreement"
 	"brassdale/internal/decisions/failover"
+	"brassdale/internal/decisions/neighbours"
 	"brassdale/internal/fleet/membership"
 	"brassdale/internal/traffic"
 )
 
 const (
-	renewals  = 4 // in a lease; what changes meanwhile comes by the subscription
-	openEvery = 200 * time.Millisecond
-	leadEvery = 20 * time.Millisecond
+	renewals = 4 // in a lease; what changes meanwhile comes by the subscription
+	// Reports are of a second or so: with shorter leases not every question has one, but where a way's state has changed.
+	reportEvery = 900 * time.Millisecond
+	openEvery   = 200 * time.Millisecond
+	leadEvery   = 20 * time.Millisecond
 )
 
 // Options make a dispatcher's part.
@@ -43,6 +46,7 @@
 
 	Failover *Failover                  // nil where nobody plans
 	Report   func() *failover.Report    // what this dispatcher saw of zones since the last one
+	Urgent   func() bool                // whether it is to be told at once; nil for never
 	Planned  func(*failover.Plan, bool) // is told of each plan, and whether this dispatcher is cut off from it for too long; must not block
 	Log      *slog.Logger
 	Meter    *traffic.Meter // of what control costs this process; nil for one of its own
@@ -63,26 +67,29 @@
 	client   *http.Client
 	listener net.Listener
 	members  *membership.List
-	changed  chan struct{} // what may be acted on may have changed
+	visitor  neighbours.Visitor // the renewals'
+	reported agreement.Clock    // the same: when a question last had a report
+	changed  chan struct{}      // what may be acted on may have changed
 	renewNow chan struct{}
 	purse    *purse
 	slow     chan struct{} // has a place for each whole record that is being sent
 
 	mu       sync.Mutex
 	holder   *agreement.Holder
-	seat     *seat              // nil for a follower
-	founder  *agreement.Founder // what this dispatcher's file says, while it founds or has founded
-	leads    *agreement.Council // nil while it does not lead
-	trying   *agreement.Trying  // nil while it leads no trial
-	planner  *failover.Planner  // nil while it does not lead
-	treasury *treasury          // the same, and where nothing is dealt out
-	planned  string             // what was said of plans
-	planAt   agreement.Clock    // when the leader looks for another one
-	turn     int                // seats that were asked in vain, one after the other
-	heard    bool               // a whole record was got since the start
-	last     string             // what was applied
-	turned   string             // what was said of a seat that it has not
-	news     chan struct{}      // closed when the council's record changes
+	seat     *seat                // nil for a follower
+	founder  *agreement.Founder   // what this dispatcher's file says, while it founds or has founded
+	leads    *agreement.Council   // nil while it does not lead
+	trying   *agreement.Trying    // nil while it leads no trial
+	planner  *failover.Planner    // nil while it does not lead
+	treasury *treasury            // the same, and where nothing is dealt out
+	register *neighbours.Register // nil while it does not lead
+	planned  string               // what was said of plans
+	planAt   agreement.Clock      // when the leader looks for another one
+	turn     int                  // seats that were asked in vain, one after the other
+	heard    bool                 // a whole record was got since the start
+	last     string               // what was applied
+	turned   string               // what was said of a seat that it has not
+	news     chan struct{}        // closed when the council's record changes
 	counts   Counts
 }
 
@@ -143,7 +150,11 @@
 	if a.listener, err = net.Listen("tcp", a.s.Listen); err != nil {
 		return err
 	}
-	a.members, err = membership.New(membership.Options{Self: a.self(), Seeds: a.s.Voters, Reach: a.s.reach, Log: a.log, Meter: a.Meter})
+	o := membership.Options{Self: a.self(), Reach: a.s.reach, Log: a.log, Meter: a.Meter}
+	if o.Whole = a.form < formNeighbours; o.Whole {
+		o.Seeds = a.s.Voters
+	}
+	a.members, err = membership.New(o)
 	if err != nil {
 		a.listener.Close()
 	}
--- a/internal/fleet/budgets.go
+++ b/internal/fleet/budgets.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"sync"
 	"time"
 
@@ -48,7 +49,7 @@
 	defer p.mu.Unlock()
 	wanted := map[string]float64{}
 	for kind, h := range p.holders {
-		wanted[kind] = h.Demand(now)
+		wanted[kind] = math.Round(1000*h.Demand(now)) / 1000
 	}
 	if span := now - p.at; span > 0 {
 		firsts = float64(all-p.firsts) / span.Seconds()
@@ -103,8 +104,12 @@
 	dealers map[string]*budgets.Dealer
 	rates   map[string]float64
 	firsts  map[string]first
+	retuned agreement.Clock // by how many first calls all make
 }
 
+// retuneEvery is for how long the budgets go by what all did before: one who asks is no reason to go through all.
+const retuneEvery = 100 * time.Millisecond
+
 type first struct {
 	rate float64
 	at   agreement.Clock
@@ -138,21 +143,27 @@
 	if t == nil || q.Demand == nil || json.Unmarshal(q.Demand, &demand) != nil {
 		return nil
 	}
-	now, firsts := a.now(), 0.0
+	now := a.now()
 	t.firsts[q.Name] = first{q.Firsts, now}
-	for name, f := range t.firsts {
-		if now-f.at > 2*a.lease {
-			delete(t.firsts, name)
-			continue
+	if now >= t.retuned+retuneEvery {
+		t.retuned = now
+		firsts := 0.0
+		for name, f := range t.firsts {
+			if now-f.at > 2*a.lease {
+				delete(t.firsts, name)
+				continue
+			}
+			firsts += f.rate
+		}
+		for kind, d := range t.dealers {
+			s := a.budget(kind, firsts)
+			t.rates[kind] = s.Rate
+			d.Retune(s)
 		}
-		firsts += f.rate
 	}
 	rates := map[string]float64{}
 	for kind, d := range t.dealers {
-		s := a.budget(kind, firsts)
-		t.rates[kind] = s.Rate
-		d.Retune(s)
-		rates[kind] = d.Grant(q.Name, demand[kind], 0, now)
+		rates[kind] = math.Floor(1e6*d.Grant(q.Name, demand[kind], 0, now)) / 1e6 // no more than was dealt
 	}
 	text, _ := json.Marshal(rates) // finite numbers
 	return text
--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -147,7 +147,7 @@
 		return err
 	}
 	s.log = log
-	s.relay.in = make(chan asked, mostBatch)
+	s.relay.in = make(chan asked, mostAsking)
 	a.mu.Lock()
 	a.seat = s
 	a.mu.Unlock()
@@ -166,7 +166,7 @@
 func (a *Agent) stand(why string) {
 	a.mu.Lock()
 	s := a.seat
-	a.seat, a.leads, a.trying, a.planner, a.treasury = nil, nil, nil, nil, nil
+	a.seat, a.leads, a.trying, a.planner, a.treasury, a.register = nil, nil, nil, nil, nil, nil
 	a.mu.Unlock()
 	if s == nil {
 		return
--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -9,6 +9,7 @@
 
 	"brassdale/internal/decisions/agreement"
 	"brassdale/internal/decisions/failover"
+	"brassdale/internal/decisions/neighbours"
 	"brassdale/internal/traffic"
 )
 
@@ -17,9 +18,12 @@
 func (a *Agent) grants(ctx context.Context, all []question) (answer, int) {
 	a.mu.Lock()
 	s, leads := a.seat, a.leads
-	got := answer{Refused: map[string]string{}, Rates: map[string]json.RawMessage{}}
+	got := answer{Refused: map[string]string{}, Rates: map[string]json.RawMessage{}, Form: a.form, Neighbours: map[string]*neighbours.Named{}}
 	if s != nil && leads != nil {
 		r := s.log.Record()
+		if a.register.Due(a.now()) {
+			a.register.Look(holders(leads.Present(a.now())), a.now())
+		}
 		for _, q := range all {
 			err := a.fits(q, r)
 			if err == nil {
@@ -32,6 +36,11 @@
 			if rates := a.deal(q); rates != nil {
 				got.Rates[q.Name] = rates
 			}
+			if q.Neighbours != nil {
+				if named := a.register.Name(holder(q.Member), *q.Neighbours); named != nil {
+					got.Neighbours[q.Name] = named
+				}
+			}
 			if a.trying != nil {
 				a.trying.See(q.Member)
 			}
@@ -56,6 +65,17 @@
 	return got, http.StatusOK
 }
 
+func holder(m agreement.Member) neighbours.Member {
+	return neighbours.Member{Name: m.Name, Address: m.Address, Region: m.Region, Zone: m.Zone}
+}
+
+func holders(present []agreement.Member) (all []neighbours.Member) {
+	for _, m := range present {
+		all = append(all, holder(m))
+	}
+	return all
+}
+
 // fits tells whether who asks can be of the fleet as it stands.
 func (a *Agent) fits(q question, r agreement.Record) error {
 	needs := r.InForce.Rules.Needs()
@@ -107,7 +127,10 @@
 		case <-news:
 		}
 	}
-	back := answer{LeaseMS: got.LeaseMS}
+	back := answer{LeaseMS: got.LeaseMS, Form: got.Form}
+	if named := got.Neighbours[q.Name]; named != nil {
+		back.Neighbours = map[string]*neighbours.Named{q.Name: named}
+	}
 	if rates := got.Rates[q.Name]; rates != nil {
 		back.Rates = map[string]json.RawMessage{q.Name: rates}
 	}
--- a/internal/fleet/handler.go
+++ b/internal/fleet/handler.go
@@ -129,6 +129,10 @@
 		}
 		a.reply(w, http.StatusOK, f)
 	})
+	mux.HandleFunc("GET /council/known", func(w http.ResponseWriter, r *http.Request) {
+		got, status := a.known(r.Context(), r.URL.Query().Get("passed") != "")
+		a.reply(w, status, got)
+	})
 	mux.HandleFunc("GET /council/status", func(w http.ResponseWriter, _ *http.Request) { a.reply(w, http.StatusOK, a.Status()) })
 	return mux
 }
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -10,17 +10,18 @@
 
 	"brassdale/internal/decisions/agreement"
 	"brassdale/internal/decisions/failover"
+	"brassdale/internal/decisions/neighbours"
 )
 
 // elected is told by the log. A new leader begins without knowing of any lease.
 func (a *Agent) elected(leads bool) {
 	a.mu.Lock()
-	a.leads, a.trying, a.planner, a.treasury = nil, nil, nil, nil
+	a.leads, a.trying, a.planner, a.treasury, a.register = nil, nil, nil, nil, nil
 	if leads && a.Overload != nil {
 		a.treasury = a.newTreasury()
 	}
 	if leads {
-		a.leads = agreement.NewCouncil(a.lease, a.now())
+		a.leads, a.register = agreement.NewCouncil(a.lease, a.now()), neighbours.NewRegister()
 		if a.Failover != nil {
 			s, regions := a.Failover.planner()
 			a.planner = failover.NewPlanner(s, regions, a.holder.Record().Plan, a.now())
@@ -33,6 +34,7 @@
 
 // lead does what the leader does by itself: versions whose time has come, trials, seats that are silent.
 func (a *Agent) lead(ctx context.Context) {
+	looked := time.Time{}
 	for ; ctx.Err() == nil; pause(ctx, leadEvery) {
 		a.mu.Lock()
 		s, leads := a.seat, a.leads
@@ -48,6 +50,10 @@
 			stop()
 			continue
 		}
+		if time.Since(looked) < sitEvery { // seats are silent for seconds before anything is done
+			continue
+		}
+		looked = time.Now()
 		a.mu.Lock()
 		present := leads.Present(a.now())
 		a.mu.Unlock()
@@ -175,6 +181,21 @@
 	return got, status
 }
 
+// known is who holds leases and who held one lately, as the leader knows, wherever this is asked.
+func (a *Agent) known(ctx context.Context, passed bool) (answer, int) {
+	a.mu.Lock()
+	leads := a.leads
+	var got answer
+	if leads != nil {
+		got.Present, got.Absent = leads.Present(a.now()), leads.Absent(a.now())
+	}
+	a.mu.Unlock()
+	if leads != nil {
+		return got, http.StatusOK
+	}
+	return a.toLeader(ctx, "known", nil, passed)
+}
+
 // propose announces a version, at whichever seat leads.
 func (a *Agent) propose(ctx context.Context, v agreement.Version, passed bool) (answer, int) {
 	if err := v.Rules.Check(); err != nil {
@@ -215,7 +236,7 @@
 	a.mu.Lock()
 	s, leads := a.seat, a.leads
 	if leads != nil {
-		leads.Left(q.Name, q.Instance)
+		leads.Left(q.Name, q.Instance, a.now())
 	}
 	a.mu.Unlock()
 	if leads != nil {
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -1,12 +1,13 @@
-// Package membership knows which dispatchers of a fleet are there: in which region and zone, at which version, in which seat
-// of the council. It is gossip, by hashicorp/memberlist: late, and at times wrong. Nothing is safe because of what it says;
-// it serves to find others and to show people who is there.
+// Package membership knows which neighbours of a dispatcher are there, and in which seat of the council. It is gossip among
+// dispatchers of one zone, by hashicorp/memberlist: late, and at times wrong. Nothing is safe because of what it says; it
+// serves to show people who is there. Whom a dispatcher meets first, and when all is exchanged, decisions/neighbours says.
 package membership
 
 import (
 	"cmp"
 	"context"
 	"encoding/json"
+	"errors"
 	"log/slog"
 	"maps"
 	"net/http"
@@ -17,6 +18,7 @@
 
 	"github.com/hashicorp/memberlist"
 
+	"brassdale/internal/decisions/neighbours"
 	"brassdale/internal/traffic"
 )
 
@@ -51,7 +53,8 @@
 // Options make a list.
 type Options struct {
 	Self  Self
-	Seeds []string            // addresses of some others
+	Whole bool                // gossips over the whole fleet, as builds before form 3 did
+	Seeds []string            // addresses of some others, who are met while nobody else is there
 	Reach func(string) string // where an address is reached; nil for the address itself
 	Log   *slog.Logger
 	Meter *traffic.Meter // of what goes out and comes in; nil for none
@@ -59,7 +62,7 @@
 
 const (
 	joinEvery     = 2 * time.Second
-	pushPullEvery = 10 * time.Second // members compare all that they know; what gossip missed is mended then
+	pushPullEvery = 10 * time.Second // where the whole fleet gossips, members exchange all that they know so often
 	leaveWithin   = 500 * time.Millisecond
 	keepGone      = time.Hour
 	keepLeaving   = 10 * time.Second // a word that somebody leaves is about what happens within so long
@@ -74,6 +77,7 @@
 
 	said  *memberlist.TransmitLimitedQueue // words that go round, beside memberlist's own
 	fresh chan struct{}                    // what this member says has changed
+	meet  chan string                      // with whom all is to be exchanged
 
 	mu      sync.Mutex
 	self    Self
@@ -97,7 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &List{o: o, t: t, self: o.Self, all: map[string]Member{}, fresh: make(chan struct{}, 1), leaving: map[string]time.Time{}}
+	l := &List{o: o, t: t, self: o.Self, all: map[string]Member{}, fresh: make(chan struct{}, 1), meet: make(chan string, 1), leaving: map[string]time.Time{}}
 	l.said = &memberlist.TransmitLimitedQueue{NumNodes: func() int { return l.ml.NumMembers() }, RetransmitMult: 4}
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Transport, c.Delegate, c.Events, c.Conflict = o.Self.Name, t, (*delegate)(l), (*delegate)(l), (*delegate)(l)
@@ -105,7 +109,9 @@
 	c.BindPort = c.AdvertisePort
 	c.EnableCompression = false
 	c.DeadNodeReclaimTime = time.Millisecond // one that is gone may return at another address at once: who it is the council tells
-	c.PushPullInterval = pushPullEvery
+	if c.PushPullInterval = pushPullEvery; !o.Whole {
+		c.PushPullInterval, c.Alive = 0, (*delegate)(l)
+	}
 	c.LogOutput, c.Logger = nil, slog.NewLogLogger(o.Log.Handler(), slog.LevelDebug)
 	if err == nil {
 		l.ml, err = memberlist.Create(c)
@@ -141,6 +147,10 @@
 			return
 		case <-l.fresh:
 			_ = l.ml.UpdateNode(leaveWithin)
+		case address := <-l.meet:
+			if _, err := l.ml.Join([]string{address}); err != nil {
+				l.o.Log.Debug("a neighbour is not met", "address", address, "err", err)
+			}
 		case <-time.After(joinEvery):
 		}
 	}
@@ -160,6 +170,27 @@
 	}
 }
 
+// Meet has all that is known exchanged with another member. It does not block; one that is to be met waits for the one before.
+func (l *List) Meet(address string) {
+	select {
+	case l.meet <- address:
+	default:
+	}
+}
+
+// Roll is who is there, by what is known here.
+func (l *List) Roll() neighbours.Roll {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	names := make([]string, 0, len(l.all))
+	for name, m := range l.all {
+		if m.State == Alive {
+			names = append(names, name)
+		}
+	}
+	return neighbours.Of(names)
+}
+
 // Members are all that are known, by name; those that are gone for an hour.
 func (l *List) Members() []Member {
 	l.mu.Lock()
@@ -183,7 +214,7 @@
 	defer d.mu.Unlock()
 	text, err := json.Marshal(d.self)
 	if err != nil || len(text) > min(limit, mostSaid) {
-		text, _ = json.Marshal(Self{Name: d.self.Name, Address: d.self.Address, Form: d.self.Form})
+		text, _ = json.Marshal(Self{Name: d.self.Name, Address: d.self.Address, Region: d.self.Region, Zone: d.self.Zone, Form: d.self.Form})
 	}
 	return text
 }
@@ -231,6 +262,17 @@
 	}
 }
 
+var errFar = errors.New("it is of another zone")
+
+// NotifyAlive lets none in but neighbours: builds that gossip over the whole fleet tell of all.
+func (d *delegate) NotifyAlive(n *memberlist.Node) error {
+	var m Self
+	if json.Unmarshal(n.Meta, &m) == nil && neighbours.Near(d.o.Self.Region, d.o.Self.Zone, m.Region, m.Zone) {
+		return nil
+	}
+	return errFar
+}
+
 func (d *delegate) NotifyJoin(n *memberlist.Node)   { d.note(n, Alive) }
 func (d *delegate) NotifyUpdate(n *memberlist.Node) { d.note(n, Alive) }
 func (d *delegate) NotifyLeave(n *memberlist.Node)  { d.note(n, Gone) }
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -14,12 +14,14 @@
 	"time"
 
 	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/decisions/neighbours"
 	"brassdale/internal/traffic"
 )
 
 const (
 	callWithin = 600 * time.Millisecond // an answer of another dispatcher
 	mostBatch  = 256                    // messages in one call, and that wait for one
+	mostAsking = 4096                   // questions that wait at a seat: a change has all ask at once
 	mostBody   = 32 << 20
 )
 
@@ -30,6 +32,8 @@
 	Report   json.RawMessage `json:"report,omitempty"` // a failover.Report
 	Demand   json.RawMessage `json:"demand,omitempty"` // uses a second of each budget, by its name
 	Firsts   float64         `json:"firsts,omitempty"` // first calls a second
+
+	Neighbours *neighbours.Roll `json:"neighbours,omitempty"` // that it knows; nil of one that gossips over the whole fleet
 }
 
 // part has the bytes of reports and budgets in questions count as such, at the one who sends them or has received them.
@@ -45,10 +49,12 @@
 	}
 }
 
-// form is that of this build: 2 has shares in rules. What a build cannot read is refused, not guessed at.
+// form is that of this build: 2 has shares in rules, 3 gossips among neighbours, whom its leader names. What a build cannot
+// read is refused, not guessed at.
 const (
-	form      = 2
-	leastForm = 1
+	form           = 3
+	formNeighbours = 3
+	leastForm      = 1
 )
 
 // answer gives a lease, or news of the record, or says who may.
@@ -62,6 +68,12 @@
 	Refused  map[string]string          `json:"refused,omitempty"`  // who gets no lease, and why
 	Rates    map[string]json.RawMessage `json:"rates,omitempty"`    // by dispatcher; in each by budget
 	Why      string                     `json:"why,omitempty"`
+
+	Present []agreement.Member `json:"present,omitempty"` // who holds leases, ...
+	Absent  []agreement.Absent `json:"absent,omitempty"`  // ... and who held one lately
+
+	Form       int                          `json:"form,omitempty"`       // the leader's
+	Neighbours map[string]*neighbours.Named `json:"neighbours,omitempty"` // by the dispatcher that knows others than the leader
 }
 
 func newClient(m *traffic.Meter) *http.Client {
--- a/internal/fleet/renew.go
+++ b/internal/fleet/renew.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/decisions/neighbours"
 	"brassdale/internal/traffic"
 )
 
@@ -61,20 +63,25 @@
 	}
 	demand, firsts := a.wants()
 	var report json.RawMessage
-	if a.Report != nil {
+	if now := a.now(); a.Report != nil && (now >= a.reported+reportEvery || a.Urgent != nil && a.Urgent()) {
+		a.reported = now
 		report, _ = json.Marshal(a.Report()) // a struct of numbers and names
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	r := a.holder.Record()
 	q := question{Report: report, Demand: demand, Firsts: firsts, Member: agreement.Member{Name: a.Name, Instance: a.instance, Acked: a.holder.Acknowledged(), Form: a.form, Era: r.Era,
-		Address: a.address(), Region: a.s.Region, Zone: a.Zone, Seat: a.seat.id(), Ended: ended, Bad: bad}, Revision: r.Revision}
+		Address: a.address(), Region: a.s.Region, Zone: a.Zone, Seat: a.seat.id(), Ended: ended, Bad: bad, SetAside: a.s.SetAside}, Revision: r.Revision}
 	if r.Plan != nil {
 		q.Plan = r.Plan.Number
 	}
 	if !a.heard { // what is on file has no history
 		q.Revision = 0
 	}
+	if a.members != nil && a.form >= formNeighbours {
+		roll := a.members.Roll()
+		q.Neighbours = &roll
+	}
 	return q, r
 }
 
@@ -130,6 +137,7 @@
 	if err != nil {
 		return err
 	}
+	a.visit(got)
 	a.leased(got.Rates[a.Name], asked, time.Duration(got.LeaseMS)*time.Millisecond)
 	if fresh {
 		a.keep(r)
@@ -139,6 +147,21 @@
 	return nil
 }
 
+// visit exchanges all with a neighbour where the leader has named some and it is time. A leader of an older build names nobody:
+// who is alone then meets a voter, as that build does.
+func (a *Agent) visit(got answer) {
+	if a.form < formNeighbours {
+		return
+	}
+	roll, named := a.members.Roll(), got.Neighbours[a.Name]
+	if got.Form < formNeighbours && roll.Count <= 1 {
+		named = &neighbours.Named{Addresses: slices.DeleteFunc(slices.Clone(a.s.Voters), func(at string) bool { return at == a.address() })}
+	}
+	if address, ok := a.visitor.Visit(named, roll, a.now()); ok {
+		a.members.Meet(address)
+	}
+}
+
 // subscribe follows the record at some seat: what changes comes as soon as that seat has it, the newest only where this
 // dispatcher is slow. A dispatcher with a seat has it from its own log.
 func (a *Agent) subscribe(ctx context.Context) {
--- a/internal/fleet/settings.go
+++ b/internal/fleet/settings.go
@@ -24,9 +24,10 @@
 	Bound     string            `hcl:"bound,optional"`
 	Replace   string            `hcl:"replace,optional"` // a seat that is silent for so long is given to another dispatcher
 	Region    string            `hcl:"region,optional"`
-	Zone      string            `hcl:"zone,optional"`  // the platform's where it is left out
-	Rules     string            `hcl:"rules,optional"` // a file that is proposed at SIGHUP
-	Reach     map[string]string `hcl:"reach,optional"` // where others' addresses are reached from here, if elsewhere
+	Zone      string            `hcl:"zone,optional"`      // the platform's where it is left out
+	SetAside  bool              `hcl:"set_aside,optional"` // the machine is for control: it wants no jobs, and is given seats first
+	Rules     string            `hcl:"rules,optional"`     // a file that is proposed at SIGHUP
+	Reach     map[string]string `hcl:"reach,optional"`     // where others' addresses are reached from here, if elsewhere
 }
 
 // Failover is the operator's, in a block failover: zones' jobs are served by a plan that the council makes.
--- a/internal/program/agreed.go
+++ b/internal/program/agreed.go
@@ -1,8 +1,10 @@
 package program
 
 import (
+	"context"
 	"slices"
 	"sync"
+	"time"
 
 	"brassdale/brain"
 	"brassdale/internal/decisions/agreement"
@@ -22,6 +24,34 @@
 	fleet float64         // and the fleet's
 	guide *failover.Guide // nil where nobody plans zones
 	rules string          // the file that is proposed at SIGHUP; empty for none
+	stop  func()          // ends the agent's life
+	ended chan struct{}   // closed behind it
+}
+
+// run begins the agent's life.
+func (a *agreed) run(ctx context.Context) {
+	if a == nil {
+		return
+	}
+	ctx, a.stop = context.WithCancel(ctx)
+	a.ended = make(chan struct{})
+	go func() {
+		defer close(a.ended)
+		a.agent.Run(ctx)
+	}()
+}
+
+// leave has the agent drop its lease and tell the fleet that it leaves, as far as that can be done by then: a successor of the
+// same name need not wait for the lease's end, and no change does.
+func (a *agreed) leave(by time.Time) {
+	if a == nil {
+		return
+	}
+	a.stop()
+	select {
+	case <-a.ended:
+	case <-time.After(time.Until(by)):
+	}
 }
 
 // spend asks the fleet's budgets.
@@ -71,7 +101,7 @@
 	if zones != nil {
 		a.guide = failover.New(cfg.Name, d.params)
 		d.core.Guided(a.guide)
-		o.Failover, o.Report, o.Planned = zones, a.guide.Report, a.guide.Follow
+		o.Failover, o.Report, o.Urgent, o.Planned = zones, a.guide.Report, a.guide.Urgent, a.guide.Follow
 	}
 	if load != nil {
 		o.Overload, o.Firsts, o.Among = load, d.core.Firsts, func() int { return d.params.Now().ReplicasOfMe }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -77,6 +77,7 @@
 		http.Handler
 		Leaving()
 		Passing(bool)
+		SetAside()
 	}
 	gate     *transport.Gate
 	listener net.Listener // the gate, or what is around it
@@ -155,9 +156,7 @@
 		go func() { failed <- f.server.Serve(f.listener) }()
 		log.Info("listening", "front", f.name, "address", f.gate.Addr().String())
 	}
-	if d.agreed != nil {
-		go d.agreed.agent.Run(ctx)
-	}
+	d.agreed.run(ctx)
 	d.serving.Store(true)
 	d.publish()
 	if pred != nil {
@@ -173,7 +172,7 @@
 	case s := <-signals:
 		log.Info("leaving", "signal", s.String(), "open", d.core.Open(), "replaced", d.passed.Load())
 	}
-	d.leave()
+	d.agreed.leave(d.leave())
 	log.Info("left", "open", d.core.Open())
 	return nil
 }
@@ -283,6 +282,11 @@
 			return err
 		}
 	}
+	if op.Council != nil && op.Council.SetAside {
+		for _, f := range d.fronts {
+			f.handler.SetAside()
+		}
+	}
 	d.shares = sharesOf(cfg.Limits, len(d.fronts))
 	return nil
 }
@@ -294,8 +298,8 @@
 	}
 }
 
-// leave answers all that was taken, and ends in time.
-func (d *dispatcher) leave() {
+// leave answers all that was taken, and gives the time by which the process has to have ended.
+func (d *dispatcher) leave() time.Time {
 	d.serving.Store(false)
 	leave := time.Now()
 	end := leave.Add(min(d.params.Now().LongestDeadline(), mostCounted) + killSlack)
@@ -356,4 +360,5 @@
 	if kin := d.kin(); kin != nil && passed {
 		kin.Ask(protocol.Note{Last: true}, end.Add(-lastMoment/2))
 	}
+	return end.Add(-lastMoment / 2)
 }
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -34,6 +34,7 @@
 	keys    *Keys                     // nil where each request is a job of its own
 	shares  *Shares                   // nil where accounts have none
 	vet     Vet                       // nil where whoever comes may hand in any job
+	aside   bool                      // this dispatcher wants no jobs
 	log     *slog.Logger
 }
 
@@ -91,7 +92,7 @@
 		closeBehind(w)
 	}
 	if r.URL.Path == "/health/ready" || r.URL.Path == "/health/live" {
-		serveHealth(w, r, f.leaving.Load() != nil && !f.passing.Load())
+		serveHealth(w, r, f.aside || f.leaving.Load() != nil && !f.passing.Load())
 		return nil, done
 	}
 	size := r.ContentLength
@@ -189,14 +190,17 @@
 	writeAnswer(w, routing.Answer{Verdict: routing.Refused, RetryAfter: f.params.Now().Limits.MaxRetryAfter.Span()})
 }
 
+// SetAside has the front say that this dispatcher wants no jobs: it is there for the fleet. It is called before the front serves.
+func (f *front) SetAside() { f.aside = true }
+
 // serveHealth answers the pages that tell whether this process runs and wants work.
-func serveHealth(w http.ResponseWriter, r *http.Request, leaving bool) {
+func serveHealth(w http.ResponseWriter, r *http.Request, wantsNone bool) {
 	defer boundReader(w, r)()
 	switch {
 	case r.Method != http.MethodGet && r.Method != http.MethodHead:
 		w.Header().Set("Allow", "GET, HEAD")
 		w.WriteHeader(http.StatusMethodNotAllowed)
-	case leaving && r.URL.Path == "/health/ready":
+	case wantsNone && r.URL.Path == "/health/ready":
 		w.WriteHeader(http.StatusServiceUnavailable)
 	default:
 		w.WriteHeader(http.StatusOK)
