Seats go to machines set aside for control, and a new seat answers a leader that founded nothing

Need: a seat that had been given away never came back to the machine set aside for it (read from Reseat), so its cost stayed with a dispatcher that serves jobs.

Change: agreement.Reseat gives the seats of dispatchers that serve jobs to machines set aside that have none, one at a time, never one less than voted; such a leader yields first (raft's transfer). A seat that was there when it was given away stands up by its own log.

Seen on the way: under a leader that was no founder a new learner never caught up, and was dropped and taken in anew for ever: seats 6, 7, 8, 9 in ten seconds (TestSetAside). Cause: council.go, carry: its log was empty, so it looked for the leader among the founders, found none and dropped its answers; the leader went on asking. Now it goes by the newer of what its log and its dispatcher know.

Calls of the fleet go without User-Agent, Accept-Encoding and Date. A report of zones no longer writes to the map that it is given.

--- a/cmd/brassdale/council_members_test.go
+++ b/cmd/brassdale/council_members_test.go
@@ -87,12 +87,12 @@
 	}
 }
 
-// A machine that is set aside wants no jobs, is ready for its operators, serves what comes all the same, and is given the next seat
-// before any other; the fleet's bytes are at its door by what they are for.
+// Machines that are set aside want no jobs, are ready for their operators, serve what comes all the same, and are given all seats, the
+// leader's too, while rules are proposed and never contradict; the fleet's bytes are at their doors by what they are for.
 func TestSetAside(t *testing.T) {
 	t.Parallel()
 	f := allyWith(t, 25, 3, 3, func(i int) string {
-		return fmt.Sprintf("replace = \"3s\"\nset_aside = %t\n", i == 5)
+		return fmt.Sprintf("replace = \"3s\"\nset_aside = %t\n", i > 2)
 	})
 	f.propose("retries = 0.5\n", 0)
 	f.acts(1, f.all()...)
@@ -104,7 +104,7 @@
 		resp.Body.Close()
 		return resp.StatusCode
 	}
-	if a, b := ready(4), ready(5); a != 200 || b != 503 {
+	if a, b := ready(1), ready(5); a != 200 || b != 503 {
 		t.Errorf("ready: %d, and set aside %d", a, b)
 	}
 	if status, _ := f.nodes[5].call("GET", "/_ready", ""); status != 200 {
@@ -113,8 +113,20 @@
 	if status, _, _ := f.nodes[5].do(request(f.nodes[5].url, "aside")); status != 200 {
 		t.Errorf("a job that came all the same: %d", status)
 	}
-	f.kill(2)
-	f.nodes[5].waitFor("a seat", func() bool { _, _, seat := f.known(0, 5); return seat > 3 })
+	f.gossips("all seats on machines set aside", func() bool {
+		for i := range f.nodes {
+			if _, _, seat := f.known(0, i); i > 2 && seat <= 3 || i <= 2 && seat != 0 {
+				return false
+			}
+		}
+		out := f.fleetSays(3, "council")
+		return strings.Count(out, "true") == 3 && strings.Count(out, "\n") == 4
+	})
+	f.propose("retries = 0.25\n", 1)
+	f.acts(2, f.all()...)
+	if apart := f.apart(); apart > 0 {
+		t.Errorf("contradiction for %v", apart)
+	}
 	_, figures := f.nodes[5].call("GET", "/_vars", "")
 	var missing []string
 	for _, kind := range []string{"renewal", "record", "gossip", "member_probe", "raft", "discovery"} {
--- a/internal/decisions/agreement/council_test.go
+++ b/internal/decisions/agreement/council_test.go
@@ -158,6 +158,87 @@
 			t.Fatalf("%+v", council)
 		}
 	})
+	// Machines that are set aside have the seats in the end, as many as there are, also the leader's, and wherever seats were
+	// before; then nothing moves.
+	rapid.Check(t, func(t *rapid.T) {
+		var council []Place
+		var members []Member
+		for i := range 9 {
+			m := Member{Name: fmt.Sprint("d", i), Address: fmt.Sprint("d", i), Zone: string("abc"[i%3]), SetAside: rapid.Bool().Draw(t, "set aside")}
+			if i < 5 {
+				m.Seat = uint64(i + 1)
+				council = append(council, Place{Seat: Seat{ID: m.Seat, Name: m.Name, Address: m.Address, Zone: m.Zone}, Leads: i == 0})
+			}
+			members = append(members, m)
+		}
+		next, still := uint64(6), 0
+		for range 100 {
+			for i := range council { // as the log hears of a seat now and then
+				if !council[i].Leads {
+					council[i].Silent = time.Duration(rapid.IntRange(0, 700).Draw(t, "silent")) * time.Millisecond
+				}
+			}
+			m, ok := Reseat(council, members, next, 30*time.Second)
+			if !ok {
+				still++
+				break
+			}
+			if m.Learn != nil {
+				council = append(council, Place{Seat: *m.Learn})
+				for i := range members {
+					if members[i].Name == m.Learn.Name {
+						members[i].Seat = next
+					}
+				}
+				next++
+			}
+			for i := range council {
+				switch {
+				case council[i].ID == m.Seat:
+					council[i].Learner = false
+				case m.Yield > 0:
+					council[i].Leads = council[i].ID == m.Yield
+				case council[i].ID == m.Unseat && council[i].Leads:
+					t.Fatalf("the leader unseats itself: %+v", m)
+				}
+			}
+			council = slices.DeleteFunc(council, func(p Place) bool { return p.ID == m.Unseat })
+			for i := range members {
+				if members[i].Seat == m.Unseat {
+					members[i].Seat = 0
+				}
+			}
+			voters := 0
+			for _, p := range council {
+				if !p.Learner {
+					voters++
+				}
+			}
+			if voters != 5 {
+				t.Fatalf("%d vote behind %+v", voters, m)
+			}
+		}
+		aside, seated, leads := 0, 0, 0
+		for _, m := range members {
+			if m.SetAside {
+				aside++
+			}
+		}
+		for _, p := range council {
+			for _, m := range members {
+				if m.Seat == p.ID && m.SetAside {
+					seated++
+				}
+			}
+			if p.Leads {
+				leads++
+			}
+		}
+		// A leader that serves jobs stays where no seat is set aside: nobody may take its place.
+		if want := min(aside, 5); still == 0 || leads != 1 || len(council) != 5 || seated != want {
+			t.Fatalf("%d of %d set aside have seats, %d lead: %+v", seated, want, leads, council)
+		}
+	})
 	// A seat whose dispatcher is there without its disk is given away sooner; one that is back before its heir votes keeps it.
 	council := []Place{{Seat: Seat{ID: 1, Address: "a"}}, {Seat: Seat{ID: 2, Address: "b"}, Silent: 10 * time.Second}}
 	members := []Member{{Name: "a", Address: "a", Seat: 1}, {Name: "b", Address: "b"}}
--- a/internal/decisions/agreement/seats.go
+++ b/internal/decisions/agreement/seats.go
@@ -23,6 +23,7 @@
 	Seat
 	Silent time.Duration // since the log last heard of it; 0 for the leader's own
 	Behind uint64        // entries that it has not got yet
+	Leads  bool          `json:",omitempty"`
 }
 
 // Move changes one thing about the council.
@@ -30,6 +31,7 @@
 	Learn  *Seat  // takes this one in as a learner
 	Seat   uint64 // this learner votes from now on ...
 	Unseat uint64 // ... in place of this seat, or this one goes
+	Yield  uint64 // this seat is to lead in place of the leader
 }
 
 const (
@@ -38,14 +40,24 @@
 )
 
 // Reseat tells what the leader does about a council of which a seat has been silent for longer than patience: a dispatcher
-// that holds a lease learns the log, and takes the silent one's place once it has caught up. Nothing is done while a seat is
-// silent for a moment, one thing at a time, and never one that would leave fewer seats that are there than now. members are
+// that holds a lease learns the log, and takes the silent one's place once it has caught up. So does one whose machine is set
+// aside for control and has no seat, in place of a dispatcher that serves jobs; such a one that leads yields first. Nothing
+// is done while a seat is silent for a moment, one thing at a time, and never one that would leave fewer seats that are there than now. members are
 // who holds a lease. The one who is taken has its machine set aside for control, if there is such a one, and is of the region
 // and zone with the fewest seats.
 func Reseat(council []Place, members []Member, next uint64, patience time.Duration) (m Move, ok bool) {
-	var gone, learner *Place
+	var gone, learner, spare, aside *Place // spare sits at a dispatcher that serves jobs, aside on a machine set aside
 	for i := range council {
 		p := &council[i]
+		for _, m := range members {
+			switch {
+			case m.Seat != p.ID || p.Learner || p.Silent >= patience/learnSpans: // the log hears of each a few times a second
+			case !m.SetAside && (spare == nil || spare.Leads):
+				spare = p
+			case m.SetAside && p.Behind <= caughtUp:
+				aside = p
+			}
+		}
 		lost := slices.ContainsFunc(members, func(m Member) bool { return m.Address == p.Address && m.Seat != p.ID && m.Seat == 0 })
 		switch {
 		case p.Learner:
@@ -56,6 +68,18 @@
 			}
 		}
 	}
+	free := func(m Member) bool {
+		return m.SetAside && m.Address != "" && (m.Seat == 0 || learner != nil && m.Seat == learner.ID)
+	}
+	if gone == nil && spare != nil && slices.ContainsFunc(members, free) {
+		if spare.Leads {
+			if learner == nil && aside != nil {
+				return Move{Yield: aside.ID}, true
+			}
+		} else {
+			gone = spare
+		}
+	}
 	switch {
 	case learner != nil && (gone == nil || learner.Silent > patience):
 		return Move{Unseat: learner.ID}, true
@@ -90,7 +114,7 @@
 			best, least = m, has
 		}
 	}
-	if best == nil {
+	if best == nil || gone == spare && !best.SetAside {
 		return Move{}, false
 	}
 	return Move{Learn: &Seat{ID: next, Name: best.Name, Address: best.Address, Region: best.Region, Zone: best.Zone, Learner: true}}, true
--- a/internal/decisions/failover/watcher.go
+++ b/internal/decisions/failover/watcher.go
@@ -94,7 +94,7 @@
 
 // Report gives what was seen since the last one, and begins anew.
 func (w *Watcher) Report(now Clock, capacity map[string]float64) Report {
-	r := Report{Dispatcher: w.name, Zone: w.zone, Capacity: capacity}
+	r := Report{Dispatcher: w.name, Zone: w.zone, Capacity: map[string]float64{}}
 	seconds := max((now - w.last).Seconds(), 1e-3)
 	for key, s := range w.sights {
 		if s.Ended > 0 {
@@ -116,7 +116,7 @@
 		r.Asked = append(r.Asked, Asked{class, short(a.jobs / seconds * a.ran), a.worth})
 		a.jobs = 0
 	}
-	for zone, c := range r.Capacity {
+	for zone, c := range capacity {
 		r.Capacity[zone] = short(c)
 	}
 	w.last = now
--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -48,7 +48,8 @@
 		if own != nil {
 			mine := own.log.Record()
 			_, has := r.Seat(own.id())
-			if r.Era > mine.Era || len(r.Council) > 0 && !has && r.Newer(mine) {
+			_, had := mine.Seat(own.id()) // one that was there when its seat was given away has that in its own log
+			if r.Era > mine.Era || len(r.Council) > 0 && !has && r.Newer(mine) || len(mine.Council) > 0 && !had {
 				a.stand("another has the seat")
 			}
 			continue
@@ -213,7 +214,13 @@
 		if !ok {
 			return
 		}
+		// A seat that is new has an empty log, and has to answer a leader that may be none of the founders.
 		r := s.log.Record()
+		a.mu.Lock()
+		if known := a.holder.Record(); known.Newer(r) {
+			r = known
+		}
+		a.mu.Unlock()
 		council := r.Council
 		if len(council) == 0 {
 			council = a.s.founders()
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -62,7 +62,7 @@
 			by, stop := context.WithDeadline(ctx, time.Now().Add(callWithin))
 			err := s.log.Reseat(by, m)
 			stop()
-			a.log.Info("council's seats", "learns", m.Learn, "votes", m.Seat, "goes", m.Unseat, "err", err)
+			a.log.Info("council's seats", "learns", m.Learn, "votes", m.Seat, "goes", m.Unseat, "yields_to", m.Yield, "err", err)
 			pause(ctx, 5*sitEvery)
 		}
 	}
--- a/internal/fleet/log/log.go
+++ b/internal/fleet/log/log.go
@@ -291,7 +291,7 @@
 			behind = math.MaxUint64
 		}
 		places = append(places, agreement.Place{Seat: agreement.Seat{ID: id, Learner: typ == raft.ProgressTypeLearner},
-			Silent: time.Duration(l.silent[id]) * tickEvery, Behind: behind})
+			Silent: time.Duration(l.silent[id]) * tickEvery, Behind: behind, Leads: id == l.o.Seat})
 	})
 	for id, ticks := range l.loading {
 		if ticks >= electionTicks {
@@ -339,6 +339,10 @@
 
 // move proposes a change of the council.
 func (l *Log) move(m *agreement.Move) error {
+	if m.Yield > 0 {
+		l.node.TransferLeader(m.Yield)
+		return nil
+	}
 	if l.conf.GetAutoLeave() || len(l.conf.GetVotersOutgoing()) > 0 {
 		return ErrMoved
 	}
--- a/internal/fleet/peers.go
+++ b/internal/fleet/peers.go
@@ -78,7 +78,7 @@
 
 func newClient(m *traffic.Meter) *http.Client {
 	dialer := &net.Dialer{Timeout: callWithin / 2}
-	return &http.Client{Transport: &http.Transport{DialContext: m.Dial(dialer), MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}
+	return &http.Client{Transport: &http.Transport{DialContext: m.Dial(dialer), MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute, DisableCompression: true}}
 }
 
 // Call posts a body to another dispatcher, or gets where there is none, and reads the answer, by then.
@@ -93,6 +93,7 @@
 	if err != nil {
 		return 0, nil, err
 	}
+	r.Header.Set("User-Agent", "") // nobody asks for it, and each dispatcher calls some times a second
 	resp, err := c.Do(r)
 	if err != nil {
 		return 0, nil, err
@@ -189,6 +190,7 @@
 		status, text = http.StatusInternalServerError, []byte("{}")
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header()["Date"] = nil
 	w.WriteHeader(status)
 	_, _ = w.Write(text)
 }
