Fleets of hollow dispatchers are played and measured: brassdale-lab scale

Need: what control costs at the plan's size has to be measured, and one machine does not hold 300 or 800 real dispatchers.

Change: internal/scale starts a few real dispatchers, seats on machines set aside, bare ones without a council, and processes of hollow ones, each a fleet.Agent with its own calls to discovery and its own meter on loopback sockets. It proposes rules at a packed rate, restarts workers, sends jobs, and writes result.json: bytes and messages by kind and role, processor and memory, time in force, contradiction, and whether the machine fell behind.

--- /dev/null
+++ b/internal/scale/file.go
@@ -0,0 +1,211 @@
+// Package scale plays fleets of a size that one machine cannot hold as real dispatchers, and measures what control costs: a
+// few are real, the others hollow, which is the same agent on real loopback sockets with jobs and endpoints left out. Time is
+// packed: a day's changes come within minutes. Everything stays on loopback.
+package scale
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/hclsyntax"
+
+	"brassdale/internal/diag"
+	"brassdale/internal/fleet"
+)
+
+// File is a fleet's size as an operator writes it, or several.
+type File struct {
+	Title        string  `hcl:"title"`
+	Settle       string  `hcl:"settle,optional"` // behind the start, before anything is measured
+	Span         string  `hcl:"span"`            // that is measured
+	Rest         string  `hcl:"rest,optional"`   // of it, at its begin, without changes
+	Bound        string  `hcl:"bound,optional"`
+	Replace      string  `hcl:"replace,optional"` // a seat that is silent for so long is given away
+	Regions      int     `hcl:"regions"`
+	Zones        int     `hcl:"zones"`
+	Workers      int     `hcl:"workers"`
+	Accelerators int     `hcl:"accelerators,optional"` // among the workers, a slot for each; left out: one each
+	Teams        int     `hcl:"teams,optional"`
+	Dispatchers  int     `hcl:"dispatchers"` // that serve jobs
+	Seats        int     `hcl:"seats"`
+	SetAside     int     `hcl:"set_aside,optional"` // machines beside them for control alone: the first seats are there
+	Hollow       int     `hcl:"hollow,optional"`    // of the dispatchers
+	Processes    int     `hcl:"processes,optional"` // that hold the hollow ones; left out: one for each zone
+	Bare         int     `hcl:"bare,optional"`      // real dispatchers beside them that agree on nothing
+	Rate         float64 `hcl:"rate,optional"`      // jobs a second of all dispatchers; real and bare ones get their part
+
+	Changes *ChangesFile `hcl:"changes,block"`
+}
+
+// ChangesFile is what changes, and how often.
+type ChangesFile struct {
+	Every    string  `hcl:"every"`             // a proposal of rules
+	ADay     float64 `hcl:"a_day"`             // that the plan has: what Every is beside it is the packing
+	Restarts string  `hcl:"restarts,optional"` // a worker starts anew so often
+	Drains   string  `hcl:"drains,optional"`   // a worker leaves for good so often
+}
+
+// Plan is one size, and what is done with it.
+type Plan struct {
+	Title                                 string
+	Seed                                  uint64
+	Settle, Span, Rest                    time.Duration
+	Bound, Replace                        time.Duration
+	Regions, Zones, Workers, Accelerators int
+	Teams, Dispatchers, Seats, SetAside   int
+	Hollow, Processes, Bare               int
+	Rate                                  float64
+	Every, Restarts, Drains               time.Duration // 0 for never
+	ADay                                  float64
+}
+
+// Real are the real dispatchers that serve jobs, and have their part in the fleet.
+func (p *Plan) Real() int { return p.Dispatchers - p.Hollow }
+
+// Packing is how much faster changes come than on a day of the plan.
+func (p *Plan) Packing() float64 {
+	if p.Every == 0 || p.ADay == 0 {
+		return 0
+	}
+	return (24 * time.Hour).Seconds() / p.Every.Seconds() / p.ADay
+}
+
+// Load reads and checks a file. An error names all faults with file, line and column.
+func Load(path string) (*File, error) { return diag.Read(path, Parse) }
+
+// Parse reads the text of one.
+func Parse(text []byte, path string) (*File, error) {
+	s := fleet.Default()
+	f := &File{Settle: "20s", Bound: s.Bound, Replace: s.Replace}
+	err := diag.Decode(text, path, f, func(body *hclsyntax.Body) hcl.Diagnostics { _, diags := f.plan(body); return diags })
+	if err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Plan gives it for a seed; above 0, or not below it for hollow ones, another mix.
+func (f *File) Plan(seed uint64, hollow, processes int) (Plan, error) {
+	g := *f
+	if hollow >= 0 {
+		g.Hollow = hollow
+	}
+	if processes > 0 {
+		g.Processes = processes
+	}
+	p, _ := g.plan(nil)
+	p.Seed = seed
+	return p, p.check(func(attribute, format string, a ...any) error {
+		return fmt.Errorf("%s: "+format, append([]any{attribute}, a...)...)
+	})
+}
+
+func (f *File) plan(body *hclsyntax.Body) (p Plan, diags hcl.Diagnostics) {
+	bad := func(attribute, format string, a ...any) error {
+		if body != nil {
+			at := body
+			for _, b := range body.Blocks {
+				if b.Type == "changes" && b.Body.Attributes[attribute] != nil {
+					at = b.Body
+				}
+			}
+			diags = append(diags, diag.At(diag.Place(at, attribute), "Bad "+attribute, format, a...))
+		}
+		return nil
+	}
+	p = Plan{Title: f.Title, Regions: f.Regions, Zones: f.Zones, Workers: f.Workers, Accelerators: f.Accelerators, Teams: f.Teams,
+		Dispatchers: f.Dispatchers, Seats: f.Seats, SetAside: f.SetAside, Hollow: f.Hollow, Processes: f.Processes, Bare: f.Bare, Rate: f.Rate}
+	if p.Accelerators == 0 {
+		p.Accelerators = p.Workers
+	}
+	if p.Processes == 0 && p.Hollow > 0 {
+		p.Processes = p.Zones
+	}
+	span := func(to *time.Duration, attribute, text string, optional bool) {
+		if text == "" && optional {
+			return
+		}
+		d, err := time.ParseDuration(text)
+		if err != nil || d <= 0 {
+			bad(attribute, "%q is no duration above 0.", text)
+		}
+		*to = d
+	}
+	span(&p.Settle, "settle", f.Settle, false)
+	span(&p.Span, "span", f.Span, false)
+	span(&p.Rest, "rest", f.Rest, true)
+	span(&p.Bound, "bound", f.Bound, false)
+	span(&p.Replace, "replace", f.Replace, false)
+	if c := f.Changes; c != nil {
+		p.ADay = c.ADay
+		span(&p.Every, "every", c.Every, false)
+		span(&p.Restarts, "restarts", c.Restarts, true)
+		span(&p.Drains, "drains", c.Drains, true)
+		if !(c.ADay > 0) {
+			bad("a_day", "It must be above 0.")
+		}
+	}
+	if body != nil {
+		_ = p.check(bad)
+	}
+	return p, diags
+}
+
+// mostDoors is how many real dispatchers a machine's ports and descriptors hold, by workers: each has a listener for each.
+func mostDoors(workers int) int { return 12_000 / max(workers, 1) }
+
+// check tells what does not go together. The first fault is given, if bad makes one of what it is told.
+func (p *Plan) check(bad func(attribute, format string, a ...any) error) (first error) {
+	say := func(attribute, format string, a ...any) {
+		if err := bad(attribute, format, a...); first == nil {
+			first = err
+		}
+	}
+	if p.Bound > 0 && p.Bound < fleet.LeastBound {
+		say("bound", "It must be %v at least.", fleet.LeastBound)
+	}
+	if p.Replace > 0 && p.Replace < fleet.LeastReplace {
+		say("replace", "It must be %v at least.", fleet.LeastReplace)
+	}
+	if p.Regions < 1 || p.Regions > p.Zones {
+		say("regions", "There must be 1 at least, and no more than zones.")
+	}
+	if p.Workers < p.Zones || p.Workers < 1 {
+		say("workers", "There must be one for each zone.")
+	}
+	if p.Accelerators < p.Workers {
+		say("accelerators", "There must be one for each worker.")
+	}
+	if p.Seats != 1 && p.Seats != 3 && p.Seats != 5 {
+		say("seats", "There must be 1, 3 or 5.")
+	}
+	if p.SetAside < 0 || p.Seats > p.SetAside+p.Real() {
+		say("set_aside", "Seats need machines set aside, or real dispatchers.")
+	}
+	if p.Hollow < 0 || p.Hollow > p.Dispatchers {
+		say("hollow", "There must be no more than dispatchers.")
+	}
+	if p.Hollow > 0 && (p.Processes < min(p.Zones, p.Hollow) || p.Processes > p.Hollow) {
+		say("processes", "There must be one for each zone at least, and no more than hollow dispatchers.")
+	}
+	if n := p.doors(); n > mostDoors(p.Workers) {
+		say("dispatchers", "%d real ones are too many with %d workers, at most %d: more must be hollow.", n-1, p.Workers, mostDoors(p.Workers)-1)
+	}
+	if p.Rest > 0 && p.Rest >= p.Span {
+		say("rest", "It must be shorter than the span.")
+	}
+	if p.Teams < 0 {
+		say("teams", "There must be 0 at least.")
+	}
+	if p.Bare < 0 {
+		say("bare", "There must be 0 at least.")
+	}
+	if p.Rate < 0 {
+		say("rate", "It must be 0 at least.")
+	}
+	return first
+}
+
+// doors are the works' ends for real dispatchers, and the last for all hollow ones.
+func (p *Plan) doors() int { return p.SetAside + p.Real() + p.Bare + 1 }
--- /dev/null
+++ b/internal/scale/hollow.go
@@ -0,0 +1,240 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"sync"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/decisions/agreement"
+	planning "brassdale/internal/decisions/failover"
+	"brassdale/internal/decisions/pacing"
+	"brassdale/internal/faults"
+	"brassdale/internal/fleet"
+	"brassdale/internal/protocol"
+	"brassdale/internal/routing"
+	"brassdale/internal/traffic"
+	"brassdale/internal/transport"
+)
+
+// Spec is what a process of hollow dispatchers is told. All of them are of one zone.
+type Spec struct {
+	Config    string             `json:"config"` // the platform's file, for discovery and the settings
+	Directory string             `json:"directory"`
+	Fleet     string             `json:"fleet"`
+	Zone      string             `json:"zone"`
+	Region    string             `json:"region"`
+	Bound     string             `json:"bound"`
+	Replace   string             `json:"replace"`
+	Voters    []string           `json:"voters"`
+	Among     int                `json:"among"`
+	Capacity  map[string]float64 `json:"capacity"` // slots by zone, as reports have them
+	Rate      float64            `json:"rate"`     // jobs a second of one dispatcher, as reports have them
+	Failover  *fleet.Failover    `json:"failover"`
+	Overload  *fleet.Overload    `json:"overload"`
+	Reach     map[string]string  `json:"reach,omitempty"`
+	Seed      uint64             `json:"seed"`
+	Each      []HollowSpec       `json:"each"`
+}
+
+// HollowSpec is one of them.
+type HollowSpec struct {
+	Name    string `json:"name"`
+	Address string `json:"address"`
+}
+
+// Hollow is a process's hollow dispatchers.
+type Hollow struct {
+	spec   Spec
+	params *protocol.Live
+	at     string // discovery
+	late   ticker
+	all    []*hollow
+}
+
+// hollow is a dispatcher without jobs and endpoints.
+type hollow struct {
+	name  string
+	agent *fleet.Agent
+	meter *traffic.Meter
+	find  *transport.Discovery
+
+	mu      sync.Mutex
+	stands  []faults.Stand
+	watcher *planning.Watcher
+	rng     *rand.Rand
+	begin   time.Time
+	said    time.Time // of the last report
+	jobs    uint64    // that it claims since its start
+}
+
+// Counts are what a process of hollow dispatchers has counted.
+type Counts struct {
+	Late int                                 `json:"late"` // ticks, by more than the machine may be
+	Each map[string]map[string]traffic.Count `json:"each"` // by dispatcher and kind
+}
+
+// Serve holds the hollow dispatchers of a spec until the reader ends, and tells the writer where it is asked for counts.
+func Serve(ctx context.Context, spec Spec, until io.Reader, tell io.Writer, log *slog.Logger) error {
+	cfg, err := protocol.LoadConfig(spec.Config, os.Getenv)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	h := &Hollow{spec: spec, params: &protocol.Live{}, at: cfg.Discovery}
+	h.params.Put(&cfg.Settings, func(brain.Settings) {})
+	for i, e := range spec.Each {
+		x, err := h.make(e, uint64(i), log)
+		if err != nil {
+			return fmt.Errorf("%s: %w", e.Name, err)
+		}
+		h.all = append(h.all, x)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(h.counts()) })
+	mux.HandleFunc("GET /stands", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(h.stands()) })
+	server := &http.Server{Handler: mux}
+	go server.Serve(l)
+	defer server.Close()
+	go h.late.run(ctx)
+	for _, x := range h.all {
+		go x.agent.Run(ctx)
+		go x.watch(ctx, h.params)
+	}
+	if _, err := fmt.Fprintln(tell, l.Addr()); err != nil {
+		return err
+	}
+	// They end with the process: no leave is said that a killed one would not say.
+	ended := make(chan struct{})
+	go func() { defer close(ended); _, _ = io.Copy(io.Discard, until) }()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+	return nil
+}
+
+func (h *Hollow) make(e HollowSpec, n uint64, log *slog.Logger) (*hollow, error) {
+	s := fleet.Default()
+	s.Name, s.Listen, s.Voters, s.Directory = h.spec.Fleet, e.Address, h.spec.Voters, filepath.Join(h.spec.Directory, e.Name)
+	s.Bound, s.Replace, s.Region, s.Zone, s.Reach = h.spec.Bound, h.spec.Replace, h.spec.Region, h.spec.Zone, h.spec.Reach
+	x := &hollow{name: e.Name, meter: &traffic.Meter{}, rng: rand.New(rand.NewPCG(h.spec.Seed, 1000+n)), begin: time.Now(), said: time.Now(),
+		watcher: planning.NewWatcher(e.Name, h.spec.Zone, 0)}
+	o := fleet.Options{Settings: &s, Name: e.Name, Zone: h.spec.Zone, Apply: x.apply, Jobs: x.counted, Meter: x.meter, Log: log.With("hollow", e.Name)}
+	if h.spec.Failover != nil {
+		o.Failover, o.Planned = h.spec.Failover, func(*planning.Plan, bool) {}
+		o.Report = func() *planning.Report { return x.report(&h.spec, h.params.Now()) }
+	}
+	if h.spec.Overload != nil {
+		o.Overload, o.Among = h.spec.Overload, func() int { return h.spec.Among }
+		o.Firsts = func() uint64 { n, _ := x.counted(); return n }
+	}
+	var err error
+	if x.agent, err = fleet.New(o); err != nil {
+		return nil, err
+	}
+	x.find = transport.NewDiscovery(h.at, h.params, x.meter)
+	return x, nil
+}
+
+// apply notes what is acted on from now on.
+func (x *hollow) apply(s agreement.Stand) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.UnixMilli(time.Now().UnixMilli()) // as real ones log it: rounded alike, what came later is not earlier
+	if n := len(x.stands); n > 0 {
+		x.stands[n-1].To = now
+	}
+	x.stands = append(x.stands, faults.Stand{From: now, Versions: slices.Clone(s.Versions), Lapsed: s.Lapsed})
+}
+
+// counted are the jobs that it claims to have ended.
+func (x *hollow) counted() (ended, bad uint64) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.jobs, 0
+}
+
+// hollowWork is how long a claimed job ran.
+const hollowWork = 200 * time.Millisecond
+
+// report is of the shape that a real dispatcher's has: it hears of all zones, by its probes, and of its own by its jobs.
+func (x *hollow) report(spec *Spec, p *protocol.Params) *planning.Report {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	now := time.Now()
+	at := now.Sub(x.begin)
+	for zone := range spec.Capacity {
+		x.watcher.Heard(zone, at-time.Duration(x.rng.Int64N(int64(hollowWork))))
+	}
+	class := p.Classes[0]
+	due := now.Sub(x.said).Seconds() * spec.Rate
+	for x.said = now; due > 0 && x.rng.Float64() < due; due-- {
+		x.jobs++
+		x.watcher.Asked(class.Name, class.Credit)
+		x.watcher.Ended(spec.Zone, class.Name, false, true, time.Duration(x.rng.ExpFloat64()*float64(hollowWork)), at)
+	}
+	r := x.watcher.Report(at, spec.Capacity)
+	return &r
+}
+
+// watch asks discovery as routing.Destinations does, and keeps nothing of what it tells.
+func (x *hollow) watch(ctx context.Context, params *protocol.Live) {
+	first := rand.Float64() * float64(params.Now().ReplicasOfMe) * firstEach.Seconds()
+	wait, revision, kind := time.Duration(first*float64(time.Second)), int64(routing.Whole), pacing.Ask
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(min(wait, firstMost)):
+		}
+		u, err := x.find.Call(ctx, revision, kind)
+		if err != nil { // the module would decide when
+			wait, kind = time.Duration(rand.Float64()*float64(againMost)), pacing.Ask
+			continue
+		}
+		fresh := u.Revision != revision || len(u.Destinations) > 0
+		revision, kind = u.Revision, pacing.Watch
+		wait = pacing.Rewatch(fresh, u.Early, params.Now().ReplicasOfMe, rand.Float64())
+	}
+}
+
+// What the module does about the first call, and about one that failed.
+const (
+	firstEach = 50 * time.Millisecond
+	firstMost = 3 * time.Second
+	againMost = 900 * time.Millisecond
+)
+
+func (h *Hollow) counts() Counts {
+	c := Counts{Late: h.late.count(), Each: map[string]map[string]traffic.Count{}}
+	for _, x := range h.all {
+		c.Each[x.name] = x.meter.Counts()
+	}
+	return c
+}
+
+func (h *Hollow) stands() map[string][]faults.Stand {
+	all := map[string][]faults.Stand{}
+	for _, x := range h.all {
+		x.mu.Lock()
+		all[x.name] = slices.Clone(x.stands)
+		x.mu.Unlock()
+	}
+	return all
+}
--- /dev/null
+++ b/internal/scale/result.go
@@ -0,0 +1,347 @@
+package scale
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"brassdale/internal/faults"
+	"brassdale/internal/traffic"
+)
+
+// Result is what a plan came to. The names of its figures are kept.
+type Result struct {
+	Title        string    `json:"title"`
+	Commit       string    `json:"commit"` // of the build
+	Command      string    `json:"command"`
+	Seed         uint64    `json:"seed"`
+	At           time.Time `json:"at"`
+	SpanS        float64   `json:"span_s"`
+	BoundMS      float64   `json:"bound_ms"`
+	Packing      float64   `json:"packing"` // how much faster changes came than on a day of the plan
+	Dispatchers  int       `json:"dispatchers"`
+	Hollow       int       `json:"hollow"`
+	Processes    int       `json:"processes"`
+	Real         int       `json:"real"`
+	Bare         int       `json:"bare"`
+	Workers      int       `json:"workers"`
+	Accelerators int       `json:"accelerators"`
+	Zones        int       `json:"zones"`
+	Regions      int       `json:"regions"`
+	Teams        int       `json:"teams"`
+	Seats        int       `json:"seats"`
+	SetAside     int       `json:"set_aside"`
+	Changes      int       `json:"changes"`
+
+	BytesP50        float64 `json:"control_bytes_s_p50"` // both ways, over dispatchers that are not set aside
+	BytesP99        float64 `json:"control_bytes_s_p99"`
+	BytesMean       float64 `json:"control_bytes_s_mean"`
+	Messages        float64 `json:"control_messages_s"`
+	CPU             float64 `json:"control_cpu_ms_s"`  // of a real one, less a bare one's
+	Memory          float64 `json:"control_memory_mb"` // the same
+	HollowCPU       float64 `json:"hollow_cpu_ms_s"`
+	SeatBytesMost   float64 `json:"seat_bytes_s_most"`
+	SeatCPUMost     float64 `json:"seat_cpu_ms_s_most"`
+	LeaderBytes     float64 `json:"leader_bytes_s"`
+	LeaderCPU       float64 `json:"leader_cpu_ms_s"`
+	SeatMemoryMost  float64 `json:"seat_memory_mb_most"`
+	RealCPU         float64 `json:"real_cpu_ms_s"` // whole, as that of the others
+	BareCPU         float64 `json:"bare_cpu_ms_s"`
+	RealMemory      float64 `json:"real_memory_mb"`
+	BareMemory      float64 `json:"bare_memory_mb"`
+	HollowBytesMean float64 `json:"hollow_bytes_s_mean"`
+	RealBytesMean   float64 `json:"real_bytes_s_mean"`
+	HollowMessages  float64 `json:"hollow_messages_s"`
+	RealMessages    float64 `json:"real_messages_s"`
+
+	BytesByKind       map[string]float64 `json:"bytes_by_kind"` // a dispatcher, a second
+	MessagesByKind    map[string]float64 `json:"messages_by_kind"`
+	LeaderBytesByKind map[string]float64 `json:"leader_bytes_by_kind"`
+	SeatBytesByKind   map[string]float64 `json:"seat_bytes_by_kind"` // of those that do not lead, on average
+	HollowBytesByKind map[string]float64 `json:"hollow_bytes_by_kind"`
+	RealBytesByKind   map[string]float64 `json:"real_bytes_by_kind"`
+	DiscoveryCalls    float64            `json:"discovery_calls_s"` // of all
+	DiscoveryBytes    float64            `json:"discovery_bytes_s"`
+
+	InForceP50MS      float64   `json:"in_force_p50_ms"` // over changes and dispatchers
+	InForceP99MS      float64   `json:"in_force_p99_ms"`
+	InForceP999MS     float64   `json:"in_force_p999_ms"`
+	InForceMissing    int       `json:"in_force_missing"`     // changes at dispatchers that were there and never acted on them
+	ReturnedInForceMS []float64 `json:"returned_in_force_ms"` // from their return until they acted on the newest
+	ContradictionMS   float64   `json:"contradiction_max_ms"`
+	RulesBroken       int       `json:"rules_broken"`
+	Breaches          []string  `json:"breaches,omitempty"`
+	Jobs              int       `json:"jobs"`
+	AnsweredOnce      int       `json:"answered_once"`
+	AnsweredNever     int       `json:"answered_never"`
+
+	FellBehind    bool      `json:"fell_behind"` // the machine, not the fleet, was the limit: the run does not count
+	FellBehindWhy string    `json:"fell_behind_why,omitempty"`
+	MachineBusy   float64   `json:"machine_busy"` // of all cores
+	Interface     Interface `json:"interface"`
+	Rest          *Rest     `json:"rest,omitempty"`
+	Change        *Change   `json:"change,omitempty"`
+}
+
+// Interface sets the loopback interface's bytes, without what the kernel adds and the runner asks, beside those counted.
+type Interface struct {
+	Bytes   float64 `json:"bytes_s"`
+	Counted float64 `json:"counted_bytes_s"`
+	Ratio   float64 `json:"ratio"` // of the second to the first
+}
+
+// Rest is a dispatcher's cost without any change.
+type Rest struct {
+	SpanS       float64            `json:"span_s"`
+	Bytes       float64            `json:"bytes_s"`
+	Messages    float64            `json:"messages_s"`
+	BytesByKind map[string]float64 `json:"bytes_by_kind"`
+}
+
+// Change is what one change costs a dispatcher.
+type Change struct {
+	Bytes float64 `json:"bytes"`
+}
+
+// Bad tells whether a rule or the bound was broken.
+func (r *Result) Bad() bool {
+	return r.RulesBroken > 0 || r.ContradictionMS > 0 || r.AnsweredNever > 0 || r.InForceMissing > 0
+}
+
+func total(m *traffic.Meter) traffic.Count { return traffic.Total(m.Counts()) }
+
+// account draws the figures together.
+func (f *stage) account(before, rested, after reading) *Result {
+	r := &Result{Title: f.Title, Seed: f.Seed, At: f.begin.UTC(), BoundMS: float64(f.Bound.Milliseconds()), Packing: f.Packing(),
+		Dispatchers: f.Dispatchers, Hollow: f.Hollow, Processes: f.Processes, Real: f.Real(), Bare: f.Bare, Workers: f.Workers, Accelerators: f.Accelerators,
+		Zones: f.Zones, Regions: f.Regions, Teams: f.Teams, Seats: f.Seats, SetAside: f.SetAside,
+		Changes: len(f.changes), Jobs: f.jobs.jobs, AnsweredOnce: f.jobs.once, AnsweredNever: f.jobs.never, ReturnedInForceMS: []float64{}}
+	f.bytes(r, before, after)
+	f.processes(r, before, after)
+	f.fell(r, before, after)
+	f.compareInterface(r, before, after)
+	if !rested.at.IsZero() {
+		x := &Rest{SpanS: rested.at.Sub(before.at).Seconds()}
+		each := f.each(before, rested, f.serving(func(*member) bool { return true }))
+		x.Bytes, x.Messages, x.BytesByKind = mean(each.bytes), mean(each.messages), each.bytesByKind
+		if r.Rest = x; r.Changes > 0 {
+			r.Change = &Change{(r.BytesMean - x.Bytes) * r.SpanS / float64(r.Changes)}
+		}
+	}
+	f.inForce(r)
+	var all [][]faults.Stand
+	for _, m := range f.members {
+		if m.role != bare {
+			all = append(all, f.standsOf(m))
+		}
+	}
+	contradiction, _ := faults.Apart(all)
+	r.ContradictionMS = float64(contradiction.Microseconds()) / 1000
+	for _, b := range f.works.Breaches() {
+		r.RulesBroken++
+		r.Breaches = append(r.Breaches, b.String())
+	}
+	return r
+}
+
+// serving gives the dispatchers that are not set aside, as far as they are wanted.
+func (f *stage) serving(want func(*member) bool) (all []*member) {
+	for _, m := range f.members {
+		if m.role == serves && want(m) {
+			all = append(all, m)
+		}
+	}
+	return all
+}
+
+// costs are some dispatchers', a second.
+type costs struct {
+	bytes, messages             []float64 // each one's
+	bytesByKind, messagesByKind map[string]float64
+}
+
+func (f *stage) each(before, after reading, who []*member) costs {
+	c := costs{bytesByKind: map[string]float64{}, messagesByKind: map[string]float64{}}
+	seconds := after.at.Sub(before.at).Seconds()
+	for _, m := range who {
+		had, there := before.control[m.name]
+		has, still := after.control[m.name]
+		if !there || !still {
+			continue
+		}
+		spent := less(has, had)
+		all := traffic.Total(spent)
+		c.bytes, c.messages = append(c.bytes, float64(all.Bytes())/seconds), append(c.messages, float64(all.Messages)/seconds)
+		for kind, x := range spent {
+			c.bytesByKind[kind] += float64(x.Bytes()) / seconds
+			c.messagesByKind[kind] += float64(x.Messages) / seconds
+		}
+	}
+	for kind := range c.bytesByKind {
+		c.bytesByKind[kind] /= float64(len(c.bytes))
+		c.messagesByKind[kind] /= float64(len(c.bytes))
+	}
+	slices.Sort(c.bytes)
+	return c
+}
+
+// quantile of sorted figures; 0 of none.
+func quantile(p float64, sorted []float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return stat.Quantile(p, stat.Empirical, sorted, nil)
+}
+
+func mean(x []float64) float64 {
+	if len(x) == 0 {
+		return 0
+	}
+	return stat.Mean(x, nil)
+}
+
+// bytes are the counts' figures.
+func (f *stage) bytes(r *Result, before, after reading) {
+	r.SpanS = after.at.Sub(before.at).Seconds()
+	all := f.each(before, after, f.serving(func(*member) bool { return true }))
+	r.BytesP50, r.BytesP99, r.BytesMean = quantile(0.5, all.bytes), quantile(0.99, all.bytes), mean(all.bytes)
+	r.Messages, r.BytesByKind, r.MessagesByKind = mean(all.messages), all.bytesByKind, all.messagesByKind
+	hollow := f.each(before, after, f.serving(func(m *member) bool { return m.process != nil }))
+	real := f.each(before, after, f.serving(func(m *member) bool { return m.node != nil && m.seat == 0 }))
+	r.HollowBytesMean, r.RealBytesMean, r.HollowBytesByKind, r.RealBytesByKind = mean(hollow.bytes), mean(real.bytes), hollow.bytesByKind, real.bytesByKind
+	r.HollowMessages, r.RealMessages = mean(hollow.messages), mean(real.messages)
+	leads := f.leader()
+	var seats []*member
+	for _, m := range f.members {
+		if m.seat > 0 {
+			r.SeatBytesMost = max(r.SeatBytesMost, mean(f.each(before, after, []*member{m}).bytes))
+			if m != leads {
+				seats = append(seats, m)
+			}
+		}
+	}
+	r.SeatBytesByKind = f.each(before, after, seats).bytesByKind
+	if leads != nil {
+		x := f.each(before, after, []*member{leads})
+		r.LeaderBytes, r.LeaderBytesByKind = mean(x.bytes), x.bytesByKind
+	}
+	for name := range after.control {
+		d := less(after.control[name], before.control[name])[traffic.Discovery.String()]
+		r.DiscoveryCalls += float64(d.Messages) / r.SpanS
+		r.DiscoveryBytes += float64(d.Bytes()) / r.SpanS
+	}
+}
+
+// processes are the figures of processor and memory.
+func (f *stage) processes(r *Result, before, after reading) {
+	cpu := func(pid int) float64 { return (after.used[pid].cpu - before.used[pid].cpu) / r.SpanS }
+	leads := f.leader()
+	figures := map[role][2][]float64{}
+	for _, m := range f.members {
+		if m.node == nil {
+			continue
+		}
+		pid := m.node.Pid()
+		if m.seat > 0 {
+			r.SeatCPUMost, r.SeatMemoryMost = max(r.SeatCPUMost, cpu(pid)), max(r.SeatMemoryMost, after.used[pid].memory)
+		}
+		if m == leads {
+			r.LeaderCPU = cpu(pid)
+		}
+		if m.seat == 0 {
+			x := figures[m.role]
+			x[0], x[1] = append(x[0], cpu(pid)), append(x[1], after.used[pid].memory)
+			figures[m.role] = x
+		}
+	}
+	r.RealCPU, r.RealMemory = mean(figures[serves][0]), mean(figures[serves][1])
+	if r.BareCPU, r.BareMemory = mean(figures[bare][0]), mean(figures[bare][1]); f.Bare > 0 && len(figures[serves][0]) > 0 {
+		r.CPU, r.Memory = r.RealCPU-r.BareCPU, r.RealMemory-r.BareMemory
+	}
+	for _, p := range f.hollow {
+		r.HollowCPU += cpu(p.cmd.Process.Pid) / float64(f.Hollow)
+	}
+}
+
+// fell tells whether the machine was the limit.
+func (f *stage) fell(r *Result, before, after reading) {
+	r.MachineBusy = (after.machine.busy - before.machine.busy) / max(after.machine.all-before.machine.all, 1)
+	late := after.late - before.late
+	switch {
+	case late > ticksMayBeLate:
+		r.FellBehind, r.FellBehindWhy = true, fmt.Sprintf("%d ticks of %v were late by more than %v", late, tickEvery, tickLate)
+	case r.MachineBusy > mostBusy:
+		r.FellBehind, r.FellBehindWhy = true, fmt.Sprintf("%.0f%% of %d cores were busy", 100*r.MachineBusy, runtime.NumCPU())
+	}
+}
+
+// compareInterface sets what was counted beside what the interface carried. What one end alone counts, as discovery's
+// calls, is counted there both ways; all else where it is sent.
+func (f *stage) compareInterface(r *Result, before, after reading) {
+	own := after.own.Bytes() - before.own.Bytes()
+	counted := float64(after.orders.Sent - before.orders.Sent)
+	for name := range after.control {
+		for kind, x := range less(after.control[name], before.control[name]) {
+			if counted += float64(x.Sent); kind == traffic.Discovery.String() {
+				counted += float64(x.Received)
+			}
+		}
+	}
+	x := Interface{Bytes: (carried(before.machine, after.machine) - float64(own)) / r.SpanS, Counted: counted / r.SpanS}
+	if x.Bytes > 0 {
+		x.Ratio = x.Counted / x.Bytes
+	}
+	r.Interface = x
+}
+
+// inForce sets when changes were acted on, by all that were there.
+func (f *stage) inForce(r *Result) {
+	var took []float64
+	for _, m := range f.members {
+		if m.role == bare {
+			continue
+		}
+		stands := f.standsOf(m)
+		for _, c := range f.changes {
+			at, ok := acted(stands, c)
+			gone := slices.ContainsFunc(m.away, func(a faults.Away) bool {
+				return (a.To.IsZero() || a.To.After(c.at)) && (!ok || a.From.Before(at))
+			})
+			switch {
+			case gone:
+			case ok:
+				took = append(took, float64(at.Sub(c.at).Microseconds())/1000)
+			default:
+				r.InForceMissing++
+			}
+		}
+	}
+	slices.Sort(took)
+	r.InForceP50MS, r.InForceP99MS, r.InForceP999MS = quantile(0.5, took), quantile(0.99, took), quantile(0.999, took)
+}
+
+// acted gives when a dispatcher first acted on a change alone, or on a newer one.
+func acted(stands []faults.Stand, c change) (time.Time, bool) {
+	for _, s := range stands {
+		if len(s.Versions) == 1 && s.Versions[0] >= c.version {
+			return s.From, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// String gives the most important figures in a few lines.
+func (r *Result) String() string {
+	return fmt.Sprintf("seed %d: %d dispatchers (%d hollow), %d workers, %d zones\n"+
+		"control at a dispatcher: %.0f B/s p50, %.0f p99, %.1f messages/s; CPU %.1f ms/s (hollow %.1f), %.1f MB\n"+
+		"most at a seat: %.0f B/s, %.1f ms/s, %.1f MB; the leader %.0f B/s, %.1f ms/s\n"+
+		"%d changes in force after %.0f ms p50, %.0f p99, %.0f p99.9; contradiction %.1f ms, %d rules broken; %d jobs, %d answered once, %d never\n"+
+		"machine %.0f%% busy; counted %.2f of what the interface carried",
+		r.Seed, r.Dispatchers, r.Hollow, r.Workers, r.Zones, r.BytesP50, r.BytesP99, r.Messages, r.CPU, r.HollowCPU, r.Memory,
+		r.SeatBytesMost, r.SeatCPUMost, r.SeatMemoryMost, r.LeaderBytes, r.LeaderCPU,
+		r.Changes, r.InForceP50MS, r.InForceP99MS, r.InForceP999MS, r.ContradictionMS, r.RulesBroken, r.Jobs, r.AnsweredOnce, r.AnsweredNever,
+		100*r.MachineBusy, r.Interface.Ratio)
+}
--- /dev/null
+++ b/internal/scale/run.go
@@ -0,0 +1,417 @@
+package scale
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"time"
+
+	"brassdale/internal/decisions/agreement"
+	"brassdale/internal/emulator"
+	"brassdale/internal/faults"
+)
+
+// Options are how a plan is played.
+type Options struct {
+	Binary     string   // the dispatcher's program
+	Self       string   // the program that holds hollow dispatchers
+	HollowArgs []string // of it, before the spec's path
+	KeepLogs   string   // a folder for logs; empty for none
+}
+
+// change is a proposal that was taken.
+type change struct {
+	version uint64
+	at      time.Time
+}
+
+// tally is what became of jobs.
+type tally struct{ jobs, once, never int }
+
+// Play plays a plan, and measures.
+func Play(ctx context.Context, p Plan, o Options) (*Result, error) {
+	dir, err := os.MkdirTemp("", "scale-") // short: the dispatchers' sockets are in it
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	f := &stage{Plan: p, Options: o, ctx: ctx, dir: dir, asks: newClient(), orders: newClient()}
+	if f.works, err = emulator.Open(p.scenario()); err != nil {
+		return nil, err
+	}
+	defer f.works.Close()
+	if err := f.build(); err != nil {
+		return nil, err
+	}
+	defer f.closeAll()
+	go f.late.run(ctx)
+	r, err := f.play()
+	if err != nil && o.KeepLogs == "" {
+		return nil, err
+	}
+	if o.KeepLogs != "" {
+		err = cmp.Or(err, f.keepLogs())
+	}
+	return r, err
+}
+
+// play starts the fleet, lets it settle, and measures.
+func (f *stage) play() (*Result, error) {
+	started := time.Now()
+	if err := f.startAll(); err != nil {
+		return nil, err
+	}
+	if !f.waitLeased(started.Add(startWithin)) {
+		return nil, errors.New("not all dispatchers had a lease in time")
+	}
+	leased := time.Now()
+	if !until(f.ctx, leased.Add(f.Settle)) {
+		return nil, f.ctx.Err()
+	}
+	f.works.Troubles()
+	before, err := f.read()
+	if err != nil {
+		return nil, err
+	}
+	f.begin = before.at
+	end := f.begin.Add(f.Span)
+	var rested reading
+	var wait sync.WaitGroup
+	wait.Go(func() { f.sendJobs(end) })
+	if f.Rest > 0 || f.Every == 0 {
+		if !until(f.ctx, f.begin.Add(cmp.Or(f.Rest, f.Span))) {
+			return nil, f.ctx.Err()
+		}
+		if rested, err = f.read(); err != nil {
+			return nil, err
+		}
+	}
+	if f.Every > 0 {
+		wait.Go(func() { f.propose(end) })
+	}
+	until(f.ctx, end)
+	after, err := f.read()
+	if err != nil {
+		return nil, err
+	}
+	wait.Wait()
+	if f.ctx.Err() != nil {
+		return nil, f.ctx.Err()
+	}
+	f.waitActed(time.Now().Add(actWithin))
+	if err := f.readStands(); err != nil {
+		return nil, err
+	}
+	return f.account(before, rested, after), nil
+}
+
+const (
+	startWithin = 60 * time.Second
+	actWithin   = 12 * time.Second // behind the span, for the last change
+)
+
+func until(ctx context.Context, at time.Time) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(time.Until(at)):
+		return true
+	}
+}
+
+// standsOf gives what a dispatcher has acted on by now; of hollow ones as they were read last.
+func (f *stage) standsOf(m *member) []faults.Stand {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if m.process != nil {
+		return m.stands
+	}
+	return faults.Stands(m.node.Log(), time.Now(), m.away)
+}
+
+// readStands asks the hollow dispatchers for theirs.
+func (f *stage) readStands() error {
+	for _, p := range f.hollow {
+		var all map[string][]faults.Stand
+		if err := f.get("http://"+p.at+"/stands", &all); err != nil {
+			return fmt.Errorf("hollow process: %w", err)
+		}
+		f.mu.Lock()
+		for _, m := range p.members {
+			if m.stands = all[m.name]; len(m.stands) > 0 {
+				m.stands[len(m.stands)-1].To = time.Now()
+			}
+		}
+		f.mu.Unlock()
+	}
+	return nil
+}
+
+// waitLeased waits until all hold leases.
+func (f *stage) waitLeased(by time.Time) bool {
+	return f.waitAll(by, func(s faults.Stand) bool { return !s.Lapsed })
+}
+
+// waitActed waits until all act on the newest version alone.
+func (f *stage) waitActed(by time.Time) bool {
+	newest := uint64(0)
+	for _, c := range f.changes {
+		newest = max(newest, c.version)
+	}
+	return f.waitAll(by, func(s faults.Stand) bool { return len(s.Versions) == 1 && s.Versions[0] >= newest })
+}
+
+func (f *stage) waitAll(by time.Time, holds func(faults.Stand) bool) bool {
+	for f.ctx.Err() == nil {
+		all := f.readStands() == nil
+		for _, m := range f.members {
+			if m.role != bare && all {
+				s := f.standsOf(m)
+				all = len(s) > 0 && holds(s[len(s)-1])
+			}
+		}
+		if all {
+			return true
+		}
+		if !until(f.ctx, time.Now().Add(200*time.Millisecond)) || time.Now().After(by) {
+			return false
+		}
+	}
+	return false
+}
+
+// read reads all that is counted. Real dispatchers are asked at their doors, which are no part of control.
+func (f *stage) read() (r reading, err error) {
+	r = reading{control: map[string]control{}, used: map[int]usage{}, late: f.late.count()}
+	if r.machine, err = machineNow(); err != nil {
+		return r, err
+	}
+	r.own, r.orders = total(&f.asks.meter), total(&f.orders.meter)
+	r.at = time.Now()
+	var mu sync.Mutex
+	var all []func() error
+	use := func(pid int) error {
+		u, err := usageOf(pid)
+		mu.Lock()
+		defer mu.Unlock()
+		r.used[pid] = u
+		return err
+	}
+	for _, m := range f.members {
+		if m.node == nil {
+			continue
+		}
+		all = append(all, func() error {
+			var vars string
+			if err := f.get("http://"+m.node.Admin+"/_vars", &vars); err != nil {
+				return fmt.Errorf("%s: %w", m.name, err)
+			}
+			mu.Lock()
+			r.control[m.name] = parseVars(vars)
+			mu.Unlock()
+			return use(m.node.Pid())
+		})
+	}
+	for _, p := range f.hollow {
+		all = append(all, func() error {
+			var c Counts
+			if err := f.get("http://"+p.at+"/counts", &c); err != nil {
+				return fmt.Errorf("hollow process: %w", err)
+			}
+			mu.Lock()
+			r.late += c.Late
+			for name, x := range c.Each {
+				r.control[name] = x
+			}
+			mu.Unlock()
+			return use(p.cmd.Process.Pid)
+		})
+	}
+	return r, together(all)
+}
+
+var controlVar = regexp.MustCompile(`(?m)^control_(\w+)_(sent|received|messages)=(\d+)$`)
+
+// parseVars gives what a door's figures say of control.
+func parseVars(text string) control {
+	all := control{}
+	for _, m := range controlVar.FindAllStringSubmatch(text, -1) {
+		c, n := all[m[1]], uint64(number(m[3]))
+		switch m[2] {
+		case "sent":
+			c.Sent = n
+		case "received":
+			c.Received = n
+		default:
+			c.Messages = n
+		}
+		all[m[1]] = c
+	}
+	return all
+}
+
+// leader is who leads, by the logs.
+func (f *stage) leader() *member {
+	var leads *member
+	var since string
+	for _, m := range f.members {
+		if m.node == nil || m.role == bare {
+			continue
+		}
+		log := m.node.Log()
+		i := strings.LastIndex(log, "msg=council leads=")
+		if i < 0 || !strings.HasPrefix(log[i:], "msg=council leads=true") {
+			continue
+		}
+		line := log[strings.LastIndexByte(log[:i], '\n')+1:]
+		if at, _, _ := strings.Cut(line, " "); at > since {
+			leads, since = m, at
+		}
+	}
+	return leads
+}
+
+// propose proposes rules at the leader, each in its turn.
+func (f *stage) propose(end time.Time) {
+	rng := rand.New(rand.NewPCG(f.Seed, 4))
+	known := uint64(0)
+	for at := time.Now(); at.Before(end); at = at.Add(f.Every) {
+		if !until(f.ctx, at) {
+			return
+		}
+		rules := agreement.Rules{Retries: float64(rng.IntN(10)) / 10, Repeat: rng.IntN(4) > 0, Shares: map[string]float64{}}
+		for i := range f.Teams { // the quotas that control carries today
+			rules.Shares[teamName(i)] = float64(1+rng.IntN(20)) / 100
+		}
+		for at := time.Now(); f.ctx.Err() == nil; {
+			v := agreement.Version{Number: known, Rules: rules, By: fleetName, Why: "a change of the plan's", At: at}
+			record, taken := f.order(v)
+			if known = max(known, record.InForce.Number); taken {
+				f.mu.Lock()
+				f.changes = append(f.changes, change{record.Announced.Number, at})
+				f.mu.Unlock()
+				break
+			}
+			if at = time.Now().Add(100 * time.Millisecond); !until(f.ctx, at) || !at.Before(end) {
+				return
+			}
+		}
+	}
+}
+
+// order proposes a version, and tells whether it was announced.
+func (f *stage) order(v agreement.Version) (agreement.Record, bool) {
+	var got struct{ Record agreement.Record }
+	to := cmp.Or(f.leader(), f.members[0])
+	text, err := json.Marshal(v)
+	if err != nil {
+		return got.Record, false
+	}
+	ctx, stop := context.WithDeadline(f.ctx, time.Now().Add(askWithin))
+	defer stop()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.address+"/council/propose", bytes.NewReader(text))
+	if err != nil {
+		return got.Record, false
+	}
+	resp, err := f.orders.http.Do(r)
+	if err != nil {
+		return got.Record, false
+	}
+	defer resp.Body.Close()
+	err = json.NewDecoder(resp.Body).Decode(&got)
+	return got.Record, err == nil && resp.StatusCode == http.StatusOK && got.Record.Announced != nil
+}
+
+// sendJobs sends each real dispatcher that serves its part of the jobs, open loop; bare ones the same.
+func (f *stage) sendJobs(end time.Time) {
+	var targets []*member
+	for _, m := range f.members {
+		if m.node != nil && m.role != aside {
+			targets = append(targets, m)
+		}
+	}
+	rate := f.Rate / float64(f.Dispatchers) * float64(len(targets))
+	if rate <= 0 {
+		return
+	}
+	jobs := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}
+	defer jobs.CloseIdleConnections()
+	rng := rand.New(rand.NewPCG(f.Seed, 3))
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	for n, at := 0, time.Now(); at.Before(end); n++ {
+		if !until(f.ctx, at) {
+			return
+		}
+		at = at.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		m, team := targets[n%len(targets)], teamName(rng.IntN(max(f.Teams, 1)))
+		wait.Go(func() { f.job(jobs, m, n, team) })
+	}
+}
+
+// jobWithin is how long a client waits.
+const jobWithin = 5 * time.Second
+
+func (f *stage) job(jobs *http.Client, m *member, n int, team string) {
+	ctx, stop := context.WithDeadline(f.ctx, time.Now().Add(jobWithin+500*time.Millisecond))
+	defer stop()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s", m.node.Address, emulator.ClassName), strings.NewReader("drawing"))
+	if err == nil {
+		id := fmt.Sprintf("%016x%016x", f.Seed, n)
+		for name, v := range map[string]string{"Req-Id": id, "Req-Kind": emulator.ClassName, "Req-Owner": team, "Idempotency-Key": id,
+			"Req-Deadline-Ms": fmt.Sprint(jobWithin.Milliseconds())} {
+			r.Header.Set(name, v)
+		}
+		var resp *http.Response
+		if resp, err = jobs.Do(r); err == nil {
+			_, err = io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.jobs.jobs++
+	if err == nil {
+		f.jobs.once++
+	} else {
+		f.jobs.never++
+	}
+}
+
+// keepLogs writes what all have logged.
+func (f *stage) keepLogs() error {
+	if err := os.MkdirAll(f.KeepLogs, 0o755); err != nil {
+		return err
+	}
+	for _, m := range f.members {
+		if m.node != nil {
+			if err := os.WriteFile(filepath.Join(f.KeepLogs, m.name+".log"), []byte(m.node.Log()), 0o644); err != nil {
+				return err
+			}
+		}
+	}
+	for i := range f.hollow {
+		name := fmt.Sprintf("hollow-%d.log", i)
+		text, err := os.ReadFile(filepath.Join(f.dir, name))
+		if err == nil {
+			err = os.WriteFile(filepath.Join(f.KeepLogs, name), text, 0o644)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
