Each process of the scale play has a platform file of its own

Need: hollow processes that start at once wrote the same file, and one read it half written.

Change: the file is named after who reads it.

--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -229,8 +229,8 @@
 	return b.String()
 }
 
-// config writes the platform's file of a door, with the number of dispatchers that the whole fleet has.
-func (f *stage) config(door int) (path string, err error) {
+// config writes the platform's file of a door for somebody, with the number of dispatchers that the whole fleet has.
+func (f *stage) config(door int, whose string) (path string, err error) {
 	text, err := f.works.Config(door)
 	if err != nil {
 		return "", err
@@ -247,13 +247,13 @@
 	if text, err = json.Marshal(all); err != nil {
 		return "", err
 	}
-	path = filepath.Join(f.dir, fmt.Sprintf("config-%d.json", door))
+	path = filepath.Join(f.dir, "config-"+whose+".json")
 	return path, os.WriteFile(path, text, 0o600)
 }
 
 // start starts a real dispatcher.
 func (f *stage) start(m *member) error {
-	config, err := f.config(m.door)
+	config, err := f.config(m.door, m.name)
 	if err != nil {
 		return err
 	}
@@ -277,7 +277,7 @@
 
 // startHollow starts a process of hollow dispatchers.
 func (f *stage) startHollow(n int, p *process) error {
-	config, err := f.config(f.doors() - 1)
+	config, err := f.config(f.doors()-1, fmt.Sprint("hollow-", n))
 	if err != nil {
 		return err
 	}
