Failures are played in scale runs, each in a run of its own

Need: what control costs while a seat, a zone or a region fails, and how long the fleet takes to be whole again, has to be known at the plan's size.

Change: a file's fault blocks (seat, zone, regions, replaced, together) kill, cut off and start dispatchers while proposals and jobs go on; boxes fail with their zone, and hollow dispatchers hear of as many zones as real ones. A change that was late while a process was kept waiting counts as the machine's fault.

--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -60,6 +61,9 @@
 	at     string // discovery
 	late   ticker
 	all    []*hollow
+
+	mu    sync.Mutex
+	hears []string // zones of which there are answers
 }
 
 // hollow is a dispatcher without jobs and endpoints.
@@ -76,12 +80,47 @@
 	begin   time.Time
 	said    time.Time // of the last report
 	jobs    uint64    // that it claims since its start
+	role    Role
+}
+
+// Role is what a hollow dispatcher is in the council.
+type Role struct {
+	Seated bool      `json:"seated,omitempty"`
+	Leads  time.Time `json:"leads,omitzero"` // since then
+}
+
+// roles has a hollow dispatcher's role follow what its agent logs.
+type roles struct {
+	slog.Handler
+	of *hollow
+}
+
+func (h roles) Handle(ctx context.Context, r slog.Record) error {
+	x := h.of
+	x.mu.Lock()
+	switch r.Message {
+	case "seated":
+		x.role.Seated = true
+	case "unseated":
+		x.role = Role{}
+	case "council":
+		x.role.Leads = time.Time{}
+		r.Attrs(func(a slog.Attr) bool {
+			if a.Key == "leads" && a.Value.Bool() {
+				x.role.Leads = r.Time
+			}
+			return true
+		})
+	}
+	x.mu.Unlock()
+	return h.Handler.Handle(ctx, r)
 }
 
 // Counts are what a process of hollow dispatchers has counted.
 type Counts struct {
-	Late int                                 `json:"late"` // ticks, by more than the machine may be
-	Each map[string]map[string]traffic.Count `json:"each"` // by dispatcher and kind
+	Late  []Late                              `json:"late"`
+	Each  map[string]map[string]traffic.Count `json:"each"`  // by dispatcher and kind
+	Roles map[string]Role                     `json:"roles"` // of those that have a seat
 }
 
 // Serve holds the hollow dispatchers of a spec until the reader ends, and tells the writer where it is asked for counts.
@@ -92,7 +131,7 @@
 	}
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	h := &Hollow{spec: spec, params: &protocol.Live{}, at: cfg.Discovery}
+	h := &Hollow{spec: spec, params: &protocol.Live{}, at: cfg.Discovery, hears: slices.Sorted(maps.Keys(spec.Capacity))}
 	h.params.Put(&cfg.Settings, func(brain.Settings) {})
 	for i, e := range spec.Each {
 		x, err := h.make(e, uint64(i), log)
@@ -108,6 +147,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /counts", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(h.counts()) })
 	mux.HandleFunc("GET /stands", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(h.stands()) })
+	mux.HandleFunc("POST /hears", h.hear)
 	server := &http.Server{Handler: mux}
 	go server.Serve(l)
 	defer server.Close()
@@ -135,10 +175,11 @@
 	s.Bound, s.Replace, s.Region, s.Zone, s.Reach = h.spec.Bound, h.spec.Replace, h.spec.Region, h.spec.Zone, h.spec.Reach
 	x := &hollow{name: e.Name, meter: &traffic.Meter{}, rng: rand.New(rand.NewPCG(h.spec.Seed, 1000+n)), begin: time.Now(), said: time.Now(),
 		watcher: planning.NewWatcher(e.Name, h.spec.Zone, 0)}
-	o := fleet.Options{Settings: &s, Name: e.Name, Zone: h.spec.Zone, Apply: x.apply, Jobs: x.counted, Meter: x.meter, Log: log.With("hollow", e.Name)}
+	o := fleet.Options{Settings: &s, Name: e.Name, Zone: h.spec.Zone, Apply: x.apply, Jobs: x.counted, Meter: x.meter,
+		Log: slog.New(roles{log.With("hollow", e.Name).Handler(), x})}
 	if h.spec.Failover != nil {
 		o.Failover, o.Planned = h.spec.Failover, func(*planning.Plan, bool) {}
-		o.Report = func() *planning.Report { return x.report(&h.spec, h.params.Now()) }
+		o.Report = func() *planning.Report { return x.report(&h.spec, h.heard(), h.params.Now()) }
 	}
 	if h.spec.Overload != nil {
 		o.Overload, o.Among = h.spec.Overload, func() int { return h.spec.Among }
@@ -174,12 +215,12 @@
 const hollowWork = 200 * time.Millisecond
 
 // report is of the shape that a real dispatcher's has: it hears of all zones, by its probes, and of its own by its jobs.
-func (x *hollow) report(spec *Spec, p *protocol.Params) *planning.Report {
+func (x *hollow) report(spec *Spec, hears []string, p *protocol.Params) *planning.Report {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := time.Now()
 	at := now.Sub(x.begin)
-	for zone := range spec.Capacity {
+	for _, zone := range hears {
 		x.watcher.Heard(zone, at-time.Duration(x.rng.Int64N(int64(hollowWork))))
 	}
 	class := p.Classes[0]
@@ -222,13 +263,37 @@
 )
 
 func (h *Hollow) counts() Counts {
-	c := Counts{Late: h.late.count(), Each: map[string]map[string]traffic.Count{}}
+	c := Counts{Late: h.late.all(), Each: map[string]map[string]traffic.Count{}, Roles: map[string]Role{}}
 	for _, x := range h.all {
 		c.Each[x.name] = x.meter.Counts()
+		x.mu.Lock()
+		if x.role != (Role{}) {
+			c.Roles[x.name] = x.role
+		}
+		x.mu.Unlock()
 	}
 	return c
 }
 
+// hear takes the zones of which there are answers from now on.
+func (h *Hollow) hear(w http.ResponseWriter, r *http.Request) {
+	var zones []string
+	if err := json.NewDecoder(r.Body).Decode(&zones); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	h.mu.Lock()
+	h.hears = zones
+	h.mu.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (h *Hollow) heard() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.hears
+}
+
 func (h *Hollow) stands() map[string][]faults.Stand {
 	all := map[string][]faults.Stand{}
 	for _, x := range h.all {
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -77,6 +77,7 @@
 	Jobs              int       `json:"jobs"`
 	AnsweredOnce      int       `json:"answered_once"`
 	AnsweredNever     int       `json:"answered_never"`
+	LostWithProcess   int       `json:"lost_with_process"` // their dispatcher was killed meanwhile
 
 	FellBehind    bool      `json:"fell_behind"` // the machine, not the fleet, was the limit: the run does not count
 	FellBehindWhy string    `json:"fell_behind_why,omitempty"`
@@ -84,9 +85,11 @@
 	Interface     Interface `json:"interface"`
 	Rest          *Rest     `json:"rest,omitempty"`
 	Change        *Change   `json:"change,omitempty"`
+	Failures      []Failure `json:"failures,omitempty"`
 }
 
-// Interface sets the loopback interface's bytes, without what the kernel adds and the runner asks, beside those counted.
+// Interface sets the loopback interface's bytes, without what the kernel adds and the runner asks, beside those counted. It is
+// empty in runs with a fault: dispatchers take their counts with them.
 type Interface struct {
 	Bytes   float64 `json:"bytes_s"`
 	Counted float64 `json:"counted_bytes_s"`
@@ -111,6 +114,17 @@
 	return r.RulesBroken > 0 || r.ContradictionMS > 0 || r.AnsweredNever > 0 || r.InForceMissing > 0
 }
 
+// Err tells why a run does not count, or what was broken in it.
+func (r *Result) Err() error {
+	switch {
+	case r.FellBehind:
+		return fmt.Errorf("the machine fell behind, the run does not count: %s", r.FellBehindWhy)
+	case r.Bad():
+		return fmt.Errorf("%d rules broken, contradiction %.1f ms, %d jobs never answered, %d changes not acted on", r.RulesBroken, r.ContradictionMS, r.AnsweredNever, r.InForceMissing)
+	}
+	return nil
+}
+
 func total(m *traffic.Meter) traffic.Count { return traffic.Total(m.Counts()) }
 
 // account draws the figures together.
@@ -118,11 +132,13 @@
 	r := &Result{Title: f.Title, Seed: f.Seed, At: f.begin.UTC(), BoundMS: float64(f.Bound.Milliseconds()), Packing: f.Packing(),
 		Dispatchers: f.Dispatchers, Hollow: f.Hollow, Processes: f.Processes, Real: f.Real(), Bare: f.Bare, Workers: f.Workers, Accelerators: f.Accelerators,
 		Zones: f.Zones, Regions: f.Regions, Teams: f.Teams, Seats: f.Seats, SetAside: f.SetAside,
-		Changes: len(f.changes), Jobs: f.jobs.jobs, AnsweredOnce: f.jobs.once, AnsweredNever: f.jobs.never, ReturnedInForceMS: []float64{}}
+		Changes: len(f.changes), Jobs: f.jobs.jobs, AnsweredOnce: f.jobs.once, AnsweredNever: f.jobs.never, LostWithProcess: f.jobs.lost, ReturnedInForceMS: []float64{}}
 	f.bytes(r, before, after)
-	f.processes(r, before, after)
+	f.usage(r, before, after)
 	f.fell(r, before, after)
-	f.compareInterface(r, before, after)
+	if f.Fault == nil {
+		f.compareInterface(r, before, after)
+	}
 	if !rested.at.IsZero() {
 		x := &Rest{SpanS: rested.at.Sub(before.at).Seconds()}
 		each := f.each(before, rested, f.serving(func(*member) bool { return true }))
@@ -131,15 +147,18 @@
 			r.Change = &Change{(r.BytesMean - x.Bytes) * r.SpanS / float64(r.Changes)}
 		}
 	}
-	f.inForce(r)
-	var all [][]faults.Stand
-	for _, m := range f.members {
-		if m.role != bare {
-			all = append(all, f.standsOf(m))
-		}
+	all := f.histories()
+	f.returns(r, all)
+	f.inForce(r, all, after.late)
+	var stands [][]faults.Stand
+	for _, h := range all {
+		stands = append(stands, h.stands)
 	}
-	contradiction, _ := faults.Apart(all)
+	contradiction, _ := faults.Apart(stands)
 	r.ContradictionMS = float64(contradiction.Microseconds()) / 1000
+	if f.Fault != nil {
+		r.Failures = []Failure{f.failure(all)}
+	}
 	for _, b := range f.works.Breaches() {
 		r.RulesBroken++
 		r.Breaches = append(r.Breaches, b.String())
@@ -167,12 +186,10 @@
 	c := costs{bytesByKind: map[string]float64{}, messagesByKind: map[string]float64{}}
 	seconds := after.at.Sub(before.at).Seconds()
 	for _, m := range who {
-		had, there := before.control[m.name]
-		has, still := after.control[m.name]
-		if !there || !still {
+		spent, ok := spent(before, after, m.name)
+		if !ok {
 			continue
 		}
-		spent := less(has, had)
 		all := traffic.Total(spent)
 		c.bytes, c.messages = append(c.bytes, float64(all.Bytes())/seconds), append(c.messages, float64(all.Messages)/seconds)
 		for kind, x := range spent {
@@ -209,67 +226,64 @@
 	all := f.each(before, after, f.serving(func(*member) bool { return true }))
 	r.BytesP50, r.BytesP99, r.BytesMean = quantile(0.5, all.bytes), quantile(0.99, all.bytes), mean(all.bytes)
 	r.Messages, r.BytesByKind, r.MessagesByKind = mean(all.messages), all.bytesByKind, all.messagesByKind
-	hollow := f.each(before, after, f.serving(func(m *member) bool { return m.process != nil }))
-	real := f.each(before, after, f.serving(func(m *member) bool { return m.node != nil && m.seat == 0 }))
+	hollow := f.each(before, after, f.serving(func(m *member) bool { return m.hollow }))
+	real := f.each(before, after, f.serving(func(m *member) bool { return !m.hollow && m.seat == 0 }))
 	r.HollowBytesMean, r.RealBytesMean, r.HollowBytesByKind, r.RealBytesByKind = mean(hollow.bytes), mean(real.bytes), hollow.bytesByKind, real.bytesByKind
 	r.HollowMessages, r.RealMessages = mean(hollow.messages), mean(real.messages)
-	leads := f.leader()
-	var seats []*member
+	var seats, leads []*member
 	for _, m := range f.members {
-		if m.seat > 0 {
-			r.SeatBytesMost = max(r.SeatBytesMost, mean(f.each(before, after, []*member{m}).bytes))
-			if m != leads {
-				seats = append(seats, m)
-			}
+		switch {
+		case m.name == after.leads:
+			leads = append(leads, m)
+		case after.seated[m.name]:
+			seats = append(seats, m)
 		}
 	}
-	r.SeatBytesByKind = f.each(before, after, seats).bytesByKind
-	if leads != nil {
-		x := f.each(before, after, []*member{leads})
-		r.LeaderBytes, r.LeaderBytesByKind = mean(x.bytes), x.bytesByKind
+	for _, m := range append(slices.Clone(seats), leads...) {
+		r.SeatBytesMost = max(r.SeatBytesMost, mean(f.each(before, after, []*member{m}).bytes))
 	}
+	r.SeatBytesByKind = f.each(before, after, seats).bytesByKind
+	x := f.each(before, after, leads)
+	r.LeaderBytes, r.LeaderBytesByKind = mean(x.bytes), x.bytesByKind
 	for name := range after.control {
-		d := less(after.control[name], before.control[name])[traffic.Discovery.String()]
+		spent, _ := spent(before, after, name)
+		d := spent[traffic.Discovery.String()]
 		r.DiscoveryCalls += float64(d.Messages) / r.SpanS
 		r.DiscoveryBytes += float64(d.Bytes()) / r.SpanS
 	}
 }
 
-// processes are the figures of processor and memory.
-func (f *stage) processes(r *Result, before, after reading) {
-	cpu := func(pid int) float64 { return (after.used[pid].cpu - before.used[pid].cpu) / r.SpanS }
-	leads := f.leader()
-	figures := map[role][2][]float64{}
+// usage are the figures of processor and memory.
+func (f *stage) usage(r *Result, before, after reading) {
+	used := map[role][2][]float64{} // milliseconds a second, and MB
 	for _, m := range f.members {
-		if m.node == nil {
-			continue
+		ms, mb := cpu(before, after, m.name)/r.SpanS, after.used[after.pids[m.name]].memory
+		if after.seated[m.name] {
+			r.SeatCPUMost, r.SeatMemoryMost = max(r.SeatCPUMost, ms), max(r.SeatMemoryMost, mb)
 		}
-		pid := m.node.Pid()
-		if m.seat > 0 {
-			r.SeatCPUMost, r.SeatMemoryMost = max(r.SeatCPUMost, cpu(pid)), max(r.SeatMemoryMost, after.used[pid].memory)
+		if m.name == after.leads {
+			r.LeaderCPU = ms
 		}
-		if m == leads {
-			r.LeaderCPU = cpu(pid)
+		kind := m.role
+		if m.hollow {
+			kind = "hollow"
 		}
-		if m.seat == 0 {
-			x := figures[m.role]
-			x[0], x[1] = append(x[0], cpu(pid)), append(x[1], after.used[pid].memory)
-			figures[m.role] = x
+		if _, same := spent(before, after, m.name); same && !after.seated[m.name] {
+			x := used[kind]
+			x[0], x[1] = append(x[0], ms), append(x[1], mb)
+			used[kind] = x
 		}
 	}
-	r.RealCPU, r.RealMemory = mean(figures[serves][0]), mean(figures[serves][1])
-	if r.BareCPU, r.BareMemory = mean(figures[bare][0]), mean(figures[bare][1]); f.Bare > 0 && len(figures[serves][0]) > 0 {
+	r.RealCPU, r.RealMemory, r.HollowCPU = mean(used[serves][0]), mean(used[serves][1]), mean(used["hollow"][0])
+	if r.BareCPU, r.BareMemory = mean(used[bare][0]), mean(used[bare][1]); f.Bare > 0 && len(used[serves][0]) > 0 {
 		r.CPU, r.Memory = r.RealCPU-r.BareCPU, r.RealMemory-r.BareMemory
 	}
-	for _, p := range f.hollow {
-		r.HollowCPU += cpu(p.cmd.Process.Pid) / float64(f.Hollow)
-	}
 }
 
 // fell tells whether the machine was the limit.
 func (f *stage) fell(r *Result, before, after reading) {
 	r.MachineBusy = (after.machine.busy - before.machine.busy) / max(after.machine.all-before.machine.all, 1)
-	late := after.late - before.late
+	late := len(after.late) - len(before.late)
 	switch {
 	case late > ticksMayBeLate:
 		r.FellBehind, r.FellBehindWhy = true, fmt.Sprintf("%d ticks of %v were late by more than %v", late, tickEvery, tickLate)
@@ -284,7 +298,8 @@
 	own := after.own.Bytes() - before.own.Bytes()
 	counted := float64(after.orders.Sent - before.orders.Sent)
 	for name := range after.control {
-		for kind, x := range less(after.control[name], before.control[name]) {
+		all, _ := spent(before, after, name)
+		for kind, x := range all {
 			if counted += float64(x.Sent); kind == traffic.Discovery.String() {
 				counted += float64(x.Received)
 			}
@@ -297,51 +312,35 @@
 	r.Interface = x
 }
 
-// inForce sets when changes were acted on, by all that were there.
-func (f *stage) inForce(r *Result) {
-	var took []float64
-	for _, m := range f.members {
-		if m.role == bare {
-			continue
-		}
-		stands := f.standsOf(m)
-		for _, c := range f.changes {
-			at, ok := acted(stands, c)
-			gone := slices.ContainsFunc(m.away, func(a faults.Away) bool {
-				return (a.To.IsZero() || a.To.After(c.at)) && (!ok || a.From.Before(at))
-			})
-			switch {
-			case gone:
-			case ok:
-				took = append(took, float64(at.Sub(c.at).Microseconds())/1000)
-			default:
-				r.InForceMissing++
-			}
-		}
-	}
-	slices.Sort(took)
-	r.InForceP50MS, r.InForceP99MS, r.InForceP999MS = quantile(0.5, took), quantile(0.99, took), quantile(0.999, took)
-}
-
-// acted gives when a dispatcher first acted on a change alone, or on a newer one.
-func acted(stands []faults.Stand, c change) (time.Time, bool) {
-	for _, s := range stands {
-		if len(s.Versions) == 1 && s.Versions[0] >= c.version {
-			return s.From, true
-		}
-	}
-	return time.Time{}, false
-}
-
 // String gives the most important figures in a few lines.
 func (r *Result) String() string {
-	return fmt.Sprintf("seed %d: %d dispatchers (%d hollow), %d workers, %d zones\n"+
+	text := fmt.Sprintf("seed %d: %d dispatchers (%d hollow), %d workers, %d zones\n"+
 		"control at a dispatcher: %.0f B/s p50, %.0f p99, %.1f messages/s; CPU %.1f ms/s (hollow %.1f), %.1f MB\n"+
 		"most at a seat: %.0f B/s, %.1f ms/s, %.1f MB; the leader %.0f B/s, %.1f ms/s\n"+
-		"%d changes in force after %.0f ms p50, %.0f p99, %.0f p99.9; contradiction %.1f ms, %d rules broken; %d jobs, %d answered once, %d never\n"+
+		"%d changes in force after %.0f ms p50, %.0f p99, %.0f p99.9; contradiction %.1f ms, %d rules broken; %d jobs, %d answered once, %d never, %d lost with their dispatcher\n"+
 		"machine %.0f%% busy; counted %.2f of what the interface carried",
 		r.Seed, r.Dispatchers, r.Hollow, r.Workers, r.Zones, r.BytesP50, r.BytesP99, r.Messages, r.CPU, r.HollowCPU, r.Memory,
 		r.SeatBytesMost, r.SeatCPUMost, r.SeatMemoryMost, r.LeaderBytes, r.LeaderCPU,
-		r.Changes, r.InForceP50MS, r.InForceP99MS, r.InForceP999MS, r.ContradictionMS, r.RulesBroken, r.Jobs, r.AnsweredOnce, r.AnsweredNever,
+		r.Changes, r.InForceP50MS, r.InForceP99MS, r.InForceP999MS, r.ContradictionMS, r.RulesBroken, r.Jobs, r.AnsweredOnce, r.AnsweredNever, r.LostWithProcess,
 		100*r.MachineBusy, r.Interface.Ratio)
+	for _, x := range r.Failures {
+		whole := "never"
+		if x.WholeAgainS != nil {
+			whole = fmt.Sprintf("after %.1f s", *x.WholeAgainS)
+		}
+		text += fmt.Sprintf("\n%s at %.0f s for %.0f s: %d befallen; whole again %s; %d changes in force after %.0f ms p50, %.0f p99.9; back in force after %.0f ms p50, %.0f most\n"+
+			"most over 10 s, before and from then on, B/s: %v, %v; ms/s: %v, %v",
+			x.Kind, x.AtS, x.ForS, x.Befell, whole, x.Changes, x.InForceP50MS, x.InForceP999MS, quantile(0.5, x.Returned), quantile(1, x.Returned),
+			rounded(x.UsualBytes), rounded(x.PeakBytes), rounded(x.UsualCPU), rounded(x.PeakCPU))
+	}
+	return text
+}
+
+// rounded gives figures by role, whole.
+func rounded(of map[role]float64) map[role]int {
+	all := map[role]int{}
+	for r, x := range of {
+		all[r] = int(x + 0.5)
+	}
+	return all
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -37,7 +38,7 @@
 }
 
 // tally is what became of jobs.
-type tally struct{ jobs, once, never int }
+type tally struct{ jobs, once, never, lost int }
 
 // Play plays a plan, and measures.
 func Play(ctx context.Context, p Plan, o Options) (*Result, error) {
@@ -48,15 +49,15 @@
 	defer os.RemoveAll(dir)
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
-	f := &stage{Plan: p, Options: o, ctx: ctx, dir: dir, asks: newClient(), orders: newClient()}
+	f := &stage{Plan: p, Options: o, ctx: ctx, dir: dir, asks: newClient(), orders: newClient(), hurry: make(chan struct{}, 1)}
 	if f.works, err = emulator.Open(p.scenario()); err != nil {
 		return nil, err
 	}
 	defer f.works.Close()
+	defer f.closeAll()
 	if err := f.build(); err != nil {
 		return nil, err
 	}
-	defer f.closeAll()
 	go f.late.run(ctx)
 	r, err := f.play()
 	if err != nil && o.KeepLogs == "" {
@@ -102,14 +103,19 @@
 	if f.Every > 0 {
 		wait.Go(func() { f.propose(end) })
 	}
+	var failed error
+	if f.Fault != nil {
+		wait.Go(func() { failed = f.befall() })
+		f.sample(end)
+	}
 	until(f.ctx, end)
 	after, err := f.read()
 	if err != nil {
 		return nil, err
 	}
 	wait.Wait()
-	if f.ctx.Err() != nil {
-		return nil, f.ctx.Err()
+	if err := cmp.Or(f.ctx.Err(), failed); err != nil {
+		return nil, err
 	}
 	f.waitActed(time.Now().Add(actWithin))
 	if err := f.readStands(); err != nil {
@@ -136,21 +142,28 @@
 func (f *stage) standsOf(m *member) []faults.Stand {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if m.process != nil {
-		return m.stands
+	if m.hollow {
+		return append(slices.Clone(m.past), m.stands...)
+	}
+	log := m.logs
+	if m.node != nil {
+		log += m.node.Log()
 	}
-	return faults.Stands(m.node.Log(), time.Now(), m.away)
+	return faults.Stands(log, time.Now(), m.away)
 }
 
 // readStands asks the hollow dispatchers for theirs.
 func (f *stage) readStands() error {
-	for _, p := range f.hollow {
+	for _, p := range f.processes() {
 		var all map[string][]faults.Stand
 		if err := f.get("http://"+p.at+"/stands", &all); err != nil {
 			return fmt.Errorf("hollow process: %w", err)
 		}
 		f.mu.Lock()
 		for _, m := range p.members {
+			if m.process != p {
+				continue
+			}
 			if m.stands = all[m.name]; len(m.stands) > 0 {
 				m.stands[len(m.stands)-1].To = time.Now()
 			}
@@ -178,7 +191,7 @@
 	for f.ctx.Err() == nil {
 		all := f.readStands() == nil
 		for _, m := range f.members {
-			if m.role != bare && all {
+			if m.role != bare && all && !m.gone() {
 				s := f.standsOf(m)
 				all = len(s) > 0 && holds(s[len(s)-1])
 			}
@@ -193,9 +206,13 @@
 	return false
 }
 
-// read reads all that is counted. Real dispatchers are asked at their doors, which are no part of control.
+// gone tells whether a dispatcher was killed and has not come back.
+func (m *member) gone() bool { return len(m.away) > 0 && m.away[len(m.away)-1].To.IsZero() }
+
+// read reads all that is counted. Real dispatchers are asked at their doors, which are no part of control. Those that do not
+// answer are named in the error, and left out.
 func (f *stage) read() (r reading, err error) {
-	r = reading{control: map[string]control{}, used: map[int]usage{}, late: f.late.count()}
+	r = reading{control: map[string]control{}, pids: map[string]int{}, sharing: map[int]int{}, seated: map[string]bool{}, used: map[int]usage{}, late: f.late.all()}
 	if r.machine, err = machineNow(); err != nil {
 		return r, err
 	}
@@ -203,15 +220,30 @@
 	r.at = time.Now()
 	var mu sync.Mutex
 	var all []func() error
-	use := func(pid int) error {
+	var since time.Time
+	take := func(pid int, each map[string]control) error {
 		u, err := usageOf(pid)
+		if err != nil {
+			return err
+		}
 		mu.Lock()
 		defer mu.Unlock()
-		r.used[pid] = u
-		return err
+		r.used[pid], r.sharing[pid] = u, len(each)
+		for name, x := range each {
+			r.control[name], r.pids[name] = x, pid
+		}
+		return nil
 	}
-	for _, m := range f.members {
-		if m.node == nil {
+	role := func(name string, is Role) { // mu is held
+		if is.Seated {
+			r.seated[name] = true
+		}
+		if is.Leads.After(since) {
+			r.leads, since = name, is.Leads
+		}
+	}
+	for _, m := range f.there() {
+		if m.hollow {
 			continue
 		}
 		all = append(all, func() error {
@@ -220,29 +252,49 @@
 				return fmt.Errorf("%s: %w", m.name, err)
 			}
 			mu.Lock()
-			r.control[m.name] = parseVars(vars)
+			role(m.name, roleOf(m.node.Log()))
 			mu.Unlock()
-			return use(m.node.Pid())
+			return take(m.node.Pid(), map[string]control{m.name: parseVars(vars)})
 		})
 	}
-	for _, p := range f.hollow {
+	for _, p := range f.processes() {
 		all = append(all, func() error {
 			var c Counts
 			if err := f.get("http://"+p.at+"/counts", &c); err != nil {
 				return fmt.Errorf("hollow process: %w", err)
 			}
 			mu.Lock()
-			r.late += c.Late
-			for name, x := range c.Each {
-				r.control[name] = x
+			r.late = append(r.late, c.Late...)
+			for name, is := range c.Roles {
+				role(name, is)
 			}
 			mu.Unlock()
-			return use(p.cmd.Process.Pid)
+			return take(p.cmd.Process.Pid, c.Each)
 		})
 	}
 	return r, together(all)
 }
 
+// sample reads each second until then.
+func (f *stage) sample(end time.Time) {
+	for n := time.Duration(0); ; n++ {
+		at := f.begin.Add(n * time.Second)
+		if !at.Before(end) || !until(f.ctx, at) {
+			return
+		}
+		if time.Since(at) > time.Second { // the last one took long
+			continue
+		}
+		r, err := f.read()
+		if err != nil && len(r.used) == 0 {
+			continue // nobody is there
+		}
+		f.mu.Lock()
+		f.samples = append(f.samples, r)
+		f.mu.Unlock()
+	}
+}
+
 var controlVar = regexp.MustCompile(`(?m)^control_(\w+)_(sent|received|messages)=(\d+)$`)
 
 // parseVars gives what a door's figures say of control.
@@ -263,66 +315,105 @@
 	return all
 }
 
-// leader is who leads, by the logs.
-func (f *stage) leader() *member {
-	var leads *member
-	var since string
-	for _, m := range f.members {
+// roleOf gives a real dispatcher's role in the council, by the log of its life.
+func roleOf(log string) (is Role) {
+	is.Seated = strings.LastIndex(log, "msg=seated ") > strings.LastIndex(log, "msg=unseated ")
+	i := strings.LastIndex(log, "msg=council leads=")
+	if i < 0 || !strings.HasPrefix(log[i:], "msg=council leads=true") || !is.Seated {
+		return is
+	}
+	at, _, _ := strings.Cut(log[strings.LastIndexByte(log[:i], '\n')+1:], " ")
+	is.Leads, _ = time.Parse(time.RFC3339Nano, strings.TrimPrefix(at, "time="))
+	return is
+}
+
+// leader is who was elected last, by real dispatchers' logs and what hollow ones said last; empty where nobody was.
+func (f *stage) leader() (name string) {
+	var since time.Time
+	for _, m := range f.there() {
 		if m.node == nil || m.role == bare {
 			continue
 		}
-		log := m.node.Log()
-		i := strings.LastIndex(log, "msg=council leads=")
-		if i < 0 || !strings.HasPrefix(log[i:], "msg=council leads=true") {
-			continue
+		if is := roleOf(m.node.Log()); is.Leads.After(since) {
+			name, since = m.name, is.Leads
 		}
-		line := log[strings.LastIndexByte(log[:i], '\n')+1:]
-		if at, _, _ := strings.Cut(line, " "); at > since {
-			leads, since = m, at
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if n := len(f.samples); n > 0 {
+		last := f.samples[n-1]
+		i := slices.IndexFunc(f.members, func(m *member) bool { return m.name == last.leads })
+		if i >= 0 && f.members[i].hollow && f.members[i].process != nil {
+			return last.leads
 		}
 	}
-	return leads
+	return name
 }
 
-// propose proposes rules at the leader, each in its turn.
+// propose proposes rules, each in its turn and one as a fault begins; again and again while nobody takes them.
 func (f *stage) propose(end time.Time) {
 	rng := rand.New(rand.NewPCG(f.Seed, 4))
 	known := uint64(0)
 	for at := time.Now(); at.Before(end); at = at.Add(f.Every) {
-		if !until(f.ctx, at) {
+		select {
+		case <-f.ctx.Done():
 			return
+		case <-f.hurry:
+		case <-time.After(time.Until(at)):
 		}
 		rules := agreement.Rules{Retries: float64(rng.IntN(10)) / 10, Repeat: rng.IntN(4) > 0, Shares: map[string]float64{}}
 		for i := range f.Teams { // the quotas that control carries today
 			rules.Shares[teamName(i)] = float64(1+rng.IntN(20)) / 100
 		}
-		for at := time.Now(); f.ctx.Err() == nil; {
+		for n, at := 0, time.Now(); f.ctx.Err() == nil; n++ {
 			v := agreement.Version{Number: known, Rules: rules, By: fleetName, Why: "a change of the plan's", At: at}
-			record, taken := f.order(v)
+			record, taken := f.order(v, n)
 			if known = max(known, record.InForce.Number); taken {
 				f.mu.Lock()
 				f.changes = append(f.changes, change{record.Announced.Number, at})
 				f.mu.Unlock()
 				break
 			}
-			if at = time.Now().Add(100 * time.Millisecond); !until(f.ctx, at) || !at.Before(end) {
+			if at = time.Now().Add(orderEvery); !until(f.ctx, at) || !at.Before(end) {
 				return
 			}
 		}
 	}
 }
 
+const (
+	orderEvery  = 100 * time.Millisecond
+	orderWithin = 2 * time.Second
+)
+
+// asked gives whom a proposal goes to: who leads, and for each one that was in vain the next seat that is there.
+func (f *stage) asked(n int) string {
+	leads := f.leader()
+	var seats []string
+	for _, m := range f.there() {
+		if m.name == leads {
+			seats = slices.Insert(seats, 0, m.address)
+		} else if m.seat > 0 {
+			seats = append(seats, m.address)
+		}
+	}
+	if len(seats) == 0 {
+		return f.voters[0]
+	}
+	return seats[n%len(seats)]
+}
+
 // order proposes a version, and tells whether it was announced.
-func (f *stage) order(v agreement.Version) (agreement.Record, bool) {
+func (f *stage) order(v agreement.Version, n int) (agreement.Record, bool) {
 	var got struct{ Record agreement.Record }
-	to := cmp.Or(f.leader(), f.members[0])
+	to := f.asked(n)
 	text, err := json.Marshal(v)
 	if err != nil {
 		return got.Record, false
 	}
-	ctx, stop := context.WithDeadline(f.ctx, time.Now().Add(askWithin))
+	ctx, stop := context.WithDeadline(f.ctx, time.Now().Add(orderWithin))
 	defer stop()
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to.address+"/council/propose", bytes.NewReader(text))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+"/council/propose", bytes.NewReader(text))
 	if err != nil {
 		return got.Record, false
 	}
@@ -337,12 +428,7 @@
 
 // sendJobs sends each real dispatcher that serves its part of the jobs, open loop; bare ones the same.
 func (f *stage) sendJobs(end time.Time) {
-	var targets []*member
-	for _, m := range f.members {
-		if m.node != nil && m.role != aside {
-			targets = append(targets, m)
-		}
-	}
+	targets := slices.DeleteFunc(f.there(), func(m member) bool { return m.hollow || m.role == aside })
 	rate := f.Rate / float64(f.Dispatchers) * float64(len(targets))
 	if rate <= 0 {
 		return
@@ -357,15 +443,18 @@
 			return
 		}
 		at = at.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
-		m, team := targets[n%len(targets)], teamName(rng.IntN(max(f.Teams, 1)))
-		wait.Go(func() { f.job(jobs, m, n, team) })
+		team := teamName(rng.IntN(max(f.Teams, 1)))
+		there := slices.DeleteFunc(f.there(), func(m member) bool { return m.hollow || m.role == aside })
+		if len(there) > 0 {
+			wait.Go(func() { f.job(jobs, there[n%len(there)], n, team) })
+		}
 	}
 }
 
 // jobWithin is how long a client waits.
 const jobWithin = 5 * time.Second
 
-func (f *stage) job(jobs *http.Client, m *member, n int, team string) {
+func (f *stage) job(jobs *http.Client, m member, n int, team string) {
 	ctx, stop := context.WithDeadline(f.ctx, time.Now().Add(jobWithin+500*time.Millisecond))
 	defer stop()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/%s", m.node.Address, emulator.ClassName), strings.NewReader("drawing"))
@@ -384,9 +473,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.jobs.jobs++
-	if err == nil {
+	killed := slices.ContainsFunc(f.members, func(o *member) bool { return o.name == m.name && o.node != m.node })
+	switch {
+	case err == nil:
 		f.jobs.once++
-	} else {
+	case killed:
+		f.jobs.lost++
+	default:
 		f.jobs.never++
 	}
 }
@@ -397,13 +490,18 @@
 		return err
 	}
 	for _, m := range f.members {
+		if m.hollow {
+			continue
+		}
+		text := m.logs
 		if m.node != nil {
-			if err := os.WriteFile(filepath.Join(f.KeepLogs, m.name+".log"), []byte(m.node.Log()), 0o644); err != nil {
-				return err
-			}
+			text += m.node.Log()
+		}
+		if err := os.WriteFile(filepath.Join(f.KeepLogs, m.name+".log"), []byte(text), 0o644); err != nil {
+			return err
 		}
 	}
-	for i := range f.hollow {
+	for i := range f.started {
 		name := fmt.Sprintf("hollow-%d.log", i)
 		text, err := os.ReadFile(filepath.Join(f.dir, name))
 		if err == nil {
