Hollow dispatchers ask for probes as the module does, and report what they hear by them

Need: they reported every zone at each renewal, where a real one reports the zones that its few allowed probes and its jobs told it of; a zone that was lost was only left out, so that no plan was made for it. Reports now round in the map that they are given, which hollow dispatchers shared: their processes ended.

Change: each asks its budget for as many probes as the module would, hears of one worker's zone by each that is allowed, or notes its silence, and has urgent reports as a real one. Each report has a map of its own. Machines set aside say so in their settings.

With a zone lost the leader now plans around it.

--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -279,8 +279,8 @@
 // operator is a real dispatcher's file.
 func (f *stage) operator(m *member) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "council {\n fleet = %q\n listen = %q\n seat = %d\n directory = %q\n bound = %q\n replace = %q\n region = %q\n zone = %q\n voters = [",
-		fleetName, m.address, m.seat, filepath.Join(f.dir, "disk-"+m.name), f.Bound, f.Replace, regionName(f.region(m.zone)), zoneName(m.zone))
+	fmt.Fprintf(&b, "council {\n fleet = %q\n listen = %q\n seat = %d\n directory = %q\n bound = %q\n replace = %q\n region = %q\n zone = %q\n set_aside = %t\n voters = [",
+		fleetName, m.address, m.seat, filepath.Join(f.dir, "disk-"+m.name), f.Bound, f.Replace, regionName(f.region(m.zone)), zoneName(m.zone), m.role == aside)
 	for _, v := range f.voters {
 		fmt.Fprintf(&b, "%q, ", v)
 	}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -40,7 +40,8 @@
 	Voters    []string           `json:"voters"`
 	Among     int                `json:"among"`
 	Capacity  map[string]float64 `json:"capacity"` // slots by zone, as reports have them
-	Rate      float64            `json:"rate"`     // jobs a second of one dispatcher, as reports have them
+	Workers   int                `json:"workers"`
+	Rate      float64            `json:"rate"` // jobs a second of one dispatcher, as reports have them
 	Failover  *fleet.Failover    `json:"failover"`
 	Overload  *fleet.Overload    `json:"overload"`
 	Reach     map[string]string  `json:"reach,omitempty"`
@@ -155,6 +156,7 @@
 	for _, x := range h.all {
 		go x.agent.Run(ctx)
 		go x.watch(ctx, h.params)
+		go x.probe(ctx, h)
 	}
 	if _, err := fmt.Fprintln(tell, l.Addr()); err != nil {
 		return err
@@ -179,7 +181,8 @@
 		Log: slog.New(roles{log.With("hollow", e.Name).Handler(), x})}
 	if h.spec.Failover != nil {
 		o.Failover, o.Planned = h.spec.Failover, func(*planning.Plan, bool) {}
-		o.Report = func() *planning.Report { return x.report(&h.spec, h.heard(), h.params.Now()) }
+		o.Report = func() *planning.Report { return x.report(&h.spec, h.params.Now()) }
+		o.Urgent = x.urgent
 	}
 	if h.spec.Overload != nil {
 		o.Overload, o.Among = h.spec.Overload, func() int { return h.spec.Among }
@@ -214,15 +217,57 @@
 // hollowWork is how long a claimed job ran.
 const hollowWork = 200 * time.Millisecond
 
-// report is of the shape that a real dispatcher's has: it hears of all zones, by its probes, and of its own by its jobs.
-func (x *hollow) report(spec *Spec, hears []string, p *protocol.Params) *planning.Report {
+// probe asks for as many probes as the module would, and hears of a worker's zone by each that the fleet's budget allows.
+func (x *hollow) probe(ctx context.Context, h *Hollow) {
+	rate := float64(min(h.spec.Workers, probedMost))
+	if h.spec.Workers <= probedAll {
+		rate = float64(h.spec.Workers) / max(float64(h.spec.Among)/probersMost, 1)
+	}
+	zones := slices.Sorted(maps.Keys(h.spec.Capacity))
+	for due := 0.0; ; due += rate * probeEvery.Seconds() {
+		for ; due >= 1; due-- {
+			if !x.agent.May(fleet.Probes) {
+				continue
+			}
+			hears := h.heard()
+			x.mu.Lock()
+			if zone := zones[x.rng.IntN(len(zones))]; slices.Contains(hears, zone) {
+				x.watcher.Heard(zone, time.Since(x.begin))
+			} else {
+				x.watcher.Silent(zone, time.Since(x.begin))
+			}
+			x.mu.Unlock()
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(probeEvery):
+		}
+	}
+}
+
+// What the module does about probes: each worker has two dispatchers' worth a second, and past some a dispatcher looks at a
+// few of them alone, once a second.
+const (
+	probedAll   = 512
+	probedMost  = 32
+	probersMost = 2
+	probeEvery  = 250 * time.Millisecond
+)
+
+// urgent is as a real dispatcher's guide has it.
+func (x *hollow) urgent() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.watcher.Urgent(time.Since(x.begin))
+}
+
+// report is of the shape that a real dispatcher's has: its probes tell it of zones, and its jobs of its own.
+func (x *hollow) report(spec *Spec, p *protocol.Params) *planning.Report {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	now := time.Now()
 	at := now.Sub(x.begin)
-	for _, zone := range hears {
-		x.watcher.Heard(zone, at-time.Duration(x.rng.Int64N(int64(hollowWork))))
-	}
 	class := p.Classes[0]
 	due := now.Sub(x.said).Seconds() * spec.Rate
 	for x.said = now; due > 0 && x.rng.Float64() < due; due-- {
@@ -230,7 +275,7 @@
 		x.watcher.Asked(class.Name, class.Credit)
 		x.watcher.Ended(spec.Zone, class.Name, false, true, time.Duration(x.rng.ExpFloat64()*float64(hollowWork)), at)
 	}
-	r := x.watcher.Report(at, spec.Capacity)
+	r := x.watcher.Report(at, maps.Clone(spec.Capacity)) // it keeps the map, and rounds what is in it
 	return &r
 }
 
