--- /dev/null
+++ b/internal/scale/fleet.go
@@ -0,0 +1,385 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"brassdale/internal/emulator"
+	"brassdale/internal/faults"
+	"brassdale/internal/fleet"
+	"brassdale/internal/traffic"
+)
+
+// role is what a dispatcher of the fleet is there for.
+type role string
+
+const (
+	serves role = "dispatcher"
+	aside  role = "set aside"
+	bare   role = "bare" // agrees on nothing
+)
+
+// member is a dispatcher of the fleet, over its starts. What changes while it plays, the stage's mutex guards.
+type member struct {
+	name    string
+	role    role
+	hollow  bool
+	address string // for the others
+	zone    int
+	seat    int // in the first council; 0 for none
+	door    int // of a real one
+
+	node    *emulator.Node // of a real one that is there
+	process *process       // of a hollow one that is there
+	life    int            // counted by its starts
+	logs    string         // of a real one's earlier lives
+	past    []faults.Stand // of a hollow one's earlier lives
+	stands  []faults.Stand // and of this one, as they were read last
+	away    []faults.Away  // when it was not there
+	cut     []faults.Away  // when it was, and others did not reach it
+}
+
+// stage is a fleet being played.
+type stage struct {
+	Plan
+	Options
+	ctx      context.Context
+	works    *emulator.Works
+	dir      string
+	groups   [][]*member // hollow ones that begin in one process
+	voters   []string
+	links    map[[2]int]map[string]*faults.Link // between two regions, from the first on, by the address behind it
+	failover *fleet.Failover
+	overload *fleet.Overload
+	asks     *client // of counts
+	orders   *client // of changes
+	late     ticker
+	begin    time.Time     // of the measured span
+	hurry    chan struct{} // a proposal is due at once
+
+	mu      sync.Mutex
+	members []*member
+	hollow  []*process // that are there
+	started int        // processes of hollow ones, since the begin
+	changes []change
+	jobs    tally
+	samples []reading
+	struck  struck
+}
+
+// client is HTTP of the runner's own, counted, as it goes over the same interface.
+type client struct {
+	http  *http.Client
+	meter traffic.Meter
+}
+
+func newClient() *client {
+	c := &client{}
+	c.http = &http.Client{Transport: &http.Transport{DialContext: c.meter.Dial(&net.Dialer{}), MaxIdleConnsPerHost: 2}}
+	return c
+}
+
+func zoneName(n int) string { return fmt.Sprint("z", n) }
+
+// region gives a zone's, as the works deal them.
+func (p *Plan) region(zone int) int { return zone * p.Regions / p.Zones }
+
+func regionName(n int) string { return fmt.Sprint("r", n) }
+
+// addresses of this run alone: a port that was free for a moment may be given to somebody's connection. Connections leave
+// from 127.0.0.1.
+func address(n int) (string, error) {
+	l, err := net.Listen("tcp", fmt.Sprintf("127.88.%d.%d:0", (os.Getpid()+n/200)%250+1, n%200+1))
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// scenario is the works' part of a plan.
+func (p *Plan) scenario() emulator.Scenario {
+	s := emulator.LlanelliWorks(p.Seed)
+	s.Dispatchers, s.Span = p.doors(), p.Settle+p.Span
+	most := p.Accelerators / p.Workers
+	more := p.Accelerators - most*p.Workers
+	s.Kinds = []emulator.Kind{{Name: "box", Count: p.Workers - more, Slots: most, SpeedMin: 0.9, SpeedMax: 1.1},
+		{Name: "large-box", Count: more, Slots: most + 1, SpeedMin: 0.9, SpeedMax: 1.1}}
+	s.Network.Zones, s.Network.Regions, s.Network.CrossPrice, s.Network.Cross = p.Zones, p.Regions, 0.03, 5*time.Millisecond
+	s.Traffic.Work, s.Traffic.Subjects, s.Traffic.Rate = hollowWork.Seconds(), 0, max(p.Rate, 1)
+	s.Traffic.Accounts = nil
+	for i := range p.Teams {
+		s.Traffic.Accounts = append(s.Traffic.Accounts, emulator.Account{Name: teamName(i), Share: 1})
+	}
+	share := 1 / float64(p.Workers) // one at a time
+	repeat := func(every time.Duration, kind emulator.Trouble, lasts time.Duration) {
+		for at := every; every > 0 && at+lasts < p.Span; at += every {
+			s.Faults = append(s.Faults, emulator.Fault{At: at, For: lasts, Kind: kind, Share: share})
+		}
+	}
+	if p.Fault != nil {
+		s.Faults = append(s.Faults, p.Fault.boxes(p)...)
+	}
+	repeat(p.Restarts, emulator.Restart, time.Second)
+	repeat(p.Drains, emulator.Drain, drainFor)
+	return s
+}
+
+// drainFor is how long a worker that leaves is there for what it has.
+const drainFor = 4 * time.Second
+
+func teamName(n int) string { return fmt.Sprint("team-", n+1) }
+
+// capacity are the slots of each zone.
+func (p *Plan) capacity() map[string]float64 {
+	all := map[string]float64{}
+	for i := range p.Workers { // as the works deal them: the smaller ones first
+		slots := p.Accelerators / p.Workers
+		if i >= p.Workers-(p.Accelerators-slots*p.Workers) {
+			slots++
+		}
+		all[zoneName(i%p.Zones)] += float64(slots)
+	}
+	return all
+}
+
+// place gives a free door, of a zone if there is one.
+func place(free *[]int, zone, zones int) int {
+	i := max(slices.IndexFunc(*free, func(door int) bool { return door%zones == zone }), 0)
+	door := (*free)[i]
+	*free = slices.Delete(*free, i, i+1)
+	return door
+}
+
+// seatZone gives where a seat of the first council is: regions have as many as can be, and zones one each.
+func (p *Plan) seatZone(n int) int {
+	var zones []int
+	for z := range p.Zones {
+		if p.region(z) == n%p.Regions {
+			zones = append(zones, z)
+		}
+	}
+	return zones[n/p.Regions%len(zones)]
+}
+
+// add names a member, at an address of its own.
+func (f *stage) add(m *member) error {
+	at, err := address(len(f.members))
+	m.address = at
+	f.members = append(f.members, m)
+	return err
+}
+
+// build names who is there, and where.
+func (f *stage) build() error {
+	var free []int
+	for door := range f.doors() - 1 {
+		free = append(free, door)
+	}
+	for i := range f.SetAside + f.Real() + f.Bare {
+		m := &member{name: fmt.Sprint("n", i), role: serves}
+		zone := free[0] % f.Zones
+		if i < f.SetAside {
+			m.role = aside
+		}
+		if i < f.Seats {
+			m.seat, zone = i+1, f.seatZone(i)
+		}
+		if i >= f.SetAside+f.Real() {
+			m.role = bare
+		}
+		m.door = place(&free, zone, f.Zones)
+		m.zone = m.door % f.Zones
+		if err := f.add(m); err != nil {
+			return err
+		}
+	}
+	f.groups = make([][]*member, f.Processes)
+	for i := range f.Hollow {
+		group := i % f.Processes
+		m := &member{name: fmt.Sprint("h", i), role: serves, hollow: true, zone: group % f.Zones}
+		if x := f.Fault; x != nil && x.Kind == Replaced && i >= f.Hollow-x.Count { // one that is killed alone
+			f.groups = append(f.groups, []*member{m})
+		} else {
+			f.groups[group] = append(f.groups[group], m)
+		}
+		if err := f.add(m); err != nil {
+			return err
+		}
+	}
+	f.groups = slices.DeleteFunc(f.groups, func(g []*member) bool { return len(g) == 0 })
+	for _, m := range f.members[:f.Seats] {
+		f.voters = append(f.voters, m.address)
+	}
+	zones := fleet.DefaultFailover()
+	for r := range f.Regions {
+		region := fleet.Region{Name: regionName(r)}
+		for z := range f.Zones {
+			if f.region(z) == r {
+				region.Zones = append(region.Zones, zoneName(z))
+			}
+		}
+		zones.Regions = append(zones.Regions, region)
+	}
+	f.failover, f.overload = &zones, &fleet.Overload{Retries: 0.1, Probes: 40}
+	return f.link()
+}
+
+// link lays links to the seats of other regions, where regions are to be cut off from each other. Gossip stays within a zone.
+func (f *stage) link() error {
+	if f.Fault == nil || f.Fault.Kind != Regions {
+		return nil
+	}
+	f.links = map[[2]int]map[string]*faults.Link{}
+	for from := range f.Regions {
+		for n, m := range f.members[:f.Seats] {
+			to := f.region(m.zone)
+			if to == from {
+				continue
+			}
+			l, err := faults.NewLink(m.address, f.Seed+uint64(100*from+n))
+			if err != nil {
+				return err
+			}
+			if f.links[[2]int{from, to}] == nil {
+				f.links[[2]int{from, to}] = map[string]*faults.Link{}
+			}
+			f.links[[2]int{from, to}][m.address] = l
+		}
+	}
+	return nil
+}
+
+// reach gives where the others' addresses are reached from a region, if elsewhere.
+func (f *stage) reach(from int) map[string]string {
+	all := map[string]string{}
+	for ends, links := range f.links {
+		for address, l := range links {
+			if ends[0] == from {
+				all[address] = l.Address()
+			}
+		}
+	}
+	return all
+}
+
+const fleetName = "rig"
+
+// operator is a real dispatcher's file.
+func (f *stage) operator(m *member) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "council {\n fleet = %q\n listen = %q\n seat = %d\n directory = %q\n bound = %q\n replace = %q\n region = %q\n zone = %q\n set_aside = %t\n voters = [",
+		fleetName, m.address, m.seat, filepath.Join(f.dir, "disk-"+m.name), f.Bound, f.Replace, regionName(f.region(m.zone)), zoneName(m.zone), m.role == aside)
+	for _, v := range f.voters {
+		fmt.Fprintf(&b, "%q, ", v)
+	}
+	b.WriteString("]\n reach = {\n")
+	for address, to := range f.reach(f.region(m.zone)) {
+		fmt.Fprintf(&b, "  %q = %q\n", address, to)
+	}
+	b.WriteString(" }\n}\nfailover {\n")
+	for _, r := range f.failover.Regions {
+		fmt.Fprintf(&b, " region %q {\n  zones = [", r.Name)
+		for _, z := range r.Zones {
+			fmt.Fprintf(&b, "%q, ", z)
+		}
+		b.WriteString("]\n }\n")
+	}
+	fmt.Fprintf(&b, " headroom = %g\n return_in = %q\n alone = %q\n detect = %q\n}\noverload {\n retries = %g\n probes = %g\n}\n",
+		f.failover.Headroom, f.failover.ReturnIn, f.failover.Alone, f.failover.Detect, f.overload.Retries, f.overload.Probes)
+	return b.String()
+}
+
+// config writes the platform's file of a door for somebody, with the number of dispatchers that the whole fleet has.
+func (f *stage) config(door int, whose string) (path string, err error) {
+	text, err := f.works.Config(door)
+	if err != nil {
+		return "", err
+	}
+	var all map[string]any
+	if err := json.Unmarshal(text, &all); err != nil {
+		return "", err
+	}
+	settings, ok := all["settings"].(map[string]any)
+	if !ok {
+		return "", errors.New("the works' file has no settings")
+	}
+	settings["replicasOfMe"] = f.Dispatchers
+	if text, err = json.Marshal(all); err != nil {
+		return "", err
+	}
+	path = filepath.Join(f.dir, "config-"+whose+".json")
+	return path, os.WriteFile(path, text, 0o600)
+}
+
+// start starts a real dispatcher.
+func (f *stage) start(m *member) error {
+	config, err := f.config(m.door, m.name)
+	if err != nil {
+		return err
+	}
+	args := []string{"serve"}
+	if m.role != bare {
+		path := filepath.Join(f.dir, "operator-"+m.name+".hcl")
+		if err := os.WriteFile(path, []byte(f.operator(m)), 0o600); err != nil {
+			return err
+		}
+		args = append(args, "--operator", path)
+	}
+	node, err := f.works.StartWith(f.ctx, f.Binary, f.dir, m.door, []string{"GW_CONFIG=" + config}, args...)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m.node = node
+	m.life++
+	return nil
+}
+
+func together(all []func() error) error {
+	errs := make([]error, len(all))
+	var wait sync.WaitGroup
+	for i, do := range all {
+		wait.Go(func() { errs[i] = do() })
+	}
+	wait.Wait()
+	return errors.Join(errs...)
+}
+
+// get asks the runner's own questions.
+func (f *stage) get(url string, to any) error {
+	ctx, stop := context.WithDeadline(f.ctx, time.Now().Add(askWithin))
+	defer stop()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := f.asks.http.Do(r)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if vars, ok := to.(*string); ok {
+		*vars = string(text)
+		return nil
+	}
+	return json.Unmarshal(text, to)
+}
+
+const askWithin = 5 * time.Second
