A member's word that it leaves is sent on twice as often

Seen: TestNine failed once in a whole run beside other work: one of seven members listed a tenth that had left as gone, to the end.

Cause: the word is sent 4 times by each (log10 of nine members counts as 1), some 32 sends to eight members by chance: (7/8)^32, 1.4% for each, and members of a zone exchange nothing by which it would be mended later. membership.go, RetransmitMult. With 8 it is 0.02% (both worked out).

--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -67,6 +67,10 @@
 	keepGone      = time.Hour
 	keepLeaving   = 10 * time.Second // a word that somebody leaves is about what happens within so long
 	mostSaid      = 512              // bytes that memberlist carries
+
+	// How often each member sends such a word on, times the logarithm of their number: with memberlist's own 4, one of
+	// eight members missed it in one of some ten times, and nothing says it again.
+	wordsMult = 8
 )
 
 // List is who is there.
@@ -102,7 +106,7 @@
 		return nil, err
 	}
 	l := &List{o: o, t: t, self: o.Self, all: map[string]Member{}, fresh: make(chan struct{}, 1), meet: make(chan string, 1), leaving: map[string]time.Time{}}
-	l.said = &memberlist.TransmitLimitedQueue{NumNodes: func() int { return l.ml.NumMembers() }, RetransmitMult: 4}
+	l.said = &memberlist.TransmitLimitedQueue{NumNodes: func() int { return l.ml.NumMembers() }, RetransmitMult: wordsMult}
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Transport, c.Delegate, c.Events, c.Conflict = o.Self.Name, t, (*delegate)(l), (*delegate)(l), (*delegate)(l)
 	c.AdvertiseAddr, c.AdvertisePort, err = splitAddress(o.Self.Address)
