--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -91,8 +91,8 @@
 }
 
 const (
-	tcpHead = 66 // bytes of a packet on the interface that are no bytes of the connection's
-	udpHead = 42
+	tcpHead = 52 // bytes of a packet on the interface that are no bytes of the connection's
+	udpHead = 28
 )
 
 func machineNow() (m machine, err error) {
