Who acts on a record gets it without its history, and goes on from the one on file

A restart asked for it though its own record was on file.

Change: whole records go to followers without what was (Record.Brief); a start goes on from the revision on file, by entries where the seat has them. history, diff and rollback ask a seat by whoever is asked (council/record). The answer to a proposal is brief too.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -41,13 +41,20 @@
 		f.show("status", "Versions, who leads, who holds leases", statusTable),
 		f.members(),
 		f.show("council", "The council's seats, as the leader sees them (ask the leader)", councilTable),
-		f.show("history", "Versions that were in force, and those that were withdrawn", historyTable),
+		f.history(),
 		f.diff(), f.watch(), f.recover(),
 		f.change(f.propose()), f.change(f.rollback()), f.change(f.out("detach", true)), f.change(f.out("attach", false)),
 	)
 	return c
 }
 
+// record is all that was agreed on, with what was, as a seat has it.
+func (f *allies) record(ctx context.Context) (agreement.Record, error) {
+	var got struct{ Record agreement.Record }
+	err := f.ask(ctx, "record", nil, &got)
+	return got.Record, err
+}
+
 func (f *allies) status(ctx context.Context) (s fleet.Status, err error) {
 	err = f.ask(ctx, "status", nil, &s)
 	return s, err
@@ -156,18 +163,36 @@
 	}
 }
 
-func historyTable(w io.Writer, s fleet.Status) {
+func (f *allies) history() *cobra.Command {
+	return &cobra.Command{Use: "history", Short: "Versions that were in force, and those that were withdrawn", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			r, err := f.record(c.Context())
+			if err != nil {
+				return err
+			}
+			if f.asJSON {
+				e := json.NewEncoder(c.OutOrStdout())
+				e.SetIndent("", "  ")
+				return e.Encode(r)
+			}
+			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
+			historyTable(w, r)
+			return w.Flush()
+		}}
+}
+
+func historyTable(w io.Writer, r agreement.Record) {
 	fmt.Fprint(w, "version\tretries\trepeat\tout\tshares\tby\twhy\tat\tended\n")
 	row := func(v agreement.Version, ended string) {
 		fmt.Fprintf(w, "%d\t%g\t%t\t%v\t%v\t%s\t%s\t%s\t%s\n", v.Number, v.Rules.Retries, v.Rules.Repeat, v.Rules.Out, v.Rules.Shares, v.By, v.Why, v.At.Format(time.RFC3339), ended)
 	}
-	for _, v := range s.Record.History {
+	for _, v := range r.History {
 		row(v, "followed")
 	}
-	for _, x := range s.Record.Withdrawn {
+	for _, x := range r.Withdrawn {
 		row(x.Version, "withdrawn: "+x.Why)
 	}
-	row(s.Record.InForce, "in force")
+	row(r.InForce, "in force")
 }
 
 // change gives a command that proposes something the flag for the reason.
@@ -235,13 +260,13 @@
 func (f *allies) rollback() *cobra.Command {
 	return &cobra.Command{Use: "rollback", Short: "Announce the rules that were in force before", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			s, err := f.status(c.Context())
+			r, err := f.record(c.Context())
 			if err != nil {
 				return err
 			}
-			for _, v := range slices.Backward(s.Record.History) {
+			for _, v := range slices.Backward(r.History) {
 				if v.Number > 0 {
-					return f.announce(c, s.Record.InForce.Number, v.Rules, nil)
+					return f.announce(c, r.InForce.Number, v.Rules, nil)
 				}
 			}
 			return errors.New("no version was in force before")
@@ -277,11 +302,11 @@
 func (f *allies) diff() *cobra.Command {
 	return &cobra.Command{Use: "diff [FROM [TO]]", Short: "What changed between two versions; the last two where left out", Args: cobra.MaximumNArgs(2),
 		RunE: func(c *cobra.Command, args []string) error {
-			s, err := f.status(c.Context())
+			r, err := f.record(c.Context())
 			if err != nil {
 				return err
 			}
-			all := append(slices.Clone(s.Record.History), s.Record.InForce)
+			all := append(slices.Clone(r.History), r.InForce)
 			pick := func(n, usual int) (agreement.Version, error) {
 				if n >= len(args) {
 					if usual < 0 {
--- a/internal/decisions/agreement/agreement.go
+++ b/internal/decisions/agreement/agreement.go
@@ -151,6 +151,12 @@
 	return r.Council[i], true
 }
 
+// Brief is the record without what was: who acts on it needs no history, and it may be most of a record.
+func (r Record) Brief() Record {
+	r.History, r.Withdrawn = nil, nil
+	return r
+}
+
 // Withdrawal is a version that was announced and given up.
 type Withdrawal struct {
 	Version Version `json:"version"`
--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -86,7 +86,7 @@
 	planned  string               // what was said of plans
 	planAt   agreement.Clock      // when the leader looks for another one
 	turn     int                  // seats that were asked in vain, one after the other
-	heard    bool                 // a whole record was got since the start
+	heard    bool                 // the record is one that entries may follow: on file, or the last answer\'s
 	last     string               // what was applied
 	turned   string               // what was said of a seat that it has not
 	news     chan struct{}        // closed when the council's record changes
@@ -125,6 +125,7 @@
 		a.trusted, _ = time.ParseDuration(o.Failover.Alone) // the operator's file was checked
 	}
 	a.holder = agreement.NewHolder(o.Name, a.kept())
+	a.heard = a.holder.Record().Revision > 0
 	a.purse = newPurse(o.Overload, a.among(), a.now())
 	return a, nil
 }
@@ -349,8 +350,7 @@
 }
 
 func (a *Agent) keep(r agreement.Record) {
-	r.History, r.Withdrawn = nil, nil
-	text, err := json.Marshal(r)
+	text, err := json.Marshal(r.Brief())
 	if err == nil {
 		err = renameio.WriteFile(a.knownFile(), text, 0o600)
 	}
--- a/internal/fleet/council.go
+++ b/internal/fleet/council.go
@@ -33,6 +33,16 @@
 	return s.log.Seat()
 }
 
+// since gives what has changed since a revision, for who acts on it: a whole record goes without what was.
+func (s *seat) since(era, revision uint64) (entries []agreement.Entry, whole *agreement.Record, toEra, to uint64) {
+	entries, whole, toEra, to = s.log.Since(era, revision)
+	if whole != nil {
+		brief := whole.Brief()
+		whole = &brief
+	}
+	return entries, whole, toEra, to
+}
+
 const (
 	sitEvery   = 100 * time.Millisecond
 	relayEvery = 10 * time.Millisecond // between two batches of questions to the leader
--- a/internal/fleet/grant.go
+++ b/internal/fleet/grant.go
@@ -134,7 +134,7 @@
 	if rates := got.Rates[q.Name]; rates != nil {
 		back.Rates = map[string]json.RawMessage{q.Name: rates}
 	}
-	back.Entries, back.Record, back.Era, back.Revision = s.log.Since(q.Era, q.Revision)
+	back.Entries, back.Record, back.Era, back.Revision = s.since(q.Era, q.Revision)
 	return back, http.StatusOK
 }
 
--- a/internal/fleet/handler.go
+++ b/internal/fleet/handler.go
@@ -129,6 +129,10 @@
 		}
 		a.reply(w, http.StatusOK, f)
 	})
+	mux.HandleFunc("GET /council/record", func(w http.ResponseWriter, r *http.Request) {
+		got, status := a.record(r.Context(), r.URL.Query().Get("passed") != "")
+		a.reply(w, status, got)
+	})
 	mux.HandleFunc("GET /council/known", func(w http.ResponseWriter, r *http.Request) {
 		got, status := a.known(r.Context(), r.URL.Query().Get("passed") != "")
 		a.reply(w, status, got)
@@ -188,7 +192,7 @@
 			a.reply(w, http.StatusMisdirectedRequest, answer{Why: "no seat"})
 			return
 		}
-		entries, whole, toEra, to := s.log.Since(era, revision)
+		entries, whole, toEra, to := s.since(era, revision)
 		if entries == nil && whole == nil && waiting {
 			select {
 			case <-news:
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -181,6 +181,27 @@
 	return got, status
 }
 
+// record is all that was agreed on, with what was: as a seat has it, this one or the one that is asked.
+func (a *Agent) record(ctx context.Context, passed bool) (answer, int) {
+	a.mu.Lock()
+	s := a.seat
+	a.mu.Unlock()
+	if s != nil {
+		r := s.log.Record()
+		return answer{Record: &r}, http.StatusOK
+	}
+	if passed {
+		return answer{Why: "no seat"}, http.StatusMisdirectedRequest
+	}
+	by, stop := context.WithDeadline(ctx, time.Now().Add(4*callWithin))
+	defer stop()
+	got, status, err := a.post(by, a.asks().Address, "record?passed=1", nil)
+	if err != nil {
+		return answer{Why: err.Error()}, http.StatusServiceUnavailable
+	}
+	return got, status
+}
+
 // known is who holds leases and who held one lately, as the leader knows, wherever this is asked.
 func (a *Agent) known(ctx context.Context, passed bool) (answer, int) {
 	a.mu.Lock()
@@ -218,7 +239,7 @@
 		ctx, stop := context.WithDeadline(ctx, time.Now().Add(3*callWithin))
 		defer stop()
 		err := s.log.Propose(ctx, agreement.Entry{ID: rand.Text(), Announce: &v})
-		record := s.log.Record()
+		record := s.log.Record().Brief()
 		switch {
 		case err == nil:
 			return answer{Record: &record}, http.StatusOK
--- a/internal/fleet/renew.go
+++ b/internal/fleet/renew.go
@@ -75,7 +75,7 @@
 	if r.Plan != nil {
 		q.Plan = r.Plan.Number
 	}
-	if !a.heard { // what is on file has no history
+	if !a.heard {
 		q.Revision = 0
 	}
 	if a.members != nil && a.form >= formNeighbours {
