Small runs of a fleet are played by tests, and judged by counts

Need: nothing held internal/scale but runs by hand. A run with a fault could end before a change was taken behind it, so nothing told whether all were whole again. Behind a fault one change more is proposed where none was taken; the wait for the newest version asks for leases, too. Addresses differ over all of a process's runs.

--- a/cmd/brassdale-lab/hollow.go
+++ b/cmd/brassdale-lab/hollow.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"log/slog"
 	"os"
 
@@ -14,14 +13,10 @@
 func hollow() *cobra.Command {
 	return &cobra.Command{Use: "hollow SPEC", Short: "Hold hollow dispatchers, for scale", Hidden: true, Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			text, err := os.ReadFile(args[0])
+			spec, err := scale.LoadSpec(args[0])
 			if err != nil {
 				return err
 			}
-			var spec scale.Spec
-			if err := json.Unmarshal(text, &spec); err != nil {
-				return err
-			}
 			return scale.Serve(c.Context(), spec, os.Stdin, os.Stdout, slog.New(slog.NewTextHandler(os.Stderr, nil)))
 		}}
 }
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"brassdale/internal/emulator"
@@ -97,9 +98,13 @@
 
 func regionName(n int) string { return fmt.Sprint("r", n) }
 
-// addresses of this run alone: a port that was free for a moment may be given to somebody's connection. Connections leave
-// from 127.0.0.1.
-func address(n int) (string, error) {
+// addresses counts those that this process gave.
+var addresses atomic.Int64
+
+// address gives one that no other dispatcher of this process's runs has: a port that was free for a moment may be given to
+// somebody's connection, and to another run's dispatcher. Connections leave from 127.0.0.1.
+func address() (string, error) {
+	n := int(addresses.Add(1))
 	l, err := net.Listen("tcp", fmt.Sprintf("127.88.%d.%d:0", (os.Getpid()+n/200)%250+1, n%200+1))
 	if err != nil {
 		return "", err
@@ -175,7 +180,7 @@
 
 // add names a member, at an address of its own.
 func (f *stage) add(m *member) error {
-	at, err := address(len(f.members))
+	at, err := address()
 	m.address = at
 	f.members = append(f.members, m)
 	return err
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -55,6 +55,15 @@
 	Address string `json:"address"`
 }
 
+// LoadSpec reads one from a file.
+func LoadSpec(path string) (s Spec, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return s, err
+	}
+	return s, json.Unmarshal(text, &s)
+}
+
 // Hollow is a process's hollow dispatchers.
 type Hollow struct {
 	spec   Spec
--- a/internal/scale/propose.go
+++ b/internal/scale/propose.go
@@ -12,35 +12,65 @@
 	"brassdale/internal/decisions/agreement"
 )
 
-// propose proposes rules, each in its turn and one as a fault begins; again and again while nobody takes them.
-func (f *stage) propose(end time.Time) {
-	rng := rand.New(rand.NewPCG(f.Seed, 4))
-	known := uint64(0)
-	for at := time.Now(); at.Before(end); at = at.Add(f.Every) {
+// proposer proposes rules, one version behind the other.
+type proposer struct {
+	f     *stage
+	rng   *rand.Rand
+	known uint64 // the newest version that it has heard of
+}
+
+func (f *stage) newProposer() *proposer {
+	return &proposer{f: f, rng: rand.New(rand.NewPCG(f.Seed, 4))}
+}
+
+// propose proposes rules until then, each in its turn and one as a fault begins.
+func (p *proposer) propose(end time.Time) {
+	for at := time.Now(); at.Before(end); at = at.Add(p.f.Every) {
 		select {
-		case <-f.ctx.Done():
+		case <-p.f.ctx.Done():
 			return
-		case <-f.hurry:
+		case <-p.f.hurry:
 		case <-time.After(time.Until(at)):
 		}
-		rules := agreement.Rules{Retries: float64(rng.IntN(10)) / 10, Repeat: rng.IntN(4) > 0, Shares: map[string]float64{}}
-		for i := range f.Teams { // the quotas that control carries today
-			rules.Shares[teamName(i)] = float64(1+rng.IntN(20)) / 100
+		if !p.once(end) {
+			return
 		}
-		for n, at := 0, time.Now(); f.ctx.Err() == nil; n++ {
-			v := agreement.Version{Number: known, Rules: rules, By: fleetName, Why: "a change of the plan's", At: at}
-			record, taken := f.order(v, n)
-			if known = max(known, record.InForce.Number); taken {
-				f.mu.Lock()
-				f.changes = append(f.changes, change{record.Announced.Number, at})
-				f.mu.Unlock()
-				break
-			}
-			if at = time.Now().Add(orderEvery); !until(f.ctx, at) || !at.Before(end) {
-				return
-			}
+	}
+}
+
+// once proposes rules again and again while nobody takes them, until then.
+func (p *proposer) once(end time.Time) bool {
+	f := p.f
+	rules := agreement.Rules{Retries: float64(p.rng.IntN(10)) / 10, Repeat: p.rng.IntN(4) > 0, Shares: map[string]float64{}}
+	for i := range f.Teams { // the quotas that control carries today
+		rules.Shares[teamName(i)] = float64(1+p.rng.IntN(20)) / 100
+	}
+	for n, at := 0, time.Now(); f.ctx.Err() == nil; n++ {
+		v := agreement.Version{Number: p.known, Rules: rules, By: fleetName, Why: "a change of the plan's", At: at}
+		record, taken := f.order(v, n)
+		if p.known = max(p.known, record.InForce.Number); taken {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.changes = append(f.changes, change{record.Announced.Number, at})
+			return true
+		}
+		if at = time.Now().Add(orderEvery); !until(f.ctx, at) || !at.Before(end) {
+			return false
 		}
 	}
+	return false
+}
+
+// last proposes once more where no change was taken since a fault was over: by it is seen whether all are whole again.
+func (p *proposer) last(by time.Time) {
+	f := p.f
+	f.mu.Lock()
+	over := f.struck.over
+	done := slices.ContainsFunc(f.changes, func(c change) bool { return !c.at.Before(over) })
+	f.mu.Unlock()
+	if !done {
+		p.once(by)
+	}
 }
 
 const (
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -132,7 +132,12 @@
 	r := &Result{Title: f.Title, Seed: f.Seed, At: f.begin.UTC(), BoundMS: float64(f.Bound.Milliseconds()), Packing: f.Packing(),
 		Dispatchers: f.Dispatchers, Hollow: f.Hollow, Processes: f.Processes, Real: f.Real(), Bare: f.Bare, Workers: f.Workers, Accelerators: f.Accelerators,
 		Zones: f.Zones, Regions: f.Regions, Teams: f.Teams, Seats: f.Seats, SetAside: f.SetAside,
-		Changes: len(f.changes), Jobs: f.jobs.jobs, AnsweredOnce: f.jobs.once, AnsweredNever: f.jobs.never, LostWithProcess: f.jobs.lost, ReturnedInForceMS: []float64{}}
+		Jobs: f.jobs.jobs, AnsweredOnce: f.jobs.once, AnsweredNever: f.jobs.never, LostWithProcess: f.jobs.lost, ReturnedInForceMS: []float64{}}
+	for _, c := range f.changes {
+		if c.at.Before(after.at) {
+			r.Changes++
+		}
+	}
 	f.bytes(r, before, after)
 	f.usage(r, before, after)
 	f.fell(r, before, after)
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -97,8 +97,9 @@
 			return nil, err
 		}
 	}
+	proposer := f.newProposer()
 	if f.Every > 0 {
-		wait.Go(func() { f.propose(end) })
+		wait.Go(func() { proposer.propose(end) })
 	}
 	var failed error
 	if f.Fault != nil {
@@ -114,6 +115,9 @@
 	if err := cmp.Or(f.ctx.Err(), failed); err != nil {
 		return nil, err
 	}
+	if f.Fault != nil && f.Every > 0 {
+		proposer.last(time.Now().Add(actWithin))
+	}
 	f.waitActed(time.Now().Add(actWithin))
 	if err := f.readStands(); err != nil {
 		return nil, err
@@ -175,13 +179,13 @@
 	return f.waitAll(by, func(s faults.Stand) bool { return !s.Lapsed })
 }
 
-// waitActed waits until all act on the newest version alone.
+// waitActed waits until all act on the newest version alone, with leases.
 func (f *stage) waitActed(by time.Time) bool {
 	newest := uint64(0)
 	for _, c := range f.changes {
 		newest = max(newest, c.version)
 	}
-	return f.waitAll(by, func(s faults.Stand) bool { return len(s.Versions) == 1 && s.Versions[0] >= newest })
+	return f.waitAll(by, func(s faults.Stand) bool { return !s.Lapsed && len(s.Versions) == 1 && s.Versions[0] >= newest })
 }
 
 func (f *stage) waitAll(by time.Time, holds func(faults.Stand) bool) bool {
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,137 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"testing"
+)
+
+var programs string // a folder for the dispatcher's
+
+// The tests hold hollow dispatchers in this program again, as a child that does only that.
+func TestMain(m *testing.M) {
+	if len(os.Args) == 3 && os.Args[1] == "hollow" {
+		spec, err := LoadSpec(os.Args[2])
+		if err == nil {
+			err = Serve(context.Background(), spec, os.Stdin, os.Stdout, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		return
+	}
+	var err error
+	if programs, err = os.MkdirTemp("", "scale-test-"); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	os.RemoveAll(programs)
+	os.Exit(code)
+}
+
+var dispatcher = sync.OnceValues(func() (string, error) {
+	binary := filepath.Join(programs, "brassdale")
+	if out, err := exec.Command("go", "build", "-o", binary, "brassdale/cmd/brassdale").CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return binary, nil
+})
+
+func options(t *testing.T) Options {
+	t.Helper()
+	binary, err := dispatcher()
+	if err != nil {
+		t.Fatal(err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Options{Binary: binary, Self: self, HollowArgs: []string{"hollow"}}
+}
+
+// points gives a file's runs.
+func points(t *testing.T, f *File, err error) []Point {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	all, err := f.Points(1, -1, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return all
+}
+
+// sound tells of what no run may have, however busy the machine is.
+func sound(t *testing.T, r *Result) {
+	t.Helper()
+	if r.Bad() {
+		t.Errorf("%v", r.Err())
+	}
+	for _, b := range r.Breaches {
+		t.Error(b)
+	}
+	if r.Changes == 0 {
+		t.Error("no change was taken")
+	}
+}
+
+// What control costs a dispatcher does not grow with their number: judged by counts, at rest and with changes.
+func TestSizes(t *testing.T) {
+	f, err := Load("../../scenarios/scale/small.hcl")
+	all := points(t, f, err)
+	if len(all) != 2 || all[1].Plan.Dispatchers < 2*all[0].Plan.Dispatchers {
+		t.Fatalf("%+v", all)
+	}
+	results := make([]*Result, len(all))
+	var wait sync.WaitGroup
+	for i, p := range all {
+		wait.Go(func() {
+			r, err := Play(t.Context(), p.Plan, options(t))
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			results[i] = r
+		})
+	}
+	wait.Wait()
+	if t.Failed() {
+		return
+	}
+	for _, r := range results {
+		sound(t, r)
+		if r.Jobs == 0 {
+			t.Error("no job was sent")
+		}
+		if r.Rest == nil || r.Rest.Messages == 0 || r.Change == nil {
+			t.Fatalf("nothing was counted at rest: %+v", r)
+		}
+	}
+	few, many := results[0], results[1]
+	for _, x := range []struct {
+		what      string
+		few, many float64
+		most      float64
+	}{
+		{"bytes at rest", few.Rest.Bytes, many.Rest.Bytes, 1.3},
+		{"messages at rest", few.Rest.Messages, many.Rest.Messages, 1.3},
+		{"bytes with changes", few.BytesMean, many.BytesMean, 1.3},
+		{"messages with changes", few.Messages, many.Messages, 1.3},
+	} {
+		t.Logf("%s: %.1f a second at %d dispatchers, %.1f at %d", x.what, x.few, few.Dispatchers, x.many, many.Dispatchers)
+		if ratio := x.many / x.few; ratio > x.most || ratio < 1/x.most {
+			t.Errorf("%s: %.1f a second at %d dispatchers, %.1f at %d: not within %.1f of each other", x.what, x.few, few.Dispatchers, x.many, many.Dispatchers, x.most)
+		}
+	}
+	if few.Rest.BytesByKind["discovery"] == 0 || few.Rest.BytesByKind["renewal"] == 0 || many.Rest.BytesByKind["member_probe"] == 0 {
+		t.Errorf("kinds are missing: %v, %v", few.Rest.BytesByKind, many.Rest.BytesByKind)
+	}
+}
