--- a/cmd/brassdale-lab/scale.go
+++ b/cmd/brassdale-lab/scale.go
@@ -21,13 +21,17 @@
 	var seed uint64
 	var hollow, processes int
 	var only []string
-	var keep, list bool
+	var keep, list, compare bool
 	c := &cobra.Command{Use: "scale FILE", Short: "Play fleets of real and hollow dispatchers, and measure what control costs, on loopback", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
 			f, err := scale.Load(args[0])
 			if err != nil {
 				return err
 			}
+			if compare {
+				o := scale.Options{Binary: binary, HollowArgs: []string{"hollow"}}
+				return compareScale(c, f, o, fmt.Sprintf("brassdale-lab scale %s --compare --seed %d", args[0], seed), folder(out), seed, processes)
+			}
 			points, err := f.Points(seed, hollow, processes)
 			if err != nil {
 				return err
@@ -87,6 +91,7 @@
 	c.Flags().IntVar(&hollow, "hollow", -1, "so many of the dispatchers are hollow, instead of the file's")
 	c.Flags().IntVar(&processes, "processes", 0, "so many processes hold them, instead of the file's")
 	c.Flags().StringSliceVar(&only, "only", nil, "play these runs of the file alone, by name or by number, from 1")
+	c.Flags().BoolVar(&compare, "compare", false, "play the file's size with real and with hollow dispatchers in turn, and set them beside each other")
 	c.Flags().BoolVar(&list, "list", false, "name the file's runs, and play none")
 	c.Flags().BoolVar(&keep, "keep-logs", false, "keep the logs of all processes beside the results")
 	return c
--- /dev/null
+++ b/internal/scale/compare_test.go
@@ -0,0 +1,62 @@
+package scale
+
+import (
+	"bytes"
+	"math"
+	"strings"
+	"testing"
+)
+
+func TestCompared(t *testing.T) {
+	f, err := Load("../../scenarios/scale/compare.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	real, hollow, err := f.Compared(3, 0)
+	if err != nil || real.Real() != 48 || real.Bare != 4 || real.HollowBare != 0 || hollow.Real() != 0 || hollow.Bare != 0 || hollow.HollowBare != 6 || real.Seed != 3 || hollow.Seed != 3 {
+		t.Errorf("%v\n%+v\n%+v", err, real, hollow)
+	}
+	if _, hollow, err := f.Compared(3, 12); err != nil || hollow.Processes != 12 || hollow.HollowBare != 4 {
+		t.Errorf("%v: %+v", err, hollow)
+	}
+	for want, wrong := range map[string]func(*File){
+		"set_aside: ": func(f *File) { f.SetAside = 4 },
+		"bare: ":      func(f *File) { f.Bare = 0 },
+		"dispatchers: 356 real ones are too many": func(f *File) { f.Dispatchers, f.Workers = 347, 60 },
+	} {
+		g := *f
+		wrong(&g)
+		if _, _, err := g.Compared(1, 0); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%v, not %q", err, want)
+		}
+	}
+}
+
+// Bytes, messages and CPU are judged, kinds are shown; CPU is by difference to bare ones of the same sort.
+func TestCompare(t *testing.T) {
+	run := func(hollow bool, bytes, messages, cpu float64) *Result {
+		r := &Result{Dispatchers: 8, BytesMean: bytes, Messages: messages, BytesByKind: map[string]float64{"renewal": bytes, "raft": 0}, MessagesByKind: map[string]float64{"renewal": messages}}
+		if hollow {
+			r.Hollow, r.HollowCPU, r.HollowBareCPU = 8, cpu+1, 1
+		} else {
+			r.CPU, r.RealCPU = cpu, cpu+3
+		}
+		return r
+	}
+	for _, c := range []struct {
+		bytes, messages, cpu float64
+		want                 string
+	}{{1, 1, 1, ""}, {1.14, 0.86, 1.14, ""}, {0.84, 1, 1, "all, B/s: hollow ones have 0.840"}, {1, 1.16, 1, "all, messages/s"}, {1, 1, 0.5, "control, CPU ms/s"}} {
+		x := Compare([]*Result{run(false, 900, 9, 4), run(false, 1100, 11, 6)}, []*Result{run(true, 1000*c.bytes, 10*c.messages, 5*c.cpu), run(true, 1000*c.bytes, 10*c.messages, 5*c.cpu)})
+		if err := x.Err(); (err == nil) != (c.want == "") || x.Agrees != (c.want == "") || err != nil && !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%+v: %v", c, err)
+		}
+		if len(x.Figures) != 5 || x.Figures[0].OfReal != 1000 || math.Abs(x.Figures[0].Ratio-c.bytes) > 1e-9 || x.Rounds != 2 {
+			t.Errorf("%+v", x)
+		}
+		var out bytes.Buffer
+		if err := x.Write(&out); err != nil || !strings.Contains(out.String(), "renewal") {
+			t.Errorf("%v\n%s", err, out.String())
+		}
+	}
+}
--- a/internal/scale/file.go
+++ b/internal/scale/file.go
@@ -67,6 +67,8 @@
 	// Unprobed has real dispatchers probe no worker: a run without jobs then has nothing on the interface that is not counted,
 	// as probes and jobs are no part of control and go over connections of their own.
 	Unprobed bool
+	// HollowBare are hollow dispatchers beside the others, in a process of their own, that agree on nothing.
+	HollowBare int
 	// Linked has calls to other regions' seats go over links that cut nothing, and what they carry counted.
 	Linked bool
 }
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -225,6 +225,14 @@
 			return err
 		}
 	}
+	var apart []*member
+	for i := range f.HollowBare {
+		apart = append(apart, &member{name: fmt.Sprint("b", i), role: bare, hollow: true})
+		if err := f.add(apart[i]); err != nil {
+			return err
+		}
+	}
+	f.groups = append(f.groups, apart)
 	f.groups = slices.DeleteFunc(f.groups, func(g []*member) bool { return len(g) == 0 })
 	for _, m := range f.members[:f.Seats] {
 		f.voters = append(f.voters, m.address)
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -46,6 +46,7 @@
 	Overload  *fleet.Overload    `json:"overload"`
 	Reach     map[string]string  `json:"reach,omitempty"`
 	Seed      uint64             `json:"seed"`
+	Bare      bool               `json:"bare"` // they agree on nothing: there are calls to discovery alone
 	Each      []HollowSpec       `json:"each"`
 }
 
@@ -79,7 +80,7 @@
 // hollow is a dispatcher without jobs and endpoints.
 type hollow struct {
 	name  string
-	agent *fleet.Agent
+	agent *fleet.Agent // nil for a bare one
 	meter *traffic.Meter
 	find  *transport.Discovery
 
@@ -163,9 +164,11 @@
 	defer server.Close()
 	go h.late.run(ctx)
 	for _, x := range h.all {
-		go x.agent.Run(ctx)
 		go x.watch(ctx, h.params)
-		go x.probe(ctx, h)
+		if x.agent != nil {
+			go x.agent.Run(ctx)
+			go x.probe(ctx, h)
+		}
 	}
 	if _, err := fmt.Fprintln(tell, l.Addr()); err != nil {
 		return err
@@ -184,7 +187,11 @@
 	s := fleet.Default()
 	s.Name, s.Listen, s.Voters, s.Directory = h.spec.Fleet, e.Address, h.spec.Voters, filepath.Join(h.spec.Directory, e.Name)
 	s.Bound, s.Replace, s.Region, s.Zone, s.Reach = h.spec.Bound, h.spec.Replace, h.spec.Region, h.spec.Zone, h.spec.Reach
-	x := &hollow{name: e.Name, meter: &traffic.Meter{}, rng: rand.New(rand.NewPCG(h.spec.Seed, 1000+n)), begin: time.Now(), said: time.Now(),
+	meter := &traffic.Meter{}
+	if h.spec.Bare {
+		return &hollow{name: e.Name, meter: meter, find: transport.NewDiscovery(h.at, h.params, meter)}, nil
+	}
+	x := &hollow{name: e.Name, meter: meter, rng: rand.New(rand.NewPCG(h.spec.Seed, 1000+n)), begin: time.Now(), said: time.Now(),
 		watcher: planning.NewWatcher(e.Name, h.spec.Zone, 0)}
 	o := fleet.Options{Settings: &s, Name: e.Name, Zone: h.spec.Zone, Apply: x.apply, Jobs: x.counted, Meter: x.meter,
 		Log: slog.New(roles{log.With("hollow", e.Name).Handler(), x})}
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -39,7 +39,7 @@
 	zone := group[0].zone
 	spec := Spec{Config: config, Directory: f.dir, Fleet: fleetName, Zone: zoneName(zone), Region: regionName(f.region(zone)),
 		Bound: f.Bound.String(), Replace: f.Replace.String(), Voters: f.voters, Among: f.Dispatchers, Capacity: f.capacity(), Workers: f.Workers,
-		Rate: f.Rate / float64(f.Dispatchers), Failover: f.failover, Overload: f.overload, Reach: f.reach(f.region(zone)), Seed: f.Seed*1000 + uint64(n)}
+		Rate: f.Rate / float64(f.Dispatchers), Failover: f.failover, Overload: f.overload, Reach: f.reach(f.region(zone)), Seed: f.Seed*1000 + uint64(n), Bare: group[0].role == bare}
 	for _, m := range group {
 		spec.Each = append(spec.Each, HollowSpec{m.name, m.address})
 	}
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -50,6 +50,7 @@
 	SeatMemoryMost  float64 `json:"seat_memory_mb_most"`
 	RealCPU         float64 `json:"real_cpu_ms_s"` // whole, as that of the others
 	BareCPU         float64 `json:"bare_cpu_ms_s"`
+	HollowBareCPU   float64 `json:"hollow_bare_cpu_ms_s,omitempty"`
 	RealMemory      float64 `json:"real_memory_mb"`
 	BareMemory      float64 `json:"bare_memory_mb"`
 	HollowBytesMean float64 `json:"hollow_bytes_s_mean"`
@@ -275,7 +276,7 @@
 		}
 		kind := m.role
 		if m.hollow {
-			kind = "hollow"
+			kind = "hollow " + m.role
 		}
 		if _, same := spent(before, after, m.name); same && !after.seated[m.name] {
 			x := used[kind]
@@ -283,7 +284,8 @@
 			used[kind] = x
 		}
 	}
-	r.RealCPU, r.RealMemory, r.HollowCPU = mean(used[serves][0]), mean(used[serves][1]), mean(used["hollow"][0])
+	r.RealCPU, r.RealMemory, r.HollowCPU = mean(used[serves][0]), mean(used[serves][1]), mean(used["hollow "+serves][0])
+	r.HollowBareCPU = mean(used["hollow "+bare][0])
 	if r.BareCPU, r.BareMemory = mean(used[bare][0]), mean(used[bare][1]); f.Bare > 0 && len(used[serves][0]) > 0 {
 		r.CPU, r.Memory = r.RealCPU-r.BareCPU, r.RealMemory-r.BareMemory
 	}
