--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"brassdale/internal/emulator"
@@ -60,6 +61,8 @@
 	groups   [][]*member // hollow ones that begin in one process
 	voters   []string
 	links    map[[2]int]map[string]*faults.Link // between two regions, from the first on, by the address behind it
+	hops     []*hop                             // behind them, where what they carry is counted, ...
+	linked   traffic.Meter                      // ... here
 	failover *fleet.Failover
 	overload *fleet.Overload
 	asks     *client // of counts
@@ -97,9 +100,13 @@
 
 func regionName(n int) string { return fmt.Sprint("r", n) }
 
-// addresses of this run alone: a port that was free for a moment may be given to somebody's connection. Connections leave
-// from 127.0.0.1.
-func address(n int) (string, error) {
+// addresses counts those that this process gave.
+var addresses atomic.Int64
+
+// address gives one that no other dispatcher of this process's runs has: a port that was free for a moment may be given to
+// somebody's connection, and to another run's dispatcher. Connections leave from 127.0.0.1.
+func address() (string, error) {
+	n := int(addresses.Add(1))
 	l, err := net.Listen("tcp", fmt.Sprintf("127.88.%d.%d:0", (os.Getpid()+n/200)%250+1, n%200+1))
 	if err != nil {
 		return "", err
@@ -175,7 +182,7 @@
 
 // add names a member, at an address of its own.
 func (f *stage) add(m *member) error {
-	at, err := address(len(f.members))
+	at, err := address()
 	m.address = at
 	f.members = append(f.members, m)
 	return err
@@ -218,6 +225,14 @@
 			return err
 		}
 	}
+	var apart []*member
+	for i := range f.HollowBare {
+		apart = append(apart, &member{name: fmt.Sprint("b", i), role: bare, hollow: true})
+		if err := f.add(apart[i]); err != nil {
+			return err
+		}
+	}
+	f.groups = append(f.groups, apart)
 	f.groups = slices.DeleteFunc(f.groups, func(g []*member) bool { return len(g) == 0 })
 	for _, m := range f.members[:f.Seats] {
 		f.voters = append(f.voters, m.address)
@@ -236,9 +251,10 @@
 	return f.link()
 }
 
-// link lays links to the seats of other regions, where regions are to be cut off from each other. Gossip stays within a zone.
+// link lays links to the seats of other regions, where regions are to be cut off from each other or links are wanted anyway.
+// Gossip stays within a zone.
 func (f *stage) link() error {
-	if f.Fault == nil || f.Fault.Kind != Regions {
+	if !f.Linked && (f.Fault == nil || f.Fault.Kind != Regions) {
 		return nil
 	}
 	f.links = map[[2]int]map[string]*faults.Link{}
@@ -248,7 +264,15 @@
 			if to == from {
 				continue
 			}
-			l, err := faults.NewLink(m.address, f.Seed+uint64(100*from+n))
+			behind := m.address
+			if f.Linked {
+				h, err := newHop(m.address, &f.linked)
+				if err != nil {
+					return err
+				}
+				f.hops, behind = append(f.hops, h), h.listener.Addr().String()
+			}
+			l, err := faults.NewLink(behind, f.Seed+uint64(100*from+n))
 			if err != nil {
 				return err
 			}
@@ -316,6 +340,9 @@
 		return "", errors.New("the works' file has no settings")
 	}
 	settings["replicasOfMe"] = f.Dispatchers
+	if limits, ok := settings["limits"].(map[string]any); ok && f.Unprobed {
+		limits["probing"] = false
+	}
 	if text, err = json.Marshal(all); err != nil {
 		return "", err
 	}
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -50,6 +50,7 @@
 	SeatMemoryMost  float64 `json:"seat_memory_mb_most"`
 	RealCPU         float64 `json:"real_cpu_ms_s"` // whole, as that of the others
 	BareCPU         float64 `json:"bare_cpu_ms_s"`
+	HollowBareCPU   float64 `json:"hollow_bare_cpu_ms_s,omitempty"`
 	RealMemory      float64 `json:"real_memory_mb"`
 	BareMemory      float64 `json:"bare_memory_mb"`
 	HollowBytesMean float64 `json:"hollow_bytes_s_mean"`
@@ -74,6 +75,7 @@
 	ContradictionMS   float64   `json:"contradiction_max_ms"`
 	RulesBroken       int       `json:"rules_broken"`
 	Breaches          []string  `json:"breaches,omitempty"`
+	WorkerProbes      int       `json:"worker_probes"` // of real dispatchers, since the start
 	Jobs              int       `json:"jobs"`
 	AnsweredOnce      int       `json:"answered_once"`
 	AnsweredNever     int       `json:"answered_never"`
@@ -88,12 +90,14 @@
 	Failures      []Failure `json:"failures,omitempty"`
 }
 
-// Interface sets the loopback interface's bytes, without what the kernel adds and the runner asks, beside those counted. It is
+// Interface sets the loopback interface's bytes, without what the kernel adds and the runner asks, beside those counted; what
+// links carry is in it once, where that is counted. It is
 // empty in runs with a fault: dispatchers take their counts with them.
 type Interface struct {
 	Bytes   float64 `json:"bytes_s"`
 	Counted float64 `json:"counted_bytes_s"`
 	Ratio   float64 `json:"ratio"` // of the second to the first
+	Links   float64 `json:"links_bytes_s,omitempty"`
 }
 
 // Rest is a dispatcher's cost without any change.
@@ -132,10 +136,16 @@
 	r := &Result{Title: f.Title, Seed: f.Seed, At: f.begin.UTC(), BoundMS: float64(f.Bound.Milliseconds()), Packing: f.Packing(),
 		Dispatchers: f.Dispatchers, Hollow: f.Hollow, Processes: f.Processes, Real: f.Real(), Bare: f.Bare, Workers: f.Workers, Accelerators: f.Accelerators,
 		Zones: f.Zones, Regions: f.Regions, Teams: f.Teams, Seats: f.Seats, SetAside: f.SetAside,
-		Changes: len(f.changes), Jobs: f.jobs.jobs, AnsweredOnce: f.jobs.once, AnsweredNever: f.jobs.never, LostWithProcess: f.jobs.lost, ReturnedInForceMS: []float64{}}
+		Jobs: f.jobs.jobs, AnsweredOnce: f.jobs.once, AnsweredNever: f.jobs.never, LostWithProcess: f.jobs.lost, ReturnedInForceMS: []float64{}}
+	for _, c := range f.changes {
+		if c.at.Before(after.at) {
+			r.Changes++
+		}
+	}
 	f.bytes(r, before, after)
 	f.usage(r, before, after)
 	f.fell(r, before, after)
+	r.WorkerProbes = len(f.works.Spent().Probes)
 	if f.Fault == nil {
 		f.compareInterface(r, before, after)
 	}
@@ -266,7 +276,7 @@
 		}
 		kind := m.role
 		if m.hollow {
-			kind = "hollow"
+			kind = "hollow " + m.role
 		}
 		if _, same := spent(before, after, m.name); same && !after.seated[m.name] {
 			x := used[kind]
@@ -274,7 +284,8 @@
 			used[kind] = x
 		}
 	}
-	r.RealCPU, r.RealMemory, r.HollowCPU = mean(used[serves][0]), mean(used[serves][1]), mean(used["hollow"][0])
+	r.RealCPU, r.RealMemory, r.HollowCPU = mean(used[serves][0]), mean(used[serves][1]), mean(used["hollow "+serves][0])
+	r.HollowBareCPU = mean(used["hollow "+bare][0])
 	if r.BareCPU, r.BareMemory = mean(used[bare][0]), mean(used[bare][1]); f.Bare > 0 && len(used[serves][0]) > 0 {
 		r.CPU, r.Memory = r.RealCPU-r.BareCPU, r.RealMemory-r.BareMemory
 	}
@@ -295,7 +306,8 @@
 // compareInterface sets what was counted beside what the interface carried. What one end alone counts, as discovery's
 // calls, is counted there both ways; all else where it is sent.
 func (f *stage) compareInterface(r *Result, before, after reading) {
-	own := after.own.Bytes() - before.own.Bytes()
+	links := after.linked.Bytes() - before.linked.Bytes()
+	own := after.own.Bytes() - before.own.Bytes() + hops*links
 	counted := float64(after.orders.Sent - before.orders.Sent)
 	for name := range after.control {
 		all, _ := spent(before, after, name)
@@ -305,7 +317,7 @@
 			}
 		}
 	}
-	x := Interface{Bytes: (carried(before.machine, after.machine) - float64(own)) / r.SpanS, Counted: counted / r.SpanS}
+	x := Interface{Bytes: (carried(before.machine, after.machine) - float64(own)) / r.SpanS, Counted: counted / r.SpanS, Links: float64(links) / r.SpanS}
 	if x.Bytes > 0 {
 		x.Ratio = x.Counted / x.Bytes
 	}
