--- a/internal/fleet/log/seats.go
+++ b/internal/fleet/log/seats.go
@@ -113,4 +113,3 @@
 	add(l.conf.GetLearnersNext(), true)
 	return all
 }
-
