make test runs one package at a time

Seen: TestOnSockets played five times in a row with its generator 12 to 20 ms late (10 allowed) in the whole check, beside internal/experiment, which plays on all cores; by itself it passed three times in a row minutes before, on the same machine, whose host took a part of its cores.

Cause: the Makefile's -p 2. Ruled out: the program (the generator says that it is late itself, and its plays by itself count).

--- a/Makefile
+++ b/Makefile
@@ -3,10 +3,10 @@
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
 
-# Two packages at a time: many start real processes and go by real time, and are late where all start theirs at once. What
+# One package at a time: many start real processes and go by real time, and are late where others start theirs beside them. What
 # goes by the loopback interface's own figures follows by itself.
 test:
-	go test -count=1 -p 2 ./...
+	go test -count=1 -p 1 ./...
 	BRASSDALE_ALONE=1 go test -count=1 -run TestInterface ./internal/scale
 
 race:
