Read again: one way to print what a fleet is asked, one to pass a question on to a seat

Cause: history and members wrote the JSON and table output of show again; record wrote toLeader's call again. Behaviour as before.

Checked: vet, gofmt, and the tests of members, recovery, large proposals, seats set aside and of the fleet's package; the whole check was not run again behind it.

--- a/internal/command/fleet.go
+++ b/internal/command/fleet.go
@@ -67,17 +67,22 @@
 		if err != nil {
 			return err
 		}
-		if f.asJSON {
-			e := json.NewEncoder(c.OutOrStdout())
-			e.SetIndent("", "  ")
-			return e.Encode(s)
-		}
-		w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
-		table(w, s)
-		return w.Flush()
+		return f.print(c, s, func(w io.Writer) { table(w, s) })
 	}}
 }
 
+// print prints what was asked for, as JSON or as a table.
+func (f *allies) print(c *cobra.Command, what any, table func(io.Writer)) error {
+	if f.asJSON {
+		e := json.NewEncoder(c.OutOrStdout())
+		e.SetIndent("", "  ")
+		return e.Encode(what)
+	}
+	w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
 func statusTable(w io.Writer, s fleet.Status) {
 	fmt.Fprintf(w, "fleet\t%s\ndispatcher\t%s\nseat\t%d\nleader's seat\t%d\nera\t%d\nacting on\t%v\nlapsed\t%t\nlease left\t%d ms\nin force\t%d\n", s.Fleet, s.Name,
 		s.Seat, s.Leader, s.Record.Era, s.Acting, s.Lapsed, s.LeaseMS, s.Record.InForce.Number)
@@ -136,17 +141,12 @@
 			for _, name := range slices.Sorted(maps.Keys(all)) {
 				rows = append(rows, all[name])
 			}
-			if f.asJSON {
-				e := json.NewEncoder(c.OutOrStdout())
-				e.SetIndent("", "  ")
-				return e.Encode(rows)
-			}
-			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
-			fmt.Fprint(w, "dispatcher\tgossip\tregion\tzone\taddress\tseat\tform\tlease\n")
-			for _, m := range rows {
-				fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", m.Name, m.Gossip, m.Region, m.Zone, m.Address, m.Seat, m.Form, m.Lease)
-			}
-			return w.Flush()
+			return f.print(c, rows, func(w io.Writer) {
+				fmt.Fprint(w, "dispatcher\tgossip\tregion\tzone\taddress\tseat\tform\tlease\n")
+				for _, m := range rows {
+					fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%s\n", m.Name, m.Gossip, m.Region, m.Zone, m.Address, m.Seat, m.Form, m.Lease)
+				}
+			})
 		}}
 }
 
@@ -170,14 +170,7 @@
 			if err != nil {
 				return err
 			}
-			if f.asJSON {
-				e := json.NewEncoder(c.OutOrStdout())
-				e.SetIndent("", "  ")
-				return e.Encode(r)
-			}
-			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
-			historyTable(w, r)
-			return w.Flush()
+			return f.print(c, r, func(w io.Writer) { historyTable(w, r) })
 		}}
 }
 
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -172,6 +172,11 @@
 		}
 		to, what = seat, what+"?passed=1"
 	}
+	return a.passOn(ctx, to, what, body)
+}
+
+// passOn has a seat answer what this dispatcher was asked; a nil body gets.
+func (a *Agent) passOn(ctx context.Context, to agreement.Seat, what string, body any) (answer, int) {
 	by, stop := context.WithDeadline(ctx, time.Now().Add(4*callWithin))
 	defer stop()
 	got, status, err := a.post(by, to.Address, what, body)
@@ -193,13 +198,7 @@
 	if passed {
 		return answer{Why: "no seat"}, http.StatusMisdirectedRequest
 	}
-	by, stop := context.WithDeadline(ctx, time.Now().Add(4*callWithin))
-	defer stop()
-	got, status, err := a.post(by, a.asks().Address, "record?passed=1", nil)
-	if err != nil {
-		return answer{Why: err.Error()}, http.StatusServiceUnavailable
-	}
-	return got, status
+	return a.passOn(ctx, a.asks(), "record?passed=1", nil)
 }
 
 // known is who holds leases and who held one lately, as the leader knows, wherever this is asked.
