Log every call to discovery, attempt, answer and close with its reason; age of the list

Change: numbered calls, a line a second while they fail, moves, attempts within a drain's grace, attempts held back and why, final answers with their attempts, closes with their reason; discovery_calls, discovery_failures, list_age_ms at the admin endpoint.

--- a/brain/api.go
+++ b/brain/api.go
@@ -138,6 +138,12 @@
 	Rejected          // turned away for what the request is; never ran, and would nowhere
 )
 
+var outcomeNames = [...]string{Served: "served", Errored: "errored", Full: "full", TimedOut: "timed out", NoConnect: "no connection",
+	Reset: "reset", Cancelled: "cancelled", NeverSent: "never sent", Rejected: "rejected"}
+
+// String names an outcome as logs do.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Report is the load that a worker tells of itself. A field that is negative or not a finite
 // number counts as not told.
 type Report struct {
--- a/internal/program/operations.go
+++ b/internal/program/operations.go
@@ -34,6 +34,9 @@
 		unanswered += f.gate.Unanswered()
 	}
 	figures += fmt.Sprintf("connections_unanswered=%d\n", unanswered)
+	if !counted.ListHeard.IsZero() {
+		figures += fmt.Sprintf("list_age_ms=%d\n", time.Since(counted.ListHeard).Milliseconds())
+	}
 	if o.d.http2 != nil {
 		figures += o.d.http2.Figures()
 	}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"context"
+	"fmt"
 	"log/slog"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,11 @@
 	Failed
 )
 
+// String names a verdict as the log does.
+func (v Verdict) String() string {
+	return [...]string{Served: "served", Refused: "refused", Failed: "failed"}[v]
+}
+
 // Answer is the one final answer to an inbound request.
 type Answer struct {
 	Verdict    Verdict
@@ -149,8 +155,9 @@
 type call struct {
 	endpoint    brain.WorkerID
 	out         bool
-	sent, began brain.Clock // began is 0 until its job has
-	silent      bool        // the guide has been told that there is no sign of it
+	outcome     brain.Outcome // once it is not out
+	sent, began brain.Clock   // began is 0 until its job has
+	silent      bool          // the guide has been told that there is no sign of it
 }
 
 // Witness hears what comes from endpoints, beside the module. No method blocks.
@@ -419,7 +426,7 @@
 	if a == nil {
 		return
 	}
-	a.out = false
+	a.out, a.outcome = false, end.Outcome
 	r.out--
 	r.timedOut = r.timedOut || end.Outcome == brain.TimedOut
 	r.sent = r.sent || end.Outcome != brain.NeverSent && end.Outcome != brain.NoConnect
@@ -454,9 +461,30 @@
 	a.Expired = a.Verdict != Served && (r.timedOut || c.now >= r.expires-r.Rules.AnswerSlack)
 	r.answered = true
 	c.ledger.answered(r.ClassName, a.Verdict, r.sent || r.out > 0)
+	c.logAnswer(r, a)
 	r.Client.Answered(a)
 }
 
+// logAnswer tells, at debug level, how a request was answered and how each of its attempts stood then.
+func (c *Core) logAnswer(r *request, a Answer) {
+	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	var attempts []string
+	for i := range r.calls {
+		attempts = append(attempts, fmt.Sprintf("%s %s", r.calls[i].endpoint, r.calls[i].state()))
+	}
+	c.log.Debug("answered", "id", r.Name, "verdict", a.Verdict.String(), "expired", a.Expired, "attempts", attempts)
+}
+
+// state names how an attempt ended, or that it has not.
+func (a *call) state() string {
+	if a.out {
+		return "open"
+	}
+	return a.outcome.String()
+}
+
 func (c *Core) forget(id brain.RequestID, r *request) {
 	if r.answered && r.out == 0 {
 		delete(c.requests, id)
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -55,8 +55,12 @@
 	first       chan struct{} // closed when the first call has ended, however
 	fault       string        // of the last call; empty where it succeeded
 	faults      int           // calls that failed since one succeeded
+	reported    time.Time     // when a row of failures was last logged
 }
 
+// reportEvery is how often a row of failed calls to discovery is logged at the most.
+const reportEvery = time.Second
+
 type (
 	subscribe struct{}
 	move      struct{ to Discovery }
@@ -125,6 +129,7 @@
 					s.ask(ctx, time.Now(), pacing.Ask)
 				}
 			case move:
+				s.log.Info("discovery moved", "call_left", s.call, "list_age", s.age())
 				// The call to the old one is left at once, whatever it may still bring, and the new one is asked
 				// for its whole set: nobody says that both count revisions alike, and a change that the old one
 				// had under way must not be lost. Until the answer the list as known holds.
@@ -160,12 +165,14 @@
 	s.watching = true
 	s.call++
 	call, revision, discovery := s.call, s.revision, s.discovery
+	s.core.ledger.discoveryCalled()
 	ctx, s.stop = context.WithCancel(ctx)
 	go func() {
 		time.Sleep(time.Until(from))
 		begun := time.Now()
 		u, err := discovery.Call(ctx, revision, kind)
-		s.log.Debug("discovery called", "kind", kind, "revision", revision, "took", time.Since(begun), "got", u.Revision, "err", err)
+		s.log.Debug("discovery called", "call", call, "kind", kind, "revision", revision, "took", time.Since(begun), "got", u.Revision,
+			"complete", u.Complete, "lines", len(u.Destinations), "err", err)
 		s.box.Post(watched{call, u, err})
 	}()
 }
@@ -201,6 +208,7 @@
 	}
 	s.apply(m.update, kind)
 	s.answered = time.Now()
+	s.core.ledger.listHeard(s.answered)
 	s.handOver()
 	if s.keeper != nil {
 		s.keeper.Listed(m.update)
@@ -225,9 +233,17 @@
 	}
 	s.fault = err.Error()
 	s.faults++
-	s.log.Log(context.Background(), level, "discovery failed, the old list holds", "revision", s.revision, "err", err)
+	s.core.ledger.discoveryFailed()
+	s.log.Log(context.Background(), level, "discovery failed, the old list holds", "revision", s.revision, "list_age", s.age(), "err", err)
+	if now := time.Now(); s.faults > 1 && now.Sub(s.reported) >= reportEvery {
+		s.reported = now
+		s.log.Info("discovery keeps failing", "failed_calls", s.faults, "list_age", s.age(), "err", err)
+	}
 }
 
+// age is how long ago discovery last answered.
+func (s *Destinations) age() time.Duration { return time.Since(s.answered).Round(time.Millisecond) }
+
 func (s *Destinations) apply(u Update, kind brain.ListKind) {
 	s.revision = u.Revision
 	now := time.Now()
--- a/internal/routing/ledger.go
+++ b/internal/routing/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"sync"
+	"time"
 )
 
 // Ledger is the account of what became of the requests: each is entered once, where its one final answer is
@@ -19,9 +20,12 @@
 	Concurrent                   int              // requests taken and not ended
 	Targets, Avoided             int              // endpoints in the list, and those of them that get nothing now
 	ReloadsTaken, ReloadsRefused int
-	FailedUnsent                 int // requests that failed and were never sent on, which the platform counts as refused
-	RetriesDenied                int // further calls that the budget did not allow
-	RepeatsDenied                int // further calls that the fleet did not allow
+	FailedUnsent                 int       // requests that failed and were never sent on, which the platform counts as refused
+	RetriesDenied                int       // further calls that the budget did not allow
+	RepeatsDenied                int       // further calls that the fleet did not allow
+	DiscoveryCalls               int       // calls made for the list
+	DiscoveryFailures            int       // those of them that brought no list
+	ListHeard                    time.Time // when discovery last answered; zero while it has not
 }
 
 // Tally is what became of the requests of a class.
@@ -85,6 +89,10 @@
 	})
 }
 
+func (l *Ledger) discoveryCalled()       { l.enter(func(f *Figures) { f.DiscoveryCalls++ }) }
+func (l *Ledger) discoveryFailed()       { l.enter(func(f *Figures) { f.DiscoveryFailures++ }) }
+func (l *Ledger) listHeard(at time.Time) { l.enter(func(f *Figures) { f.ListHeard = at }) }
+
 func (l *Ledger) taken() { l.enter(func(f *Figures) { f.Concurrent++ }) }
 func (l *Ledger) left()  { l.enter(func(f *Figures) { f.Concurrent-- }) }
 
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -36,6 +36,11 @@
 	closing              // it takes no further request and owes nothing
 )
 
+// String names a phase as the log does.
+func (p phase) String() string {
+	return [...]string{silent: "silent", idle: "idle", reading: "reading", serving: "serving", closing: "closing"}[p]
+}
+
 // Conn is a client's connection, as the gate knows it.
 //
 // Where it carries one request at a time, net/http gets the bytes of one request and no more until that is answered.
@@ -222,6 +227,7 @@
 		c.linger()
 	}
 	c.gate.mu.Lock()
+	c.gate.log.Debug("client's connection closed", "phase", c.phase.String(), "gone", c.gone.Load(), "wrote", c.wrote.Load(), "client", c.RemoteAddr())
 	c.gate.ended(c)
 	c.gate.mu.Unlock()
 	return c.TCPConn.Close()
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -78,6 +78,34 @@
 	return x.cut.Load() || !now.Before(x.deadline) || !x.probe && x.call.Void(now)
 }
 
+// voidBecause names what makes an exchange void.
+func (x *exchange) voidBecause(now time.Time) string {
+	switch {
+	case x.cut.Load():
+		return "called off"
+	case !now.Before(x.deadline):
+		return "its deadline has come"
+	case x.call.Gone != nil && x.call.Gone():
+		return "its client has gone"
+	}
+	return "the window for a repeat is over"
+}
+
+// name is the id that the client gave its request.
+func (x *exchange) name() string {
+	if job, ok := x.call.Job.(*protocol.Job); ok {
+		return job.ID
+	}
+	return ""
+}
+
+// heldBack logs that an attempt does not leave.
+func (e *endpoint) heldBack(x *exchange, why string) {
+	if !x.probe {
+		e.fleet.log.Debug("attempt held back", "id", x.name(), "attempt", x.call.ID.Attempt, "worker", e.id, "why", why)
+	}
+}
+
 // The messages of the actor, beside routing.Destination and routing.Call.
 type (
 	cancel  struct{ id routing.CallID }
@@ -291,10 +319,28 @@
 		return !told.IsZero() && now.After(told.Add(e.fleet.params.Now().Rules.DrainGrace.Span()-drainMargin))
 	}
 	second := !x.probe && x.call.ID.Attempt > 0 && e.fleet.Repeats != nil && !e.fleet.Repeats()
-	if x.void(now) || second || !x.probe && (over(e.dest.Told) || over(e.barred)) {
+	why := ""
+	switch {
+	case x.void(now):
+		why = x.voidBecause(now)
+	case second:
+		why = "repeats are not allowed now"
+	case !x.probe && over(e.dest.Told):
+		why = "the worker drains or is gone"
+	case !x.probe && over(e.barred):
+		why = "the worker is out by hand"
+	}
+	if why != "" {
+		e.heldBack(x, why)
 		e.end(x, routing.End{Outcome: brain.NeverSent})
 		return false
 	}
+	if !x.probe {
+		e.fleet.log.Debug("attempt", "id", x.name(), "attempt", x.call.ID.Attempt, "worker", e.id, "state", e.dest.State, "idle", x.idle)
+		if !e.dest.Told.IsZero() {
+			e.fleet.log.Info("attempt to a worker that drains", "id", x.name(), "attempt", x.call.ID.Attempt, "worker", e.id, "told", now.Sub(e.dest.Told))
+		}
+	}
 	x.wire, w.used = w, true
 	go e.exchange(x)
 	return true
@@ -396,7 +442,8 @@
 	} else {
 		text = job.Encode(host, time.Now())
 	}
-	if x.void(time.Now()) { // this may have waited for its turn
+	if now := time.Now(); x.void(now) { // this may have waited for its turn
+		e.heldBack(x, x.voidBecause(now))
 		reuse = !x.cut.Load()
 		e.tell(x, routing.End{Outcome: brain.NeverSent})
 		return
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -180,6 +180,7 @@
 		if old := g.spare(c.since); old != nil {
 			// The reading side of net/http notices and ends it; the descriptor is free at once.
 			g.ended(old)
+			g.log.Debug("client's connection ended", "why", "room", "phase", old.phase.String(), "client", old.RemoteAddr())
 			old.phase = closing // what its reader has in hand is of no request any more
 			old.TCPConn.Close()
 			g.evicted++
@@ -189,6 +190,7 @@
 			}
 		} else if len(g.conns) >= g.most+g.most/reserveShare {
 			g.unanswered++
+			g.log.Debug("client's connection ended", "why", "no room for a refusal", "client", c.RemoteAddr())
 			return false
 		}
 	}
@@ -263,6 +265,7 @@
 	g.dismissed = true
 	for c := range g.conns {
 		if c.phase == idle && c.behind.Load() == 0 || c.phase == silent && now.Sub(c.since) > dismissYoung {
+			g.log.Debug("client's connection ended", "why", "leaving", "phase", c.phase.String(), "client", c.RemoteAddr())
 			c.phase, c.since = closing, now
 			// Whoever waits there to read finds it over, and lingers. A byte that comes in this very moment finds it so too.
 			_ = c.TCPConn.SetReadDeadline(now)
