--- /dev/null
+++ b/cmd/brassdale/crowded_test.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+// crowdedDiscovery is a discovery service of little capacity that several dispatchers share. It serves calls one after the
+// other. A call that would wait for longer than its queue allows is answered 503 at once. A watch that goes on within 200 ms
+// of its last answer is not served in turn until there is something to tell; any other call is.
+type crowdedDiscovery struct {
+	perCall  time.Duration // to serve one call
+	perNews  time.Duration // to tell one watch of a change
+	mostWait time.Duration // a call that would wait longer is refused
+	refuse   time.Duration // how long a refusal takes
+
+	mu       sync.Mutex
+	free     time.Time // when all that was accepted is served
+	revision int
+	lists    []string // the whole list, by revision
+	changed  chan struct{}
+	answered map[string]time.Time // by dispatcher: the last answer of a watch
+	calls    int
+	refused  int
+}
+
+func newCrowdedDiscovery(first string) *crowdedDiscovery {
+	return &crowdedDiscovery{perCall: 420 * time.Millisecond, perNews: 12 * time.Millisecond, mostWait: time.Second,
+		refuse: 30 * time.Millisecond, lists: []string{first}, changed: make(chan struct{}), answered: map[string]time.Time{}}
+}
+
+// publish makes a new revision of the list.
+func (c *crowdedDiscovery) publish(members string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lists = append(c.lists, members)
+	c.revision++
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// enqueue gives the time at which a piece of work is served, or false if its turn would come too late.
+func (c *crowdedDiscovery) enqueue(work time.Duration, mustWait bool) (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	if c.free.Before(now) {
+		c.free = now
+	}
+	if !mustWait && c.free.Sub(now) > c.mostWait {
+		c.refused++
+		return now, false
+	}
+	c.free = c.free.Add(work)
+	return c.free, true
+}
+
+// addresses gives a dispatcher so many addresses at which it reaches the service.
+func (c *crowdedDiscovery) addresses(t testing.TB, dispatcher string, count int) []string {
+	var addresses []string
+	for range count {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { c.serve(dispatcher, w, r) }))
+		t.Cleanup(server.Close)
+		t.Cleanup(server.CloseClientConnections)
+		addresses = append(addresses, server.Listener.Addr().String())
+	}
+	return addresses
+}
+
+func (c *crowdedDiscovery) serve(dispatcher string, w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	watch := query.Has("index")
+	index, _ := strconv.Atoi(query.Get("index"))
+	wait, _ := strconv.Atoi(query.Get("wait"))
+	over := time.After(time.Duration(wait) * time.Millisecond)
+
+	c.mu.Lock()
+	c.calls++
+	goesOn := watch && time.Since(c.answered[dispatcher]) < 200*time.Millisecond
+	c.mu.Unlock()
+	if !goesOn {
+		turn, accepted := c.enqueue(c.perCall, false)
+		if !accepted {
+			time.Sleep(c.refuse)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		time.Sleep(time.Until(turn))
+	}
+	if watch && !c.awaitNews(index, over, r) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if watch {
+		c.answered[dispatcher] = time.Now()
+	}
+	members, complete := c.lists[c.revision], true
+	if watch && index >= c.revision {
+		members, complete = "", false
+	}
+	fmt.Fprintf(w, `{"revision":%d,"complete":%t,"members":[%s]}`, c.revision, complete, members)
+}
+
+// awaitNews waits until there is something newer than a revision and its turn to be told has come, or the wait is over. It
+// tells whether the caller is still there.
+func (c *crowdedDiscovery) awaitNews(index int, over <-chan time.Time, r *http.Request) bool {
+	for {
+		c.mu.Lock()
+		newer, changed := c.revision > index, c.changed
+		c.mu.Unlock()
+		if newer {
+			turn, _ := c.enqueue(c.perNews, true)
+			time.Sleep(time.Until(turn))
+			return r.Context().Err() == nil
+		}
+		select {
+		case <-changed:
+		case <-over:
+			return true
+		case <-r.Context().Done():
+			return false
+		}
+	}
+}
+
+// member is a line of a list.
+func member(b *box, phase string) string {
+	line, err := json.Marshal(map[string]any{"id": b.id, "host_port": b.ln.Addr().String(), "locality": "llanelli", "flavor": "new-box",
+		"cell": 1, "phase": phase, "size": 1.0, "up_since_ms": 0})
+	if err != nil {
+		panic(err)
+	}
+	return string(line)
+}
--- /dev/null
+++ b/cmd/brassdale/moved_discovery_test.go
@@ -0,0 +1,156 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+const (
+	// What discovery has counts as told after this at the latest, where it can be reached.
+	toldAtTheLatest = 6 * time.Second
+	// Nothing new may reach a worker this long after its drain was told: the grace of the settings and the slack of the rules.
+	drainGraceOnSockets = 550 * time.Millisecond
+)
+
+// arrivals records when jobs came to a worker.
+type arrivals struct {
+	mu   sync.Mutex
+	last time.Time
+}
+
+// recorded has a worker note each job before it works on it.
+func (a *arrivals) recorded(script func(*box, net.Conn, *http.Request)) func(*box, net.Conn, *http.Request) {
+	return func(b *box, c net.Conn, r *http.Request) {
+		a.mu.Lock()
+		a.last = time.Now()
+		a.mu.Unlock()
+		script(b, c, r)
+	}
+}
+
+func (a *arrivals) lastSince(t time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.last.Sub(t)
+}
+
+// sendSteadily sends jobs, each on the next of the client's connections, until stop is closed.
+func (n *node) sendSteadily(name string, every time.Duration, stop <-chan struct{}, wait *sync.WaitGroup) {
+	wait.Go(func() {
+		var jobs sync.WaitGroup
+		defer jobs.Wait()
+		for i := 0; ; i++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(every):
+			}
+			jobs.Go(func() {
+				resp, err := http.DefaultClient.Do(request(n.url, fmt.Sprintf("%s-%d", name, i)))
+				if err == nil {
+					resp.Body.Close()
+				}
+			})
+		}
+	})
+}
+
+// movedTo gives the program's file with another address of discovery.
+func movedTo(config, address string) string {
+	_, rest, _ := strings.Cut(config, `"discovery":"`)
+	old, _, _ := strings.Cut(rest, `"`)
+	return strings.Replace(config, `"discovery":"`+old+`"`, `"discovery":"`+address+`"`, 1)
+}
+
+// A worker drains while the watch is open, and the answer of the watch waits in discovery's queue. A new configuration moves
+// discovery, and the new address refuses all calls for longer than a change may stay unheard. The answer of the old watch must
+// still be heard: a call that may bring a change is not given up before another has brought the list (incident 36).
+func TestQueuedAnswerSurvivesAMove(t *testing.T) {
+	t.Parallel()
+	var at arrivals
+	a, b := newBox(t, "a", at.recorded(works)), newBox(t, "b", works)
+	n := start(t, "", a) // all jobs go to this one until the change is heard: it drains, the other joins
+	g := n.registry
+	n.waitFor("a watch", func() bool { g.mu.Lock(); defer g.mu.Unlock(); return len(g.waits) > 0 && g.waits[len(g.waits)-1] > 0 })
+
+	refuses := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(refuses.Close)
+	stop, wait := make(chan struct{}), sync.WaitGroup{}
+	n.sendSteadily("job", 20*time.Millisecond, stop, &wait)
+
+	drained := time.Now()
+	n.reload(movedTo(n.config, refuses.Listener.Addr().String()))
+	n.waitFor("the move", func() bool { return strings.Contains(n.log(), "msg=reloaded") })
+	time.Sleep(300 * time.Millisecond) // of waiting in discovery's queue
+	g.set(func() { a.phase = "leaving"; g.boxes = append(g.boxes, b) })
+	time.Sleep(time.Until(drained.Add(toldAtTheLatest + drainGraceOnSockets + 300*time.Millisecond)))
+	close(stop)
+	wait.Wait()
+	if last := at.lastSince(drained); last > toldAtTheLatest+drainGraceOnSockets {
+		t.Errorf("a job came to the drained worker %v after the drain", last)
+	}
+	t.Logf("the last job came to the drained worker %v after the drain", at.lastSince(drained))
+}
+
+// Six dispatchers get four new configurations each within seconds, and each moves discovery, which serves a call in 0.42 s and
+// refuses those that would wait for over a second. Workers drain in the middle. This is the run of incident 36.
+func TestDrainUnderMovesAtACrowdedDiscovery(t *testing.T) {
+	t.Parallel()
+	const dispatchers, moves = 6, 4
+	var at arrivals
+	a := newBox(t, "a", at.recorded(works))
+	b := newBox(t, "b", works)
+	before, after := member(a, "active"), member(a, "leaving")+","+member(b, "active")
+	discovery := newCrowdedDiscovery(before)
+
+	stop, wait := make(chan struct{}), sync.WaitGroup{}
+	type dispatcher struct {
+		*node
+		addresses []string
+	}
+	var fleet []dispatcher
+	for i := range dispatchers {
+		addresses := discovery.addresses(t, fmt.Sprint(i), moves+1)
+		config := fmt.Sprintf(`{"name":"n%d","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be96%d","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":{"revision":0,"complete":true,"members":[%s]},"settings":%s}`,
+			i, addresses[0], i, before, strings.Replace(settings, `"replicasOfMe":1`, fmt.Sprintf(`"ordinal":%d,"replicasOfMe":%d`, i, dispatchers), 1))
+		n := &node{t: t, exited: make(chan struct{})}
+		n.launch(config, "")
+		n.serves("")
+		n.sendSteadily(fmt.Sprint("n", i), 40*time.Millisecond, stop, &wait)
+		fleet = append(fleet, dispatcher{n, addresses})
+	}
+	time.Sleep(7 * time.Second) // until all have a watch
+
+	var drained time.Time
+	var moved sync.WaitGroup
+	for i, d := range fleet {
+		moved.Go(func() {
+			time.Sleep(time.Duration(i) * 400 * time.Millisecond)
+			for k, pause := range []time.Duration{0, 300, 400, 900} {
+				time.Sleep(pause * time.Millisecond)
+				d.reload(movedTo(d.config, d.addresses[k+1]))
+			}
+		})
+	}
+	time.Sleep(1200 * time.Millisecond)
+	drained = time.Now()
+	discovery.publish(after)
+	moved.Wait()
+	time.Sleep(time.Until(drained.Add(toldAtTheLatest + drainGraceOnSockets + 1500*time.Millisecond)))
+	close(stop)
+	wait.Wait()
+	if last := at.lastSince(drained); last > toldAtTheLatest+drainGraceOnSockets {
+		t.Errorf("a job came to the drained worker %v after the drain", last)
+	}
+	discovery.mu.Lock()
+	defer discovery.mu.Unlock()
+	t.Logf("the last job came to the drained worker %v after the drain; %d calls, %d of them refused", at.lastSince(drained), discovery.calls, discovery.refused)
+}
