Calls to discovery overlap, survive a move, and go first to who heard last longest ago

A move gave up the call that waited in discovery's queue, and with it the change; behind it every refused dispatcher called again at the same rate, so those that had just heard took the places of one that had heard nothing for 6.9 s. The worst chain of one failure was 5.75 s of 6. Change: pacing.Schedule. A call without an answer gets a further one beside it (1.95, 3.05, 3.75, 4.45 s behind a watch that falls silent) and is not given up; calls to the service before a move go on until the new one has answered; the wait behind a refusal shrinks with the time since the last answer; an answer that was overtaken is dropped; a list counts from when it began to come. The same schedule serves agents, in fifths of the grace.

--- a/internal/decisions/pacing/pacing.go
+++ b/internal/decisions/pacing/pacing.go
@@ -1,51 +1,69 @@
-// Package pacing decides when a dispatcher makes calls that all dispatchers make alike, so that together they do not
-// overrun whom they call. Values in, verdicts out: no I/O, no clock, no goroutine.
+// Package pacing decides when a dispatcher calls discovery for the list of workers. Values in, verdicts out: no I/O, no clock,
+// no goroutine.
 //
-// It promises:
+// Discovery is one small service for all dispatchers. It may be slow, refuse calls, break them off or never answer, and a
+// connection to it may fall silent. What it has counts as told to a dispatcher after a while, whether it arrived or not. So no
+// single call may be the only chance to learn of a change: while the newest call has not answered, a further one is made beside
+// it, and none is given up for that.
 //
-//  1. A watch goes on inside the gap within which it counts as one, whatever the fleet's size and the chance drawn.
-//  2. Of many dispatchers that got the same news at once, the next calls are spread over most of that gap; of two, over
-//     a few milliseconds.
-//  3. An answer that told nothing is not followed at once: a list service that answers so would be asked in a loop.
-//  4. Where lists are pushed, a call to the agent and the next after it, were both to fail, end within the grace for a
-//     drain: what the agent has counts as told, also while it does not say so.
-//  5. Where lists are asked for, what could be had counts as told Told later, whatever failed before, and is here by
-//     then. The longest path: a watch falls silent as it begins and is given up (Wait + Late, 2.75 s); the module waits
-//     with the next call (brain.AskMost, 0.9 s, chance included); that call waits for no news, and its answer is late
-//     by as much as a list service lets calls queue (Answer, 2.1 s). 2.75 + 0.9 + 2.1 = 5.75 s.
-//     A new process calls first within 3 s, and has its answer 5.1 s after its start at the latest.
-//  6. After the address of discovery has changed, what it has to tell counts as told Moved later. The longest path: the
-//     first call, which is made at once, is lost (MoveAnswer, 1 s), the module waits (0.9 s), and the answer of the next
-//     is late (Answer, 2.1 s): 4 s.
+// Schedule promises, where calls other than the failing ones are answered:
 //
-// Three hundred dispatchers that lose their watches at once call again over 0.72 s (a fifth of the module's wait is no
-// chance), and as none waits for news, each costs the list service its few lines and no more.
+//  1. Behind an answer, three calls that hang, break off, are refused, or answer 2 s late, in any order, hold a change back
+//     by no more than Told; behind a move of discovery by no more than Moved. The longest path where lists are asked for: a
+//     watch falls silent as it begins, the next call is made Wait + watchOverlap + watchSpread later (1.95 s), three further
+//     ones gap, lateGap and lateGap later (4.45 s), and the last has 1.3 s for its answer (of 5.75 s). Behind a move the
+//     fourth call is made gap + 2 lateGap later (2.5 s) and has 1.5 s. A new process calls within 3 s; its fourth call is
+//     made at 5.1 s at the latest.
+//  2. Where lists are pushed, the same within the grace for a drain less its margin: what the agent has counts as told at
+//     once. The longest path is (1 + 1/4 + 3/2) of a fifth of the grace: 0.275 s of 0.5 s.
+//  3. A watch goes on inside the gap within which it counts as one, whatever the number of dispatchers and the chance drawn.
+//  4. Of many dispatchers that got the same news at once, the next calls are spread over most of that gap.
+//  5. An answer that told nothing is not followed at once: a service that answers so would be called in a loop.
+//  6. Of many dispatchers that a crowded service refuses, those that have gone longest without an answer call most often: they
+//     get the places in its queue before those that heard a moment ago. One without an answer for longer than Told calls less
+//     often again: then the service is down.
 package pacing
 
 import "time"
 
 const (
-	// Gap is how long after an answer the next call of a watch may come.
-	Gap = 200 * time.Millisecond
-	// Margin is kept of it for the way and for a busy core.
+	// Gap is how long after an answer the next call of a watch may come, and Margin what is kept of it for the way and for a
+	// busy core.
+	Gap    = 200 * time.Millisecond
 	Margin = 50 * time.Millisecond
 
 	// Told is how long after it could be had a change counts as told, and Moved how long after a move of discovery.
 	Told  = 6 * time.Second
 	Moved = 4 * time.Second
 
-	// Wait is how long a watch waits for news, and Late how much later its answer must be here. A call that does not
-	// wait must be answered within Answer: the list service fails one that has queued for 2 s.
-	Wait       = 2 * time.Second
-	Late       = 750 * time.Millisecond
-	Answer     = 2100 * time.Millisecond
-	MoveAnswer = time.Second // the first after a move: there must be time for another one
+	// Wait is how long a watch waits for news.
+	Wait = 1500 * time.Millisecond
+	// Answer is how long an answer may take, beside the wait for news: a service that serves calls in turn fails one that
+	// has waited for 2 s.
+	Answer = 2100 * time.Millisecond
+
+	watchOverlap = 100 * time.Millisecond  // a watch that has not answered so long after its wait gets a call beside it, ...
+	watchSpread  = 350 * time.Millisecond  // ... spread by this at most: where discovery falls silent it does so for all
+	gap          = 1100 * time.Millisecond // a call that does not wait gets a further one beside it, ...
+	lateGap      = 700 * time.Millisecond  // ... sooner where less than lateFrom is left until a change counts as told
+	lateFrom     = 3200 * time.Millisecond
 
 	each   = 4 * time.Millisecond   // of spread for each dispatcher beside this one
 	empty  = 20 * time.Millisecond  // after an answer that told nothing
-	prompt = 100 * time.Millisecond // and that came at once, as an agent's may, or a call that an agent failed
+	prompt = 100 * time.Millisecond // and that came at once, as an agent's may
+
+	// Behind a call that failed the next is made after a share of this, by how long there has been no answer.
+	backoffLeast = 100 * time.Millisecond
+	backoffEach  = 50 * time.Millisecond // for each dispatcher
+	backoffMost  = 900 * time.Millisecond
+
+	heardShare   = 1.2  // of the backoff, right behind an answer, ...
+	urgentShare  = 0.15 // ... when a change is about to count as told, ...
+	downShare    = 0.6  // ... and when it would count as told already
+	leastOfShare = 0.4  // of that is no chance
 
 	agentLeast = 50 * time.Millisecond // a call to an agent may take so long, whatever the grace
+	agentTries = 4                     // calls without an answer, behind which an agent is called every prompt only
 )
 
 // Kind is what a call for the list is.
@@ -53,29 +71,39 @@
 
 const (
 	Watch Kind = iota // goes on with a watch: it waits for news
-	Ask               // the first, or behind one that failed: it does not wait where lists are asked for
-	Move              // the first after discovery has moved, for the whole list
+	Ask               // the first, behind a move, or beside or behind one without an answer: it does not wait
 )
 
-// Spans gives how long a call waits for news, and how long its answer may take beside that, by whether lists are pushed,
-// and by the grace for a drain.
-func (k Kind) Spans(pushed bool, grace time.Duration) (wait, within time.Duration) {
+// String names a kind as the log does.
+func (k Kind) String() string {
+	if k == Watch {
+		return "watch"
+	}
+	return "ask"
+}
+
+// Rules are the settings that calls go by.
+type Rules struct {
+	Pushed      bool          // lists are pushed to an agent, which is called
+	Grace       time.Duration // for a drain
+	Dispatchers int           // that call the same service
+}
+
+// Spans gives how long a call waits for news, and how long its answer may take beside that.
+func (r Rules) Spans(k Kind) (wait, within time.Duration) {
 	switch {
-	case pushed && k == Watch:
-		span := max(grace/5, agentLeast)
-		return span, span
-	case pushed:
-		return 0, max(grace/5, agentLeast)
-	case k == Ask:
-		return 0, Answer
-	case k == Move:
-		return 0, MoveAnswer
+	case r.Pushed && k == Watch:
+		return r.agentSpan(), r.agentSpan()
+	case r.Pushed:
+		return 0, r.agentSpan()
+	case k == Watch:
+		return Wait, Answer
 	}
-	return Wait, Late
+	return 0, Answer
 }
 
-// Again gives how long after a failed call an agent is called again. It serves this dispatcher alone and costs nobody.
-func Again() time.Duration { return prompt }
+// agentSpan is how long a watch at an agent waits.
+func (r Rules) agentSpan() time.Duration { return max(r.Grace/5, agentLeast) }
 
 // Rewatch gives how long after an answer a watch's next call is made, by whether the answer told anything, whether it
 // came before the wait was over, how many dispatchers there are, and chance from 0 to 1.
@@ -89,5 +117,9 @@
 		least = empty
 	}
 	spread := min(time.Duration(max(dispatchers-1, 0))*each, Gap-Margin-least)
-	return least + time.Duration(min(max(chance, 0), 1)*float64(spread))
+	return least + scale(spread, clamp(chance))
 }
+
+func clamp(chance float64) float64 { return min(max(chance, 0), 1) }
+
+func scale(d time.Duration, by float64) time.Duration { return time.Duration(float64(d) * by) }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"brassdale/brain"
+	"brassdale/internal/decisions/pacing"
 	"brassdale/internal/operator"
 	"brassdale/internal/protocol"
 	"brassdale/internal/routing"
@@ -212,8 +213,7 @@
 	discovery := transport.NewDiscovery(cfg.Discovery, p, d.meter)
 	d.set = routing.NewDestinations(d.core, d.fleet, discovery, known, log)
 	d.set.SetSource(source)
-	d.set.Among(func() int { return p.Now().ReplicasOfMe })
-	d.set.Pushed(func() bool { return p.Now().Pushed() })
+	d.set.Pace(func() pacing.Rules { return transport.PacingRules(p.Now()) })
 	if from != nil {
 		d.set.StartFrom(from)
 		age, ok := from.Trust.Age()
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -73,7 +73,6 @@
 	if cfg.Discovery != old.Discovery || !slices.Equal(cfg.Settings.Zones, old.Settings.Zones) || !slices.Equal(cfg.Settings.Flavors, old.Settings.Flavors) {
 		next := transport.NewDiscovery(cfg.Discovery, r.discovery.Params, r.d.meter)
 		r.d.set.Move(next)
-		r.discovery.Close()
 		r.discovery = next
 	}
 	later := r.op.Later(op) // what is built in at the start
--- a/internal/protocol/figures.go
+++ b/internal/protocol/figures.go
@@ -19,6 +19,6 @@
 	fmt.Fprintf(&b, "failed_unsent=%d\n", f.FailedUnsent)
 	fmt.Fprintf(&b, "dispatches=%d\nconcurrent=%d\ntargets=%d\ntargets_disabled=%d\nreload_success=%d\nreload_failure=%d\n",
 		f.Dispatches, f.Concurrent, f.Targets, f.Avoided, f.ReloadsTaken, f.ReloadsRefused)
-	fmt.Fprintf(&b, "discovery_calls=%d\ndiscovery_failures=%d\n", f.DiscoveryCalls, f.DiscoveryFailures)
+	fmt.Fprintf(&b, "discovery_calls=%d\ndiscovery_overlaps=%d\ndiscovery_failures=%d\n", f.DiscoveryCalls, f.DiscoveryOverlaps, f.DiscoveryFailures)
 	return b.String()
 }
--- /dev/null
+++ b/internal/routing/calls.go
@@ -0,0 +1,135 @@
+package routing
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"brassdale/internal/decisions/pacing"
+)
+
+// mostOpenCalls bounds the calls for the list that are open at a time: a watch, those made beside it, and those that a move
+// of discovery found open.
+const mostOpenCalls = 6
+
+// service is a discovery service that is asked, or was before a move.
+type service struct {
+	discovery Discovery
+	revision  int64     // that is known of it; Whole for none
+	answered  bool      // it has brought a list
+	heard     time.Time // when it last did
+}
+
+// listCall is a call for the list that has not ended.
+type listCall struct {
+	number   int
+	service  *service
+	kind     pacing.Kind
+	revision int64
+	begun    time.Time
+	stop     context.CancelFunc
+}
+
+// callEnded is what became of a call.
+type callEnded struct {
+	number int
+	update Update
+	err    error
+}
+
+// listCalls makes the calls for the list when its schedule says so. They run beside each other, each on a connection of its
+// own, and each lasts until it has ended by itself: one that is late may still be the first to bring a change. Behind a move
+// of discovery the calls to the service before go on until the new one has answered. Owned by the actor of the destination
+// set; call results reach it by its mailbox.
+type listCalls struct {
+	schedule *pacing.Schedule
+	rules    func() pacing.Rules
+	current  *service
+	open     []*listCall // the oldest first
+	last     int         // number of the newest call to the service in force
+	made     int
+	ended    func(callEnded)
+	ledger   *Ledger
+	log      *slog.Logger
+}
+
+// due gives the time of the next call; not ok where none is to be made.
+func (l *listCalls) due() (at time.Time, ok bool) {
+	at, _, ok = l.schedule.Next()
+	return at, ok
+}
+
+// call makes the next call if its time has come.
+func (l *listCalls) call(ctx context.Context, now time.Time) {
+	at, kind, ok := l.schedule.Next()
+	if !ok || now.Before(at) {
+		return
+	}
+	l.schedule.Called(now, l.rules(), rand.Float64())
+	l.last = l.begin(ctx, now, l.current, kind)
+}
+
+// begin makes a call and gives its number.
+func (l *listCalls) begin(ctx context.Context, now time.Time, to *service, kind pacing.Kind) int {
+	if len(l.open) >= mostOpenCalls {
+		l.giveUp(l.open[0], "too many are open")
+	}
+	l.made++
+	ctx, stop := context.WithCancel(ctx)
+	c := &listCall{number: l.made, service: to, kind: kind, revision: to.revision, begun: now, stop: stop}
+	l.ledger.discoveryCalled(len(l.open) > 0)
+	l.open = append(l.open, c)
+	go func() {
+		update, err := to.discovery.Call(ctx, c.revision, kind)
+		l.ended(callEnded{c.number, update, err})
+	}()
+	return c.number
+}
+
+// take removes a call that has ended; nil where it was given up before.
+func (l *listCalls) take(m callEnded) *listCall {
+	for i, c := range l.open {
+		if c.number == m.number {
+			l.open = append(l.open[:i], l.open[i+1:]...)
+			c.stop()
+			l.logEnd(c, m)
+			return c
+		}
+	}
+	return nil
+}
+
+func (l *listCalls) logEnd(c *listCall, m callEnded) {
+	l.log.Debug("discovery called", "call", c.number, "kind", c.kind.String(), "former", c.service != l.current, "revision", c.revision,
+		"took", time.Since(c.begun), "got", m.update.Revision, "complete", m.update.Complete, "lines", len(m.update.Destinations),
+		"beside", len(l.open), "err", m.err)
+}
+
+// giveUp ends a call that has not ended.
+func (l *listCalls) giveUp(c *listCall, why string) {
+	l.log.Debug("discovery call given up", "call", c.number, "kind", c.kind.String(), "after", time.Since(c.begun), "why", why)
+	l.take(callEnded{number: c.number, err: context.Canceled})
+}
+
+// move goes on with another service. The calls to those before stay open until it has answered.
+func (l *listCalls) move(to Discovery, now time.Time) {
+	l.current = &service{discovery: to, revision: Whole}
+	l.last = 0
+	l.schedule.Moved(now)
+}
+
+// dropFormer gives up what is open at services before a move.
+func (l *listCalls) dropFormer() {
+	for i := len(l.open) - 1; i >= 0; i-- {
+		if c := l.open[i]; c.service != l.current {
+			l.giveUp(c, "discovery has moved, and the new one has answered")
+			c.service.discovery.Close()
+		}
+	}
+}
+
+// outdated tells whether an answer was overtaken by that of a call beside it.
+func (c *listCall) outdated(u Update) bool {
+	return u.Revision < c.service.revision && c.begun.Before(c.service.heard)
+}
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -16,8 +16,9 @@
 // Update is an answer of discovery.
 type Update struct {
 	Revision     int64
-	Complete     bool // the whole set; who is absent is gone
-	Early        bool // it came before the call's wait was over
+	Complete     bool      // the whole set; who is absent is gone
+	Early        bool      // it came before the call's wait was over
+	At           time.Time // when it began to come; zero for now
 	Destinations []Destination
 }
 
@@ -25,6 +26,8 @@
 // set, by the deadline that it keeps itself, whatever discovery does.
 type Discovery interface {
 	Call(ctx context.Context, revision int64, kind pacing.Kind) (Update, error)
+	// Close lets go of the connections that carry no call.
+	Close()
 }
 
 // Whole is no revision: who asks after it wants the whole set now.
@@ -35,27 +38,22 @@
 type Destinations struct {
 	core      *Core
 	endpoints Endpoints
-	discovery Discovery
 	log       *slog.Logger
 	box       *Mailbox[any]
 
 	// Owned by Run.
-	revision int64
-	known    map[brain.WorkerID]Destination
-	watching bool
-	start    *FromSaved // nil unless this process started from a saved list and nobody told a newer one
-	keeper   Keeper     // nil for none
-	source   atomic.Pointer[Source]
-	call     int                // number of the latest call; what an older one brings is void
-	stop     context.CancelFunc // ends that call
+	calls  *listCalls
+	known  map[brain.WorkerID]Destination
+	start  *FromSaved // nil unless this process started from a saved list and nobody told a newer one
+	keeper Keeper     // nil for none
+	source atomic.Pointer[Source]
 
-	dispatchers func() int
-	pushed      func() bool   // an agent has the list, and is asked without the module's asking
-	answered    time.Time     // when discovery last answered; before, when this process began
-	first       chan struct{} // closed when the first call has ended, however
-	fault       string        // of the last call; empty where it succeeded
-	faults      int           // calls that failed since one succeeded
-	reported    time.Time     // when a row of failures was last logged
+	rules    func() pacing.Rules
+	answered time.Time     // when discovery last answered; before, when this process began
+	first    chan struct{} // closed when the first call has ended, however
+	fault    string        // of the last call; empty where it succeeded
+	faults   int           // calls that failed since one succeeded
+	reported time.Time     // when a row of failures was last logged
 }
 
 // reportEvery is how often a row of failed calls to discovery is logged at the most.
@@ -65,19 +63,17 @@
 	subscribe struct{}
 	move      struct{ to Discovery }
 	ask       struct{ answer chan<- Update }
-	watched   struct {
-		call   int
-		update Update
-		err    error
-	}
 )
 
 // NewDestinations makes the actor with the set as it was known last, and tells the module of that.
 func NewDestinations(c *Core, e Endpoints, d Discovery, saved Update, log *slog.Logger) *Destinations {
-	s := &Destinations{core: c, endpoints: e, discovery: d, log: log, box: NewMailbox[any](),
-		known: map[brain.WorkerID]Destination{}, dispatchers: func() int { return 1 },
-		pushed: func() bool { return false }, answered: time.Now(), first: make(chan struct{})}
+	now := time.Now()
+	s := &Destinations{core: c, endpoints: e, log: log, box: NewMailbox[any](), known: map[brain.WorkerID]Destination{},
+		rules: func() pacing.Rules { return pacing.Rules{Dispatchers: 1} }, answered: now, first: make(chan struct{})}
+	s.calls = &listCalls{schedule: pacing.NewSchedule(now), rules: func() pacing.Rules { return s.rules() },
+		current: &service{discovery: d}, ended: func(m callEnded) { s.box.Post(m) }, ledger: &c.ledger, log: log}
 	s.apply(saved, brain.ListSaved)
+	s.calls.current.revision = saved.Revision
 	return s
 }
 
@@ -94,12 +90,9 @@
 	return await(ctx, answer)
 }
 
-// Among tells how many dispatchers watch the same discovery, in the settings in force.
-func (s *Destinations) Among(dispatchers func() int) { s.dispatchers = dispatchers }
-
-// Pushed tells whether lists are pushed to an agent, in the settings in force. The module does not ask for changes then:
-// the actor watches the agent from its start, and again by itself after each call that failed.
-func (s *Destinations) Pushed(pushed func() bool) { s.pushed = pushed }
+// Pace names who gives the rules that calls for the list go by, of the settings in force. Where lists are pushed to an agent
+// the module does not ask for changes: the actor calls the agent from its start.
+func (s *Destinations) Pace(rules func() pacing.Rules) { s.rules = rules }
 
 // First is closed when the first call has ended, however.
 func (s *Destinations) First() <-chan struct{} { return s.first }
@@ -108,13 +101,13 @@
 func (s *Destinations) Run(ctx context.Context) {
 	alarm := time.NewTimer(time.Hour)
 	defer alarm.Stop()
-	if s.pushed() {
+	if s.rules().Pushed {
 		s.Subscribe()
 	}
 	s.trust(func(now brain.Clock) []savedlist.Verdict { return s.start.Trust.Look(now) })
 	for {
-		if at, ok := s.due(); ok {
-			alarm.Reset(time.Until(s.core.clock.Time(at)))
+		if at, ok := s.wakeAt(); ok {
+			alarm.Reset(time.Until(at))
 		}
 		select {
 		case <-ctx.Done():
@@ -123,98 +116,121 @@
 		case <-alarm.C:
 		}
 		for _, m := range s.box.Take() {
-			switch m := m.(type) {
-			case subscribe:
-				if !s.watching {
-					s.ask(ctx, time.Now(), pacing.Ask)
-				}
-			case move:
-				s.log.Info("discovery moved", "call_left", s.call, "list_age", s.age())
-				// The call to the old one is left at once, whatever it may still bring, and the new one is asked
-				// for its whole set: nobody says that both count revisions alike, and a change that the old one
-				// had under way must not be lost. Until the answer the list as known holds.
-				s.discovery, s.revision = m.to, Whole
-				s.ask(ctx, time.Now(), pacing.Move)
-			case ask:
-				u := Update{Revision: s.revision, Complete: true}
-				for _, d := range s.known {
-					u.Destinations = append(u.Destinations, d)
-				}
-				m.answer <- u // has room
-			case sign:
-				s.heard(m)
-			case watched:
-				if m.call == s.call {
-					s.take(ctx, m)
-				}
-				if m.call == 1 {
-					close(s.first)
-				}
-			}
+			s.receive(ctx, m)
 		}
+		s.calls.call(ctx, time.Now())
 		s.trust(func(now brain.Clock) []savedlist.Verdict { return s.start.Trust.Look(now) })
 		s.expire()
 	}
 }
 
-// ask calls discovery beside the actor, whose mailbox gets the answer. It ends the call before.
-func (s *Destinations) ask(ctx context.Context, from time.Time, kind pacing.Kind) {
-	if s.stop != nil {
-		s.stop()
+// wakeAt gives when there is something to do if nothing comes.
+func (s *Destinations) wakeAt() (at time.Time, ok bool) {
+	at, ok = s.calls.due()
+	if due, trusts := s.due(); trusts {
+		if t := s.core.clock.Time(due); !ok || t.Before(at) {
+			at, ok = t, true
+		}
+	}
+	return at, ok
+}
+
+// receive takes a message.
+func (s *Destinations) receive(ctx context.Context, m any) {
+	switch m := m.(type) {
+	case subscribe:
+		s.calls.schedule.Begin(time.Now())
+	case move:
+		// The new one is asked for its whole set: nobody says that both count revisions alike, and a change that the old
+		// one had under way must not be lost. Until the answer the list as known holds, and what the old one still brings.
+		s.log.Info("discovery moved", "open_calls", len(s.calls.open), "list_age", s.age())
+		s.calls.move(m.to, time.Now())
+	case ask:
+		u := Update{Revision: s.calls.current.revision, Complete: true}
+		for _, d := range s.known {
+			u.Destinations = append(u.Destinations, d)
+		}
+		m.answer <- u // has room
+	case sign:
+		s.heard(m)
+	case callEnded:
+		if c := s.calls.take(m); c != nil {
+			s.take(ctx, c, m)
+		}
+		if m.number == 1 {
+			close(s.first)
+		}
 	}
-	s.watching = true
-	s.call++
-	call, revision, discovery := s.call, s.revision, s.discovery
-	s.core.ledger.discoveryCalled()
-	ctx, s.stop = context.WithCancel(ctx)
-	go func() {
-		time.Sleep(time.Until(from))
-		begun := time.Now()
-		u, err := discovery.Call(ctx, revision, kind)
-		s.log.Debug("discovery called", "call", call, "kind", kind, "revision", revision, "took", time.Since(begun), "got", u.Revision,
-			"complete", u.Complete, "lines", len(u.Destinations), "err", err)
-		s.box.Post(watched{call, u, err})
-	}()
 }
 
-func (s *Destinations) take(ctx context.Context, m watched) {
+// take takes in what a call brought.
+func (s *Destinations) take(ctx context.Context, c *listCall, m callEnded) {
+	now, rules := time.Now(), s.rules()
 	if m.err == nil && s.start.foreign(m.update) {
 		m.err = errForeign
 	}
-	if m.err != nil {
+	switch {
+	case m.err != nil && c.service != s.calls.current: // it is asked no more
+	case m.err != nil:
 		if ctx.Err() == nil {
 			s.failed(m.err)
 		}
-		s.core.Listed(brain.Listed{Kind: brain.ListFailed})
-		if s.pushed() {
-			s.ask(ctx, time.Now().Add(pacing.Again()), pacing.Ask)
-			return
-		}
-		s.watching = false // until the module asks again
+		s.calls.schedule.Failed(now, c.number == s.calls.last, rules, rand.Float64())
+	case c.service != s.calls.current:
+		s.takeFormer(ctx, c, m.update)
+	case c.outdated(m.update):
+		s.log.Info("discovery's answer was overtaken", "call", c.number, "revision", m.update.Revision, "known", c.service.revision)
+		s.calls.schedule.Answered(now, c.number == s.calls.last, false, m.update.Early, rules, rand.Float64())
+	default:
+		s.takeList(now, c, m.update)
+		s.mended() // behind the list's own line: who reads that discovery answers again finds its list in force
+	}
+}
+
+// takeList takes in the list, or a change of it, of the service in force.
+func (s *Destinations) takeList(now time.Time, c *listCall, u Update) {
+	service := c.service
+	fresh := u.Revision != service.revision || len(u.Destinations) > 0
+	if !service.answered {
+		service.answered = true
+		s.calls.dropFormer()
+	}
+	service.heard = now
+	if again, doubted := s.judge(&u); doubted {
+		u.Complete = false
+		s.apply(u, brain.ListChange)
+		service.revision = Whole
+		s.calls.schedule.AskAt(again)
 		return
 	}
-	defer s.mended() // behind the list's own line: who reads that discovery answers again finds its list in force
-	fresh := m.update.Revision != s.revision || len(m.update.Destinations) > 0
 	kind := brain.ListChange
-	if m.update.Complete {
+	if u.Complete {
 		kind = brain.ListFull
 	}
-	if again, doubted := s.judge(&m.update); doubted {
-		m.update.Complete = false
-		s.apply(m.update, brain.ListChange)
-		s.revision = Whole
-		s.ask(ctx, again, pacing.Ask)
-		return
-	}
-	s.apply(m.update, kind)
-	s.answered = time.Now()
-	s.core.ledger.listHeard(s.answered)
+	s.apply(u, kind)
+	service.revision = u.Revision
+	s.answered = now
+	s.core.ledger.listHeard(now)
 	s.handOver()
 	if s.keeper != nil {
-		s.keeper.Listed(m.update)
+		s.keeper.Listed(u)
+	}
+	s.source.Store(&Source{Name: "discovery", Told: now})
+	s.calls.schedule.Answered(now, c.number == s.calls.last, fresh, u.Early, s.rules(), rand.Float64())
+}
+
+// takeFormer takes in what a service brings that was asked before a move, while the new one has not answered. It tells of
+// workers that changed; which ones there are is the new one's word. A watch there goes on meanwhile.
+func (s *Destinations) takeFormer(ctx context.Context, c *listCall, u Update) {
+	if s.calls.current.answered || c.outdated(u) {
+		return
+	}
+	u.Complete = false
+	s.apply(u, brain.ListChange)
+	c.service.revision, c.service.heard = u.Revision, time.Now()
+	if c.kind == pacing.Watch {
+		s.calls.begin(ctx, time.Now(), c.service, pacing.Watch)
 	}
-	s.source.Store(&Source{Name: "discovery", Told: time.Now()})
-	s.ask(ctx, time.Now().Add(pacing.Rewatch(fresh, m.update.Early, s.dispatchers(), rand.Float64())), pacing.Watch)
 }
 
 // mended notes that calls succeed again.
@@ -234,7 +250,7 @@
 	s.fault = err.Error()
 	s.faults++
 	s.core.ledger.discoveryFailed()
-	s.log.Log(context.Background(), level, "discovery failed, the old list holds", "revision", s.revision, "list_age", s.age(), "err", err)
+	s.log.Log(context.Background(), level, "discovery failed, the old list holds", "revision", s.calls.current.revision, "list_age", s.age(), "err", err)
 	if now := time.Now(); s.faults > 1 && now.Sub(s.reported) >= reportEvery {
 		s.reported = now
 		s.log.Info("discovery keeps failing", "failed_calls", s.faults, "list_age", s.age(), "err", err)
@@ -245,8 +261,10 @@
 func (s *Destinations) age() time.Duration { return time.Since(s.answered).Round(time.Millisecond) }
 
 func (s *Destinations) apply(u Update, kind brain.ListKind) {
-	s.revision = u.Revision
-	now := time.Now()
+	now := u.At
+	if now.IsZero() {
+		now = time.Now()
+	}
 	listed, level := brain.Listed{Kind: kind}, slog.LevelDebug
 	if u.Complete {
 		level = slog.LevelInfo
@@ -280,7 +298,7 @@
 	if d.State != brain.Ready { // told once: neither a repeat nor its end starts the grace of a drain anew
 		if d.Told = cmp.Or(old.Told, d.Told); d.Told.IsZero() { // a predecessor may have been told before
 			d.Told = now
-			if s.pushed() { // what the agent had counts as told: it may have had it since then
+			if s.rules().Pushed { // what the agent had counts as told: it may have had it since then
 				d.Told = s.answered
 			}
 		}
--- a/internal/routing/fromsaved.go
+++ b/internal/routing/fromsaved.go
@@ -43,7 +43,7 @@
 
 // StartFrom begins with a saved list. It must be called before Run, with no other list told.
 func (s *Destinations) StartFrom(f *FromSaved) {
-	s.start, s.revision = f, Whole
+	s.start, s.calls.current.revision = f, Whole
 	for _, d := range f.Destinations {
 		if d.State == brain.Ready {
 			s.endpoints.Update(d) // so that it can be probed; the module knows nothing of it
--- a/internal/routing/ledger.go
+++ b/internal/routing/ledger.go
@@ -24,6 +24,7 @@
 	RetriesDenied                int       // further calls that the budget did not allow
 	RepeatsDenied                int       // further calls that the fleet did not allow
 	DiscoveryCalls               int       // calls made for the list
+	DiscoveryOverlaps            int       // of these, made while another was open
 	DiscoveryFailures            int       // those of them that brought no list
 	ListHeard                    time.Time // when discovery last answered; zero while it has not
 }
@@ -89,7 +90,16 @@
 	})
 }
 
-func (l *Ledger) discoveryCalled()       { l.enter(func(f *Figures) { f.DiscoveryCalls++ }) }
+// discoveryCalled counts a call for the list, and whether it is made while another is open.
+func (l *Ledger) discoveryCalled(beside bool) {
+	l.enter(func(f *Figures) {
+		f.DiscoveryCalls++
+		if beside {
+			f.DiscoveryOverlaps++
+		}
+	})
+}
+
 func (l *Ledger) discoveryFailed()       { l.enter(func(f *Figures) { f.DiscoveryFailures++ }) }
 func (l *Ledger) listHeard(at time.Time) { l.enter(func(f *Figures) { f.ListHeard = at }) }
 
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -42,7 +42,7 @@
 // what it had to tell counts as told for all that.
 func (d *Discovery) Call(ctx context.Context, revision int64, kind pacing.Kind) (routing.Update, error) {
 	p := d.Params.Now()
-	wait, within := kind.Spans(p.Pushed(), p.Rules.DrainGrace.Span())
+	wait, within := PacingRules(p).Spans(kind)
 	url, end := fmt.Sprintf("http://%s/registry/instances", d.Address), time.Now().Add(wait+within)
 	if revision != routing.Whole {
 		url += fmt.Sprintf("?index=%d&wait=%d", revision, wait.Milliseconds())
@@ -58,6 +58,7 @@
 		return routing.Update{}, err
 	}
 	defer resp.Body.Close()
+	came := time.Now() // what the answer tells counts from when it was written
 	text, err := io.ReadAll(io.LimitReader(resp.Body, mostList))
 	if err != nil {
 		return routing.Update{}, err
@@ -73,10 +74,16 @@
 		return routing.Update{}, fmt.Errorf("asked for the whole list, discovery gave changes")
 	}
 	u := Update(l, d.Params.Now())
+	u.At = came
 	u.Early = time.Until(end) > within+wait/2
 	return u, nil
 }
 
+// PacingRules gives what calls for the list go by.
+func PacingRules(p *protocol.Params) pacing.Rules {
+	return pacing.Rules{Pushed: p.Pushed(), Grace: p.Rules.DrainGrace.Span(), Dispatchers: p.ReplicasOfMe}
+}
+
 // Update gives a list in the core's terms.
 func Update(l *protocol.List, p *protocol.Params) routing.Update {
 	return routing.Update{Revision: l.Revision, Complete: l.Complete, Destinations: l.Destinations(p)}
