--- /dev/null
+++ b/internal/routing/starts_test.go
@@ -0,0 +1,63 @@
+package routing
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"brassdale/brain"
+)
+
+// A worker's age as the module has it must not be more than it is, whichever way the wall clocks stand to each other: one that
+// has just started is cold. It must not be less for long either: a worker whose stamp lies in the future is not cold for ever.
+func TestStartsWithClocksApart(t *testing.T) {
+	for name, apart := range map[string]time.Duration{
+		"alike": 0, "ahead by an hour": time.Hour, "behind by an hour": -time.Hour, "ahead by seconds": 5 * time.Second, "behind by seconds": -5 * time.Second,
+	} {
+		c, f := startCore(t)
+		s := NewDestinations(c, &updates{fake: f}, nil, Update{}, c.log)
+		age := func(id brain.WorkerID) time.Duration {
+			learned, err := c.Experience(context.Background())
+			if err != nil {
+				t.Fatal(err)
+			}
+			since := learned.Workers[id].Since
+			if since == 0 {
+				return time.Hour * 24 * 365
+			}
+			return c.clock.Now() - since
+		}
+		stamp := func(ago time.Duration) brain.Clock { // by a clock that ours is ahead of
+			return time.Duration(time.Now().Add(-apart - ago).UnixNano())
+		}
+		line := func(id brain.WorkerID, since brain.Clock) Destination {
+			return Destination{WorkerInfo: brain.WorkerInfo{ID: id, Since: since, Weight: 1}, Address: "h:1"}
+		}
+		old, young := stamp(30*time.Second), stamp(2*time.Second)
+		s.apply(Update{Revision: 1, Complete: true, Destinations: []Destination{line("longago", 0), line("old", old), line("young", young)}}, brain.ListFull)
+		if got := age("longago"); got < time.Hour {
+			t.Errorf("%s: long ago is %v ago", name, got)
+		}
+		if got := age("young"); got < -time.Second || got > 3*time.Second {
+			t.Errorf("%s: 2 s ago, in the first list, is %v ago", name, got)
+		}
+		if got := age("old"); got > 31*time.Second || got < 20*time.Second {
+			t.Errorf("%s: 30 s ago, in the first list, is %v ago", name, got)
+		}
+		s.apply(Update{Revision: 2, Destinations: []Destination{line("joins", stamp(0)), line("old", stamp(0))}}, brain.ListChange)
+		for _, id := range []brain.WorkerID{"joins", "old"} {
+			if got := age(id); got < -time.Second || got > time.Second {
+				t.Errorf("%s: %s, just started, is %v ago", name, id, got)
+			}
+		}
+		s.apply(Update{Revision: 3, Destinations: []Destination{line("young", young)}}, brain.ListChange)
+		if got := age("young"); got > 4*time.Second || got < -time.Second {
+			t.Errorf("%s: told again with the same start, it is %v ago", name, got)
+		}
+		// The stamping clock is set back by an hour, and the worker starts again.
+		s.apply(Update{Revision: 4, Destinations: []Destination{line("joins", stamp(time.Hour))}}, brain.ListChange)
+		if got := age("joins"); got > time.Second {
+			t.Errorf("%s: started again behind a step of the clock, it is %v ago", name, got)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/accept_test.go
@@ -0,0 +1,49 @@
+package transport
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Whatever a system call fails with, a listener goes on until it is closed. ENOBUFS from accept once ended the process, with all
+// that it held, as did a descriptor that could not be polled.
+func TestAcceptOutlivesErrors(t *testing.T) {
+	for _, fault := range []error{syscall.ENOBUFS, syscall.ENOMEM, syscall.ENOSPC, syscall.EPERM, syscall.EPROTO, syscall.EMFILE, syscall.ENFILE,
+		syscall.ECONNABORTED, syscall.ETIMEDOUT, syscall.EINTR, syscall.EHOSTUNREACH, syscall.ENETDOWN, errors.New("unheard of")} {
+		l, err := Listen("127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		gate := NewGate(l, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		gate.Allow(10, 1<<20)
+		failures := 3
+		accept := gate.accept
+		gate.accept = func() (*net.TCPConn, error) {
+			if failures > 0 {
+				failures--
+				return nil, &net.OpError{Op: "accept", Net: "tcp", Err: fault}
+			}
+			return accept()
+		}
+		client, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn, err := gate.Accept()
+		if err != nil {
+			t.Errorf("%v ends the listener: %v", fault, err)
+		} else {
+			conn.(*Conn).TCPConn.Close()
+		}
+		client.Close()
+		time.AfterFunc(20*time.Millisecond, func() { gate.Close() })
+		if _, err := gate.Accept(); !errors.Is(err, net.ErrClosed) {
+			t.Errorf("closed, it ends with %v", err)
+		}
+	}
+}
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -40,6 +40,7 @@
 	room   atomic.Int64 // for the bodies of all requests together, in bytes
 	bodies atomic.Int64 // that are being read, or held for their jobs
 	log    *slog.Logger
+	accept func() (*net.TCPConn, error) // AcceptTCP; tests put faults there
 
 	multiplexed bool // a connection carries many requests at a time
 
@@ -81,7 +82,7 @@
 
 // NewGate makes the gate of a front. It lets nothing in before Allow.
 func NewGate(l *net.TCPListener, log *slog.Logger) *Gate {
-	return &Gate{TCPListener: l, log: log, conns: map[*Conn]struct{}{}}
+	return &Gate{TCPListener: l, log: log, accept: l.AcceptTCP, conns: map[*Conn]struct{}{}}
 }
 
 // NewMultiplexedGate makes the gate of a front whose connections carry many requests at a time. It gives their bytes as
@@ -153,7 +154,7 @@
 // Accept gives the next connection and makes room for it.
 func (g *Gate) Accept() (net.Conn, error) {
 	for {
-		conn, err := g.AcceptTCP()
+		conn, err := g.accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			if paused := g.pausing(); paused != nil {
 				<-paused
