Listeners outlive every error of accept but their own closing

Cause: net/http's Serve returns on errors that it takes for lasting (ENOBUFS, a descriptor that cannot be polled), and the program took that for its end; the listener for successors, the relay and the council's ended for good on any error.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -21,6 +21,7 @@
 	"brassdale/internal/decisions/failover"
 	"brassdale/internal/decisions/neighbours"
 	"brassdale/internal/fleet/membership"
+	"brassdale/internal/listen"
 	"brassdale/internal/traffic"
 )
 
@@ -232,7 +233,7 @@
 	defer stop()
 	server := &http.Server{Handler: a.Meter.Handler(a.handler(), kindOf), ConnContext: traffic.Note, ReadHeaderTimeout: callWithin, ErrorLog: slog.NewLogLogger(a.log.Handler(), slog.LevelDebug)}
 	var wait sync.WaitGroup
-	wait.Go(func() { _ = server.Serve(a.Meter.Listen(a.listener)) })
+	wait.Go(func() { _ = server.Serve(a.Meter.Listen(listen.Durable(a.listener, a.log))) })
 	wait.Go(func() { a.members.Run(ctx) })
 	wait.Go(func() { a.sit(ctx) })
 	wait.Go(func() { a.lead(ctx) })
--- a/internal/layers_test.go
+++ b/internal/layers_test.go
@@ -89,9 +89,10 @@
 	above := map[string][]string{ // by folder, what it may import of the project
 		"routing":          {"brain", "internal/decisions/"},
 		"protocol":         {"brain", "internal/routing"},
-		"transport":        {"brain", "internal/routing", "internal/protocol", "internal/decisions/", "internal/traffic"},
+		"transport":        {"brain", "internal/routing", "internal/protocol", "internal/decisions/", "internal/traffic", "internal/listen"},
 		"transport/http2":  {"brain", "internal/routing", "internal/protocol", "internal/decisions/", "internal/transport"},
-		"fleet":            {"internal/decisions/", "internal/fleet", "internal/diag", "internal/traffic"},
+		"fleet":            {"internal/decisions/", "internal/fleet", "internal/diag", "internal/traffic", "internal/listen"},
+		"listen":           {},
 		"fleet/log":        {"internal/decisions/"},
 		"fleet/membership": {"internal/traffic", "internal/decisions/neighbours"},
 		"traffic":          {},
--- a/internal/program/replace.go
+++ b/internal/program/replace.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"brassdale/brain"
+	"brassdale/internal/listen"
 	"brassdale/internal/protocol"
 	"brassdale/internal/transport"
 )
@@ -90,6 +91,10 @@
 	d.ids.Follow(p.kin)
 	learned := p.handover.Experience
 	learned.Classes = d.params.Number(p.handover.Classes)
+	for id, w := range learned.Workers { // its clock is not this process's, and the list that came with it names the same starts
+		w.Since = d.set.Started(id)
+		learned.Workers[id] = w
+	}
 	d.core.Succeed(learned) // behind the list, which was told when it was made
 	d.takeHeld(&protocol.Held{Outbound: d.shares.outbound / 2})
 	d.besideKeys(p.kin, p.handover.Relay, true)
@@ -128,10 +133,11 @@
 		d.log.Warn("cannot be replaced while it serves", "err", err)
 		return
 	}
+	failures := listen.Failures{Log: d.log}
 	go func() {
 		defer l.Close()
 		for {
-			kin, err := transport.Heir(l)
+			kin, err := transport.Heir(l, failures.Failed)
 			if err != nil {
 				return
 			}
@@ -248,7 +254,7 @@
 	// Whoever is relayed was admitted where it came in: its account's share counts there.
 	whole := transport.NewInbound(d.core, d.params, d.fronts[0].gate, d.ids, d.keys, nil, nil, d.log)
 	d.relay, d.relayed = path, transport.Server(transport.Relayed{Whole: whole, Stream: d.progress}, d.log)
-	go func() { _ = d.relayed.Serve(l) }()
+	go func() { _ = d.relayed.Serve(listen.Durable(l, d.log)) }()
 }
 
 func (d *dispatcher) kin() *transport.Kin {
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"brassdale/internal/listen"
 )
 
 const (
@@ -42,6 +44,8 @@
 	log    *slog.Logger
 	accept func() (*net.TCPConn, error) // AcceptTCP; tests put faults there
 
+	failures listen.Failures // of accept
+
 	multiplexed bool // a connection carries many requests at a time
 
 	mu         sync.Mutex
@@ -82,7 +86,7 @@
 
 // NewGate makes the gate of a front. It lets nothing in before Allow.
 func NewGate(l *net.TCPListener, log *slog.Logger) *Gate {
-	return &Gate{TCPListener: l, log: log, accept: l.AcceptTCP, conns: map[*Conn]struct{}{}}
+	return &Gate{TCPListener: l, log: log, accept: l.AcceptTCP, failures: listen.Failures{Log: log}, conns: map[*Conn]struct{}{}}
 }
 
 // NewMultiplexedGate makes the gate of a front whose connections carry many requests at a time. It gives their bytes as
@@ -151,10 +155,11 @@
 	return g.paused
 }
 
-// Accept gives the next connection and makes room for it.
+// Accept gives the next connection and makes room for it. Only closing the gate ends it: whatever else accept fails with
+// (connections that were aborted, no descriptors, no memory, no room to poll one more) is over sooner or later.
 func (g *Gate) Accept() (net.Conn, error) {
 	for {
-		conn, err := g.accept()
+		conn, err := listen.Next(g.accept, g.failures.Failed)
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			if paused := g.pausing(); paused != nil {
 				<-paused
--- a/internal/transport/kin.go
+++ b/internal/transport/kin.go
@@ -12,6 +12,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"brassdale/internal/listen"
 	"brassdale/internal/protocol"
 	"brassdale/internal/routing"
 )
@@ -226,9 +227,9 @@
 }
 
 // Heir waits for the next successor: a process of the same user.
-func Heir(l *net.UnixListener) (*Kin, error) {
+func Heir(l *net.UnixListener, failed func(error)) (*Kin, error) {
 	for {
-		conn, err := l.AcceptUnix()
+		conn, err := listen.Next(l.AcceptUnix, failed)
 		if err != nil {
 			return nil, err
 		}
