Workers' starts are judged without comparing two wall clocks

Cause: a worker's age was our wall clock, read once at the start, less discovery's stamp: an hour ahead made a cold worker warm, an hour behind starved it for an hour. Change: decisions/starts: a start told while lists come counts from then; in a first list, or behind a silence, ages go by the newest stamp, capped by our wall clock where that can be right. A successor takes its predecessor's starts.

--- /dev/null
+++ b/internal/decisions/starts/starts.go
@@ -0,0 +1,87 @@
+// Package starts judges how long ago workers started. Values in, verdicts out: no I/O, no clock, no goroutine.
+//
+// Discovery stamps a worker's start with Unix time, by a wall clock that need not agree with the one here, and either may be
+// set forward or back at any moment. So a stamp tells which start is meant, and hardly when it was. Book promises:
+//
+//  1. A start that is told while lists come counts from when it was first told here: the worker is that old at least, and it is
+//     not taken for warmer than it is.
+//  2. A list behind a time in which nothing was told, as the first of a process, may name workers that started long before. One
+//     of them is taken to be as old as its stamp is behind the newest stamp of that list, or as the own wall clock has it, or
+//     as that time was long, whichever is least. No clock needs to be right for the first; an own clock that is behind the
+//     newest stamp is not gone by.
+//  3. The same stamp again is the same start. Another stamp, also a lower one, is another start: a clock was set back.
+//  4. No stamp means long ago: the worker is warm, unless a start of it was told here before.
+package starts
+
+import (
+	"time"
+
+	"brassdale/brain"
+)
+
+// Current is how old the last list may be for a start in the next to be taken for one of just now.
+const Current = 6 * time.Second
+
+// start is one that was told of a worker.
+type start struct {
+	stamp brain.Clock // as discovery has it
+	at    brain.Clock // on the own clock
+}
+
+// Book remembers the starts of workers. Its zero value is empty.
+type Book struct {
+	workers map[brain.WorkerID]start
+}
+
+// Line is what a list says of a worker's start.
+type Line struct {
+	ID    brain.WorkerID
+	Stamp brain.Clock // Unix time by discovery's clock; 0 for long ago
+}
+
+// Moment is when a list is taken in.
+type Moment struct {
+	Now     brain.Clock   // on the own clock, which runs on evenly
+	Wall    brain.Clock   // Unix time by the own wall clock, which may be wrong
+	Unheard time.Duration // how long nothing had been told before
+}
+
+// Enter takes in a list, or a change of it, and gives when each of its workers started, on the own clock; 0 for long ago.
+func (b *Book) Enter(m Moment, lines []Line) []brain.Clock {
+	newest := brain.Clock(0)
+	for _, l := range lines {
+		newest = max(newest, l.Stamp)
+	}
+	at := make([]brain.Clock, len(lines))
+	for i, l := range lines {
+		known, had := b.workers[l.ID]
+		if l.Stamp > 0 && !(had && known.stamp == l.Stamp) {
+			b.Set(l.ID, l.Stamp, m.Now-m.age(l.Stamp, newest))
+		}
+		at[i] = b.At(l.ID)
+	}
+	return at
+}
+
+// age is how old a worker is taken to be by a stamp that is told for the first time.
+func (m Moment) age(stamp, newest brain.Clock) time.Duration {
+	if m.Unheard < Current {
+		return 0
+	}
+	age := min(newest-stamp, m.Unheard)
+	if m.Wall >= newest { // else it is behind the clock that stamps, and tells nothing
+		age = min(age, m.Wall-stamp)
+	}
+	return age
+}
+
+// Set notes when a start was, from one who knows.
+func (b *Book) Set(id brain.WorkerID, stamp, at brain.Clock) {
+	if b.workers == nil {
+		b.workers = map[brain.WorkerID]start{}
+	}
+	b.workers[id] = start{stamp, at}
+}
+
+// At gives when a worker started last, on the own clock, as far as it was told; 0 for long ago.
+func (b *Book) At(id brain.WorkerID) brain.Clock { return b.workers[id].at }
--- /dev/null
+++ b/internal/decisions/starts/starts_test.go
@@ -0,0 +1,73 @@
+package starts
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"brassdale/brain"
+)
+
+// Whatever one of the two wall clocks does, no worker is taken to be older than it is by more than the time in which nothing was
+// told, and one that starts while lists come is never taken to be older than it is at all. One that started long before the
+// newest is not taken for a new one for that.
+func TestNeverOlderThanItIs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		step := func(name string) time.Duration {
+			return time.Duration(rapid.Int64Range(-2*int64(time.Hour), 2*int64(time.Hour)).Draw(t, name))
+		}
+		const epoch = brain.Clock(1e18)
+		own, now := step("own wall clock"), brain.Clock(0)
+		truth := map[brain.WorkerID]brain.Clock{}
+		stamps := map[brain.WorkerID]brain.Clock{}
+		book := &Book{}
+		var first []Line
+		for _, id := range []brain.WorkerID{"a", "b", "c"} {
+			age := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "age"))
+			truth[id], stamps[id] = -age, epoch-age
+			first = append(first, Line{id, stamps[id]})
+		}
+		check := func(lines []Line, at []brain.Clock) {
+			for i, l := range lines {
+				if at[i] < truth[l.ID] {
+					t.Fatalf("%s is taken to be %v older than it is", l.ID, truth[l.ID]-at[i])
+				}
+			}
+		}
+		check(first, book.Enter(Moment{Now: now, Wall: epoch + own, Unheard: 1 << 62}, first))
+		stamping := time.Duration(0)
+		for range 20 {
+			now += brain.Clock(rapid.Int64Range(0, int64(10*time.Second)).Draw(t, "later"))
+			if rapid.IntRange(0, 3).Draw(t, "a clock is set") == 0 {
+				own, stamping = step("own wall clock"), step("clock that stamps")
+			}
+			id := rapid.SampledFrom([]brain.WorkerID{"a", "b", "c", "d", "e"}).Draw(t, "id")
+			if rapid.Bool().Draw(t, "starts") {
+				truth[id], stamps[id] = now, epoch+now+stamping
+			}
+			if stamps[id] == 0 {
+				continue
+			}
+			lines := []Line{{id, stamps[id]}}
+			check(lines, book.Enter(Moment{Now: now, Wall: epoch + now + own, Unheard: time.Second}, lines))
+		}
+	})
+}
+
+// With clocks alike, a worker in the first list of a process is as old as it is, less the age of the newest at the most.
+func TestFirstList(t *testing.T) {
+	book := &Book{}
+	const now, wall = brain.Clock(time.Hour), brain.Clock(1e18)
+	at := book.Enter(Moment{Now: now, Wall: wall, Unheard: 1 << 62}, []Line{{"old", wall - brain.Clock(30*time.Second)}, {"young", wall - brain.Clock(2*time.Second)}, {"long ago", 0}})
+	if old, young := now-at[0], now-at[1]; old != 28*time.Second || young != 0 || at[2] != 0 {
+		t.Errorf("%v, %v, %v", old, young, at[2])
+	}
+	// Behind eight seconds in which nothing was told, a start lies no further back than these.
+	later := now + 8*time.Second
+	at = book.Enter(Moment{Now: later, Wall: wall + 8*time.Second, Unheard: 8 * time.Second},
+		[]Line{{"old", wall + time.Second}, {"young", wall + 5*time.Second}})
+	if old, young := later-at[0], later-at[1]; old != 4*time.Second || young != 0 {
+		t.Errorf("%v, %v", old, young)
+	}
+}
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -11,6 +12,7 @@
 	"brassdale/brain"
 	"brassdale/internal/decisions/pacing"
 	"brassdale/internal/decisions/savedlist"
+	"brassdale/internal/decisions/starts"
 )
 
 // Update is an answer of discovery.
@@ -48,6 +50,9 @@
 	keeper Keeper     // nil for none
 	source atomic.Pointer[Source]
 
+	starts starts.Book // of the workers, on the core's clock; known has them as discovery stamps them
+	told   bool        // a list of discovery's was taken in
+
 	rules    func() pacing.Rules
 	answered time.Time     // when discovery last answered; before, when this process began
 	first    chan struct{} // closed when the first call has ended, however
@@ -275,8 +280,9 @@
 		if s.update(d, now) {
 			level = slog.LevelInfo
 		}
-		listed.Workers = append(listed.Workers, d.WorkerInfo)
 	}
+	listed.Workers = s.dated(u.Destinations)
+	s.told = s.told || kind != brain.ListSaved
 	if u.Complete || kind == brain.ListSaved {
 		for id, d := range s.known {
 			if !present[id] {
@@ -292,6 +298,31 @@
 	}
 }
 
+// forever is longer than any process runs.
+const forever = time.Duration(math.MaxInt64)
+
+// dated gives the lines of a list with the starts of their workers on the core's clock.
+func (s *Destinations) dated(lines []Destination) []brain.WorkerInfo {
+	now := time.Now()
+	moment := starts.Moment{Now: s.core.clock.At(now), Wall: time.Duration(now.UnixNano()), Unheard: now.Sub(s.answered)}
+	if !s.told {
+		moment.Unheard = forever
+	}
+	stamped := make([]starts.Line, len(lines))
+	for i, d := range lines {
+		stamped[i] = starts.Line{ID: d.ID, Stamp: d.Since}
+	}
+	infos := make([]brain.WorkerInfo, len(lines))
+	for i, at := range s.starts.Enter(moment, stamped) {
+		infos[i] = lines[i].WorkerInfo
+		infos[i].Since = at
+	}
+	return infos
+}
+
+// Started gives when a worker started, on the core's clock. It may be called before Run only.
+func (s *Destinations) Started(id brain.WorkerID) brain.Clock { return s.starts.At(id) }
+
 // update takes a line in and tells whether it is news: weights that fall with the load are not.
 func (s *Destinations) update(d Destination, now time.Time) bool {
 	old := s.known[d.ID]
--- a/internal/routing/fromsaved.go
+++ b/internal/routing/fromsaved.go
@@ -128,6 +128,7 @@
 		s.known[d.ID] = d
 		info := d.WorkerInfo
 		info.Since, info.Sure = v.Tell.Since, v.Tell.Sure
+		s.starts.Set(d.ID, d.Since, info.Since)
 		listed.Workers = append(listed.Workers, info)
 		if was, ok := s.start.Learned.Workers[d.ID]; ok && v.Tell.Sure {
 			proven.Workers[d.ID] = was
