--- a/internal/protocol/inbound.go
+++ b/internal/protocol/inbound.go
@@ -162,8 +162,8 @@
 }
 
 // Encode writes the request for an endpoint, in one piece: it counts from its last byte, so how much of
-// it went out must be known.
-func (j *Job) Encode(host string, now time.Time) []byte {
+// it went out must be known. It tells the endpoint how long it has.
+func (j *Job) Encode(host string, left time.Duration) []byte {
 	var b bytes.Buffer
 	b.Grow(512 + len(j.Body))
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nReq-Id: %s\r\n", j.Method, j.Target, host, j.ID)
@@ -174,7 +174,7 @@
 		b.WriteString("Accept: text/event-stream\r\n")
 	}
 	_ = j.Pass.Write(&b) // a bytes.Buffer takes all
-	fmt.Fprintf(&b, "Req-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n", max(j.Deadline.Sub(now).Milliseconds(), 1), len(j.Body))
+	fmt.Fprintf(&b, "Req-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n", max(left.Milliseconds(), 1), len(j.Body))
 	b.Write(j.Body)
 	return b.Bytes()
 }
--- a/internal/protocol/inbound_test.go
+++ b/internal/protocol/inbound_test.go
@@ -44,7 +44,7 @@
 		if job.Deadline.Before(now) || job.Deadline.After(now.Add(5*time.Second)) || len(job.Body) > MaxBody || job.ID == "" || job.Slots <= 0 || job.Work < 0 {
 			t.Fatalf("%+v", job)
 		}
-		again, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(job.Encode("endpoint:1", now))))
+		again, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(job.Encode("endpoint:1", job.Deadline.Sub(now)))))
 		if err != nil {
 			t.Fatalf("cannot be passed on: %v", err)
 		}
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -27,10 +27,6 @@
 	// mostAnswer bounds all that one exchange reads: an endpoint that floods ends its own call only.
 	mostAnswer = 1 << 20
 
-	// A call may still be written this much before the grace for a drain ends: its first byte counts
-	// when it leaves, which on a busy core is later than the look at the clock.
-	drainMargin = 50 * time.Millisecond
-
 	// A connection rests for so long behind an answer before it carries a further call: a second answer may come some
 	// milliseconds behind the first, and would be taken for that call's.
 	restFor = 20 * time.Millisecond
@@ -70,6 +66,7 @@
 	deadline time.Time
 	cut      atomic.Bool   // called off
 	wire     *wire         // once one carries it
+	latest   time.Time     // it must not be begun later; set once a connection carries it
 	idle     time.Duration // for so long that had stood idle
 }
 
@@ -315,22 +312,7 @@
 // may have waited for the connection, so all that forbids it is looked at again.
 func (e *endpoint) carry(x *exchange, w *wire) bool {
 	now := time.Now()
-	over := func(told time.Time) bool {
-		return !told.IsZero() && now.After(told.Add(e.fleet.params.Now().Rules.DrainGrace.Span()-drainMargin))
-	}
-	second := !x.probe && x.call.ID.Attempt > 0 && e.fleet.Repeats != nil && !e.fleet.Repeats()
-	why := ""
-	switch {
-	case x.void(now):
-		why = x.voidBecause(now)
-	case second:
-		why = "repeats are not allowed now"
-	case !x.probe && over(e.dest.Told):
-		why = "the worker drains or is gone"
-	case !x.probe && over(e.barred):
-		why = "the worker is out by hand"
-	}
-	if why != "" {
+	if why := e.forbidden(x, now); why != "" {
 		e.heldBack(x, why)
 		e.end(x, routing.End{Outcome: brain.NeverSent})
 		return false
@@ -341,11 +323,64 @@
 			e.fleet.log.Info("attempt to a worker that drains", "id", x.name(), "attempt", x.call.ID.Attempt, "worker", e.id, "told", now.Sub(e.dest.Told))
 		}
 	}
-	x.wire, w.used = w, true
+	x.wire, w.used, x.latest = w, true, e.latest(x)
 	go e.exchange(x)
 	return true
 }
 
+// forbidden tells why an exchange must not be begun any more; empty if it may.
+func (e *endpoint) forbidden(x *exchange, now time.Time) string {
+	if x.void(now) {
+		return x.voidBecause(now)
+	}
+	if x.probe {
+		return ""
+	}
+	switch {
+	case x.call.ID.Attempt > 0 && e.fleet.Repeats != nil && !e.fleet.Repeats():
+		return "repeats are not allowed now"
+	case e.past(e.dest.Told, now):
+		return "the worker drains or is gone"
+	case e.past(e.barred, now):
+		return "the worker is out by hand"
+	case now.After(e.latest(x)):
+		return "the window for a repeat is nearly over"
+	}
+	return ""
+}
+
+// past tells whether the grace that began then is over, or may be before a write.
+func (e *endpoint) past(told, now time.Time) bool {
+	return !told.IsZero() && now.After(e.graceEnd(told))
+}
+
+// graceEnd gives until when a call may be begun to an endpoint that was told then to drain.
+func (e *endpoint) graceEnd(told time.Time) time.Time {
+	return told.Add(e.fleet.params.Now().Rules.DrainGrace.Span() - writeMargin)
+}
+
+// latest gives until when an exchange may be begun.
+func (e *endpoint) latest(x *exchange) time.Time {
+	latest := x.deadline
+	if x.probe {
+		return latest
+	}
+	earlier := func(t time.Time) {
+		if t.Before(latest) {
+			latest = t
+		}
+	}
+	if by := x.call.By; !by.IsZero() {
+		earlier(by.Add(-writeMargin))
+	}
+	for _, told := range [...]time.Time{e.dest.Told, e.barred} {
+		if !told.IsZero() {
+			earlier(e.graceEnd(told))
+		}
+	}
+	return latest
+}
+
 func (e *endpoint) cancel(id routing.CallID) {
 	x := e.calls[id]
 	if x == nil || x.cut.Swap(true) {
@@ -440,10 +475,10 @@
 	if host := conn.RemoteAddr().String(); x.probe {
 		text = protocol.EncodeProbe(host, e.fleet.params.Now())
 	} else {
-		text = job.Encode(host, time.Now())
+		text = job.Encode(host, passedOn(time.Until(job.Deadline)))
 	}
-	if now := time.Now(); x.void(now) { // this may have waited for its turn
-		e.heldBack(x, x.voidBecause(now))
+	if now := time.Now(); x.void(now) || now.After(x.latest) { // this may have waited for its turn
+		e.heldBack(x, "it waited too long for its turn")
 		reuse = !x.cut.Load()
 		e.tell(x, routing.End{Outcome: brain.NeverSent})
 		return
