A call let into discovery's queue keeps its place: one call with an index, the whole list beside it

Change: beside an open call with an index the whole list is asked for; while a service refuses or takes over 0.5 s, none is made beside a call that may still be served, unless less than 3.8 s is left; a watch between two calls goes on behind a move. The stand-in ends such calls too.

--- a/cmd/brassdale/crowded_test.go
+++ b/cmd/brassdale/crowded_test.go
@@ -13,7 +13,8 @@
 
 // crowdedDiscovery is a discovery service of little capacity that several dispatchers share. It serves calls one after the
 // other. A call that would wait for longer than its queue allows is answered 503 at once. A watch that goes on within 200 ms
-// of its last answer is not served in turn until there is something to tell; any other call is.
+// of its last answer is not served in turn until there is something to tell; any other call is. It keeps one call with an index
+// for each dispatcher: where it refuses a further one, it ends the one before too.
 type crowdedDiscovery struct {
 	perCall  time.Duration // to serve one call
 	perNews  time.Duration // to tell one watch of a change
@@ -25,14 +26,15 @@
 	revision int
 	lists    []string // the whole list, by revision
 	changed  chan struct{}
-	answered map[string]time.Time // by dispatcher: the last answer of a watch
+	answered map[string]time.Time     // by dispatcher: the last answer of a watch
+	ended    map[string]chan struct{} // by dispatcher: closed when its calls with an index are ended
 	calls    int
 	refused  int
 }
 
 func newCrowdedDiscovery(first string) *crowdedDiscovery {
 	return &crowdedDiscovery{perCall: 420 * time.Millisecond, perNews: 12 * time.Millisecond, mostWait: time.Second,
-		refuse: 30 * time.Millisecond, lists: []string{first}, changed: make(chan struct{}), answered: map[string]time.Time{}}
+		refuse: 30 * time.Millisecond, lists: []string{first}, changed: make(chan struct{}), answered: map[string]time.Time{}, ended: map[string]chan struct{}{}}
 }
 
 // publish makes a new revision of the list.
@@ -82,18 +84,35 @@
 
 	c.mu.Lock()
 	c.calls++
+	ended := c.ended[dispatcher]
+	if ended == nil {
+		ended = make(chan struct{})
+		c.ended[dispatcher] = ended
+	}
 	goesOn := watch && time.Since(c.answered[dispatcher]) < 200*time.Millisecond
 	c.mu.Unlock()
 	if !goesOn {
 		turn, accepted := c.enqueue(c.perCall, false)
 		if !accepted {
+			c.endIndexed(dispatcher, watch)
 			time.Sleep(c.refuse)
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		time.Sleep(time.Until(turn))
+		if !watch {
+			ended = nil
+		}
+		select {
+		case <-ended:
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case <-time.After(time.Until(turn)):
+		}
 	}
-	if watch && !c.awaitNews(index, over, r) {
+	if watch && !c.awaitNews(index, over, ended, r) {
+		if r.Context().Err() == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		return
 	}
 	c.mu.Lock()
@@ -108,9 +127,19 @@
 	fmt.Fprintf(w, `{"revision":%d,"complete":%t,"members":[%s]}`, c.revision, complete, members)
 }
 
+// endIndexed ends the open calls of a dispatcher that have an index, where a further one is refused.
+func (c *crowdedDiscovery) endIndexed(dispatcher string, indexed bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if indexed {
+		close(c.ended[dispatcher])
+		delete(c.ended, dispatcher)
+	}
+}
+
 // awaitNews waits until there is something newer than a revision and its turn to be told has come, or the wait is over. It
-// tells whether the caller is still there.
-func (c *crowdedDiscovery) awaitNews(index int, over <-chan time.Time, r *http.Request) bool {
+// tells whether the caller is to be answered.
+func (c *crowdedDiscovery) awaitNews(index int, over <-chan time.Time, ended <-chan struct{}, r *http.Request) bool {
 	for {
 		c.mu.Lock()
 		newer, changed := c.revision > index, c.changed
@@ -122,6 +151,8 @@
 		}
 		select {
 		case <-changed:
+		case <-ended:
+			return false
 		case <-over:
 			return true
 		case <-r.Context().Done():
--- a/internal/decisions/pacing/pacing.go
+++ b/internal/decisions/pacing/pacing.go
@@ -19,7 +19,9 @@
 //  3. A watch goes on inside the gap within which it counts as one, whatever the number of dispatchers and the chance drawn.
 //  4. Of many dispatchers that got the same news at once, the next calls are spread over most of that gap.
 //  5. An answer that told nothing is not followed at once: a service that answers so would be called in a loop.
-//  6. Of many dispatchers that a crowded service refuses, those that have gone longest without an answer call most often: they
+//  6. No call with an index is made beside another that may still be served: a service may keep one such call for each
+//     dispatcher, and end the one before for it, which then loses its place. Beside it the whole list is asked for.
+//  7. Of many dispatchers that a crowded service refuses, those that have gone longest without an answer call most often: they
 //     get the places in its queue before those that heard a moment ago. One without an answer for longer than Told calls less
 //     often again: then the service is down.
 package pacing
@@ -48,6 +50,13 @@
 	lateGap      = 700 * time.Millisecond  // ... sooner where less than lateFrom is left until a change counts as told
 	lateFrom     = 3200 * time.Millisecond
 
+	// A service that refused a call, or took longer than busyAnswer over one, has many callers for a while. A call that it has
+	// let in waits there for its turn: none is made beside it for as long as it may be served, unless less than busyFrom is
+	// left.
+	busyAnswer = 500 * time.Millisecond
+	busyFor    = 10 * time.Second
+	busyFrom   = 3800 * time.Millisecond
+
 	each   = 4 * time.Millisecond   // of spread for each dispatcher beside this one
 	empty  = 20 * time.Millisecond  // after an answer that told nothing
 	prompt = 100 * time.Millisecond // and that came at once, as an agent's may
@@ -71,16 +80,12 @@
 
 const (
 	Watch Kind = iota // goes on with a watch: it waits for news
-	Ask               // the first, behind a move, or beside or behind one without an answer: it does not wait
+	Ask               // for what is newer than what is known, without waiting for it; a watch may go on behind it
+	Whole             // for the whole list
 )
 
 // String names a kind as the log does.
-func (k Kind) String() string {
-	if k == Watch {
-		return "watch"
-	}
-	return "ask"
-}
+func (k Kind) String() string { return [...]string{Watch: "watch", Ask: "ask", Whole: "whole"}[k] }
 
 // Rules are the settings that calls go by.
 type Rules struct {
--- a/internal/decisions/pacing/schedule.go
+++ b/internal/decisions/pacing/schedule.go
@@ -3,14 +3,19 @@
 import "time"
 
 // Schedule tells when the next call is made, and of what kind. The times that its methods get never run backwards. It knows
-// the calls to the service in force only.
+// the calls to the service in force only, by their numbers.
 type Schedule struct {
-	due        time.Time // from then on a change may count as told that is not here
-	next       time.Time // of the next call; zero while none is to be made
-	kind       Kind
-	newest     Kind // of the newest call
-	open       bool // the newest call has not ended
-	unanswered int  // calls that were begun since the last answer
+	due  time.Time // from then on a change may count as told that is not here
+	next time.Time // of the next call; zero while none is to be made
+	kind Kind      // of the next call
+
+	newest     int // number of the newest call; 0 once it has ended
+	watching   bool
+	unanswered int // calls that were begun since the last answer
+
+	indexed      int       // number of the newest call with an index; 0 once it has ended
+	indexedUntil time.Time // until when it may still be served
+	busyUntil    time.Time // until then the service counts as busy: it refused a call, or took long to answer one
 }
 
 // NewSchedule begins at the start of a process. No call is made before Begin.
@@ -26,43 +31,80 @@
 // AskAt has the next call made at a time, without waiting for news.
 func (s *Schedule) AskAt(at time.Time) { s.next, s.kind = at, Ask }
 
-// Next gives the next call that is to be made, if nothing comes before. It is not ok before Begin.
-func (s *Schedule) Next() (at time.Time, k Kind, ok bool) { return s.next, s.kind, !s.next.IsZero() }
+// Next gives when the next call is to be made, if nothing comes before. It is not ok before Begin.
+func (s *Schedule) Next() (at time.Time, ok bool) { return s.next, !s.next.IsZero() }
+
+// Pausing tells whether the next call goes on with a watch whose last one has answered.
+func (s *Schedule) Pausing() bool { return !s.next.IsZero() && s.kind == Watch }
 
-// Called notes that the call which Next gave is made now.
-func (s *Schedule) Called(now time.Time, r Rules, chance float64) {
-	s.newest, s.open = s.kind, true
+// Call notes that the next call is made now, under this number, and gives its kind.
+func (s *Schedule) Call(now time.Time, number int, r Rules, chance float64) Kind {
+	kind := s.kind
+	if kind == Ask && s.indexedOpen(now) && !r.Pushed {
+		kind = Whole
+	}
+	s.newest, s.watching = number, kind == Watch
 	s.unanswered++
-	s.next, s.kind = now.Add(s.overlap(now, r, chance)), Ask
+	if kind != Whole {
+		s.indexed, s.indexedUntil = number, now.Add(r.served(kind))
+	}
+	s.AskAt(now.Add(s.overlap(now, kind, r, chance)))
+	return kind
+}
+
+// served is how long behind its beginning a call may still be served.
+func (r Rules) served(k Kind) time.Duration {
+	if k == Watch {
+		return Wait + watchOverlap
+	}
+	return Answer
+}
+
+// indexedOpen tells whether a call with an index is open that may still be served.
+func (s *Schedule) indexedOpen(now time.Time) bool {
+	return s.indexed != 0 && now.Before(s.indexedUntil)
 }
 
 // overlap is how long after the newest call a further one is made beside it.
-func (s *Schedule) overlap(now time.Time, r Rules, chance float64) time.Duration {
+func (s *Schedule) overlap(now time.Time, kind Kind, r Rules, chance float64) time.Duration {
 	switch {
-	case r.Pushed && s.newest == Watch:
+	case r.Pushed && kind == Watch:
 		return r.agentSpan() + r.agentSpan()/4
 	case r.Pushed && s.unanswered > agentTries:
 		return max(prompt, r.agentSpan()/2)
 	case r.Pushed:
 		return r.agentSpan() / 2
-	case s.newest == Watch:
+	case kind == Watch:
 		spread := min(time.Duration(max(r.Dispatchers-1, 0))*each, watchSpread)
 		return Wait + watchOverlap + scale(spread, clamp(chance))
 	}
-	if left := s.due.Sub(now); left > 0 && left < lateFrom {
+	left := s.due.Sub(now)
+	switch {
+	case now.Before(s.busyUntil) && (left <= 0 || left > busyFrom):
+		return Answer
+	case left > 0 && left < lateFrom:
 		return lateGap
 	}
 	return gap
 }
 
-// Answered notes that a call brought the list, and whether it was the newest. A watch follows, unless a newer one is open.
-func (s *Schedule) Answered(now time.Time, newest, fresh, early bool, r Rules, chance float64) {
+// Answered notes that a call brought the list, how long it took, and whether it told anything or came before its wait was
+// over. A watch follows, unless a call is open that may become one.
+func (s *Schedule) Answered(now time.Time, number int, took time.Duration, fresh, early bool, r Rules, chance float64) {
+	watchOpen := s.watching && s.newest != 0 && s.newest != number
+	wasWatch := s.watching && s.newest == number
 	s.due, s.unanswered = now.Add(Told), 0
-	if !newest && s.open && s.newest == Watch {
-		return
+	if !wasWatch && took > busyAnswer {
+		s.busyUntil = now.Add(busyFor)
+	}
+	s.ended(number)
+	switch {
+	case watchOpen:
+	case s.indexedOpen(now) && !r.Pushed:
+		s.AskAt(s.indexedUntil)
+	default:
+		s.next, s.kind = now.Add(r.rewatch(fresh, early, chance)), Watch
 	}
-	s.open = false
-	s.next, s.kind = now.Add(r.rewatch(fresh, early, chance)), Watch
 }
 
 // rewatch is how long after an answer a watch's next call is made. An agent serves this dispatcher alone.
@@ -73,14 +115,29 @@
 	return Rewatch(fresh, early, r.Dispatchers, chance)
 }
 
-// Failed notes that a call ended without the list. Only behind the newest one a further call is made sooner.
-func (s *Schedule) Failed(now time.Time, newest bool, r Rules, chance float64) {
-	if !newest {
+// ended notes that a call is open no more.
+func (s *Schedule) ended(number int) {
+	if s.newest == number {
+		s.newest = 0
+	}
+	if s.indexed == number {
+		s.indexed = 0
+	}
+}
+
+// Failed notes that a call ended without the list, and whether the service refused it. The next call is made sooner where no
+// newer one is open.
+func (s *Schedule) Failed(now time.Time, number int, refused bool, r Rules, chance float64) {
+	if refused {
+		s.busyUntil = now.Add(busyFor)
+	}
+	last := number == s.newest || s.newest == 0 && number == s.indexed
+	s.ended(number)
+	if !last {
 		return
 	}
-	s.open = false
 	if at := now.Add(s.backoff(now, r, chance)); at.Before(s.next) {
-		s.next, s.kind = at, Ask
+		s.AskAt(at)
 	}
 }
 
@@ -105,7 +162,7 @@
 	if due := now.Add(Moved); s.due.After(due) || !s.due.After(now) {
 		s.due = due
 	}
-	s.open, s.unanswered = false, 0
+	s.newest, s.indexed, s.unanswered = 0, 0, 0
 	if !s.next.IsZero() {
 		s.AskAt(now)
 	}
--- a/internal/decisions/pacing/schedule_test.go
+++ b/internal/decisions/pacing/schedule_test.go
@@ -43,11 +43,12 @@
 	now       time.Time
 	open      []simCall
 	made      int
-	newest    int
 	faults    []fault // of the calls that are made from now on
 	changedAt time.Time
 	toldAt    time.Time
 	most      int // calls open at a time
+
+	besideIndexed int // calls with an index that were made beside another one which may still have been served
 }
 
 // end gives when and how a call ends if nothing changes.
@@ -80,8 +81,14 @@
 }
 
 // call makes the call that is due.
-func (s *simulation) call(kind Kind) {
+func (s *simulation) call() {
 	s.made++
+	kind := s.schedule.Call(s.now, s.made, s.rules, s.chance())
+	for _, o := range s.open {
+		if kind != Whole && o.kind == Ask && o.begun.Add(Answer).After(s.now) && !s.rules.Pushed {
+			s.besideIndexed++
+		}
+	}
 	c := simCall{number: s.made, kind: kind, begun: s.now}
 	if len(s.faults) > 0 {
 		c.fault, s.faults = s.faults[0], s.faults[1:]
@@ -90,9 +97,7 @@
 	if c.kind == Watch && !s.changedAt.IsZero() && !c.fails { // there is news already
 		c.endsAt = s.newsAt(c)
 	}
-	s.schedule.Called(s.now, s.rules, s.chance())
 	s.open = append(s.open, c)
-	s.newest = c.number
 	s.most = max(s.most, len(s.open))
 }
 
@@ -121,7 +126,7 @@
 // run plays until a time, or until the change is told.
 func (s *simulation) run(until time.Time) {
 	for {
-		at, kind, ok := s.schedule.Next()
+		at, ok := s.schedule.Next()
 		if !ok {
 			panic("no call is to be made")
 		}
@@ -139,13 +144,13 @@
 			s.now = at
 		}
 		if ending < 0 {
-			s.call(kind)
+			s.call()
 			continue
 		}
 		c := s.open[ending]
 		s.open = append(s.open[:ending], s.open[ending+1:]...)
 		if c.fails {
-			s.schedule.Failed(s.now, c.number == s.newest, s.rules, s.chance())
+			s.schedule.Failed(s.now, c.number, c.fault == answers503, s.rules, s.chance())
 			continue
 		}
 		told := !s.changedAt.IsZero()
@@ -153,7 +158,7 @@
 			s.toldAt = s.now
 			return
 		}
-		s.schedule.Answered(s.now, c.number == s.newest, told, false, s.rules, s.chance())
+		s.schedule.Answered(s.now, c.number, s.now.Sub(c.begun), told, false, s.rules, s.chance())
 	}
 }
 
@@ -189,8 +194,8 @@
 			if took := s.toldAt.Sub(s.changedAt); s.toldAt.IsZero() || took > within {
 				t.Fatalf("told after %v, %v allowed", took, within)
 			}
-			if s.most > 5 {
-				t.Fatalf("%d calls open at a time", s.most)
+			if s.most > 5 || s.besideIndexed > 0 {
+				t.Fatalf("%d calls open at a time, %d of them took another's place", s.most, s.besideIndexed)
 			}
 		})
 	}
@@ -253,12 +258,12 @@
 	behind := func(silent time.Duration) time.Duration {
 		s := NewSchedule(start)
 		s.Begin(start)
-		s.Called(start, rules, 0.5)
-		s.Answered(start, true, true, false, rules, 0.5)
+		s.Call(start, 1, rules, 0.5)
+		s.Answered(start, 1, 0, true, false, rules, 0.5)
 		now := start.Add(silent)
-		s.Called(now, rules, 0.5)
-		s.Failed(now, true, rules, 0.5)
-		at, _, _ := s.Next()
+		s.Call(now, 2, rules, 0.5)
+		s.Failed(now, 2, true, rules, 0.5)
+		at, _ := s.Next()
 		return at.Sub(now)
 	}
 	if fresh, stale := behind(0), behind(4*time.Second); fresh < 2*stale {
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -47,7 +47,6 @@
 	rules    func() pacing.Rules
 	current  *service
 	open     []*listCall // the oldest first
-	last     int         // number of the newest call to the service in force
 	made     int
 	ended    func(callEnded)
 	ledger   *Ledger
@@ -55,36 +54,35 @@
 }
 
 // due gives the time of the next call; not ok where none is to be made.
-func (l *listCalls) due() (at time.Time, ok bool) {
-	at, _, ok = l.schedule.Next()
-	return at, ok
-}
+func (l *listCalls) due() (at time.Time, ok bool) { return l.schedule.Next() }
 
 // call makes the next call if its time has come.
 func (l *listCalls) call(ctx context.Context, now time.Time) {
-	at, kind, ok := l.schedule.Next()
+	at, ok := l.schedule.Next()
 	if !ok || now.Before(at) {
 		return
 	}
-	l.schedule.Called(now, l.rules(), rand.Float64())
-	l.last = l.begin(ctx, now, l.current, kind)
+	kind := l.schedule.Call(now, l.made+1, l.rules(), rand.Float64())
+	l.begin(ctx, now, l.current, kind)
 }
 
-// begin makes a call and gives its number.
-func (l *listCalls) begin(ctx context.Context, now time.Time, to *service, kind pacing.Kind) int {
+// begin makes a call, under the next number.
+func (l *listCalls) begin(ctx context.Context, now time.Time, to *service, kind pacing.Kind) {
 	if len(l.open) >= mostOpenCalls {
 		l.giveUp(l.open[0], "too many are open")
 	}
 	l.made++
 	ctx, stop := context.WithCancel(ctx)
 	c := &listCall{number: l.made, service: to, kind: kind, revision: to.revision, begun: now, stop: stop}
+	if kind == pacing.Whole {
+		c.revision = Whole
+	}
 	l.ledger.discoveryCalled(len(l.open) > 0)
 	l.open = append(l.open, c)
 	go func() {
 		update, err := to.discovery.Call(ctx, c.revision, kind)
 		l.ended(callEnded{c.number, update, err})
 	}()
-	return c.number
 }
 
 // take removes a call that has ended; nil where it was given up before.
@@ -112,10 +110,13 @@
 	l.take(callEnded{number: c.number, err: context.Canceled})
 }
 
-// move goes on with another service. The calls to those before stay open until it has answered.
-func (l *listCalls) move(to Discovery, now time.Time) {
+// move goes on with another service. The calls to those before stay open until it has answered, and a watch there goes on that
+// is between two calls.
+func (l *listCalls) move(ctx context.Context, to Discovery, now time.Time) {
+	if l.current.answered && l.schedule.Pausing() {
+		l.begin(ctx, now, l.current, pacing.Watch)
+	}
 	l.current = &service{discovery: to, revision: Whole}
-	l.last = 0
 	l.schedule.Moved(now)
 }
 
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"log/slog"
 	"math"
 	"math/rand/v2"
@@ -32,6 +33,9 @@
 	Close()
 }
 
+// ErrRefused is what a call ends with that discovery has refused, as it has too many.
+var ErrRefused = errors.New("refused")
+
 // Whole is no revision: who asks after it wants the whole set now.
 const Whole = -1
 
@@ -149,7 +153,7 @@
 		// The new one is asked for its whole set: nobody says that both count revisions alike, and a change that the old
 		// one had under way must not be lost. Until the answer the list as known holds, and what the old one still brings.
 		s.log.Info("discovery moved", "open_calls", len(s.calls.open), "list_age", s.age())
-		s.calls.move(m.to, time.Now())
+		s.calls.move(ctx, m.to, time.Now())
 	case ask:
 		u := Update{Revision: s.calls.current.revision, Complete: true}
 		for _, d := range s.known {
@@ -180,12 +184,12 @@
 		if ctx.Err() == nil {
 			s.failed(m.err)
 		}
-		s.calls.schedule.Failed(now, c.number == s.calls.last, rules, rand.Float64())
+		s.calls.schedule.Failed(now, c.number, errors.Is(m.err, ErrRefused), rules, rand.Float64())
 	case c.service != s.calls.current:
 		s.takeFormer(ctx, c, m.update)
 	case c.outdated(m.update):
 		s.log.Info("discovery's answer was overtaken", "call", c.number, "revision", m.update.Revision, "known", c.service.revision)
-		s.calls.schedule.Answered(now, c.number == s.calls.last, false, m.update.Early, rules, rand.Float64())
+		s.calls.schedule.Answered(now, c.number, now.Sub(c.begun), false, m.update.Early, rules, rand.Float64())
 	default:
 		s.takeList(now, c, m.update)
 		s.mended() // behind the list's own line: who reads that discovery answers again finds its list in force
@@ -221,7 +225,7 @@
 		s.keeper.Listed(u)
 	}
 	s.source.Store(&Source{Name: "discovery", Told: now})
-	s.calls.schedule.Answered(now, c.number == s.calls.last, fresh, u.Early, s.rules(), rand.Float64())
+	s.calls.schedule.Answered(now, c.number, now.Sub(c.begun), fresh, u.Early, s.rules(), rand.Float64())
 }
 
 // takeFormer takes in what a service brings that was asked before a move, while the new one has not answered. It tells of
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -298,7 +298,7 @@
 // watch asks discovery as routing.Destinations does, and keeps nothing of what it tells.
 func (x *hollow) watch(ctx context.Context, params *protocol.Live) {
 	first := rand.Float64() * float64(params.Now().ReplicasOfMe) * firstEach.Seconds()
-	wait, revision, kind := time.Duration(first*float64(time.Second)), int64(routing.Whole), pacing.Ask
+	wait, revision, kind := time.Duration(first*float64(time.Second)), int64(routing.Whole), pacing.Whole
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -64,7 +64,7 @@
 		return routing.Update{}, err
 	}
 	if resp.StatusCode != http.StatusOK {
-		return routing.Update{}, fmt.Errorf("discovery answered %d", resp.StatusCode)
+		return routing.Update{}, statusError(resp.StatusCode)
 	}
 	l, err := protocol.ParseList(text)
 	if err != nil {
@@ -79,6 +79,16 @@
 	return u, nil
 }
 
+// statusError is an answer of discovery that is no list.
+type statusError int
+
+func (e statusError) Error() string { return fmt.Sprintf("discovery answered %d", int(e)) }
+
+// Is has an answer that promises nothing for now count as routing.ErrRefused.
+func (e statusError) Is(target error) bool {
+	return target == routing.ErrRefused && (e == http.StatusServiceUnavailable || e == http.StatusTooManyRequests)
+}
+
 // PacingRules gives what calls for the list go by.
 func PacingRules(p *protocol.Params) pacing.Rules {
 	return pacing.Rules{Pushed: p.Pushed(), Grace: p.Rules.DrainGrace.Span(), Dispatchers: p.ReplicasOfMe}
