--- a/cmd/brassdale/crossings_test.go
+++ b/cmd/brassdale/crossings_test.go
@@ -54,7 +54,7 @@
 					t.Errorf("a client that stays: %d", status)
 				}
 				if _, jobs := b.count(); jobs != 1 {
-					t.Errorf("%d jobs of clients that had gone came to the box", jobs-1)
+					t.Errorf("%d jobs of clients that had gone came to the box: %v", jobs-1, b.keys())
 				}
 				if how == "half-closes" {
 					for _, c := range conns {
--- /dev/null
+++ b/cmd/brassdale/deadline_test.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+// deadlineSlack is how much more than what its client has left a worker may be told.
+const deadlineSlack = 150 * time.Millisecond
+
+// toldDeadlines records how long workers were told that they have for a job, and when the job came.
+type toldDeadlines struct {
+	mu    sync.Mutex
+	until map[string]time.Time // by key: the latest moment that a worker was told
+}
+
+func (d *toldDeadlines) note(r *http.Request) {
+	left, err := strconv.Atoi(r.Header.Get("Req-Deadline-Ms"))
+	if err != nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key, until := r.Header.Get("Idempotency-Key"), time.Now().Add(time.Duration(left)*time.Millisecond)
+	if until.After(d.until[key]) {
+		d.until[key] = until
+	}
+}
+
+func (d *toldDeadlines) get(key string) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.until[key]
+}
+
+// A client sends two requests at once, and the second waits on its connection until the first is answered. Its time ran all the
+// while: the worker is told no more than what is left, and the answer comes in time.
+func TestDeadlineOfARequestThatWaitedBehindAnother(t *testing.T) {
+	t.Parallel()
+	told := toldDeadlines{until: map[string]time.Time{}}
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+		told.note(r)
+		if r.Header.Get("Idempotency-Key") == "first" {
+			time.Sleep(time.Second)
+		}
+		works(b, c, r)
+	})
+	n := start(t, "", b)
+	c := n.dial()
+	var both bytes.Buffer
+	request(n.url, "first").Write(&both)
+	request(n.url, "second", "Req-Deadline-Ms", "1500").Write(&both)
+	sent := time.Now()
+	c.Write(both.Bytes())
+	in := bufio.NewReader(c)
+	for range 2 {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+	}
+	if over := told.get("second").Sub(sent.Add(1500 * time.Millisecond)); over > deadlineSlack {
+		t.Errorf("the worker was told %v more than its client has left", over)
+	}
+}
+
+// The same where the second never has a worker that answers: its own answer comes by the deadline that its client counts.
+func TestAnswerOfARequestThatWaitedBehindAnother(t *testing.T) {
+	t.Parallel()
+	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+		if r.Header.Get("Idempotency-Key") == "first" {
+			time.Sleep(700 * time.Millisecond)
+			works(b, c, r)
+			return
+		}
+		freezes(`"state":"started"`)(b, c, r)
+	})
+	n := start(t, "", b)
+	c := n.dial()
+	var both bytes.Buffer
+	request(n.url, "first").Write(&both)
+	request(n.url, "second", "Req-Deadline-Ms", "1200").Write(&both)
+	sent := time.Now()
+	c.Write(both.Bytes())
+	in := bufio.NewReader(c)
+	for range 2 {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+	}
+	if took := time.Since(sent); took > 1700*time.Millisecond { // half a second later it is lost
+		t.Errorf("answered %v behind its sending, 1.2 s were given", took)
+	}
+}
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -101,6 +102,13 @@
 	return b.conns, b.jobs
 }
 
+// keys gives how often each job came, by its key.
+func (b *box) keys() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.runs)
+}
+
 // jobsAt is how many jobs came to some boxes together.
 func jobsAt(boxes ...*box) (sum int) {
 	for _, b := range boxes {
