A request's time counts from its last byte, also where it waited behind another on its connection

Cause: conn.go kept bytes that came behind an unanswered request without their time, and readJob counted from the handler's start. Change: aheadQueue keeps when bytes came; readJob takes off how long the request had been here whole.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -53,11 +52,14 @@
 	// Owned by whoever reads, one at a time.
 	framing framing
 	whole   bool   // the present request has come whole and is not answered
-	ahead   []byte // what came behind it
+	ahead   aheadQueue // what came behind it
+	last    time.Time  // when the bytes had come that were read last
+
+	arrived atomic.Pointer[time.Time] // when the last byte of the present request had come; nil where that is not known
 
 	wrote  atomic.Bool  // something of an answer was written
 	gone   atomic.Bool  // the client has closed its side, or the connection broke
-	behind atomic.Int32 // len(ahead)
+	behind atomic.Int32 // ahead.size
 	flood  atomic.Bool  // more than mostAhead came behind a request
 
 	// Guarded by gate.mu.
@@ -133,7 +135,10 @@
 		passed, whole := c.framing.pass(b[:n])
 		if whole {
 			c.whole = true
-			c.keep(slices.Concat(b[passed:n], c.ahead))
+			last := c.last
+			c.arrived.Store(&last)
+			c.ahead.putBack(b[passed:n], last)
+			c.behind.Store(int32(c.ahead.size))
 		}
 		if passed > 0 || err != nil {
 			return passed, err
@@ -148,14 +153,15 @@
 }
 
 // next gives what was read ahead, then what comes.
-func (c *Conn) next(b []byte) (int, error) {
-	if len(c.ahead) == 0 {
-		n, err := c.TCPConn.Read(b)
+func (c *Conn) next(b []byte) (n int, err error) {
+	if c.ahead.size == 0 {
+		n, err = c.TCPConn.Read(b)
+		c.last = time.Now()
 		c.lost(err)
 		return n, err
 	}
-	n := copy(b, c.ahead)
-	c.keep(c.ahead[n:])
+	n, c.last = c.ahead.take(b)
+	c.behind.Store(int32(c.ahead.size))
 	return n, nil
 }
 
@@ -163,23 +169,16 @@
 func (c *Conn) readAhead() error {
 	var b [512]byte
 	n, err := c.TCPConn.Read(b[:])
-	if len(c.ahead)+n > mostAhead {
+	if c.ahead.size+n > mostAhead {
 		c.flood.Store(true)
 		n = 0
 	}
-	c.keep(append(c.ahead, b[:n]...))
+	c.ahead.push(b[:n], time.Now())
+	c.behind.Store(int32(c.ahead.size))
 	c.lost(err)
 	return err
 }
 
-// keep sets what has come and is not given on yet.
-func (c *Conn) keep(ahead []byte) {
-	if c.ahead = ahead; len(ahead) == 0 {
-		c.ahead = nil // its room is free
-	}
-	c.behind.Store(int32(len(ahead)))
-}
-
 // lost notes that the client has gone, where an error tells it.
 func (c *Conn) lost(err error) {
 	if late, ok := err.(net.Error); err != nil && !(ok && late.Timeout()) {
@@ -266,6 +265,7 @@
 	defer c.gate.mu.Unlock()
 	if p == idle {
 		c.whole = false
+		c.arrived.Store(nil)
 	}
 	if c.phase != closing {
 		c.phase, c.since, c.client = p, time.Now(), c.client || p == serving
@@ -369,6 +369,19 @@
 	return c.began.Add(wholeWithin)
 }
 
+// waitedUnread gives for how long a request had been here whole before now.
+func waitedUnread(r *http.Request, now time.Time) time.Duration {
+	c := gated(r)
+	if c == nil {
+		return 0
+	}
+	arrived := c.arrived.Load()
+	if arrived == nil {
+		return 0
+	}
+	return max(now.Sub(*arrived), 0)
+}
+
 // watch is an http.Server's ConnState.
 func watch(conn net.Conn, s http.ConnState) {
 	if c, ok := conn.(*Conn); ok {
--- a/internal/transport/front.go
+++ b/internal/transport/front.go
@@ -222,6 +222,7 @@
 	job, err := protocol.DecodeInbound(r, p, now)
 	if err == nil {
 		_ = c.SetReadDeadline(time.Time{})
+		job.Deadline = job.Deadline.Add(-waitedUnread(r, now)) // its client's time ran while it waited behind another
 	}
 	return job, err
 }
