--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -51,7 +51,7 @@
 
 	// Owned by whoever reads, one at a time.
 	framing framing
-	whole   bool   // the present request has come whole and is not answered
+	whole   bool       // the present request has come whole and is not answered
 	ahead   aheadQueue // what came behind it
 	last    time.Time  // when the bytes had come that were read last
 
