--- a/cmd/brassdale-lab/main.go
+++ b/cmd/brassdale-lab/main.go
@@ -24,7 +24,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	root := &cobra.Command{Use: "brassdale-lab", Short: "Experiments on a model of the works", SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(run(), report(), loadCommand(), emulate(), demo(), fleet(), failover(), scaleCommand(), scaleReport(), hollow(), injectCommand(), launchCommand())
+	root.AddCommand(run(), report(), loadCommand(), emulate(), demo(), fleet(), failover(), scaleCommand(), scaleReport(), hollow(), injectCommand(), launchCommand(), soakCommand())
 	if err := root.ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "brassdale-lab:", err)
 		os.Exit(1)
--- a/internal/inject/inject.go
+++ b/internal/inject/inject.go
@@ -16,7 +16,7 @@
 type Rule struct {
 	Call  string // name of the system call
 	Errno unix.Errno
-	Short bool // in place of failing, it moves one byte only
+	Short bool // in place of failing, it moves half of the bytes only
 	OneIn int
 }
 
--- a/internal/inject/trace.go
+++ b/internal/inject/trace.go
@@ -12,6 +12,9 @@
 
 const traceOptions = unix.PTRACE_O_TRACESECCOMP | unix.PTRACE_O_TRACECLONE | unix.PTRACE_O_TRACEEXEC | unix.PTRACE_O_EXITKILL
 
+// wholeOnly is how much is never cut short: an event counter takes its eight bytes or none.
+const wholeOnly = 16
+
 // Tracer runs one program. It owns all children of its process while it runs.
 type Tracer struct {
 	Rules  []Rule
@@ -90,10 +93,10 @@
 			continue
 		}
 		if r.Short {
-			if regs.Rdx <= 1 {
+			if regs.Rdx <= wholeOnly {
 				return
 			}
-			regs.Rdx = 1
+			regs.Rdx /= 2
 		} else {
 			regs.Orig_rax = ^uint64(0) // no such call: it is passed over, and gives what stands in rax
 			regs.Rax = uint64(-int64(r.Errno))
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,136 @@
+// Package soak plays real dispatchers on loopback against stand-ins for clients, workers and discovery, with faults drawn from a
+// seed, and holds the rules of the protocol over what these peers recorded. It knows nothing of how a dispatcher decides.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is what happens in an event.
+type Kind string
+
+// The kinds of events.
+const (
+	Drain         Kind = "drain"          // a worker drains and stays up
+	Join          Kind = "join"           // a worker joins, cold
+	Restart       Kind = "restart"        // a worker ends and comes back cold
+	WorkerHangs   Kind = "worker-hangs"   // it takes jobs and says nothing
+	WorkerResets  Kind = "worker-resets"  // it breaks connections under jobs
+	WorkerLate    Kind = "worker-late"    // it takes a while to read from new connections
+	FaultyCalls   Kind = "faulty-calls"   // the next three calls of each dispatcher to discovery fail, each in its own way
+	SilentWatches Kind = "silent-watches" // open watches fall silent
+	DiscoveryDown Kind = "discovery-down" // discovery refuses all calls
+	Move          Kind = "move"           // a new configuration moves discovery
+	Reload        Kind = "reload"         // a new configuration changes nothing
+	Holdups       Kind = "hold-ups"       // a dispatcher is stopped for 0.15 s again and again
+	Term          Kind = "term"           // a dispatcher is told to end, killed as early as may be, and started again
+	Kill          Kind = "kill"           // a dispatcher is killed and started again
+	Crowd         Kind = "crowd"          // connections that say nothing or stop half way
+	ClientsLeave  Kind = "clients-leave"  // clients close their connections soon behind their requests
+	ClockStep     Kind = "clock-step"     // the clock that stamps starts is set forward or back
+)
+
+// Kinds lists all kinds.
+var Kinds = []Kind{Drain, Join, Restart, WorkerHangs, WorkerResets, WorkerLate, FaultyCalls, SilentWatches, DiscoveryDown, Move, Reload,
+	Holdups, Term, Kill, Crowd, ClientsLeave, ClockStep}
+
+// CallFault is what discovery does with a call.
+type CallFault string
+
+// The faults of a call.
+const (
+	Hangs     CallFault = "hangs"
+	BreaksOff CallFault = "breaks-off" // half an answer, then nothing
+	Refused   CallFault = "refused"    // the connection is reset
+	Answers   CallFault = "503"
+	Late      CallFault = "late" // 1.95 s later
+)
+
+var callFaults = []CallFault{Hangs, BreaksOff, Refused, Answers, Late}
+
+// Event is something that happens in a run.
+type Event struct {
+	At     time.Duration
+	For    time.Duration
+	Kind   Kind
+	Target int           // a worker or a dispatcher, by its number
+	Calls  []CallFault   // of FaultyCalls
+	Step   time.Duration // of ClockStep
+}
+
+// String words an event for a timeline.
+func (e Event) String() string {
+	return fmt.Sprintf("%s of %d for %v %v", e.Kind, e.Target, e.For, e.Calls)
+}
+
+// Effects of a class, as the settings have them.
+const (
+	Safe   = "safe"
+	Keyed  = "keyed"
+	Unsafe = "unsafe"
+)
+
+// Plan is all that a run does.
+type Plan struct {
+	Scenario    string
+	Seed        uint64
+	Dispatchers int
+	Workers     int
+	Span        time.Duration
+	Rate        float64 // requests a second at each dispatcher
+	Effect      string
+	Deadline    time.Duration
+	Window      time.Duration // for a repeat of a keyed request
+	Duplicates  bool          // a request may have two attempts out
+	Stamps      time.Duration // how far the clock that stamps starts is ahead
+	Failures    string        // rules for system calls that fail; empty for none
+	Events      []Event
+}
+
+const (
+	quietAtFirst = 3 * time.Second // until the first event: watches are open by then
+	quietAtLast  = 8 * time.Second // behind the last one: what was told late shows
+	newestJoin   = 90              // numbers of workers that join begin behind this
+)
+
+// Draw makes the plan of a seed.
+func (f *File) Draw(seed uint64) Plan {
+	rng := rand.New(rand.NewPCG(seed, 36))
+	between := func(r []int) int { return r[0] + rng.IntN(r[1]-r[0]+1) }
+	p := Plan{Scenario: f.Title, Seed: seed, Dispatchers: between(f.Dispatchers), Workers: between(f.Workers), Span: f.span(), Rate: f.Rate,
+		Effect:     []string{Safe, Keyed, Unsafe}[rng.IntN(3)],
+		Deadline:   []time.Duration{600 * time.Millisecond, 1500 * time.Millisecond, 4 * time.Second}[rng.IntN(3)],
+		Window:     []time.Duration{500 * time.Millisecond, 2 * time.Second}[rng.IntN(2)],
+		Duplicates: rng.IntN(2) == 0,
+		Stamps:     []time.Duration{0, time.Hour, -time.Hour, 7 * time.Second, -7 * time.Second}[rng.IntN(5)]}
+	if len(f.Failures) > 0 && rng.IntN(3) == 0 {
+		p.Failures = f.Failures[rng.IntN(len(f.Failures))]
+	}
+	joined := newestJoin
+	for at := quietAtFirst; at < p.Span-quietAtLast; at += time.Duration((0.3 + rng.Float64()) * float64(f.every())) {
+		e := Event{At: at, Kind: f.kinds()[rng.IntN(len(f.kinds()))], For: time.Duration((0.5 + 2*rng.Float64()) * float64(time.Second))}
+		switch e.Kind {
+		case Drain, Restart, WorkerHangs, WorkerResets, WorkerLate:
+			e.Target = rng.IntN(p.Workers)
+		case Join:
+			e.Target = joined
+			joined++
+		case FaultyCalls:
+			for range 3 {
+				e.Calls = append(e.Calls, callFaults[rng.IntN(len(callFaults))])
+			}
+			// What may be held back is a change: one follows.
+			p.Events = append(p.Events, Event{At: at + time.Duration(rng.IntN(1500))*time.Millisecond, Kind: Drain, Target: rng.IntN(p.Workers)})
+		case ClockStep:
+			e.Step = []time.Duration{time.Hour, -time.Hour, 5 * time.Second, -5 * time.Second}[rng.IntN(4)]
+		default:
+			e.Target = rng.IntN(p.Dispatchers)
+		}
+		p.Events = append(p.Events, e)
+	}
+	slices.SortStableFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
+	return p
+}
--- /dev/null
+++ b/internal/soak/process.go
@@ -0,0 +1,251 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Programs are the binaries that a run starts.
+type Programs struct {
+	Dispatcher string
+	Injector   string // brassdale-lab, which has system calls fail; empty where none do
+}
+
+// dispatcher is one whose process is started, signalled and started again at the same address.
+type dispatcher struct {
+	number   int
+	listen   string
+	plan     Plan
+	programs Programs
+	dir      string
+	record   *Record
+	find     *discovery
+
+	changing sync.Mutex // held while the process is ended and started again
+
+	mu      sync.Mutex
+	address string // of discovery
+	life    *Life
+	pid     int
+	exited  chan struct{}
+	logs    *os.File
+}
+
+const (
+	killSlack   = 700 * time.Millisecond // behind the longest deadline, of which mostCounted counts at the most
+	mostCounted = 3 * time.Second
+	stopFor     = 150 * time.Millisecond
+)
+
+func newDispatcher(number int, p Plan, programs Programs, dir string, r *Record, find *discovery) (*dispatcher, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free, and stays so for the next moment
+	if err != nil {
+		return nil, err
+	}
+	defer l.Close()
+	d := &dispatcher{number: number, listen: l.Addr().String(), plan: p, programs: programs, dir: dir, record: r, find: find}
+	if d.address, err = find.address(number); err != nil {
+		return nil, err
+	}
+	d.logs, err = os.Create(filepath.Join(dir, fmt.Sprintf("n%d.log", number)))
+	return d, err
+}
+
+func (d *dispatcher) file() string { return filepath.Join(d.dir, fmt.Sprintf("n%d.json", d.number)) }
+
+// configure writes its file.
+func (d *dispatcher) configure() error {
+	d.mu.Lock()
+	address := d.address
+	d.mu.Unlock()
+	text := d.plan.config(d.number, d.listen, address, d.find.known(d.number))
+	return os.WriteFile(d.file(), []byte(text), 0o600)
+}
+
+// start starts a process and waits until it is ready, or for as long as it may take.
+func (d *dispatcher) start() error {
+	if err := d.configure(); err != nil {
+		return err
+	}
+	command := []string{d.programs.Dispatcher}
+	if d.plan.Failures != "" {
+		command = append([]string{d.programs.Injector, "inject", "--rules", d.plan.Failures, "--seed", strconv.FormatUint(d.plan.Seed, 10),
+			"--after", "1s", "--"}, command...)
+	}
+	tmp, err := os.MkdirTemp(d.dir, "tmp-")
+	if err != nil {
+		return err
+	}
+	c := exec.Command(command[0], command[1:]...)
+	c.Env = append(os.Environ(), "GW_CONFIG="+d.file(), "TMPDIR="+tmp, "GW_ADMIN=", "BRASSDALE_DEBUG=1")
+	pids := &pidReader{to: d.logs, found: make(chan int, 1)}
+	c.Stderr = pids
+	l := &Life{Dispatcher: d.number, Started: time.Now()}
+	if err := c.Start(); err != nil {
+		return err
+	}
+	pid := c.Process.Pid
+	if d.plan.Failures != "" {
+		select {
+		case pid = <-pids.found:
+		case <-time.After(readyWithin):
+			return fmt.Errorf("dispatcher %d was not started by the injector", d.number)
+		}
+	}
+	exited := make(chan struct{})
+	d.mu.Lock()
+	if d.life != nil {
+		l.Number = d.life.Number + 1
+	}
+	d.life, d.pid, d.exited = l, pid, exited
+	d.mu.Unlock()
+	d.record.life(l)
+	go func() {
+		err := c.Wait()
+		d.record.add(func() {
+			l.Ended = time.Now()
+			if l.Term.IsZero() && !l.Killed {
+				l.Crashed = fmt.Sprintf("ended by itself: %v", err)
+			} else if err != nil && !l.Killed {
+				l.Crashed = fmt.Sprintf("told to end, it ended with %v", err)
+			}
+		})
+		close(exited)
+	}()
+	return d.awaitReady(l)
+}
+
+// awaitReady asks until the process wants work.
+func (d *dispatcher) awaitReady(l *Life) error {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	for end := l.Started.Add(readyWithin); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		resp, err := client.Get("http://" + d.listen + "/health/ready")
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			d.record.add(func() { l.Ready = time.Now() })
+			return nil
+		}
+	}
+	return nil // the audit finds it
+}
+
+// pidReader passes a log on and finds the line that tells the program's number.
+type pidReader struct {
+	to    *os.File
+	found chan int
+	text  []byte
+	done  bool
+}
+
+var pidLine = regexp.MustCompile(`inject: pid=(\d+)\n`)
+
+func (p *pidReader) Write(b []byte) (int, error) {
+	if !p.done {
+		p.text = append(p.text, b...)
+		if m := pidLine.FindSubmatch(p.text); m != nil {
+			pid, _ := strconv.Atoi(string(m[1]))
+			p.found <- pid
+			p.text, p.done = nil, true
+		}
+	}
+	return p.to.Write(b)
+}
+
+// current gives the process of now, whether it takes requests, and its number.
+func (d *dispatcher) current() (l *Life, up bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.record.mu.Lock()
+	defer d.record.mu.Unlock()
+	return d.life, d.life != nil && !d.life.Ready.IsZero() && d.life.Ended.IsZero()
+}
+
+func (d *dispatcher) signal(s syscall.Signal) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	select {
+	case <-d.exited:
+	default:
+		_ = syscall.Kill(d.pid, s)
+	}
+}
+
+// kill kills the process and starts it again behind a pause.
+func (d *dispatcher) kill(pause time.Duration) error {
+	if !d.changing.TryLock() {
+		return nil
+	}
+	defer d.changing.Unlock()
+	d.end()
+	time.Sleep(pause)
+	return d.start()
+}
+
+// end kills the process for good.
+func (d *dispatcher) end() {
+	d.mu.Lock()
+	l, exited := d.life, d.exited
+	d.mu.Unlock()
+	d.record.add(func() { l.Killed = true })
+	d.signal(syscall.SIGKILL)
+	<-exited
+}
+
+// restart tells the process to end, kills it as early as may be, and starts it again.
+func (d *dispatcher) restart() error {
+	if !d.changing.TryLock() {
+		return nil
+	}
+	defer d.changing.Unlock()
+	d.mu.Lock()
+	l, exited := d.life, d.exited
+	d.mu.Unlock()
+	d.record.add(func() { l.Term = time.Now() })
+	d.signal(syscall.SIGTERM)
+	select {
+	case <-exited:
+	case <-time.After(min(d.plan.Deadline, mostCounted) + killSlack):
+		d.end()
+	}
+	return d.start()
+}
+
+// reload tells it of a new configuration; moved has it find discovery at another address.
+func (d *dispatcher) reload(moved bool) error {
+	if moved {
+		address, err := d.find.address(d.number)
+		if err != nil {
+			return err
+		}
+		d.mu.Lock()
+		d.address = address
+		d.mu.Unlock()
+	}
+	if err := d.configure(); err != nil {
+		return err
+	}
+	d.signal(syscall.SIGHUP)
+	return nil
+}
+
+// holdUp stops the process for a moment, again and again.
+func (d *dispatcher) holdUp(until time.Time) {
+	for time.Now().Before(until) {
+		d.signal(syscall.SIGSTOP)
+		time.Sleep(stopFor)
+		d.signal(syscall.SIGCONT)
+		time.Sleep(2 * stopFor)
+	}
+}
--- /dev/null
+++ b/internal/soak/settings.go
@@ -0,0 +1,38 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+)
+
+// The figures that all runs share; they reach the dispatchers as settings.
+const (
+	drainGrace    = 500 * time.Millisecond
+	coldFor       = 6 * time.Second
+	fallSpan      = 1500 * time.Millisecond
+	startCapacity = 0.14
+	tipMultiple   = 3.0
+	workerSlots   = 5
+	jobTime       = 60 * time.Millisecond // of a worker, on average
+	class         = "quote"
+	active        = "active"
+	leaving       = "leaving"
+)
+
+// settings gives what a dispatcher is told, as the platform words it.
+func (p Plan) settings(dispatcher int) string {
+	micros := func(d time.Duration) int64 { return d.Microseconds() }
+	return fmt.Sprintf(`{"classes":[{"aim":200000,"credit":1,"deadline":%d,"dedupScope":"cell","effect":%q,"lateWorth":0.1,"name":%q,"window":%d}],
+"discovery":"ask","familyInfo":{"classKind":[-1],"classStretch":[2.5],"progress":1000000,"tellsStart":true},"flavors":["new"],
+"limits":{"cancel":true,"connIdle":5000000,"connectTimeout":200000,"maxAttempts":4,"maxRetryAfter":2000000,"mayDuplicate":%t,"probing":true,"retryAfter":true},
+"loadReport":{"columns":["cpu_share","pending","x0","x1"],"via":"pull"},"ordinal":%d,"replicasOfMe":%d,
+"rules":{"answerSlack":8000,"askWithin":10000000,"cold":%d,"drainGrace":%d,"fall":%d,"startCapacity":%g,"tipMultiple":%g},"zones":["here"]}`,
+		micros(p.Deadline), p.Effect, class, micros(p.Window), p.Duplicates, dispatcher, p.Dispatchers,
+		micros(coldFor), micros(drainGrace), micros(fallSpan), startCapacity, tipMultiple)
+}
+
+// config gives a dispatcher's file.
+func (p Plan) config(dispatcher int, listen, discovery, known string) string {
+	return fmt.Sprintf(`{"name":"n%d","listen":%q,"discovery":%q,"seed":"%016x","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
+		dispatcher, listen, discovery, p.Seed*1000+uint64(dispatcher), known, p.settings(dispatcher))
+}
