How long a request lay unread is asked of the system, and taken off its client's time

Cause: a process that has no time to read (a crowd, a hold-up) counted a request's time from its reading. Change: the time since the last bytes came (TCP_INFO) is taken off where a request was whole in one read; what the system says over 5 s is not believed.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -53,7 +53,8 @@
 	framing framing
 	whole   bool       // the present request has come whole and is not answered
 	ahead   aheadQueue // what came behind it
-	last    time.Time  // when the bytes had come that were read last
+	last    time.Time  // when the bytes had come that were read last, ...
+	direct  bool       // ... which came from the system, and not from ahead
 
 	arrived atomic.Pointer[time.Time] // when the last byte of the present request had come; nil where that is not known
 
@@ -83,6 +84,27 @@
 	return n > 0
 }
 
+// mostUnread bounds what is believed of the system's word on how long bytes lay unread.
+const mostUnread = 5 * time.Second
+
+// unreadFor asks the system how long ago the last bytes came on the connection; 0 where it does not say.
+func (c *Conn) unreadFor() time.Duration {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	ago := time.Duration(0)
+	_ = raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			ago = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	if ago > mostUnread {
+		return 0
+	}
+	return ago
+}
+
 // heard notes that bytes of a request came, and tells whether it may still come here; the gate is locked.
 func (c *Conn) heard(now time.Time) bool {
 	if c.phase == closing {
@@ -136,6 +158,9 @@
 		if whole {
 			c.whole = true
 			last := c.last
+			if c.direct { // else it was read ahead, as it came
+				last = last.Add(-c.unreadFor())
+			}
 			c.arrived.Store(&last)
 			c.ahead.putBack(b[passed:n], last)
 			c.behind.Store(int32(c.ahead.size))
@@ -156,11 +181,12 @@
 func (c *Conn) next(b []byte) (n int, err error) {
 	if c.ahead.size == 0 {
 		n, err = c.TCPConn.Read(b)
-		c.last = time.Now()
+		c.last, c.direct = time.Now(), true
 		c.lost(err)
 		return n, err
 	}
 	n, c.last = c.ahead.take(b)
+	c.direct = false
 	c.behind.Store(int32(c.ahead.size))
 	return n, nil
 }
