--- /dev/null
+++ b/internal/soak/audit_test.go
@@ -0,0 +1,132 @@
+package soak
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// clean gives a record in which every rule is kept, and its parts to spoil.
+func clean() (Plan, *Record) {
+	begun := time.Unix(1e9, 0)
+	at := func(s float64) time.Time { return begun.Add(time.Duration(s * float64(time.Second))) }
+	p := Plan{Dispatchers: 1, Workers: 2, Effect: Keyed, Deadline: time.Second, Window: 2 * time.Second}
+	r := &Record{Begun: begun,
+		Lives:    []*Life{{Started: at(0), Ready: at(0.1), Ended: at(60), Killed: true}},
+		Changes:  []Change{{Revision: 1, At: at(0), Worker: 0, Phase: active}, {Revision: 2, At: at(10), Worker: 0, Phase: leaving}, {Revision: 3, At: at(20), Worker: 1, Phase: active, Cold: true}},
+		Answers:  []Answer{{At: at(0.2), Revision: 1}, {At: at(10.1), Revision: 2}, {At: at(20.1), Revision: 3}},
+		Requests: []*Request{{ID: "a", Written: at(1), Deadline: p.Deadline, Status: 200, Result: "a", Answered: at(1.2)}},
+		Attempts: []*Attempt{{ID: "a", Worker: 0, Cell: 0, First: at(1.01), Last: at(1.02), Told: 900 * time.Millisecond, Ran: true, Result: "a", Ended: at(1.19)}},
+	}
+	return p, r
+}
+
+// The audit finds a deliberate mistake of each rule, and none where there is none.
+func TestAuditFindsEachBreak(t *testing.T) {
+	second := func(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+	spoil := map[string]struct {
+		rule string
+		do   func(*Plan, *Record)
+	}{
+		"clean":                 {"", func(*Plan, *Record) {}},
+		"answered late":         {RuleLost, func(_ *Plan, r *Record) { r.Requests[0].Answered = r.Requests[0].Written.Add(second(1.6)) }},
+		"not answered":          {RuleLost, func(_ *Plan, r *Record) { r.Requests[0].Status = 0 }},
+		"not answered, reused":  {RuleLost, func(_ *Plan, r *Record) { r.Requests[0].Status, r.Requests[0].Reused = 0, true }},
+		"made up":               {RuleLost, func(_ *Plan, r *Record) { r.Requests[0].Result = "b" }},
+		"for who has gone":      {RuleLost, func(_ *Plan, r *Record) { r.Requests[0].Left = r.Attempts[0].First.Add(-second(0.11)) }},
+		"open at a late kill":   {RuleLost, func(_ *Plan, r *Record) { openAtKill(r, 0.8) }},
+		"open at an early kill": {"", func(_ *Plan, r *Record) { openAtKill(r, 0.6) }},
+		"unsafe twice":          {RuleDuplicate, func(p *Plan, r *Record) { p.Effect = Unsafe; again(r, 0.5, 0) }},
+		"past the window":       {RuleDuplicate, func(_ *Plan, r *Record) { again(r, 2.1, 0) }},
+		"inside the window":     {"", func(_ *Plan, r *Record) { again(r, 0.5, 0) }},
+		"at another cell":       {RuleDuplicate, func(_ *Plan, r *Record) { again(r, 0.5, 1) }},
+		"two out":               {RuleDuplicate, func(_ *Plan, r *Record) { again(r, 0.05, 0) }},
+		"refused, may have run": {RuleRefused, func(_ *Plan, r *Record) { r.Requests[0].Status = 503 }},
+		"told too much":         {RuleDeadline, func(_ *Plan, r *Record) { r.Attempts[0].Told = second(1.2) }},
+		"drained, told":         {RuleDrain, func(_ *Plan, r *Record) { attemptAt(r, 10.7) }},
+		"drained, in the grace": {"", func(_ *Plan, r *Record) { attemptAt(r, 10.6) }},
+		"drained, not told":     {"", func(_ *Plan, r *Record) { r.Answers = r.Answers[:1]; attemptAt(r, 16.5) }},
+		"drained, counts as so": {RuleDrain, func(_ *Plan, r *Record) { r.Answers = r.Answers[:1]; attemptAt(r, 16.6) }},
+		"drained, in an outage": {"", func(_ *Plan, r *Record) { r.Answers = r.Answers[:1]; outage(r, 9, 15); attemptAt(r, 21) }},
+		"a crowd at a cold one": {RuleFailback, func(_ *Plan, r *Record) { crowdAt(r, 100) }},
+		"a few at a cold one":   {"", func(_ *Plan, r *Record) { crowdAt(r, 40) }},
+		"ended by itself":       {RuleCrash, func(_ *Plan, r *Record) { r.Lives[0].Crashed = "exit status 2" }},
+		"never ready":           {RuleReady, func(_ *Plan, r *Record) { r.Lives[0].Ready = time.Time{} }},
+		"ready late":            {RuleReady, func(_ *Plan, r *Record) { r.Lives[0].Ready = r.Lives[0].Started.Add(second(10.1)) }},
+	}
+	for name, c := range spoil {
+		p, r := clean()
+		c.do(&p, r)
+		var rules []string
+		for _, b := range Audit(p, r) {
+			rules = append(rules, b.Rule)
+		}
+		slices.Sort(rules)
+		if rules = slices.Compact(rules); c.rule == "" && len(rules) > 0 || c.rule != "" && !slices.Equal(rules, []string{c.rule}) {
+			t.Errorf("%s: found %v, want %q", name, rules, c.rule)
+		}
+	}
+}
+
+// again adds a further attempt of the request, so many seconds behind the first, at a cell.
+func again(r *Record, later float64, cell int) {
+	first := *r.Attempts[0]
+	next := first
+	shift := time.Duration(later * float64(time.Second))
+	next.Cell, next.First, next.Last, next.Ended = cell, first.First.Add(shift), first.Last.Add(shift), first.Ended.Add(shift)
+	next.Told = 0
+	r.Requests[0].Deadline, r.Requests[0].Answered = 5*time.Second, next.Ended
+	r.Attempts = append(r.Attempts, &next)
+}
+
+// attemptAt adds a request with an attempt at the worker that drains.
+func attemptAt(r *Record, s float64) {
+	at := r.Begun.Add(time.Duration(s * float64(time.Second)))
+	r.Requests = append(r.Requests, &Request{ID: "d", Written: at, Deadline: time.Second, Status: 200, Result: "d", Answered: at.Add(100 * time.Millisecond)})
+	r.Attempts = append(r.Attempts, &Attempt{ID: "d", First: at, Last: at, Ran: true, Result: "d", Ended: at.Add(90 * time.Millisecond)})
+}
+
+func outage(r *Record, from, to float64) {
+	at := func(s float64) time.Time { return r.Begun.Add(time.Duration(s * float64(time.Second))) }
+	r.Outages = append(r.Outages, Outage{at(from), at(to)})
+}
+
+// crowdAt sends so many requests to the cold worker at once.
+func crowdAt(r *Record, count int) {
+	at := r.Begun.Add(20200 * time.Millisecond)
+	for range count {
+		r.Attempts = append(r.Attempts, &Attempt{ID: "c", Worker: 1, First: at, Last: at, Ended: at})
+	}
+}
+
+// openAtKill has a request open when its process is killed behind SIGTERM, written so many seconds behind that.
+func openAtKill(r *Record, behind float64) {
+	q, l := r.Requests[0], r.Lives[0]
+	l.Term = q.Written.Add(-time.Duration(behind * float64(time.Second)))
+	l.Ended, q.Answered = q.Answered, q.Answered
+	q.Status, q.Result = 0, ""
+}
+
+// The same seed draws the same plan.
+func TestDrawIsRepeatable(t *testing.T) {
+	f, err := Load("../../scenarios/soak/faults.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	kinds := map[Kind]bool{}
+	for seed := range uint64(50) {
+		p, again := f.Draw(seed), f.Draw(seed)
+		if len(p.Events) != len(again.Events) || p.Failures != again.Failures {
+			t.Fatalf("seed %d draws two plans", seed)
+		}
+		for i, e := range p.Events {
+			if e.String() != again.Events[i].String() {
+				t.Fatalf("seed %d: %v and %v", seed, e, again.Events[i])
+			}
+			kinds[e.Kind] = true
+		}
+	}
+	if len(kinds) != len(Kinds) {
+		t.Errorf("50 seeds draw %d of %d kinds", len(kinds), len(Kinds))
+	}
+}
