--- a/internal/protocol/succession.go
+++ b/internal/protocol/succession.go
@@ -39,7 +39,11 @@
 	Digest  []byte         `json:"digest"`
 	Events  []Event        `json:"events"`
 	Answer  routing.Answer `json:"answer"`
-	Forget  time.Time      `json:"forget"`
+	Forget  time.Time      `json:"forget"` // for builds that know no other; ForgetIn goes before it
+
+	// ForgetIn is how much longer the job is remembered, from when this was sent: the wall clock may be set meanwhile.
+	ForgetIn time.Duration `json:"forget_in_ns,omitempty"`
+
 	Started bool           `json:"started"`
 }
 
@@ -67,13 +71,37 @@
 // Known is a member as the predecessor knows it.
 type Known struct {
 	Member
-	Told time.Time `json:"told"` // that it drains
+	Told time.Time `json:"told"` // that it drains; for builds that know no other, ToldAgo goes before it
+
+	// ToldAgo is how long ago it was told, from when this was sent: the wall clock may be set meanwhile.
+	ToldAgo time.Duration `json:"told_ago_ns,omitempty"`
+}
+
+// told gives when the member was told to drain, on this process's clock; zero where it was not.
+func (k Known) told(now time.Time) time.Time {
+	if k.ToldAgo > 0 {
+		return now.Add(-k.ToldAgo)
+	}
+	return k.Told
+}
+
+// ForgottenAt gives when the job is to be forgotten, on this process's clock.
+func (r *Remembered) ForgottenAt(now time.Time) time.Time {
+	if r.ForgetIn > 0 {
+		return now.Add(r.ForgetIn)
+	}
+	return r.Forget
 }
 
 // KnownMembers gives destinations in the words of discovery, whose numbers of zones and kinds are each process's own.
 func KnownMembers(ds []routing.Destination, p *Params) (known []Known) {
+	now := time.Now()
 	for i, m := range Members(ds, p) {
-		known = append(known, Known{Member: m, Told: ds[i].Told})
+		k := Known{Member: m, Told: ds[i].Told}
+		if !k.Told.IsZero() {
+			k.ToldAgo = max(now.Sub(k.Told), time.Nanosecond)
+		}
+		known = append(known, k)
 	}
 	return known
 }
@@ -112,8 +140,9 @@
 	if s.Discovery != discovery {
 		u.Revision = routing.Whole
 	}
+	now := time.Now()
 	for i := range u.Destinations {
-		u.Destinations[i].Told = s.Members[i].Told
+		u.Destinations[i].Told = s.Members[i].told(now)
 	}
 	return u, nil
 }
--- a/internal/transport/relay.go
+++ b/internal/transport/relay.go
@@ -124,18 +124,19 @@
 	defer j.mu.Unlock()
 	if j.final != nil {
 		p.kin.Tell(protocol.Note{Remembered: &protocol.Remembered{Key: j.key, ID: j.id, Digest: j.digest[:],
-			Events: j.events, Answer: *j.final, Forget: j.forget, Started: j.started}})
+			Events: j.events, Answer: *j.final, Forget: j.forget, ForgetIn: time.Until(j.forget), Started: j.started}})
 	}
 }
 
 // Remember takes an ended job over from the predecessor.
 func (f *Keys) Remember(r *protocol.Remembered) {
-	left := time.Until(r.Forget)
+	forget := r.ForgottenAt(time.Now())
+	left := time.Until(forget)
 	if left <= 0 || len(r.Digest) != sha256.Size {
 		return
 	}
 	j := &watched{keys: f, key: r.Key, id: r.ID, digest: [sha256.Size]byte(r.Digest), release: sync.OnceFunc(func() {}),
-		events: r.Events, started: r.Started, final: &r.Answer, forget: r.Forget, changed: make(chan struct{})}
+		events: r.Events, started: r.Started, final: &r.Answer, forget: forget, changed: make(chan struct{})}
 	size := int64(0)
 	for _, ev := range r.Events {
 		size += int64(len(ev.Data)) + eventCost
