--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race lint run demo sites
+.PHONY: build test race lint soak run demo sites
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -15,6 +15,11 @@
 lint:
 	test -z "$$(gofmt -l brain cmd internal)"
 	go vet ./...
+	go tool staticcheck ./...
+
+# Fifty seeds of real dispatchers under drawn faults, every rule audited: about seven minutes.
+soak: build
+	bin/brassdale-lab soak scenarios/soak/*.hcl --seeds 1-50 --together 3
 
 # A works, discovery, two dispatchers and a gentle load on loopback, with live figures; Ctrl-C ends it.
 demo: build
--- a/brain/api.go
+++ b/brain/api.go
@@ -23,6 +23,7 @@
 // Scope is the group of workers that drops the repeats of a keyed request.
 type Scope uint8
 
+// The scopes: all workers, those of one zone, those of one cell.
 const (
 	ScopeAll Scope = iota
 	ScopeZone
@@ -88,6 +89,7 @@
 // WorkerState is what the list says of a worker.
 type WorkerState uint8
 
+// The states: it takes requests, it finishes what it has, it is listed no more.
 const (
 	Ready WorkerState = iota
 	Draining
@@ -126,6 +128,7 @@
 // Outcome is how an attempt ended.
 type Outcome uint8
 
+// The outcomes.
 const (
 	Served    Outcome = iota
 	Errored           // answered with an error; may have run
--- a/internal/decisions/pacing/pacing.go
+++ b/internal/decisions/pacing/pacing.go
@@ -28,6 +28,7 @@
 
 import "time"
 
+// The spans of calls to discovery.
 const (
 	// Gap is how long after an answer the next call of a watch may come, and Margin what is kept of it for the way and for a
 	// busy core.
--- a/internal/decisions/repeats/repeats_test.go
+++ b/internal/decisions/repeats/repeats_test.go
@@ -9,13 +9,11 @@
 // A table driven by the verdicts, against what must be true of each key whatever comes.
 func TestPromises(t *testing.T) {
 	type job struct {
-		body     int
-		ended    bool
-		refused  bool
-		readers  int
-		kept     bool
-		givenUp  bool
-		begunFor string
+		body    int
+		ended   bool
+		refused bool
+		readers int
+		kept    bool
 	}
 	rapid.Check(t, func(t *rapid.T) {
 		table, most := map[string]*job{}, rapid.IntRange(1, 4).Draw(t, "most")
--- a/internal/decisions/streams/streams.go
+++ b/internal/decisions/streams/streams.go
@@ -76,7 +76,7 @@
 	// MostFragments and MostHead bound a head: its frames, and their bytes together. One that is within the bound on
 	// header lists (8 KiB) has room in one frame of the usual size.
 	MostFragments = 16
-	MostHead      = 32 << 10
+	MostHead      = 32 << 10 // bytes
 
 	crumb = 64 // bytes; a piece of a body that is shorter and not the last
 )
--- a/internal/emulator/failover_test.go
+++ b/internal/emulator/failover_test.go
@@ -1,7 +1,6 @@
 package emulator
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -32,8 +31,8 @@
 			t.Fatal(err)
 		}
 		got[mode] = r
-		t.Log(fmt.Sprintf("%-6q before %.3f, in the loss %.3f, behind it %.3f; crossings %.2f, zone's peak %.2f, p99 %v, plans %d, moved %v, back %v, breaches %d", mode,
-			r.Within(5*time.Second, 20*time.Second), r.Within(23*time.Second, 40*time.Second), r.Within(40*time.Second, 70*time.Second), r.Crossings, r.ZonePeak, r.P99, r.PlanChanges, r.Moved, r.Back, len(r.Breaches)))
+		t.Logf("%-6q before %.3f, in the loss %.3f, behind it %.3f; crossings %.2f, zone's peak %.2f, p99 %v, plans %d, moved %v, back %v, breaches %d", mode,
+			r.Within(5*time.Second, 20*time.Second), r.Within(23*time.Second, 40*time.Second), r.Within(40*time.Second, 70*time.Second), r.Crossings, r.ZonePeak, r.P99, r.PlanChanges, r.Moved, r.Back, len(r.Breaches))
 	}
 	p := got["plan"]
 	if len(p.Breaches) > 0 || p.ZonePeak > 1.05 || p.Moved == 0 || p.Moved > 4*time.Second || p.Back < 20*time.Second {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -22,6 +22,7 @@
 // Outcome is how a job ended for its client, over its tries.
 type Outcome uint8
 
+// The outcomes.
 const (
 	Served     Outcome = iota
 	Late               // served, but later than wanted
--- a/internal/protocol/succession.go
+++ b/internal/protocol/succession.go
@@ -34,17 +34,17 @@
 
 // Remembered is an ended job of the front for progress.
 type Remembered struct {
-	Key     string         `json:"key"`
-	ID      string         `json:"id"`
-	Digest  []byte         `json:"digest"`
-	Events  []Event        `json:"events"`
-	Answer  routing.Answer `json:"answer"`
-	Forget  time.Time      `json:"forget"` // for builds that know no other; ForgetIn goes before it
+	Key    string         `json:"key"`
+	ID     string         `json:"id"`
+	Digest []byte         `json:"digest"`
+	Events []Event        `json:"events"`
+	Answer routing.Answer `json:"answer"`
+	Forget time.Time      `json:"forget"` // for builds that know no other; ForgetIn goes before it
 
 	// ForgetIn is how much longer the job is remembered, from when this was sent: the wall clock may be set meanwhile.
 	ForgetIn time.Duration `json:"forget_in_ns,omitempty"`
 
-	Started bool           `json:"started"`
+	Started bool `json:"started"`
 }
 
 // Held counts connections.
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -20,6 +20,7 @@
 // State is what one message of an endpoint says of a job.
 type State uint8
 
+// The states: the job has started, it is under way, this is the last message.
 const (
 	Started State = iota
 	Running
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -17,6 +17,7 @@
 // Verdict is the kind of a final answer.
 type Verdict uint8
 
+// The verdicts: the result of an endpoint, a promise that nothing ran, neither.
 const (
 	Served Verdict = iota
 	Refused
--- a/internal/routing/ledger.go
+++ b/internal/routing/ledger.go
@@ -64,7 +64,13 @@
 }
 
 // Class has a class stand in the account before it has had a request.
-func (l *Ledger) Class(name string) { l.enter(func(f *Figures) { f.Classes[name] = f.Classes[name] }) }
+func (l *Ledger) Class(name string) {
+	l.enter(func(f *Figures) {
+		if _, stands := f.Classes[name]; !stands {
+			f.Classes[name] = Tally{}
+		}
+	})
+}
 
 // Unheard counts a request that a front answered itself, before the module heard of it. What names a class that there
 // never was is no job.
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -103,7 +103,7 @@
 func openAtKill(r *Record, behind float64) {
 	q, l := r.Requests[0], r.Lives[0]
 	l.Term = q.Written.Add(-time.Duration(behind * float64(time.Second)))
-	l.Ended, q.Answered = q.Answered, q.Answered
+	l.Ended = q.Answered
 	q.Status, q.Result = 0, ""
 }
 
