--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -183,7 +183,7 @@
 	run(3, 5*ms)
 	run(4, 100*ms)
 	for _, w := range v.d.workers {
-		if f := v.d.drag(w); f != 1 {
+		if f := v.d.slowdown(w); f != 1 {
 			t.Errorf("%s drags %v after two jobs", w.ID, f)
 		}
 	}
@@ -482,7 +482,7 @@
 		v.give(Finished{ID: id, Outcome: Served, Final: true})
 	}
 	for _, w := range v.d.workers {
-		v.d.shun(w, &w.health, 0, "test")
+		v.d.eject(w, &w.health, 0, "test")
 	}
 	if w := v.arrive(9, 0); w == "" {
 		t.Error("nobody to send to when all are shunned")
--- a/brain/cold_test.go
+++ b/brain/cold_test.go
@@ -156,19 +156,19 @@
 // the place of another does not: both had half their parts while there were two. On the second deployment's days of replacing
 // successors stood beside workers that had just been put back for 3 s, which cost 0.04 of G.
 func TestSuccessorUsesColdWorkersAtOnce(t *testing.T) {
-	for _, heir := range []bool{false, true} {
+	for _, succeeds := range []bool{false, true} {
 		v := newDriver(t, plain())
 		v.list(WorkerInfo{ID: "w", Since: v.now - ms})
 		v.d.seen(v.d.workers[0], 4)
-		if heir {
+		if succeeds {
 			v.give(Succeeded{Experience: v.d.Experience()})
 		}
 		v.now += 10 * ms
-		if to := v.arrive(1, 0); heir != (to != "") {
-			t.Errorf("successor %v: sent to %q at once", heir, to)
+		if to := v.arrive(1, 0); succeeds != (to != "") {
+			t.Errorf("successor %v: sent to %q at once", succeeds, to)
 		}
 		v.now += plain().Fall + sendLate
-		if to := v.arrive(2, 0); !heir && to == "" && v.d.workers[0].own == 0 {
+		if to := v.arrive(2, 0); !succeeds && to == "" && v.d.workers[0].own == 0 {
 			t.Error("nothing is sent behind the fall")
 		}
 	}
--- a/brain/large_test.go
+++ b/brain/large_test.go
@@ -17,7 +17,7 @@
 	return ws
 }
 
-// crowd makes all dispatchers of a deployment, each with the list.
+// overuse makes all dispatchers of a deployment, each with the list.
 func crowd(s Settings, n, zones int, ws []WorkerInfo) []*Dispatcher {
 	ds := make([]*Dispatcher, n)
 	for i := range ds {
@@ -97,7 +97,7 @@
 	d := crowd(plain(), 300, 1, fleet(100, 1))[7]
 	first := slices.Clone(d.near)
 	for _, w := range first {
-		d.shun(w, &w.health, 0, "test")
+		d.eject(w, &w.health, 0, "test")
 	}
 	d.choose()
 	sound := 0
@@ -139,8 +139,8 @@
 	busy, idle := d.near[0], d.near[1]
 	for i := range 10 {
 		d.now += time.Duration(i) * 100 * ms
-		d.told(busy, report(0.9, 0.4))
-		d.told(idle, report(0.1, 4))
+		d.applyReport(busy, report(0.9, 0.4))
+		d.applyReport(idle, report(0.1, 4))
 	}
 	d.now += time.Minute
 	if a, b := d.value(busy), d.value(idle); a < 0.8 || b > 0.2 {
@@ -498,9 +498,9 @@
 	got, id := map[bool]int{}, RequestID(0)
 	for i := range 60 {
 		d.now += 200 * ms
-		d.told(ageing, report(min(1, 0.3+0.02*float64(i)), 1))
+		d.applyReport(ageing, report(min(1, 0.3+0.02*float64(i)), 1))
 		for _, w := range d.near[1:] {
-			d.told(w, report(0.3, 3))
+			d.applyReport(w, report(0.3, 3))
 		}
 		id++
 		to := sentTo(d.Handle(d.now, Arrived{ID: id, Slots: 1, Expires: d.now + time.Second}))
--- a/brain/loss_test.go
+++ b/brain/loss_test.go
@@ -131,16 +131,16 @@
 		v.d.order = append(v.d.order, r)
 	}
 	v.d.look()
-	if drag := v.d.drag(w); drag != 1 {
+	if drag := v.d.slowdown(w); drag != 1 {
 		t.Errorf("drag %v while they have only begun", drag)
 	}
 	v.now += time.Second
 	v.d.now = v.now
 	v.d.look()
-	if drag := v.d.drag(w); drag < slowFrom {
+	if drag := v.d.slowdown(w); drag < slowFrom {
 		t.Errorf("drag %v after a second of jobs that take a tenth", drag)
 	}
-	if drag := v.d.drag(v.d.workers[1]); drag != 1 {
+	if drag := v.d.slowdown(v.d.workers[1]); drag != 1 {
 		t.Errorf("drag %v of the other worker", drag)
 	}
 }
@@ -153,15 +153,15 @@
 	w := v.d.workers[0]
 	w.Since = v.now - time.Second
 	feared := 1 / v.d.warmth(w)
-	if drag := v.d.drag(w); drag < feared*0.999 || drag > feared*1.001 {
+	if drag := v.d.slowdown(w); drag < feared*0.999 || drag > feared*1.001 {
 		t.Errorf("at first %v, want %v", drag, feared)
 	}
 	w.jobs, w.lag = 20, 0 // jobs took as long as elsewhere
-	if drag := v.d.drag(w); drag > feared/2 || drag < 1 {
+	if drag := v.d.slowdown(w); drag > feared/2 || drag < 1 {
 		t.Errorf("after 20 ordinary jobs %v", drag)
 	}
 	w.lag = 20 * 2 // and seven times as long
-	if drag := v.d.drag(w); drag < feared {
+	if drag := v.d.slowdown(w); drag < feared {
 		t.Errorf("after 20 slow jobs %v", drag)
 	}
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -81,7 +81,7 @@
 	w                    *worker
 	sent, began          Clock
 	out, maybe, canceled bool
-	trial                bool          // sent to hear of a worker (see room)
+	trial                bool          // sent to hear of a worker (see hasRoom)
 	lost                 bool          // it holds no slot there
 	idle                 time.Duration // how long the worker had not been used before
 }
@@ -127,7 +127,7 @@
 	cursor, seq   int        // round robin; number of the last request
 	trials        int        // trial attempts that are out
 	ticking       bool
-	heir          bool    // goes on in the place of another, whose parts were halved
+	succeeds      bool    // goes on in the place of another, whose parts were halved
 	small         bool    // all workers are drawn from, and known well
 	keyed         bool    // jobs have keys
 	jobs          int     // that were served
@@ -201,7 +201,7 @@
 // adopt begins with what another has learned, of the workers that are listed and have not started anew since.
 func (d *Dispatcher) adopt(e Experience) {
 	if len(e.Classes) > 0 { // else it tells of workers alone
-		d.heir = true
+		d.succeeds = true
 		d.allow, d.stay, d.mean = e.Allow, e.Stay, e.Mean
 	}
 	for i, c := range e.Classes {
--- a/brain/succeed_test.go
+++ b/brain/succeed_test.go
@@ -30,8 +30,8 @@
 	next.list(ws...)
 	next.give(Succeeded{Experience: e})
 	same, anew := next.d.byID[ws[0].ID], next.d.byID[ws[1].ID]
-	if next.d.allow != old.allow || next.d.classes[1] != old.classes[1] || next.d.slots(same) != 6 || next.d.drag(same) != old.drag(old.workers[0]) {
-		t.Errorf("allow %v, class %+v, slots %v, drag %v", next.d.allow, next.d.classes[1], next.d.slots(same), next.d.drag(same))
+	if next.d.allow != old.allow || next.d.classes[1] != old.classes[1] || next.d.slots(same) != 6 || next.d.slowdown(same) != old.slowdown(old.workers[0]) {
+		t.Errorf("allow %v, class %+v, slots %v, drag %v", next.d.allow, next.d.classes[1], next.d.slots(same), next.d.slowdown(same))
 	}
 	if anew.jobs != 0 || anew.lag != 0 {
 		t.Errorf("of a worker that started anew: %v jobs", anew.jobs)
