The other process of a replacement is a Sibling, the operators' door the admin endpoint, in code

Cause: kin, heir, door and box were words of this project's own. Change: Sibling, AcceptSuccessor, AdminHandler, AdminServer, mailbox; files sibling.go and admin.go. Nothing that operators type has changed.

--- a/internal/program/operations.go
+++ b/internal/program/operations.go
@@ -14,10 +14,10 @@
 	"brassdale/internal/transport"
 )
 
-// A caller at the door waits for a second. By then it has its answer.
+// A caller at the admin endpoint waits for a second. By then it has its answer.
 const answerCalls = 600 * time.Millisecond
 
-// operations is what the door for operators opens on.
+// operations is what the admin endpoint opens on.
 type operations struct {
 	d    *dispatcher
 	file *detached
@@ -85,8 +85,8 @@
 	if !out && o.d.agreed.has(id) {
 		return &transport.Refusal{Status: http.StatusConflict, Why: "the fleet has it out: propose rules without it"}
 	}
-	if kin := o.d.kin(); kin != nil {
-		if yes, heard := kin.Ask(protocol.Note{Worker: id, Out: out}, until); heard && !yes {
+	if sibling := o.d.sibling(); sibling != nil {
+		if yes, heard := sibling.Ask(protocol.Note{Worker: id, Out: out}, until); heard && !yes {
 			return &transport.Refusal{Status: http.StatusConflict, Why: "the other process could not do it"}
 		}
 	}
@@ -95,12 +95,12 @@
 
 // hand gives a successor its beginning. No call comes between the list of who is out and the moment from which the
 // successor is told of each call.
-func (o *operations) hand(kin *transport.Kin, h *protocol.Handover, gates []*transport.Gate) error {
+func (o *operations) hand(sibling *transport.Sibling, h *protocol.Handover, gates []*transport.Gate) error {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	h.Out = o.file.list()
-	o.d.setKin(kin)
-	return kin.Hand(h, gates)
+	o.d.setSibling(sibling)
+	return sibling.Hand(h, gates)
 }
 
 // keep does it in this process.
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -67,8 +67,8 @@
 
 	mu     sync.Mutex
 	shares shares
-	others *protocol.Held // what another process holds that acts as the same dispatcher
-	other  *transport.Kin // the connection to it
+	others *protocol.Held     // what another process holds that acts as the same dispatcher
+	other  *transport.Sibling // the connection to it
 }
 
 // front is a listener with its handler.
@@ -113,7 +113,7 @@
 		return err
 	}
 	d.operations = &operations{d: d, file: &detached{path: keptFile(env, cfg, ".detached"), name: cfg.Name}}
-	if d.saved != nil { // before anybody can call at a door, this one's or the predecessor's
+	if d.saved != nil { // before anybody can call at an admin endpoint, this one's or the predecessor's
 		d.saved.keep(ctx)
 	}
 	if pred != nil {
@@ -140,7 +140,7 @@
 		}
 		gate := transport.NewGate(l, log)
 		gate.Allow(transport.MostCallers, math.MaxInt64)
-		go func() { failed <- transport.DoorServer(transport.Door(d.operations, log), log).Serve(gate) }()
+		go func() { failed <- transport.AdminServer(transport.AdminHandler(d.operations, log), log).Serve(gate) }()
 		log.Info("listening", "front", "admin", "address", gate.Addr().String())
 	}
 	go d.core.Run(ctx)
@@ -161,7 +161,7 @@
 	d.serving.Store(true)
 	d.publish()
 	if pred != nil {
-		pred.kin.Tell(protocol.Note{Serving: true, Relay: d.relay})
+		pred.sibling.Tell(protocol.Note{Serving: true, Relay: d.relay})
 	}
 	log.Info("ready", "name", cfg.Name)
 	// To the very end, also while leaving: open requests still need to know who drains.
@@ -327,7 +327,7 @@
 	}
 	// The front brings no client for long, but clients go on using the connections that they have, and perhaps have
 	// nobody else while another dispatcher restarts: then one connection that is refused makes the front give this
-	// one up with all that it could still serve. So the door stays open for as long as answers can be in time.
+	// one up with all that it could still serve. So the listener stays open for as long as answers can be in time.
 	held := func(f *front) bool { return f.gate.Held() > 0 }
 	last := end.Add(-min(lastCall, max(end.Sub(leave)/lastPart, lastAnswer)))
 	for now := leave; now.Before(last) &&
@@ -357,8 +357,8 @@
 			d.log.Error("clients left unanswered", "front", f.name, "jobs", n)
 		}
 	}
-	if kin := d.kin(); kin != nil && passed {
-		kin.Ask(protocol.Note{Last: true}, end.Add(-lastMoment/2))
+	if sibling := d.sibling(); sibling != nil && passed {
+		sibling.Ask(protocol.Note{Last: true}, end.Add(-lastMoment/2))
 	}
 	return end.Add(-lastMoment / 2)
 }
--- a/internal/program/replace.go
+++ b/internal/program/replace.go
@@ -38,21 +38,21 @@
 
 // predecessor is the process that this one replaces, with what it handed over; nil where there is none.
 type predecessor struct {
-	kin       *transport.Kin
+	sibling   *transport.Sibling
 	handover  *protocol.Handover
 	listeners map[string]*net.TCPListener
 }
 
 // meet looks for a predecessor. With none, a dead one, its leftovers or one that hangs, this process starts alone.
 func (d *dispatcher) meet() *predecessor {
-	kin, handover, listeners, err := transport.Meet(d.socket, time.Now().Add(meetWithin))
+	sibling, handover, listeners, err := transport.Meet(d.socket, time.Now().Add(meetWithin))
 	if err != nil {
 		if _, none := os.Lstat(d.socket); none == nil {
 			d.log.Warn("no predecessor answers: starting alone", "err", err)
 		}
 		return nil
 	}
-	p := &predecessor{kin: kin, handover: handover, listeners: map[string]*net.TCPListener{}}
+	p := &predecessor{sibling: sibling, handover: handover, listeners: map[string]*net.TCPListener{}}
 	for i, name := range handover.Fronts {
 		p.listeners[name] = listeners[i]
 	}
@@ -87,8 +87,8 @@
 
 // follow lives with the predecessor until it is gone.
 func (d *dispatcher) follow(p *predecessor) {
-	d.setKin(p.kin)
-	d.ids.Follow(p.kin)
+	d.setSibling(p.sibling)
+	d.ids.Follow(p.sibling)
 	learned := p.handover.Experience
 	learned.Classes = d.params.Number(p.handover.Classes)
 	for id, w := range learned.Workers { // its clock is not this process's, and the list that came with it names the same starts
@@ -97,22 +97,22 @@
 	}
 	d.core.Succeed(learned) // behind the list, which was told when it was made
 	d.takeHeld(&protocol.Held{Outbound: d.shares.outbound / 2})
-	d.besideKeys(p.kin, p.handover.Relay, true)
+	d.besideKeys(p.sibling, p.handover.Relay, true)
 	go func() {
-		p.kin.Run(func(n protocol.Note) {
+		p.sibling.Run(func(n protocol.Note) {
 			switch {
 			case n.Held != nil:
 				d.takeHeld(n.Held)
 			case n.Last:
-				p.kin.Tell(protocol.Note{Answer: n.Ask, Yes: true})
+				p.sibling.Tell(protocol.Note{Answer: n.Ask, Yes: true})
 			case n.Remembered != nil && d.keys != nil:
 				d.keys.Remember(n.Remembered)
 			case n.Worker != "":
-				d.keepFor(p.kin, n)
+				d.keepFor(p.sibling, n)
 			}
 		})
 		d.ids.Follow(nil)
-		d.setKin(nil)
+		d.setSibling(nil)
 		d.takeHeld(nil)
 		d.log.Info("predecessor gone")
 	}()
@@ -137,15 +137,15 @@
 	go func() {
 		defer l.Close()
 		for {
-			kin, err := transport.Heir(l, failures.Failed)
+			sibling, err := transport.AcceptSuccessor(l, failures.Failed)
 			if err != nil {
 				return
 			}
-			if d.kin() != nil { // one at a time
-				kin.Close()
+			if d.sibling() != nil { // one at a time
+				sibling.Close()
 				continue
 			}
-			if d.precede(kin) {
+			if d.precede(sibling) {
 				return // the successor has taken the name over, and this process is to end
 			}
 		}
@@ -153,8 +153,8 @@
 }
 
 // precede lives with a successor until one of both is gone. It tells whether the successor served to the end.
-func (d *dispatcher) precede(kin *transport.Kin) (replaced bool) {
-	defer kin.Close()
+func (d *dispatcher) precede(sibling *transport.Sibling) (replaced bool) {
+	defer sibling.Close()
 	known, err := d.set.Known(d.ctx)
 	if err != nil {
 		return false
@@ -170,22 +170,22 @@
 	for _, f := range d.fronts {
 		h.Fronts, gates = append(h.Fronts, f.name), append(gates, f.gate)
 	}
-	if err := d.operations.hand(kin, h, gates); err != nil {
+	if err := d.operations.hand(sibling, h, gates); err != nil {
 		d.log.Warn("a successor got nothing", "err", err)
 	} else {
 		d.log.Info("successor starts")
-		kin.Run(func(n protocol.Note) {
+		sibling.Run(func(n protocol.Note) {
 			switch {
 			case n.Serving:
-				d.passOn(kin, n.Relay)
+				d.passOn(sibling, n.Relay)
 			case n.Key != "":
-				kin.Tell(protocol.Note{Answer: n.Ask, Yes: d.keys != nil && d.keys.Has(n.Key)})
+				sibling.Tell(protocol.Note{Answer: n.Ask, Yes: d.keys != nil && d.keys.Has(n.Key)})
 			case n.Take != "":
-				kin.Tell(protocol.Note{Answer: n.Ask, Yes: d.ids.Take(n.Take, kin)})
+				sibling.Tell(protocol.Note{Answer: n.Ask, Yes: d.ids.Take(n.Take, sibling)})
 			case n.Free != "":
-				d.ids.Free(n.Free, kin)
+				d.ids.Free(n.Free, sibling)
 			case n.Worker != "":
-				d.keepFor(kin, n)
+				d.keepFor(sibling, n)
 			}
 		})
 	}
@@ -193,8 +193,8 @@
 		return true
 	}
 	// The successor is gone first: this process is the dispatcher again.
-	d.ids.Forget(kin)
-	d.setKin(nil)
+	d.ids.Forget(sibling)
+	d.setSibling(nil)
 	d.passed.Store(false)
 	for _, f := range d.fronts {
 		f.handler.Passing(false)
@@ -207,9 +207,9 @@
 }
 
 // passOn leaves new clients to the successor, and tells it what is still held here until the end.
-func (d *dispatcher) passOn(kin *transport.Kin, relay string) {
+func (d *dispatcher) passOn(sibling *transport.Sibling, relay string) {
 	d.passed.Store(true)
-	d.besideKeys(kin, relay, false)
+	d.besideKeys(sibling, relay, false)
 	for _, f := range d.fronts {
 		f.gate.Pause()
 		f.handler.Passing(true)
@@ -227,12 +227,12 @@
 				held.Inbound = append(held.Inbound, f.gate.Held())
 			}
 			if held.Outbound != last.Outbound || held.Jobs != last.Jobs || !slices.Equal(held.Inbound, last.Inbound) {
-				kin.Tell(protocol.Note{Held: &held})
+				sibling.Tell(protocol.Note{Held: &held})
 				last = held
 			}
 			select {
 			case <-tick.C:
-			case <-kin.Gone():
+			case <-sibling.Gone():
 				tick.Stop()
 				return
 			}
@@ -257,14 +257,14 @@
 	go func() { _ = d.relayed.Serve(listen.Durable(l, d.log)) }()
 }
 
-func (d *dispatcher) kin() *transport.Kin {
+func (d *dispatcher) sibling() *transport.Sibling {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.other
 }
 
-// setKin notes the other process, nil for none, and how many then act as this dispatcher.
-func (d *dispatcher) setKin(k *transport.Kin) {
+// setSibling notes the other process, nil for none, and how many then act as this dispatcher.
+func (d *dispatcher) setSibling(k *transport.Sibling) {
 	d.mu.Lock()
 	d.other = k
 	d.mu.Unlock()
@@ -277,16 +277,16 @@
 }
 
 // besideKeys has the table of keys, if there is one, go on beside another process's; nil for none.
-func (d *dispatcher) besideKeys(kin *transport.Kin, relay string, older bool) {
+func (d *dispatcher) besideKeys(sibling *transport.Sibling, relay string, older bool) {
 	if d.keys != nil {
-		d.keys.Beside(kin, relay, older)
+		d.keys.Beside(sibling, relay, older)
 	}
 }
 
-// keepFor does here what an operator's call at the other process's door asks for.
-func (d *dispatcher) keepFor(kin *transport.Kin, n protocol.Note) {
+// keepFor does here what an operator's call at the other process's admin endpoint asks for.
+func (d *dispatcher) keepFor(sibling *transport.Sibling, n protocol.Note) {
 	err := d.operations.keep(n.Worker, n.Out)
-	kin.Tell(protocol.Note{Answer: n.Ask, Yes: err == nil})
+	sibling.Tell(protocol.Note{Answer: n.Ask, Yes: err == nil})
 }
 
 // putOut puts workers out that were out before.
--- a/internal/program/shares.go
+++ b/internal/program/shares.go
@@ -10,7 +10,7 @@
 )
 
 // shares deals out what the platform gives. Descriptors: those of the process itself first (its log, its listeners,
-// discovery, files, the socket for a successor), the door's; of the rest 45% for endpoints, since a job holds one there
+// discovery, files, the socket for a successor), the admin endpoint's; of the rest 45% for endpoints, since a job holds one there
 // as long as one of its client's, and copies hold more, and 55% for clients, of which a tenth is there to refuse on.
 type shares struct {
 	inbound  int   // connections of each front
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -126,7 +126,7 @@
 	endpoints Endpoints
 	subscribe func()
 	log       *slog.Logger
-	box       *Mailbox[any]
+	mailbox   *Mailbox[any]
 	lastID    atomic.Uint64
 	ledger    Ledger
 	witness   atomic.Pointer[Witness]
@@ -206,7 +206,7 @@
 
 // NewCore makes the actor. Attach must be called before Run.
 func NewCore(module *brain.Dispatcher, clock Clock, log *slog.Logger) *Core {
-	return &Core{module: module, clock: clock, log: log, box: NewMailbox[any](),
+	return &Core{module: module, clock: clock, log: log, mailbox: NewMailbox[any](),
 		requests: map[brain.RequestID]*request{}}
 }
 
@@ -219,27 +219,27 @@
 func (c *Core) Submit(in Inbound) brain.RequestID {
 	id := brain.RequestID(c.lastID.Add(1))
 	c.ledger.taken()
-	c.box.Post(arrived{id, in})
+	c.mailbox.Post(arrived{id, in})
 	return id
 }
 
 // Leave tells that a request's client has gone.
-func (c *Core) Leave(id brain.RequestID) { c.box.Post(left{id}) }
+func (c *Core) Leave(id brain.RequestID) { c.mailbox.Post(left{id}) }
 
 // Ending tells that this process ends: by then all requests must have their answers.
-func (c *Core) Ending(at time.Time) { c.box.Post(brain.Ending{At: c.clock.At(at)}) }
+func (c *Core) Ending(at time.Time) { c.mailbox.Post(brain.Ending{At: c.clock.At(at)}) }
 
 // Listed brings news of the destination set.
-func (c *Core) Listed(l brain.Listed) { c.box.Post(l) }
+func (c *Core) Listed(l brain.Listed) { c.mailbox.Post(l) }
 
 // Began tells that a call's job has started.
-func (c *Core) Began(id CallID) { c.box.Post(began{id}) }
+func (c *Core) Began(id CallID) { c.mailbox.Post(began{id}) }
 
 // Progressed tells how far a call's job is.
-func (c *Core) Progressed(id CallID, share float64) { c.box.Post(progressed{id, share}) }
+func (c *Core) Progressed(id CallID, share float64) { c.mailbox.Post(progressed{id, share}) }
 
 // Finished ends a call.
-func (c *Core) Finished(id CallID, end End) { c.box.Post(finished{id, end}) }
+func (c *Core) Finished(id CallID, end End) { c.mailbox.Post(finished{id, end}) }
 
 // Probed answers a probe.
 func (c *Core) Probed(id brain.WorkerID, o brain.Outcome, r *brain.Report) {
@@ -249,7 +249,7 @@
 	if c.guide != nil {
 		c.guide.Probed(id, o)
 	}
-	c.box.Post(brain.Probed{Worker: id, Outcome: o, Report: r})
+	c.mailbox.Post(brain.Probed{Worker: id, Outcome: o, Report: r})
 }
 
 // Dispatched tells that a call was written to its last byte.
@@ -262,24 +262,24 @@
 func (c *Core) Ledger() *Ledger { return &c.ledger }
 
 // Put takes a worker out by hand, or puts it back. From then on the module knows.
-func (c *Core) Put(id brain.WorkerID, out bool) { c.box.Post(byHand{id, out}) }
+func (c *Core) Put(id brain.WorkerID, out bool) { c.mailbox.Post(byHand{id, out}) }
 
 // Knows tells whether a worker was ever listed, or is out by hand.
 func (c *Core) Knows(ctx context.Context, id brain.WorkerID) (bool, error) {
 	answer := make(chan bool, 1)
-	c.box.Post(knows{id, answer})
+	c.mailbox.Post(knows{id, answer})
 	return await(ctx, answer)
 }
 
 // Experience gives what the module has learned.
 func (c *Core) Experience(ctx context.Context) (brain.Experience, error) {
 	answer := make(chan brain.Experience, 1)
-	c.box.Post(learned{answer})
+	c.mailbox.Post(learned{answer})
 	return await(ctx, answer)
 }
 
 // Succeed has the module begin with what another process has learned.
-func (c *Core) Succeed(e brain.Experience) { c.box.Post(brain.Succeeded{Experience: e}) }
+func (c *Core) Succeed(e brain.Experience) { c.mailbox.Post(brain.Succeeded{Experience: e}) }
 
 // await waits for an actor's answer.
 func await[T any](ctx context.Context, answer <-chan T) (T, error) {
@@ -293,16 +293,16 @@
 }
 
 // Retune puts new settings in force for the requests that come from now on.
-func (c *Core) Retune(s brain.Settings) { c.box.Post(brain.Retuned{Settings: s}) }
+func (c *Core) Retune(s brain.Settings) { c.mailbox.Post(brain.Retuned{Settings: s}) }
 
 // Repeats names who says whether anything may be sent a second time. It is set before Run and must not block.
 func (c *Core) Repeats(may func() bool) { c.repeats = may }
 
 // Limit puts a budget in force for requests' further calls: so many for each first one; below 0 for none.
-func (c *Core) Limit(share float64) { c.box.Post(limited{share}) }
+func (c *Core) Limit(share float64) { c.mailbox.Post(limited{share}) }
 
 // Shared tells how many processes act as this dispatcher.
-func (c *Core) Shared(processes int) { c.box.Post(brain.Shared{Processes: processes}) }
+func (c *Core) Shared(processes int) { c.mailbox.Post(brain.Shared{Processes: processes}) }
 
 // Run is the actor's life.
 func (c *Core) Run(ctx context.Context) {
@@ -321,14 +321,14 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-c.box.Signal():
+		case <-c.mailbox.Signal():
 		case <-alarm.C:
 		case <-look:
 		}
 		// One reading of the clock for all that has come: the module takes what is found together after
 		// a standstill of this process as one turn.
 		c.now = c.clock.Now()
-		for _, m := range c.box.Take() {
+		for _, m := range c.mailbox.Take() {
 			c.take(m)
 		}
 		for len(c.timers) > 0 && c.timers[0].at <= c.now {
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -45,7 +45,7 @@
 	core      *Core
 	endpoints Endpoints
 	log       *slog.Logger
-	box       *Mailbox[any]
+	mailbox   *Mailbox[any]
 
 	// Owned by Run.
 	calls  *listCalls
@@ -77,25 +77,25 @@
 // NewDestinations makes the actor with the set as it was known last, and tells the module of that.
 func NewDestinations(c *Core, e Endpoints, d Discovery, saved Update, log *slog.Logger) *Destinations {
 	now := time.Now()
-	s := &Destinations{core: c, endpoints: e, log: log, box: NewMailbox[any](), known: map[brain.WorkerID]Destination{},
+	s := &Destinations{core: c, endpoints: e, log: log, mailbox: NewMailbox[any](), known: map[brain.WorkerID]Destination{},
 		rules: func() pacing.Rules { return pacing.Rules{Dispatchers: 1} }, answered: now, first: make(chan struct{})}
 	s.calls = &listCalls{schedule: pacing.NewSchedule(now), rules: func() pacing.Rules { return s.rules() },
-		current: &service{discovery: d}, ended: func(m callEnded) { s.box.Post(m) }, ledger: &c.ledger, log: log}
+		current: &service{discovery: d}, ended: func(m callEnded) { s.mailbox.Post(m) }, ledger: &c.ledger, log: log}
 	s.apply(saved, brain.ListSaved)
 	s.calls.current.revision = saved.Revision
 	return s
 }
 
 // Subscribe asks for all changes from now on. It does not block.
-func (s *Destinations) Subscribe() { s.box.Post(subscribe{}) }
+func (s *Destinations) Subscribe() { s.mailbox.Post(subscribe{}) }
 
 // Move goes on with another discovery. It does not block.
-func (s *Destinations) Move(to Discovery) { s.box.Post(move{to}) }
+func (s *Destinations) Move(to Discovery) { s.mailbox.Post(move{to}) }
 
 // Known gives the set as it is known, once the actor runs.
 func (s *Destinations) Known(ctx context.Context) (Update, error) {
 	answer := make(chan Update, 1)
-	s.box.Post(ask{answer})
+	s.mailbox.Post(ask{answer})
 	return await(ctx, answer)
 }
 
@@ -121,10 +121,10 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.box.Signal():
+		case <-s.mailbox.Signal():
 		case <-alarm.C:
 		}
-		for _, m := range s.box.Take() {
+		for _, m := range s.mailbox.Take() {
 			s.receive(ctx, m)
 		}
 		s.calls.call(ctx, time.Now())
--- a/internal/routing/fromsaved.go
+++ b/internal/routing/fromsaved.go
@@ -53,7 +53,7 @@
 	learned := f.Learned
 	learned.Workers = nil
 	s.core.Succeed(learned)
-	s.core.Watch(&witness{s.box, f})
+	s.core.Watch(&witness{s.mailbox, f})
 	s.publish()
 }
 
@@ -73,8 +73,8 @@
 
 // witness hears of endpoints for the actor.
 type witness struct {
-	box *Mailbox[any]
-	f   *FromSaved // of which it reads what never changes
+	mailbox *Mailbox[any]
+	f       *FromSaved // of which it reads what never changes
 }
 
 // Probed takes the outcome of a probe.
@@ -86,7 +86,7 @@
 	case o == brain.Served, o == brain.Errored, o == brain.Rejected, o == brain.Reset:
 		answer = savedlist.Strange
 	}
-	w.box.Post(sign{id: id, probe: true, answer: answer})
+	w.mailbox.Post(sign{id: id, probe: true, answer: answer})
 }
 
 // Worked takes how long a job took.
@@ -99,7 +99,7 @@
 	if was, ok := f.Learned.Workers[id]; ok && was.JobsOf > 0 {
 		late -= was.Lag / was.JobsOf // it was slower than others before
 	}
-	w.box.Post(sign{id: id, late: late})
+	w.mailbox.Post(sign{id: id, late: late})
 }
 
 // heard tells the trust what came from an endpoint.
--- a/internal/transport/door.go
+++ b/internal/transport/admin.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// MostCallers is how many callers the door for operators holds at a time; past it the one that has not finished
+	// MostCallers is how many callers the admin endpoint holds at a time; past it the one that has not finished
 	// its call for the longest goes.
 	MostCallers = 12
 
@@ -19,7 +19,7 @@
 	mostID     = 256
 )
 
-// Operations is what the door for operators opens on. No method takes longer than the context allows.
+// Operations is what the admin endpoint opens on. No method takes longer than the context allows.
 type Operations interface {
 	Ready() bool
 	Figures() string
@@ -35,8 +35,8 @@
 
 func (r *Refusal) Error() string { return r.Why }
 
-// Door is the handler of the door for operators. A 2xx means yes.
-func Door(o Operations, log *slog.Logger) http.Handler {
+// AdminHandler is the handler of the admin endpoint. A 2xx means yes.
+func AdminHandler(o Operations, log *slog.Logger) http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /_ready", func(w http.ResponseWriter, _ *http.Request) {
 		if !o.Ready() {
@@ -78,8 +78,8 @@
 	return mux
 }
 
-// DoorServer is the server of the door: one call a connection, each bounded in time and bytes.
-func DoorServer(h http.Handler, log *slog.Logger) *http.Server {
+// AdminServer is the server of the admin endpoint: one call a connection, each bounded in time and bytes.
+func AdminServer(h http.Handler, log *slog.Logger) *http.Server {
 	s := Server(h, log)
 	s.ReadHeaderTimeout, s.ReadTimeout, s.WriteTimeout, s.MaxHeaderBytes = callWithin, callWithin, callWithin, 4<<10
 	s.SetKeepAlivesEnabled(false)
--- a/internal/transport/relay.go
+++ b/internal/transport/relay.go
@@ -25,20 +25,20 @@
 // peer is the other process's table of keys. A job is at one of both: who comes to the other one for it is
 // relayed, through a Unix socket, and what has ended at the predecessor goes to the successor's table.
 type peer struct {
-	kin   *Kin
-	older bool // it is the predecessor
-	proxy *httputil.ReverseProxy
+	sibling *Sibling
+	older   bool // it is the predecessor
+	proxy   *httputil.ReverseProxy
 }
 
 // Beside goes on beside another process, whose front takes relayed readers at a path; with none, alone. older tells
 // whether that one is the predecessor; else it is handed what is remembered here.
-func (f *Keys) Beside(kin *Kin, path string, older bool) {
+func (f *Keys) Beside(sibling *Sibling, path string, older bool) {
 	var p *peer
-	if kin != nil && path != "" {
+	if sibling != nil && path != "" {
 		dial := func(ctx context.Context, _, _ string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "unix", path)
 		}
-		p = &peer{kin: kin, older: older, proxy: &httputil.ReverseProxy{
+		p = &peer{sibling: sibling, older: older, proxy: &httputil.ReverseProxy{
 			Rewrite:       func(r *httputil.ProxyRequest) { r.SetURL(&url.URL{Scheme: "http", Host: r.In.Host}) },
 			Transport:     &http.Transport{DialContext: dial, DisableKeepAlives: true},
 			FlushInterval: -1, // each event at once
@@ -71,7 +71,7 @@
 	case !p.older:
 		return p
 	}
-	if yes, heard := p.kin.Ask(protocol.Note{Key: key}, time.Now().Add(kinAnswers)); heard && yes {
+	if yes, heard := p.sibling.Ask(protocol.Note{Key: key}, time.Now().Add(siblingAnswers)); heard && yes {
 		return p
 	}
 	return nil
@@ -123,7 +123,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.final != nil {
-		p.kin.Tell(protocol.Note{Remembered: &protocol.Remembered{Key: j.key, ID: j.id, Digest: j.digest[:],
+		p.sibling.Tell(protocol.Note{Remembered: &protocol.Remembered{Key: j.key, ID: j.id, Digest: j.digest[:],
 			Events: j.events, Answer: *j.final, Forget: j.forget, ForgetIn: time.Until(j.forget), Started: j.started}})
 	}
 }
--- a/internal/transport/kin.go
+++ b/internal/transport/sibling.go
@@ -17,9 +17,9 @@
 	"brassdale/internal/routing"
 )
 
-// Kin is the other process while one replaces the other: a Unix socket whose end is the other's end. It is an
+// Sibling is the other process while one replaces the other: a Unix socket whose end is the other's end. It is an
 // actor with a mailbox: nobody who tells it something waits for it.
-type Kin struct {
+type Sibling struct {
 	conn *net.UnixConn
 	in   *json.Decoder
 	box  *routing.Mailbox[protocol.Note]
@@ -31,22 +31,22 @@
 }
 
 const (
-	kinWithin  = time.Second // a process that takes nothing from its kin for so long is as good as dead
-	mostFronts = 4
+	siblingWithin = time.Second // a process that takes nothing from its sibling for so long is as good as dead
+	mostFronts    = 4
 )
 
-func newKin(conn *net.UnixConn) *Kin {
-	return &Kin{conn: conn, in: json.NewDecoder(conn), box: routing.NewMailbox[protocol.Note](), gone: make(chan struct{}), open: map[uint64]chan bool{}}
+func newSibling(conn *net.UnixConn) *Sibling {
+	return &Sibling{conn: conn, in: json.NewDecoder(conn), box: routing.NewMailbox[protocol.Note](), gone: make(chan struct{}), open: map[uint64]chan bool{}}
 }
 
 // Meet finds the process that is to be replaced and takes over its listeners and what it knows. No such process, a
 // dead one or one that does not answer until then is an error.
-func Meet(path string, until time.Time) (*Kin, *protocol.Handover, []*net.TCPListener, error) {
+func Meet(path string, until time.Time) (*Sibling, *protocol.Handover, []*net.TCPListener, error) {
 	conn, err := (&net.Dialer{Deadline: until}).Dial("unix", path)
 	if err != nil {
 		return nil, nil, nil, err
 	}
-	k := newKin(conn.(*net.UnixConn))
+	k := newSibling(conn.(*net.UnixConn))
 	_ = k.conn.SetDeadline(until)
 	listeners, err := k.receive()
 	var first protocol.Note
@@ -68,7 +68,7 @@
 }
 
 // receive takes the listeners, which come with one byte.
-func (k *Kin) receive() (listeners []*net.TCPListener, err error) {
+func (k *Sibling) receive() (listeners []*net.TCPListener, err error) {
 	mark, control := make([]byte, 1), make([]byte, unix.CmsgSpace(4*mostFronts))
 	_, n, _, _, err := k.conn.ReadMsgUnix(mark, control)
 	if err != nil {
@@ -98,7 +98,7 @@
 }
 
 // Hand gives a successor the listeners, without a copy here, and what it begins with.
-func (k *Kin) Hand(s *protocol.Handover, gates []*Gate) error {
+func (k *Sibling) Hand(s *protocol.Handover, gates []*Gate) error {
 	var fds []int
 	var send func() error
 	send = func() (err error) { // each descriptor is held while the next is asked for
@@ -114,7 +114,7 @@
 		_, _, err = k.conn.WriteMsgUnix([]byte{'\n'}, syscall.UnixRights(fds...), nil)
 		return err
 	}
-	_ = k.conn.SetWriteDeadline(time.Now().Add(kinWithin))
+	_ = k.conn.SetWriteDeadline(time.Now().Add(siblingWithin))
 	if err := send(); err != nil {
 		return err
 	}
@@ -123,7 +123,7 @@
 }
 
 // Run reads and writes until the other process is gone. take gets all but answers.
-func (k *Kin) Run(take func(protocol.Note)) {
+func (k *Sibling) Run(take func(protocol.Note)) {
 	go k.write()
 	for {
 		var n protocol.Note
@@ -146,7 +146,7 @@
 	close(k.gone)
 }
 
-func (k *Kin) write() {
+func (k *Sibling) write() {
 	out := json.NewEncoder(k.conn)
 	for {
 		select {
@@ -155,7 +155,7 @@
 		case <-k.box.Signal():
 		}
 		for _, n := range k.box.Take() {
-			_ = k.conn.SetWriteDeadline(time.Now().Add(kinWithin))
+			_ = k.conn.SetWriteDeadline(time.Now().Add(siblingWithin))
 			if err := out.Encode(n); err != nil {
 				k.conn.Close() // ends Run
 				return
@@ -165,10 +165,10 @@
 }
 
 // Tell sends a note. It does not block.
-func (k *Kin) Tell(n protocol.Note) { k.box.Post(n) }
+func (k *Sibling) Tell(n protocol.Note) { k.box.Post(n) }
 
 // Ask sends a question and gives the answer; heard tells whether one came until then.
-func (k *Kin) Ask(n protocol.Note, until time.Time) (yes, heard bool) {
+func (k *Sibling) Ask(n protocol.Note, until time.Time) (yes, heard bool) {
 	answered := make(chan bool, 1)
 	k.mu.Lock()
 	k.asked++
@@ -191,10 +191,10 @@
 }
 
 // Gone is closed when the other process has ended.
-func (k *Kin) Gone() <-chan struct{} { return k.gone }
+func (k *Sibling) Gone() <-chan struct{} { return k.gone }
 
 // Close ends the connection.
-func (k *Kin) Close() { k.conn.Close() }
+func (k *Sibling) Close() { k.conn.Close() }
 
 // Publish listens for a successor at a path in place of whoever did so before. The name changes hands in one step:
 // at no time does a successor find nobody.
@@ -226,8 +226,8 @@
 	return l, nil
 }
 
-// Heir waits for the next successor: a process of the same user.
-func Heir(l *net.UnixListener, failed func(error)) (*Kin, error) {
+// AcceptSuccessor waits for the next successor: a process of the same user.
+func AcceptSuccessor(l *net.UnixListener, failed func(error)) (*Sibling, error) {
 	for {
 		conn, err := listen.Next(l.AcceptUnix, failed)
 		if err != nil {
@@ -238,7 +238,7 @@
 			_ = raw.Control(func(fd uintptr) { who, _ = unix.GetsockoptUcred(int(fd), unix.SOL_SOCKET, unix.SO_PEERCRED) })
 		}
 		if who != nil && int(who.Uid) == os.Getuid() {
-			return newKin(conn), nil
+			return newSibling(conn), nil
 		}
 		conn.Close()
 	}
