Calls for the list last 4 s, a busy service is spared by who has just heard from it

Change: Answer 4 s (no call hinders the next); behind a whole list a new watch waits up to 1 s while the service is busy, moves in quick succession bring one call there; the backoff goes by when a list was heard from anybody.

--- a/internal/decisions/pacing/pacing.go
+++ b/internal/decisions/pacing/pacing.go
@@ -11,9 +11,9 @@
 //  1. Behind an answer, three calls that hang, break off, are refused, or answer 2 s late, in any order, hold a change back
 //     by no more than Told; behind a move of discovery by no more than Moved. The longest path where lists are asked for: a
 //     watch falls silent as it begins, the next call is made Wait + watchOverlap + watchSpread later (1.95 s), three further
-//     ones gap, lateGap and lateGap later (4.45 s), and the last has 1.3 s for its answer (of 5.75 s). Behind a move the
-//     fourth call is made gap + 2 lateGap later (2.5 s) and has 1.5 s. A new process calls within 3 s; its fourth call is
-//     made at 5.1 s at the latest.
+//     ones gap, lateGap and lateGap later (4.95 s), and the last has 1 s for its answer (of 5.95 s). Behind a move the fourth
+//     call is made busyRest/2 + gap + 2 lateGap later at the latest (3.5 s) and has 0.5 s. A new process calls within 3 s; its
+//     fourth call is made at 5.1 s at the latest.
 //  2. Where lists are pushed, the same within the grace for a drain less its margin: what the agent has counts as told at
 //     once. The longest path is (1 + 1/4 + 3/2) of a fifth of the grace: 0.275 s of 0.5 s.
 //  3. A watch goes on inside the gap within which it counts as one, whatever the number of dispatchers and the chance drawn.
@@ -21,7 +21,9 @@
 //  5. An answer that told nothing is not followed at once: a service that answers so would be called in a loop.
 //  6. No call with an index is made beside another that may still be served: a service may keep one such call for each
 //     dispatcher, and end the one before for it, which then loses its place. Beside it the whole list is asked for.
-//  7. Of many dispatchers that a crowded service refuses, those that have gone longest without an answer call most often: they
+//  7. A service that refuses calls or takes long over them is spared by those that have just heard from it: they begin a new
+//     watch a while later, and moves in quick succession bring one call.
+//  8. Of many dispatchers that a crowded service refuses, those that have gone longest without an answer call most often: they
 //     get the places in its queue before those that heard a moment ago. One without an answer for longer than Told calls less
 //     often again: then the service is down.
 package pacing
@@ -41,13 +43,15 @@
 
 	// Wait is how long a watch waits for news.
 	Wait = 1500 * time.Millisecond
-	// Answer is how long an answer may take, beside the wait for news: a service that serves calls in turn fails one that
-	// has waited for 2 s.
-	Answer = 2100 * time.Millisecond
+	// Answer is how long an answer may take, beside the wait for news. No call hinders the next, so a late one costs a
+	// connection only.
+	Answer = 4 * time.Second
+	// inTurn is how long a call may take at a service that serves calls in turn: it fails one that has waited for 2 s.
+	inTurn = 2700 * time.Millisecond
 
 	watchOverlap = 100 * time.Millisecond  // a watch that has not answered so long after its wait gets a call beside it, ...
 	watchSpread  = 350 * time.Millisecond  // ... spread by this at most: where discovery falls silent it does so for all
-	gap          = 1100 * time.Millisecond // a call that does not wait gets a further one beside it, ...
+	gap          = 1600 * time.Millisecond // a call that does not wait gets a further one beside it, ...
 	lateGap      = 700 * time.Millisecond  // ... sooner where less than lateFrom is left until a change counts as told
 	lateFrom     = 3200 * time.Millisecond
 
@@ -58,6 +62,11 @@
 	busyFor    = 10 * time.Second
 	busyFrom   = 3800 * time.Millisecond
 
+	// Who has just heard from a busy service leaves it to others for a while: a new watch begins up to busyRest later, and the
+	// call behind a move up to half of that, where the list is younger than freshFor.
+	busyRest = time.Second
+	freshFor = 2 * time.Second
+
 	each   = 4 * time.Millisecond   // of spread for each dispatcher beside this one
 	empty  = 20 * time.Millisecond  // after an answer that told nothing
 	prompt = 100 * time.Millisecond // and that came at once, as an agent's may
--- a/internal/decisions/pacing/schedule.go
+++ b/internal/decisions/pacing/schedule.go
@@ -5,7 +5,9 @@
 // Schedule tells when the next call is made, and of what kind. The times that its methods get never run backwards. It knows
 // the calls to the service in force only, by their numbers.
 type Schedule struct {
-	due  time.Time // from then on a change may count as told that is not here
+	due   time.Time // from then on a change may count as told that is not here
+	heard time.Time // when a list came last, from this service or one before a move
+
 	next time.Time // of the next call; zero while none is to be made
 	kind Kind      // of the next call
 
@@ -19,7 +21,7 @@
 }
 
 // NewSchedule begins at the start of a process. No call is made before Begin.
-func NewSchedule(now time.Time) *Schedule { return &Schedule{due: now.Add(Told)} }
+func NewSchedule(now time.Time) *Schedule { return &Schedule{due: now.Add(Told), heard: now} }
 
 // Begin has the first call made now. Later it does nothing.
 func (s *Schedule) Begin(now time.Time) {
@@ -57,7 +59,7 @@
 	if k == Watch {
 		return Wait + watchOverlap
 	}
-	return Answer
+	return inTurn
 }
 
 // indexedOpen tells whether a call with an index is open that may still be served.
@@ -80,8 +82,8 @@
 	}
 	left := s.due.Sub(now)
 	switch {
-	case now.Before(s.busyUntil) && (left <= 0 || left > busyFrom):
-		return Answer
+	case s.busy(now) && (left <= 0 || left > busyFrom):
+		return inTurn
 	case left > 0 && left < lateFrom:
 		return lateGap
 	}
@@ -93,7 +95,8 @@
 func (s *Schedule) Answered(now time.Time, number int, took time.Duration, fresh, early bool, r Rules, chance float64) {
 	watchOpen := s.watching && s.newest != 0 && s.newest != number
 	wasWatch := s.watching && s.newest == number
-	s.due, s.unanswered = now.Add(Told), 0
+	whole := s.indexed != number
+	s.due, s.heard, s.unanswered = now.Add(Told), now, 0
 	if !wasWatch && took > busyAnswer {
 		s.busyUntil = now.Add(busyFor)
 	}
@@ -102,11 +105,22 @@
 	case watchOpen:
 	case s.indexedOpen(now) && !r.Pushed:
 		s.AskAt(s.indexedUntil)
+	case whole && s.busy(now) && !r.Pushed:
+		s.next, s.kind = now.Add(restOf(chance)), Watch
 	default:
 		s.next, s.kind = now.Add(r.rewatch(fresh, early, chance)), Watch
 	}
 }
 
+// HeardElsewhere notes that a service before a move told its list.
+func (s *Schedule) HeardElsewhere(now time.Time) { s.heard = now }
+
+// busy tells whether the service has many callers.
+func (s *Schedule) busy(now time.Time) bool { return now.Before(s.busyUntil) }
+
+// restOf is how long a call waits that a busy service had better not be asked for now.
+func restOf(chance float64) time.Duration { return scale(busyRest, (1+clamp(chance))/2) }
+
 // rewatch is how long after an answer a watch's next call is made. An agent serves this dispatcher alone.
 func (r Rules) rewatch(fresh, early bool, chance float64) time.Duration {
 	if r.Pushed {
@@ -151,19 +165,27 @@
 	}
 	most := min(backoffLeast+backoffEach*time.Duration(max(r.Dispatchers, 1)), backoffMost)
 	share := downShare
-	if left := s.due.Sub(now); left > 0 {
+	if left := s.heard.Add(Told).Sub(now); left > 0 {
 		share = urgentShare + (heardShare-urgentShare)*min(float64(left)/float64(Told), 1)
 	}
 	return scale(most, share*(leastOfShare+(1-leastOfShare)*clamp(chance)))
 }
 
-// Moved notes that another service is asked from now on.
-func (s *Schedule) Moved(now time.Time) {
+// Moved notes that another service is asked from now on. While services are busy, moves in quick succession bring one call.
+func (s *Schedule) Moved(now time.Time, chance float64) {
 	if due := now.Add(Moved); s.due.After(due) || !s.due.After(now) {
 		s.due = due
 	}
 	s.newest, s.indexed, s.unanswered = 0, 0, 0
-	if !s.next.IsZero() {
-		s.AskAt(now)
+	if s.next.IsZero() {
+		return
+	}
+	at := now
+	if s.busy(now) && now.Sub(s.heard) < freshFor {
+		at = now.Add(restOf(chance) / 2)
+		if s.kind != Watch && s.next.Before(at) {
+			at = s.next
+		}
 	}
+	s.AskAt(at)
 }
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -11,7 +11,7 @@
 
 // mostOpenCalls bounds the calls for the list that are open at a time: a watch, those made beside it, and those that a move
 // of discovery found open.
-const mostOpenCalls = 6
+const mostOpenCalls = 8
 
 // service is a discovery service that is asked, or was before a move.
 type service struct {
@@ -117,7 +117,7 @@
 		l.begin(ctx, now, l.current, pacing.Watch)
 	}
 	l.current = &service{discovery: to, revision: Whole}
-	l.schedule.Moved(now)
+	l.schedule.Moved(now, rand.Float64())
 }
 
 // dropFormer gives up what is open at services before a move.
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -237,6 +237,7 @@
 	u.Complete = false
 	s.apply(u, brain.ListChange)
 	c.service.revision, c.service.heard = u.Revision, time.Now()
+	s.calls.schedule.HeardElsewhere(time.Now())
 	if c.kind == pacing.Watch {
 		s.calls.begin(ctx, time.Now(), c.service, pacing.Watch)
 	}
