--- /dev/null
+++ b/cmd/brassdale/growth_bench_test.go
@@ -0,0 +1,161 @@
+package main
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// changingList is a discovery that tells changes: each second one worker of a list drains, and one comes back.
+type changingList struct {
+	mu       sync.Mutex
+	boxes    []*box
+	changed  []int // by worker: the revision of its last change
+	phases   []string
+	revision int
+	bytes    atomic.Int64
+	news     chan struct{}
+}
+
+func (c *changingList) line(i int) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"llanelli","flavor":"new-box","cell":1,"phase":%q,"size":1.0,"up_since_ms":0}`,
+		c.boxes[i].id, c.boxes[i].ln.Addr(), c.phases[i])
+}
+
+// list words what is newer than a revision; c.mu is held.
+func (c *changingList) list(after int) string {
+	var lines []string
+	for i := range c.boxes {
+		if after < 0 || c.changed[i] > after {
+			lines = append(lines, c.line(i))
+		}
+	}
+	return fmt.Sprintf(`{"revision":%d,"complete":%t,"members":[%s]}`, c.revision, after < 0, strings.Join(lines, ","))
+}
+
+func (c *changingList) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.Atoi(r.URL.Query().Get("index"))
+	if err != nil {
+		after = -1
+	}
+	wait, _ := strconv.Atoi(r.URL.Query().Get("wait"))
+	c.mu.Lock()
+	newer, news := c.revision > after, c.news
+	c.mu.Unlock()
+	if !newer {
+		select {
+		case <-news:
+		case <-time.After(time.Duration(wait) * time.Millisecond):
+		case <-r.Context().Done():
+			return
+		}
+	}
+	c.mu.Lock()
+	text := c.list(after)
+	c.mu.Unlock()
+	c.bytes.Add(int64(len(text)))
+	fmt.Fprint(w, text)
+}
+
+// change has the next worker drain and the one before come back.
+func (c *changingList) change() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revision++
+	n := len(c.boxes)
+	for i, phase := range map[int]string{c.revision % n: "leaving", (c.revision - 1) % n: "active"} {
+		c.phases[i], c.changed[i] = phase, c.revision
+	}
+	close(c.news)
+	c.news = make(chan struct{})
+}
+
+// BenchmarkGrowth gives what one dispatcher needs at 1, 4 and 16 times 200 workers, with the same traffic: CPU and peak memory of its
+// process, descriptors, connections to workers, bytes of lists.
+func BenchmarkGrowth(b *testing.B) {
+	for _, size := range []struct{ workers, dispatchers int }{{200, 300}, {800, 900}, {3200, 900}} {
+		b.Run(fmt.Sprintf("workers-%d", size.workers), func(b *testing.B) {
+			for b.Loop() {
+				growth(b, size.workers, size.dispatchers)
+			}
+		})
+	}
+}
+
+const (
+	growthSpan = 20 * time.Second
+	growthRate = 20 // requests a second
+)
+
+func growth(b *testing.B, workers, dispatchers int) {
+	c := &changingList{news: make(chan struct{}), changed: make([]int, workers), phases: make([]string, workers)}
+	for i := range workers {
+		c.boxes, c.phases[i] = append(c.boxes, newBox(b, fmt.Sprintf("w%04d", i), works)), "active"
+	}
+	find := httptest.NewServer(c)
+	defer find.Close()
+	defer find.CloseClientConnections()
+	c.mu.Lock()
+	known := c.list(-1)
+	c.mu.Unlock()
+	n := &node{t: b, exited: make(chan struct{})}
+	n.launch(fmt.Sprintf(`{"name":"n7","listen":"127.0.0.1:0","discovery":%q,"seed":"8c1f30d27a5be964","limits":{"cores":1,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
+		find.Listener.Addr(), known, strings.Replace(settings, `"replicasOfMe":1`, fmt.Sprintf(`"ordinal":7,"replicasOfMe":%d`, dispatchers), 1)), "")
+	n.serves("")
+	served, most := atomic.Int64{}, 0
+	var wait sync.WaitGroup
+	for i, end := 0, time.Now().Add(growthSpan); time.Now().Before(end); i++ {
+		time.Sleep(time.Second / growthRate)
+		if i%growthRate == 0 {
+			c.change()
+			if fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.cmd.Process.Pid)); err == nil {
+				most = max(most, len(fds))
+			}
+		}
+		wait.Go(func() {
+			if status, _, _ := n.do(request(n.url, fmt.Sprintf("g%d", i), "Cookie", fmt.Sprintf("user=%016x", i%50))); status == 200 {
+				served.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	cpu, peak := processCost(n.cmd.Process.Pid)
+	conns := 0
+	for _, w := range c.boxes {
+		made, _ := w.count()
+		conns += made
+	}
+	b.ReportMetric(cpu.Seconds(), "cpu-s")
+	b.ReportMetric(float64(peak)/(1<<20), "peak-MB")
+	b.ReportMetric(float64(most), "descriptors")
+	b.ReportMetric(float64(conns), "connections")
+	b.ReportMetric(float64(c.bytes.Load())/1024, "list-KB")
+	b.ReportMetric(float64(served.Load()), "served")
+	n.cmd.Process.Kill()
+	<-n.exited
+}
+
+// processCost gives the processor time of a process so far and its peak memory in bytes.
+func processCost(pid int) (cpu time.Duration, peak int64) {
+	const ticksPerSecond = 100
+	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid)); err == nil {
+		_, rest, _ := strings.Cut(string(text), ") ")
+		fields := strings.Fields(rest)
+		user, _ := strconv.Atoi(fields[11])
+		system, _ := strconv.Atoi(fields[12])
+		cpu = time.Duration(user+system) * time.Second / ticksPerSecond
+	}
+	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)); err == nil {
+		_, rest, _ := strings.Cut(string(text), "VmHWM:")
+		kb, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+		peak = kb << 10
+	}
+	return cpu, peak
+}
