--- /dev/null
+++ b/internal/routing/calls_test.go
@@ -0,0 +1,145 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/decisions/pacing"
+)
+
+// scripted is a discovery whose calls the test answers.
+type scripted struct {
+	calls  chan scriptedCall
+	mu     sync.Mutex
+	closed int
+}
+
+type scriptedCall struct {
+	kind     pacing.Kind
+	revision int64
+	answer   chan Update // closed for a failure
+	gone     <-chan struct{}
+}
+
+func newScripted() *scripted { return &scripted{calls: make(chan scriptedCall, 64)} }
+
+func (s *scripted) Call(ctx context.Context, revision int64, kind pacing.Kind) (Update, error) {
+	c := scriptedCall{kind, revision, make(chan Update, 1), ctx.Done()}
+	s.calls <- c
+	select {
+	case u, ok := <-c.answer:
+		if !ok {
+			return u, errors.New("failed")
+		}
+		return u, nil
+	case <-ctx.Done():
+		return Update{}, ctx.Err()
+	}
+}
+
+func (s *scripted) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed++
+}
+
+func (s *scripted) closes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// listing starts a destination set's actor on a discovery.
+func listing(t *testing.T, d Discovery) (*Destinations, *updates) {
+	c, f := startCore(t)
+	u := &updates{fake: f}
+	s := NewDestinations(c, u, d, Update{}, c.log)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { s.Run(ctx); close(done) }()
+	t.Cleanup(func() { stop(); <-done })
+	s.Subscribe()
+	return s, u
+}
+
+func worker(id brain.WorkerID, state brain.WorkerState) Destination {
+	return Destination{WorkerInfo: brain.WorkerInfo{ID: id, State: state, Weight: 1}, Address: "h:1"}
+}
+
+// state gives what the set knows of a worker.
+func state(t *testing.T, s *Destinations, id brain.WorkerID) (brain.WorkerState, bool) {
+	t.Helper()
+	u, err := s.Known(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range u.Destinations {
+		if d.ID == id {
+			return d.State, true
+		}
+	}
+	return 0, false
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("never seen: %s", what)
+		}
+	}
+}
+
+// Behind a move the watch at the service before goes on, and what it tells of a drain counts, until the new one has answered. Then
+// it is given up, and the connections to all services before are let go of, also of one that had no call open.
+func TestServicesBeforeAMove(t *testing.T) {
+	first, second, third := newScripted(), newScripted(), newScripted()
+	s, _ := listing(t, first)
+	(<-first.calls).answer <- Update{Revision: 1, Complete: true, Destinations: []Destination{worker("a", brain.Ready), worker("b", brain.Ready)}}
+	watch := <-first.calls
+	if watch.kind != pacing.Watch || watch.revision != 1 {
+		t.Fatalf("behind the list came %+v", watch)
+	}
+	s.Move(second)
+	close((<-second.calls).answer) // it fails, and nothing is open there
+	s.Move(third)
+	whole := <-third.calls
+	watch.answer <- Update{Revision: 2, Destinations: []Destination{worker("a", brain.Draining)}}
+	eventually(t, "the drain that the service before told", func() bool { st, _ := state(t, s, "a"); return st == brain.Draining })
+	again := <-first.calls
+	if again.kind != pacing.Watch || again.revision != 2 {
+		t.Errorf("the watch went on as %+v", again)
+	}
+	if first.closes()+second.closes() != 0 {
+		t.Error("a service was let go of before the new one had answered")
+	}
+	whole.answer <- Update{Revision: 70, Complete: true, Destinations: []Destination{worker("b", brain.Ready)}}
+	eventually(t, "the new list", func() bool { _, known := state(t, s, "a"); return !known })
+	select {
+	case <-again.gone:
+	case <-time.After(5 * time.Second):
+		t.Error("the watch at the service before goes on")
+	}
+	eventually(t, "both services let go of", func() bool { return first.closes() == 1 && second.closes() == 1 })
+}
+
+// An answer that was overtaken by that of a call beside it changes nothing; a service that counts anew is believed.
+func TestOvertakenAnswer(t *testing.T) {
+	d := newScripted()
+	s, _ := listing(t, d)
+	late := <-d.calls
+	beside := <-d.calls // the first one is late
+	beside.answer <- Update{Revision: 5, Complete: true, Destinations: []Destination{worker("a", brain.Draining)}}
+	eventually(t, "the newer list", func() bool { st, known := state(t, s, "a"); return known && st == brain.Draining })
+	late.answer <- Update{Revision: 4, Complete: true, Destinations: []Destination{worker("a", brain.Ready)}}
+	next := <-d.calls
+	if st, _ := state(t, s, "a"); st != brain.Draining || next.revision != 5 {
+		t.Errorf("the older answer counts: state %v, the next call is behind revision %d", st, next.revision)
+	}
+	next.answer <- Update{Revision: 1, Complete: true, Destinations: []Destination{worker("c", brain.Ready)}}
+	eventually(t, "the list of a service that counts anew", func() bool { _, known := state(t, s, "c"); return known })
+}
