Services before a move are let go of once the new one has answered, four at the most

Cause: as in the failing test. Change: listCalls keeps them, bounded, and drops all. Result: TestServicesBeforeAMove passes, three times under -race.

--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"brassdale/internal/decisions/pacing"
@@ -13,6 +14,9 @@
 // of discovery found open.
 const mostOpenCalls = 8
 
+// mostFormer bounds the services before moves that are still listened to.
+const mostFormer = 4
+
 // service is a discovery service that is asked, or was before a move.
 type service struct {
 	discovery Discovery
@@ -46,6 +50,7 @@
 	schedule *pacing.Schedule
 	rules    func() pacing.Rules
 	current  *service
+	former   []*service // before moves, while the current one has not answered; the oldest first
 	open     []*listCall // the oldest first
 	made     int
 	ended    func(callEnded)
@@ -116,18 +121,31 @@
 	if l.current.answered && l.schedule.Pausing() {
 		l.begin(ctx, now, l.current, pacing.Watch)
 	}
+	l.former = append(l.former, l.current)
+	if len(l.former) > mostFormer {
+		l.drop(l.former[0])
+		l.former = l.former[1:]
+	}
 	l.current = &service{discovery: to, revision: Whole}
 	l.schedule.Moved(now, rand.Float64())
 }
 
-// dropFormer gives up what is open at services before a move.
+// dropFormer lets go of the services before a move.
 func (l *listCalls) dropFormer() {
-	for i := len(l.open) - 1; i >= 0; i-- {
-		if c := l.open[i]; c.service != l.current {
-			l.giveUp(c, "discovery has moved, and the new one has answered")
-			c.service.discovery.Close()
+	for _, s := range l.former {
+		l.drop(s)
+	}
+	l.former = nil
+}
+
+// drop gives up what is open at a service and lets go of its connections.
+func (l *listCalls) drop(s *service) {
+	for _, c := range slices.Clone(l.open) {
+		if c.service == s {
+			l.giveUp(c, "discovery has moved")
 		}
 	}
+	s.discovery.Close()
 }
 
 // outdated tells whether an answer was overtaken by that of a call beside it.
