--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -169,16 +169,21 @@
 		a := &Attempt{ID: r.Header.Get("Req-Id"), Dispatcher: dispatcher, Worker: w.number, Cell: w.cell(), First: first.at, Last: last,
 			Told: time.Duration(left) * time.Millisecond, Ran: true}
 		w.record.attempt(a)
-		if !w.work(c, a, next) {
+		if !w.work(c, a, next, pause > 0) {
 			return
 		}
 	}
 }
 
-// work does a job, and tells whether its connection may carry a further one.
-func (w *worker) work(c net.Conn, a *Attempt, next <-chan came) bool {
+// work does a job, and tells whether its connection may carry a further one. Of a job that was read late nobody knows when it was
+// given up: it counts as given up at once.
+func (w *worker) work(c net.Conn, a *Attempt, next <-chan came, late bool) bool {
 	end := func(result string) {
-		w.record.add(func() { a.Ended, a.Result = time.Now(), result })
+		w.record.add(func() {
+			if a.Ended, a.Result = time.Now(), result; late && result == "" {
+				a.Ended = a.Last
+			}
+		})
 	}
 	if w.troubled(&w.resets) {
 		resetConn(c)
