--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -85,6 +85,7 @@
 	Deadline    time.Duration
 	Window      time.Duration // for a repeat of a keyed request
 	Duplicates  bool          // a request may have two attempts out
+	Pushed      bool          // lists are pushed to an agent, and what it has counts as told at once
 	Stamps      time.Duration // how far the clock that stamps starts is ahead
 	Failures    string        // rules for system calls that fail; empty for none
 	Events      []Event
@@ -109,6 +110,7 @@
 	if len(f.Failures) > 0 && rng.IntN(3) == 0 {
 		p.Failures = f.Failures[rng.IntN(len(f.Failures))]
 	}
+	p.Pushed = rng.IntN(4) == 0
 	joined := newestJoin
 	for at := quietAtFirst; at < p.Span-quietAtLast; at += time.Duration((0.3 + rng.Float64()) * float64(f.every())) {
 		e := Event{At: at, Kind: f.kinds()[rng.IntN(len(f.kinds()))], For: time.Duration((0.5 + 2*rng.Float64()) * float64(time.Second))}
@@ -127,6 +129,9 @@
 		case ClockStep:
 			e.Step = []time.Duration{time.Hour, -time.Hour, 5 * time.Second, -5 * time.Second}[rng.IntN(4)]
 		default:
+			if p.Pushed && e.Kind == Move { // what a new agent has counts later
+				e.Kind = Reload
+			}
 			e.Target = rng.IntN(p.Dispatchers)
 		}
 		p.Events = append(p.Events, e)
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -22,12 +22,16 @@
 // settings gives what a dispatcher is told, as the platform words it.
 func (p Plan) settings(dispatcher int) string {
 	micros := func(d time.Duration) int64 { return d.Microseconds() }
+	mode := "ask"
+	if p.Pushed {
+		mode = "push"
+	}
 	return fmt.Sprintf(`{"classes":[{"aim":200000,"credit":1,"deadline":%d,"dedupScope":"cell","effect":%q,"lateWorth":0.1,"name":%q,"window":%d}],
-"discovery":"ask","familyInfo":{"classKind":[-1],"classStretch":[2.5],"progress":1000000,"tellsStart":true},"flavors":["new"],
+"discovery":%q,"familyInfo":{"classKind":[-1],"classStretch":[2.5],"progress":1000000,"tellsStart":true},"flavors":["new"],
 "limits":{"cancel":true,"connIdle":5000000,"connectTimeout":200000,"maxAttempts":4,"maxRetryAfter":2000000,"mayDuplicate":%t,"probing":true,"retryAfter":true},
 "loadReport":{"columns":["cpu_share","pending","x0","x1"],"via":"pull"},"ordinal":%d,"replicasOfMe":%d,
 "rules":{"answerSlack":8000,"askWithin":10000000,"cold":%d,"drainGrace":%d,"fall":%d,"startCapacity":%g,"tipMultiple":%g},"zones":["here"]}`,
-		micros(p.Deadline), p.Effect, class, micros(p.Window), p.Duplicates, dispatcher, p.Dispatchers,
+		micros(p.Deadline), p.Effect, class, micros(p.Window), mode, p.Duplicates, dispatcher, p.Dispatchers,
 		micros(coldFor), micros(drainGrace), micros(fallSpan), startCapacity, tipMultiple)
 }
 
