--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -155,11 +155,7 @@
 		s.log.Info("discovery moved", "open_calls", len(s.calls.open), "list_age", s.age())
 		s.calls.move(ctx, m.to, time.Now())
 	case ask:
-		u := Update{Revision: s.calls.current.revision, Complete: true}
-		for _, d := range s.known {
-			u.Destinations = append(u.Destinations, d)
-		}
-		m.answer <- u // has room
+		m.answer <- s.whole() // has room
 	case sign:
 		s.heard(m)
 	case callEnded:
@@ -172,6 +168,15 @@
 	}
 }
 
+// whole gives the set as it is known.
+func (s *Destinations) whole() Update {
+	u := Update{Revision: s.calls.current.revision, Complete: true}
+	for _, d := range s.known {
+		u.Destinations = append(u.Destinations, d)
+	}
+	return u
+}
+
 // take takes in what a call brought.
 func (s *Destinations) take(ctx context.Context, c *listCall, m callEnded) {
 	now, rules := time.Now(), s.rules()
--- a/internal/routing/starts_test.go
+++ b/internal/routing/starts_test.go
@@ -61,3 +61,19 @@
 		}
 	}
 }
+
+// A process that takes another's place has the ages of workers from it: one that was told to have started ten seconds ago is not
+// taken for one of just now, though its start is the newest in the list.
+func TestAgesCrossToASuccessor(t *testing.T) {
+	c, f := startCore(t)
+	before := NewDestinations(c, &updates{fake: f}, nil, Update{}, c.log)
+	stamp := time.Duration(time.Now().Add(-10 * time.Second).UnixNano())
+	before.starts.Set("a", stamp, c.clock.Now()-10*time.Second)
+	before.known["a"] = Destination{WorkerInfo: brain.WorkerInfo{ID: "a", Since: stamp, Weight: 1}, Address: "h:1"}
+	handed := before.whole()
+	next, g := startCore(t)
+	after := NewDestinations(next, &updates{fake: g}, nil, handed, next.log)
+	if age := next.clock.Now() - after.Started("a"); age < 9*time.Second || age > 11*time.Second {
+		t.Errorf("taken to be %v old", age)
+	}
+}
