A predecessor hands over how long ago workers started

Cause: as in the failing test. Change: Destination.Age crosses as started_ago_ns, and stands in the successor's book before its first list.

--- a/internal/protocol/succession.go
+++ b/internal/protocol/succession.go
@@ -75,6 +75,9 @@
 
 	// ToldAgo is how long ago it was told, from when this was sent: the wall clock may be set meanwhile.
 	ToldAgo time.Duration `json:"told_ago_ns,omitempty"`
+
+	// StartedAgo is how long ago it started, as far as the predecessor knew; 0 for long ago.
+	StartedAgo time.Duration `json:"started_ago_ns,omitempty"`
 }
 
 // told gives when the member was told to drain, on this process's clock; zero where it was not.
@@ -97,7 +100,7 @@
 func KnownMembers(ds []routing.Destination, p *Params) (known []Known) {
 	now := time.Now()
 	for i, m := range Members(ds, p) {
-		k := Known{Member: m, Told: ds[i].Told}
+		k := Known{Member: m, Told: ds[i].Told, StartedAgo: ds[i].Age}
 		if !k.Told.IsZero() {
 			k.ToldAgo = max(now.Sub(k.Told), time.Nanosecond)
 		}
@@ -143,6 +146,7 @@
 	now := time.Now()
 	for i := range u.Destinations {
 		u.Destinations[i].Told = s.Members[i].told(now)
+		u.Destinations[i].Age = s.Members[i].StartedAgo
 	}
 	return u, nil
 }
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -95,6 +95,9 @@
 	brain.WorkerInfo
 	Address string
 	Told    time.Time // when it was told to be draining or gone; zero while it is neither
+
+	// Age is how long ago it started, where a predecessor that knew hands it over; 0 elsewhere.
+	Age time.Duration
 }
 
 // Endpoints carries out what goes to endpoints. No method blocks. Each Send is answered by one
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -171,7 +171,11 @@
 // whole gives the set as it is known.
 func (s *Destinations) whole() Update {
 	u := Update{Revision: s.calls.current.revision, Complete: true}
+	now := s.core.clock.Now()
 	for _, d := range s.known {
+		if at := s.starts.At(d.ID); at > 0 {
+			d.Age = now - at
+		}
 		u.Destinations = append(u.Destinations, d)
 	}
 	return u
@@ -321,6 +325,9 @@
 	stamped := make([]starts.Line, len(lines))
 	for i, d := range lines {
 		stamped[i] = starts.Line{ID: d.ID, Stamp: d.Since}
+		if d.Age > 0 {
+			s.starts.Set(d.ID, d.Since, moment.Now-d.Age)
+		}
 	}
 	infos := make([]brain.WorkerInfo, len(lines))
 	for i, at := range s.starts.Enter(moment, stamped) {
@@ -347,6 +354,7 @@
 	if d.Address == "" {
 		d.Address = old.Address
 	}
+	d.Age = 0 // it grows
 	if d.State == brain.Gone {
 		delete(s.known, d.ID)
 	} else {
