--- a/cmd/brassdale/deadline_test.go
+++ b/cmd/brassdale/deadline_test.go
@@ -39,6 +39,27 @@
 	return d.until[key]
 }
 
+// sendTwo sends two requests at once on a connection, the second with so many milliseconds to its deadline, and reads both answers. It
+// gives when they were sent.
+func (n *node) sendTwo(deadline string) (sent time.Time) {
+	n.t.Helper()
+	c := n.dial()
+	var both bytes.Buffer
+	request(n.url, "first").Write(&both)
+	request(n.url, "second", "Req-Deadline-Ms", deadline).Write(&both)
+	sent = time.Now()
+	c.Write(both.Bytes())
+	in := bufio.NewReader(c)
+	for range 2 {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			n.t.Fatal(err)
+		}
+		resp.Body.Close()
+	}
+	return sent
+}
+
 // A client sends two requests at once, and the second waits on its connection until the first is answered. Its time ran all the
 // while: the worker is told no more than what is left, and the answer comes in time.
 func TestDeadlineOfARequestThatWaitedBehindAnother(t *testing.T) {
@@ -52,20 +73,7 @@
 		works(b, c, r)
 	})
 	n := start(t, "", b)
-	c := n.dial()
-	var both bytes.Buffer
-	request(n.url, "first").Write(&both)
-	request(n.url, "second", "Req-Deadline-Ms", "1500").Write(&both)
-	sent := time.Now()
-	c.Write(both.Bytes())
-	in := bufio.NewReader(c)
-	for range 2 {
-		resp, err := http.ReadResponse(in, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		resp.Body.Close()
-	}
+	sent := n.sendTwo("1500")
 	if over := told.get("second").Sub(sent.Add(1500 * time.Millisecond)); over > deadlineSlack {
 		t.Errorf("the worker was told %v more than its client has left", over)
 	}
@@ -83,20 +91,7 @@
 		freezes(`"state":"started"`)(b, c, r)
 	})
 	n := start(t, "", b)
-	c := n.dial()
-	var both bytes.Buffer
-	request(n.url, "first").Write(&both)
-	request(n.url, "second", "Req-Deadline-Ms", "1200").Write(&both)
-	sent := time.Now()
-	c.Write(both.Bytes())
-	in := bufio.NewReader(c)
-	for range 2 {
-		resp, err := http.ReadResponse(in, nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		resp.Body.Close()
-	}
+	sent := n.sendTwo("1200")
 	if took := time.Since(sent); took > 1700*time.Millisecond { // half a second later it is lost
 		t.Errorf("answered %v behind its sending, 1.2 s were given", took)
 	}
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -50,7 +50,7 @@
 	schedule *pacing.Schedule
 	rules    func() pacing.Rules
 	current  *service
-	former   []*service // before moves, while the current one has not answered; the oldest first
+	former   []*service  // before moves, while the current one has not answered; the oldest first
 	open     []*listCall // the oldest first
 	made     int
 	ended    func(callEnded)
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -6,15 +6,11 @@
 	"errors"
 	"io"
 	"net"
-	"net/http"
-	"os"
 	"slices"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"brassdale/brain"
-	"brassdale/internal/protocol"
 	"brassdale/internal/routing"
 )
 
@@ -59,43 +55,6 @@
 	used  bool      // it has carried something
 }
 
-// exchange is a call or a probe, from its start here to its outcome.
-type exchange struct {
-	call     routing.Call
-	probe    bool
-	deadline time.Time
-	cut      atomic.Bool   // called off
-	wire     *wire         // once one carries it
-	latest   time.Time     // it must not be begun later; set once a connection carries it
-	idle     time.Duration // for so long that had stood idle
-}
-
-// void tells whether an exchange must not leave any more, if it has not yet.
-func (x *exchange) void(now time.Time) bool {
-	return x.cut.Load() || !now.Before(x.deadline) || !x.probe && x.call.Void(now)
-}
-
-// voidBecause names what makes an exchange void.
-func (x *exchange) voidBecause(now time.Time) string {
-	switch {
-	case x.cut.Load():
-		return "called off"
-	case !now.Before(x.deadline):
-		return "its deadline has come"
-	case x.call.Gone != nil && x.call.Gone():
-		return "its client has gone"
-	}
-	return "the window for a repeat is over"
-}
-
-// name is the id that the client gave its request.
-func (x *exchange) name() string {
-	if job, ok := x.call.Job.(*protocol.Job); ok {
-		return job.ID
-	}
-	return ""
-}
-
 // heldBack logs that an attempt does not leave.
 func (e *endpoint) heldBack(x *exchange, why string) {
 	if !x.probe {
@@ -407,16 +366,6 @@
 	e.tell(x, end)
 }
 
-// tell gives an exchange's outcome, once for each. It touches nothing that the actor owns.
-func (e *endpoint) tell(x *exchange, end routing.End) {
-	if x.probe {
-		e.fleet.sink.Probed(e.id, end.Outcome, end.Report)
-	} else {
-		end.Idle = x.idle
-		e.fleet.sink.Finished(x.call.ID, end)
-	}
-}
-
 // closeIdle closes the idle connections whose time had come by then, or all for the zero time.
 func (e *endpoint) closeIdle(by time.Time) {
 	e.sweep(func(w *wire) bool { return by.IsZero() || !by.Before(e.fleet.idleUntil(w.since)) })
@@ -454,101 +403,3 @@
 	})
 	return err == nil && ok
 }
-
-// writeBy is when the last byte of an exchange must have left.
-func (x *exchange) writeBy() time.Time {
-	if by := x.call.By; !by.IsZero() && by.Before(x.deadline) {
-		return by
-	}
-	return x.deadline
-}
-
-// exchange runs beside the actor: it writes the request and reads the answer, tells the core of all that
-// comes, and hands the connection back. The connection's deadline is the call's.
-func (e *endpoint) exchange(x *exchange) {
-	conn := x.wire.conn
-	x.wire.quota.N = mostAnswer
-	reuse := false
-	defer func() { e.box.Post(ended{x, reuse}) }()
-	job, _ := x.call.Job.(*protocol.Job)
-	var text []byte
-	if host := conn.RemoteAddr().String(); x.probe {
-		text = protocol.EncodeProbe(host, e.fleet.params.Now())
-	} else {
-		text = job.Encode(host, passedOn(time.Until(job.Deadline)))
-	}
-	if now := time.Now(); x.void(now) || now.After(x.latest) { // this may have waited for its turn
-		e.heldBack(x, "it waited too long for its turn")
-		reuse = !x.cut.Load()
-		e.tell(x, routing.End{Outcome: brain.NeverSent})
-		return
-	}
-	_ = conn.SetReadDeadline(x.deadline) // fails only on a closed connection, as does what follows
-	_ = conn.SetWriteDeadline(x.writeBy())
-	if n, err := conn.Write(text); err != nil && n < len(text) {
-		// The endpoint has not begun what it has not got to the last byte.
-		out := brain.NoConnect
-		if x.cut.Load() {
-			out = brain.NeverSent
-		}
-		e.tell(x, routing.End{Outcome: out})
-		return
-	}
-	if !x.probe {
-		e.fleet.sink.Dispatched()
-	}
-	fail := func(err error) {
-		out := brain.Reset
-		switch {
-		case x.cut.Load():
-			out = brain.Cancelled
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			out = brain.TimedOut
-		}
-		e.tell(x, routing.End{Outcome: out})
-	}
-	resp, err := http.ReadResponse(x.wire.in, nil)
-	for err == nil && resp.StatusCode < 200 { // an interim answer ends nothing
-		resp, err = http.ReadResponse(x.wire.in, nil)
-	}
-	if err != nil {
-		fail(err)
-		return
-	}
-	if x.probe {
-		body, err := io.ReadAll(io.LimitReader(resp.Body, protocol.MaxBody))
-		if err != nil {
-			fail(err)
-			return
-		}
-		o, report := protocol.ParseProbe(resp, body)
-		e.tell(x, routing.End{Outcome: o, Report: report})
-	} else if err := e.follow(x, protocol.NewAnswer(job.ID, resp)); err != nil {
-		fail(err)
-		return
-	}
-	// What is left is the end of the framing; a peer that holds it back costs the connection only.
-	_ = conn.SetDeadline(time.Now().Add(drainWithin))
-	rest, err := io.Copy(io.Discard, io.LimitReader(resp.Body, protocol.MaxBody))
-	reuse = err == nil && rest < protocol.MaxBody && !resp.Close && !x.cut.Load()
-	_ = conn.SetDeadline(time.Time{})
-}
-
-// follow passes a job's news on until its last message.
-func (e *endpoint) follow(x *exchange, a *protocol.Answer) error {
-	for {
-		news, err := a.Next()
-		if err != nil {
-			return err
-		}
-		switch news.State {
-		case protocol.Started:
-			e.fleet.sink.Began(x.call.ID)
-		case protocol.Running:
-			e.fleet.sink.Progressed(x.call.ID, news.Share)
-		case protocol.Ended:
-			e.tell(x, news.End)
-			return nil
-		}
-	}
-}
--- /dev/null
+++ b/internal/transport/exchange.go
@@ -0,0 +1,184 @@
+package transport
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/protocol"
+	"brassdale/internal/routing"
+)
+
+// exchange is a call or a probe, from its start here to its outcome.
+type exchange struct {
+	call     routing.Call
+	probe    bool
+	deadline time.Time
+	cut      atomic.Bool   // called off
+	wire     *wire         // once one carries it
+	latest   time.Time     // it must not be begun later; set once a connection carries it
+	idle     time.Duration // for so long that had stood idle
+}
+
+// void tells whether an exchange must not leave any more, if it has not yet.
+func (x *exchange) void(now time.Time) bool {
+	return x.cut.Load() || !now.Before(x.deadline) || !x.probe && x.call.Void(now)
+}
+
+// voidBecause names what makes an exchange void.
+func (x *exchange) voidBecause(now time.Time) string {
+	switch {
+	case x.cut.Load():
+		return "called off"
+	case !now.Before(x.deadline):
+		return "its deadline has come"
+	case x.call.Gone != nil && x.call.Gone():
+		return "its client has gone"
+	}
+	return "the window for a repeat is over"
+}
+
+// name is the id that the client gave its request.
+func (x *exchange) name() string {
+	if job, ok := x.call.Job.(*protocol.Job); ok {
+		return job.ID
+	}
+	return ""
+}
+
+// tell gives an exchange's outcome, once for each. It touches nothing that the actor owns.
+func (e *endpoint) tell(x *exchange, end routing.End) {
+	if x.probe {
+		e.fleet.sink.Probed(e.id, end.Outcome, end.Report)
+	} else {
+		end.Idle = x.idle
+		e.fleet.sink.Finished(x.call.ID, end)
+	}
+}
+
+// writeBy is when the last byte of an exchange must have left.
+func (x *exchange) writeBy() time.Time {
+	if by := x.call.By; !by.IsZero() && by.Before(x.deadline) {
+		return by
+	}
+	return x.deadline
+}
+
+// exchange runs beside the actor: it writes the request and reads the answer, tells the core of all that
+// comes, and hands the connection back. The connection's deadline is the call's.
+func (e *endpoint) exchange(x *exchange) {
+	reuse := false
+	defer func() { e.box.Post(ended{x, reuse}) }()
+	x.wire.quota.N = mostAnswer
+	text := e.word(x)
+	if now := time.Now(); x.void(now) || now.After(x.latest) { // this may have waited for its turn
+		e.heldBack(x, "it waited too long for its turn")
+		reuse = !x.cut.Load()
+		e.tell(x, routing.End{Outcome: brain.NeverSent})
+		return
+	}
+	if out, ok := x.write(text); !ok {
+		e.tell(x, routing.End{Outcome: out})
+		return
+	}
+	if !x.probe {
+		e.fleet.sink.Dispatched()
+	}
+	resp, err := e.read(x)
+	if err != nil {
+		e.tell(x, routing.End{Outcome: x.broken(err)})
+		return
+	}
+	reuse = x.drain(resp) && !x.cut.Load()
+}
+
+// word gives the text of a request.
+func (e *endpoint) word(x *exchange) []byte {
+	host := x.wire.conn.RemoteAddr().String()
+	if x.probe {
+		return protocol.EncodeProbe(host, e.fleet.params.Now())
+	}
+	job, _ := x.call.Job.(*protocol.Job)
+	return job.Encode(host, passedOn(time.Until(job.Deadline)))
+}
+
+// write writes a request, and tells how the exchange ended if its last byte did not leave: the endpoint has not begun what it
+// has not got whole.
+func (x *exchange) write(text []byte) (out brain.Outcome, ok bool) {
+	conn := x.wire.conn
+	_ = conn.SetReadDeadline(x.deadline) // fails only on a closed connection, as does what follows
+	_ = conn.SetWriteDeadline(x.writeBy())
+	n, err := conn.Write(text)
+	switch {
+	case err == nil || n == len(text):
+		return 0, true
+	case x.cut.Load():
+		return brain.NeverSent, false
+	}
+	return brain.NoConnect, false
+}
+
+// read reads the answer up to its last message, and tells the core of all that comes.
+func (e *endpoint) read(x *exchange) (*http.Response, error) {
+	resp, err := http.ReadResponse(x.wire.in, nil)
+	for err == nil && resp.StatusCode < http.StatusOK { // an interim answer ends nothing
+		resp, err = http.ReadResponse(x.wire.in, nil)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !x.probe {
+		return resp, e.follow(x, protocol.NewAnswer(x.name(), resp))
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, protocol.MaxBody))
+	if err != nil {
+		return nil, err
+	}
+	outcome, report := protocol.ParseProbe(resp, body)
+	e.tell(x, routing.End{Outcome: outcome, Report: report})
+	return resp, nil
+}
+
+// broken gives the outcome of an exchange whose reading ended with an error.
+func (x *exchange) broken(err error) brain.Outcome {
+	switch {
+	case x.cut.Load():
+		return brain.Cancelled
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return brain.TimedOut
+	}
+	return brain.Reset
+}
+
+// drain reads the end of the framing, and tells whether the connection may carry a further request. A peer that holds it back
+// costs the connection only.
+func (x *exchange) drain(resp *http.Response) bool {
+	conn := x.wire.conn
+	_ = conn.SetDeadline(time.Now().Add(drainWithin))
+	rest, err := io.Copy(io.Discard, io.LimitReader(resp.Body, protocol.MaxBody))
+	_ = conn.SetDeadline(time.Time{})
+	return err == nil && rest < protocol.MaxBody && !resp.Close
+}
+
+// follow passes a job's news on until its last message.
+func (e *endpoint) follow(x *exchange, a *protocol.Answer) error {
+	for {
+		news, err := a.Next()
+		if err != nil {
+			return err
+		}
+		switch news.State {
+		case protocol.Started:
+			e.fleet.sink.Began(x.call.ID)
+		case protocol.Running:
+			e.fleet.sink.Progressed(x.call.ID, news.Share)
+		case protocol.Ended:
+			e.tell(x, news.End)
+			return nil
+		}
+	}
+}
