Whether a client has left is asked of the system right before each attempt

Change: gone() looks at the connection's TCP state, so a FIN or reset counts from when it came, behind whatever bytes.

--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -89,20 +89,37 @@
 
 // unreadFor asks the system how long ago the last bytes came on the connection; 0 where it does not say.
 func (c *Conn) unreadFor() time.Duration {
+	ago := time.Duration(c.info().Last_data_recv) * time.Millisecond
+	if ago > mostUnread {
+		return 0
+	}
+	return ago
+}
+
+// info asks the system about the connection; all zero where it does not say.
+func (c *Conn) info() (info unix.TCPInfo) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return 0
+		return info
 	}
-	ago := time.Duration(0)
 	_ = raw.Control(func(fd uintptr) {
-		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
-			ago = time.Duration(info.Last_data_recv) * time.Millisecond
+		if got, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			info = *got
 		}
 	})
-	if ago > mostUnread {
-		return 0
+	return info
+}
+
+// hasLeft tells whether the client has closed its side or the connection has broken, read to its end or not.
+func (c *Conn) hasLeft() bool {
+	if c.gone.Load() {
+		return true
 	}
-	return ago
+	switch c.info().State {
+	case unix.BPF_TCP_CLOSE_WAIT, unix.BPF_TCP_LAST_ACK, unix.BPF_TCP_CLOSE:
+		return true
+	}
+	return false
 }
 
 // heard notes that bytes of a request came, and tells whether it may still come here; the gate is locked.
@@ -351,10 +368,10 @@
 	return c
 }
 
-// gone tells, at any time, whether a request's client has left; it is cheap.
+// gone tells, at any time, whether a request's client has left; it costs a system call.
 func gone(r *http.Request) func() bool {
 	ctx, c := r.Context(), gated(r)
-	return func() bool { return c != nil && c.gone.Load() || ctx.Err() != nil }
+	return func() bool { return ctx.Err() != nil || c != nil && c.hasLeft() }
 }
 
 // gated gives the connection of a request as its gate knows it; nil where it came through none.
