--- a/internal/routing/calls_test.go
+++ b/internal/routing/calls_test.go
@@ -143,3 +143,19 @@
 	next.answer <- Update{Revision: 1, Complete: true, Destinations: []Destination{worker("c", brain.Ready)}}
 	eventually(t, "the list of a service that counts anew", func() bool { _, known := state(t, s, "c"); return known })
 }
+
+// One answer with a lower revision, as of a replica that lags, takes no drain back; a second one that agrees is of a service that
+// counts anew.
+func TestLowerRevision(t *testing.T) {
+	d := newScripted()
+	s, _ := listing(t, d)
+	(<-d.calls).answer <- Update{Revision: 5, Complete: true, Destinations: []Destination{worker("a", brain.Draining)}}
+	eventually(t, "the drain", func() bool { st, known := state(t, s, "a"); return known && st == brain.Draining })
+	(<-d.calls).answer <- Update{Revision: 4, Complete: true, Destinations: []Destination{worker("a", brain.Ready)}}
+	again := <-d.calls
+	if st, _ := state(t, s, "a"); st != brain.Draining || again.revision != Whole {
+		t.Errorf("behind a lower revision the state is %v, and the next call is behind revision %d", st, again.revision)
+	}
+	again.answer <- Update{Revision: 4, Complete: true, Destinations: []Destination{worker("a", brain.Ready)}}
+	eventually(t, "the list of a service that counts anew", func() bool { st, _ := state(t, s, "a"); return st == brain.Ready })
+}
