A lower revision is believed once a second answer agrees

Cause: as in the failing test. Change: the whole list is asked for 100 ms later, and only then a service counts anew; services before a move are not followed back at all. Result: TestLowerRevision passes twice under -race; cmd/brassdale passes.

--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -23,6 +23,19 @@
 	revision  int64     // that is known of it; Whole for none
 	answered  bool      // it has brought a list
 	heard     time.Time // when it last did
+	doubted   bool      // its last answer had a lower revision, and is to be confirmed
+}
+
+// confirmAfter is how soon a whole list is asked for behind an answer with a lower revision.
+const confirmAfter = 100 * time.Millisecond
+
+// lags tells whether an answer is to be confirmed first: it has a lower revision than one before, and is the first that has. It is
+// of a replica that lags, or of a service that counts anew.
+func (s *service) lags(u Update) bool {
+	lower := u.Revision < s.revision
+	first := lower && !s.doubted
+	s.doubted = lower
+	return first
 }
 
 // listCall is a call for the list that has not ended.
@@ -79,7 +92,7 @@
 	l.made++
 	ctx, stop := context.WithCancel(ctx)
 	c := &listCall{number: l.made, service: to, kind: kind, revision: to.revision, begun: now, stop: stop}
-	if kind == pacing.Whole {
+	if kind == pacing.Whole || to.doubted {
 		c.revision = Whole
 	}
 	l.ledger.discoveryCalled(len(l.open) > 0)
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -199,6 +199,10 @@
 	case c.outdated(m.update):
 		s.log.Info("discovery's answer was overtaken", "call", c.number, "revision", m.update.Revision, "known", c.service.revision)
 		s.calls.schedule.Answered(now, c.number, now.Sub(c.begun), false, m.update.Early, rules, rand.Float64())
+	case c.service.lags(m.update):
+		s.log.Warn("discovery's revision went back, asking for the whole list", "revision", m.update.Revision, "known", c.service.revision)
+		s.calls.schedule.Answered(now, c.number, now.Sub(c.begun), false, m.update.Early, rules, rand.Float64())
+		s.calls.schedule.AskAt(now.Add(confirmAfter))
 	default:
 		s.takeList(now, c, m.update)
 		s.mended() // behind the list's own line: who reads that discovery answers again finds its list in force
@@ -240,7 +244,7 @@
 // takeFormer takes in what a service brings that was asked before a move, while the new one has not answered. It tells of
 // workers that changed; which ones there are is the new one's word. A watch there goes on meanwhile.
 func (s *Destinations) takeFormer(ctx context.Context, c *listCall, u Update) {
-	if s.calls.current.answered || c.outdated(u) {
+	if s.calls.current.answered || u.Revision < c.service.revision {
 		return
 	}
 	u.Complete = false
