--- a/cmd/brassdale/council_bench_test.go
+++ b/cmd/brassdale/council_bench_test.go
@@ -15,7 +15,7 @@
 	if os.Getenv("BRASSDALE_BENCH") == "" {
 		t.Skip("a measurement by hand")
 	}
-	off := start(t, "", newBox(t, "a", works), newBox(t, "b", works))
+	off := start(t, "", newWorker(t, "a", works), newWorker(t, "b", works))
 	on, lone := ally(t, 21, 3, 0), ally(t, 22, 3, 0)
 	on.propose("retries = 0.5\n", 0)
 	on.acts(1, 0, 1, 2)
--- a/cmd/brassdale/council_life_test.go
+++ b/cmd/brassdale/council_life_test.go
@@ -45,7 +45,7 @@
 	f.acts(1, f.all()...)
 	f.at, f.files = append(f.at, strings.Replace(f.at[3], ".4:", ".5:", 1)), append(f.files, t.TempDir())
 	f.nodes[3].cmd.Process.Signal(syscall.SIGSTOP)
-	twin := startWith(t, f.operator(4), func(c string) string { return strings.Replace(c, `"name":"n0"`, `"name":"n3"`, 1) }, f.boxes...)
+	twin := startWith(t, f.operator(4), func(c string) string { return strings.Replace(c, `"name":"n0"`, `"name":"n3"`, 1) }, f.workers...)
 	f.nodes = append(f.nodes, twin)
 	f.acts(1, 4) // the first's lease has run out
 	f.nodes[3].cmd.Process.Signal(syscall.SIGCONT)
@@ -113,7 +113,7 @@
 	f.nodes[0].waitFor("the old voter's part in the old council to end", func() bool { return strings.Contains(f.fleetSays(0, "status"), "era            1") })
 }
 
-// A proposal of 4 MB reaches all: 2,000 boxes are out. SIGHUP at one dispatcher proposes the file that its council's block
+// A proposal of 4 MB reaches all: 2,000 workers are out. SIGHUP at one dispatcher proposes the file that its council's block
 // names, and says so where it names none; the same file again proposes nothing; a bad one is refused with its place.
 func TestLargeProposalAndSIGHUP(t *testing.T) {
 	t.Parallel()
@@ -127,7 +127,7 @@
 	f.propose(large.String(), 4)
 	f.acts(1, f.all()...)
 	if status, _, _ := f.nodes[3].do(request(f.nodes[3].url, "beside-4-MB")); status != 200 {
-		t.Errorf("a job beside 2,000 boxes that are out: %d", status)
+		t.Errorf("a job beside 2,000 workers that are out: %d", status)
 	}
 
 	f.nodes[0].reload(f.nodes[0].config)
@@ -154,7 +154,7 @@
 	n.waitFor("the refusal", func() bool { return strings.Contains(n.log(), "rules.hcl:1") })
 }
 
-// A share that the fleet's rules cap is capped at each dispatcher, and a box taken out of the fleet by one command gets
+// A share that the fleet's rules cap is capped at each dispatcher, and a worker taken out of the fleet by one command gets
 // nothing at any.
 func TestFleetWideShareAndBox(t *testing.T) {
 	t.Parallel()
@@ -165,14 +165,14 @@
 		t.Fatal(out)
 	}
 	f.acts(2, 0, 1)
-	_, before := f.boxes[0].count()
+	_, before := f.workers[0].count()
 	for i, n := range f.nodes {
 		for k := range 4 {
 			n.do(request(n.url, fmt.Sprint("d-", i, "-", k)))
 		}
 	}
-	if _, after := f.boxes[0].count(); after != before {
-		t.Errorf("%d jobs at a box that is out", after-before)
+	if _, after := f.workers[0].count(); after != before {
+		t.Errorf("%d jobs at a worker that is out", after-before)
 	}
 	if out := f.fleetSays(0, "history"); !strings.Contains(out, "deeside-aero:0.1") || !strings.Contains(out, "rebuilt") {
 		t.Error(out)
--- a/cmd/brassdale/council_test.go
+++ b/cmd/brassdale/council_test.go
@@ -13,16 +13,16 @@
 	"brassdale/internal/faults"
 )
 
-// allied are dispatchers of one fleet, each a process with boxes' list and files of its own.
+// allied are dispatchers of one fleet, each a process with workers' list and files of its own.
 type allied struct {
-	t      *testing.T
-	nodes  []*node
-	at     []string // their councils' addresses
-	files  []string
-	boxes  []*box
-	away   map[int][]faults.Away // when a process stood still or was gone
-	voters int
-	more   func(i int) string // that a dispatcher's block says beside the usual
+	t       *testing.T
+	nodes   []*node
+	at      []string // their councils' addresses
+	files   []string
+	workers []*worker
+	away    map[int][]faults.Away // when a process stood still or was gone
+	voters  int
+	more    func(i int) string // that a dispatcher's block says beside the usual
 }
 
 // ally starts a fleet. Addresses are of this test alone: each voter has to know the others' before they listen.
@@ -33,7 +33,7 @@
 
 func allyWith(t *testing.T, net4, voters, followers int, more func(int) string) *allied {
 	t.Helper()
-	f := &allied{t: t, voters: voters, more: more, boxes: []*box{newBox(t, "a", works), newBox(t, "b", works)}, away: map[int][]faults.Away{}}
+	f := &allied{t: t, voters: voters, more: more, workers: []*worker{newWorker(t, "a", works), newWorker(t, "b", works)}, away: map[int][]faults.Away{}}
 	for i := range voters + followers {
 		l := must(net.Listen("tcp", fmt.Sprintf("127.77.%d.%d:0", net4, i+1)))
 		f.at = append(f.at, l.Addr().String())
@@ -43,7 +43,7 @@
 	for i := range f.at {
 		f.nodes = append(f.nodes, startWith(t, f.operator(i), func(c string) string {
 			return strings.Replace(c, `"name":"n0"`, fmt.Sprintf(`"name":"n%d"`, i), 1)
-		}, f.boxes...))
+		}, f.workers...))
 	}
 	return f
 }
@@ -128,21 +128,21 @@
 	return rest
 }
 
-// Five processes agree: a box that the rules put out gets nothing at any of them; the leader is killed between the steps, a
+// Five processes agree: a worker that the rules put out gets nothing at any of them; the leader is killed between the steps, a
 // follower stands still over a change, and never do two with leases act on versions that have nothing in common.
 func TestCouncil(t *testing.T) {
 	t.Parallel()
 	f := ally(t, 1, 3, 2)
 	f.propose("retries = 0.5\nout = [\"a\"]\n", 4)
 	f.acts(1, f.all()...)
-	_, before := f.boxes[0].count()
+	_, before := f.workers[0].count()
 	for i, n := range f.nodes {
 		if status, _, _ := n.do(request(n.url, fmt.Sprint("out-", i))); status != 200 {
 			t.Errorf("dispatcher %d: %d", i, status)
 		}
 	}
-	if _, after := f.boxes[0].count(); after != before {
-		t.Errorf("%d jobs at a box that is out", after-before)
+	if _, after := f.workers[0].count(); after != before {
+		t.Errorf("%d jobs at a worker that is out", after-before)
 	}
 	if status, text := f.nodes[3].call("POST", "/_workers/attach", "a"); status != 409 {
 		t.Errorf("put back by one dispatcher alone: %d %s", status, text)
--- a/cmd/brassdale/crossings_test.go
+++ b/cmd/brassdale/crossings_test.go
@@ -16,7 +16,7 @@
 )
 
 // A request waits for its first attempt, and its client goes: closes, half-closes or resets, alone or in a burst, with bytes
-// behind the request or none. When a box comes it gets none of them, and who still reads is served nothing.
+// behind the request or none. When a worker comes it gets none of them, and who still reads is served nothing.
 func TestGoneBeforeTheFirstAttempt(t *testing.T) {
 	t.Parallel()
 	leave := map[string]func(*net.TCPConn){
@@ -29,7 +29,7 @@
 			t.Run(fmt.Sprint(how, len(behind)), func(t *testing.T) {
 				t.Parallel()
 				n := start(t, "")
-				b := newBox(t, "late", works)
+				b := newWorker(t, "late", works)
 				const burst = 8
 				var conns []*net.TCPConn
 				for i := range burst {
@@ -49,12 +49,12 @@
 				if took := time.Since(began); took > time.Second {
 					t.Errorf("clients that had gone were seen after %v", took)
 				}
-				n.registry.set(func() { n.registry.boxes = append(n.registry.boxes, b) })
+				n.registry.set(func() { n.registry.workers = append(n.registry.workers, b) })
 				if status, _, _ := n.do(request(n.url, "stays")); status != 200 {
 					t.Errorf("a client that stays: %d", status)
 				}
 				if _, jobs := b.count(); jobs != 1 {
-					t.Errorf("%d jobs of clients that had gone came to the box: %v", jobs-1, b.keys())
+					t.Errorf("%d jobs of clients that had gone came to the worker: %v", jobs-1, b.keys())
 				}
 				if how == "half-closes" {
 					for _, c := range conns {
@@ -100,7 +100,7 @@
 			}()
 		}
 	}()
-	b := newBox(t, "slow", works)
+	b := newWorker(t, "slow", works)
 	b.ln.Close()
 	b.ln = ln
 	n := startWith(t, "", func(c string) string {
@@ -148,7 +148,7 @@
 	const rest = 20 * time.Millisecond
 	var mu sync.Mutex
 	answered := map[string]time.Time{} // by the connection's other end
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) {
 		mu.Lock()
 		last, again := answered[c.RemoteAddr().String()]
 		mu.Unlock()
@@ -172,7 +172,7 @@
 // Where deadlines are short, the door stays open for a part of the time that is left, and all that comes is answered.
 func TestLeavingWithShortDeadlines(t *testing.T) {
 	t.Parallel()
-	b := newBox(t, "a", works)
+	b := newWorker(t, "a", works)
 	n := startWith(t, "", func(c string) string {
 		return strings.Replace(c, `"deadline":5000000`, `"deadline":400000`, 1)
 	}, b)
@@ -198,7 +198,7 @@
 // whole request that was read is answered, and no connection is reset.
 func TestLeavingInTheMiddle(t *testing.T) {
 	t.Parallel()
-	b := newBox(t, "a", sticks)
+	b := newWorker(t, "a", sticks)
 	n := start(t, "", b)
 	hung, half, piped, rests := n.dial(), n.dial(), n.dial(), n.dial()
 	request(n.url, "stuck-1").Write(hung)
@@ -259,7 +259,7 @@
 // after it began is told within six seconds, whatever the chance drawn, and gets nothing later.
 func TestSilentFromTheFirstSecond(t *testing.T) {
 	t.Parallel()
-	a, b := newBox(t, "a", works), newBox(t, "b", works)
+	a, b := newWorker(t, "a", works), newWorker(t, "b", works)
 	n := startWith(t, "", func(c string) string {
 		return strings.Replace(c, `"replicasOfMe":1`, `"replicasOfMe":300`, 1)
 	}, a, b)
@@ -283,13 +283,13 @@
 	t.Parallel()
 	const sockets = 128
 	release := make(chan struct{})
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) {
 		if r.Header.Get("Idempotency-Key") == "out" {
 			<-release
 		}
 		works(b, c, r)
 	})
-	n := &node{t: t, registry: &registry{revision: 1, boxes: []*box{b}, changed: make(chan struct{})}, exited: make(chan struct{}), descriptors: sockets}
+	n := &node{t: t, registry: &registry{revision: 1, workers: []*worker{b}, changed: make(chan struct{})}, exited: make(chan struct{}), descriptors: sockets}
 	n.startHere("", func(c string) string {
 		return strings.Replace(c, `"sockets":1024`, fmt.Sprint(`"sockets":`, sockets), 1)
 	})
--- a/cmd/brassdale/crowded_test.go
+++ b/cmd/brassdale/crowded_test.go
@@ -162,8 +162,8 @@
 }
 
 // member is a line of a list.
-func member(b *box, phase string) string {
-	line, err := json.Marshal(map[string]any{"id": b.id, "host_port": b.ln.Addr().String(), "locality": "llanelli", "flavor": "new-box",
+func member(b *worker, phase string) string {
+	line, err := json.Marshal(map[string]any{"id": b.id, "host_port": b.ln.Addr().String(), "locality": "llanelli", "flavor": "new-worker",
 		"cell": 1, "phase": phase, "size": 1.0, "up_since_ms": 0})
 	if err != nil {
 		panic(err)
--- a/cmd/brassdale/deadline_test.go
+++ b/cmd/brassdale/deadline_test.go
@@ -65,7 +65,7 @@
 func TestDeadlineOfARequestThatWaitedBehindAnother(t *testing.T) {
 	t.Parallel()
 	told := toldDeadlines{until: map[string]time.Time{}}
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) {
 		told.note(r)
 		if r.Header.Get("Idempotency-Key") == "first" {
 			time.Sleep(time.Second)
@@ -82,7 +82,7 @@
 // The same where the second never has a worker that answers: its own answer comes by the deadline that its client counts.
 func TestAnswerOfARequestThatWaitedBehindAnother(t *testing.T) {
 	t.Parallel()
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) {
 		if r.Header.Get("Idempotency-Key") == "first" {
 			time.Sleep(700 * time.Millisecond)
 			works(b, c, r)
--- a/cmd/brassdale/door_test.go
+++ b/cmd/brassdale/door_test.go
@@ -15,7 +15,7 @@
 // Callers that finish no call, more of them than the door holds, delay nobody; what is no call gets a no.
 func TestDoor(t *testing.T) {
 	t.Parallel()
-	n := start(t, "", newBox(t, "a", works))
+	n := start(t, "", newWorker(t, "a", works))
 	for i := range 40 {
 		c, err := net.Dial("tcp", strings.TrimPrefix(n.admin, "http://"))
 		if err != nil {
@@ -56,7 +56,7 @@
 func TestFigures(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) {
 		switch key := r.Header.Get("Idempotency-Key"); {
 		case strings.HasPrefix(key, "bad"):
 			raw("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")(b, c, r)
@@ -112,7 +112,7 @@
 // it; put back, it works again at once though it is cold.
 func TestOutByHand(t *testing.T) {
 	t.Parallel()
-	a, b := newBox(t, "a", works), newBox(t, "b", works)
+	a, b := newWorker(t, "a", works), newWorker(t, "b", works)
 	n := start(t, "", a, b)
 	g := n.registry
 	some := func(n *node, name string) int {
@@ -162,7 +162,7 @@
 // Workers that are out are on file before the yes. A file that cannot be used is a line in the log and no more.
 func TestDetachedFile(t *testing.T) {
 	t.Parallel()
-	n := start(t, "", newBox(t, "a", works), newBox(t, "b", works))
+	n := start(t, "", newWorker(t, "a", works), newWorker(t, "b", works))
 	if status, _ := n.call("POST", "/_workers/detach", "a"); status != 200 {
 		t.Fatalf("detach: %d", status)
 	}
--- a/cmd/brassdale/fleet_test.go
+++ b/cmd/brassdale/fleet_test.go
@@ -39,18 +39,18 @@
 func TestMostWorkersReplaced(t *testing.T) {
 	t.Parallel()
 	var silent atomic.Bool
-	boxes := make([]*box, 10)
-	for i := range boxes {
-		boxes[i] = newBox(t, fmt.Sprint("old-", i), func(b *box, c net.Conn, r *http.Request) {
+	workers := make([]*worker, 10)
+	for i := range workers {
+		workers[i] = newWorker(t, fmt.Sprint("old-", i), func(b *worker, c net.Conn, r *http.Request) {
 			if i < 6 && silent.Load() {
 				freezes()(b, c, r)
 				return
 			}
 			works(b, c, r)
 		})
-		boxes[i].closed = make(chan string, 1000)
+		workers[i].closed = make(chan string, 1000)
 	}
-	n := startWith(t, "", ofMany, boxes...)
+	n := startWith(t, "", ofMany, workers...)
 	if served := n.all("before", 100); served != 100 {
 		t.Errorf("%d of 100 served before", served)
 	}
@@ -59,20 +59,20 @@
 		t.Errorf("%d of 100 served while nobody was told", served)
 	}
 	now := time.Now().UnixMilli()
-	replaced := append([]*box(nil), boxes[6:]...)
+	replaced := append([]*worker(nil), workers[6:]...)
 	for i := range 6 {
-		b := newBox(t, fmt.Sprint("new-", i), works)
+		b := newWorker(t, fmt.Sprint("new-", i), works)
 		b.since = now
 		replaced = append(replaced, b)
 	}
-	n.registry.set(func() { n.registry.boxes = replaced })
+	n.registry.set(func() { n.registry.workers = replaced })
 	n.waitFor("the new list", func() bool { return strings.Contains(n.log(), "revision=2") })
 	n.all("told", 1) // behind it the module knows
-	before := jobsAt(boxes[:6]...)
+	before := jobsAt(workers[:6]...)
 	if served := n.all("after", 100); served != 100 {
 		t.Errorf("%d of 100 served after", served)
 	}
-	if after := jobsAt(boxes[:6]...); after != before {
+	if after := jobsAt(workers[:6]...); after != before {
 		t.Errorf("%d jobs at workers that are gone", after-before)
 	}
 }
@@ -80,13 +80,13 @@
 // A worker at which connections are refused, as one has only so many, costs no job, and is met less and less.
 func TestConnectionsRefused(t *testing.T) {
 	t.Parallel()
-	boxes := make([]*box, 6)
-	for i := range boxes {
-		boxes[i] = newBox(t, fmt.Sprint("box-", i), works)
+	workers := make([]*worker, 6)
+	for i := range workers {
+		workers[i] = newWorker(t, fmt.Sprint("worker-", i), works)
 	}
-	boxes[0].ln.Close()
-	boxes[1].ln.Close()
-	n := startWith(t, "", ofMany, boxes...)
+	workers[0].ln.Close()
+	workers[1].ln.Close()
+	n := startWith(t, "", ofMany, workers...)
 	if served := n.all("k", 200); served != 200 {
 		t.Errorf("%d of 200 served", served)
 	}
@@ -100,7 +100,7 @@
 func TestFaultyLists(t *testing.T) {
 	t.Parallel()
 	line := func(i int, rest string) string {
-		return fmt.Sprintf(`{"id":"ghost-%d","host_port":"127.0.0.1:1","locality":"llanelli","flavor":"new-box","cell":1,"size":1.0,"up_since_ms":0,%s}`, i, rest)
+		return fmt.Sprintf(`{"id":"ghost-%d","host_port":"127.0.0.1:1","locality":"llanelli","flavor":"new-worker","cell":1,"size":1.0,"up_since_ms":0,%s}`, i, rest)
 	}
 	list := func(n int, last string) string {
 		var lines []string
@@ -120,9 +120,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			a, b := newBox(t, "a", works), newBox(t, "b", works)
+			a, b := newWorker(t, "a", works), newWorker(t, "b", works)
 			n := start(t, "", a)
-			n.registry.set(func() { n.registry.boxes, n.registry.broken = []*box{b}, broken })
+			n.registry.set(func() { n.registry.workers, n.registry.broken = []*worker{b}, broken })
 			asked := func() int {
 				n.registry.mu.Lock()
 				defer n.registry.mu.Unlock()
@@ -158,17 +158,17 @@
 	t.Parallel()
 	const jobs, floor = 60, 10
 	run := func(operator string) (calls, denied int, n *node) {
-		var boxes []*box
+		var workers []*worker
 		for i := range 6 { // each turns all jobs away unseen: a repeat is always allowed
-			boxes = append(boxes, newBox(t, fmt.Sprint("box-", i), raw("HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")))
+			workers = append(workers, newWorker(t, fmt.Sprint("worker-", i), raw("HTTP/1.1 503 Service Unavailable\r\nSrv-Declined: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")))
 		}
-		n = startWith(t, operator, lateIsWorthless, boxes...)
+		n = startWith(t, operator, lateIsWorthless, workers...)
 		for i := range jobs {
 			if status, _, _ := n.do(request(n.url, fmt.Sprint("k-", i))); status != 503 {
 				t.Errorf("job %d: %d", i, status)
 			}
 		}
-		return jobsAt(boxes...), n.figure("retries_denied"), n
+		return jobsAt(workers...), n.figure("retries_denied"), n
 	}
 	free, none, _ := run("")
 	calls, denied, n := run("fleet {\n  retry_budget = 0.1\n}\n")
--- a/cmd/brassdale/growth_bench_test.go
+++ b/cmd/brassdale/growth_bench_test.go
@@ -16,7 +16,7 @@
 // changingList is a discovery that tells changes: each second one worker of a list drains, and one comes back.
 type changingList struct {
 	mu       sync.Mutex
-	boxes    []*box
+	workers  []*worker
 	changed  []int // by worker: the revision of its last change
 	phases   []string
 	revision int
@@ -25,14 +25,14 @@
 }
 
 func (c *changingList) line(i int) string {
-	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"llanelli","flavor":"new-box","cell":1,"phase":%q,"size":1.0,"up_since_ms":0}`,
-		c.boxes[i].id, c.boxes[i].ln.Addr(), c.phases[i])
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"llanelli","flavor":"new-worker","cell":1,"phase":%q,"size":1.0,"up_since_ms":0}`,
+		c.workers[i].id, c.workers[i].ln.Addr(), c.phases[i])
 }
 
 // list words what is newer than a revision; c.mu is held.
 func (c *changingList) list(after int) string {
 	var lines []string
-	for i := range c.boxes {
+	for i := range c.workers {
 		if after < 0 || c.changed[i] > after {
 			lines = append(lines, c.line(i))
 		}
@@ -69,7 +69,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.revision++
-	n := len(c.boxes)
+	n := len(c.workers)
 	for i, phase := range map[int]string{c.revision % n: "leaving", (c.revision - 1) % n: "active"} {
 		c.phases[i], c.changed[i] = phase, c.revision
 	}
@@ -94,10 +94,10 @@
 	growthRate = 20 // requests a second
 )
 
-func growth(b *testing.B, workers, dispatchers int) {
-	c := &changingList{news: make(chan struct{}), changed: make([]int, workers), phases: make([]string, workers)}
-	for i := range workers {
-		c.boxes, c.phases[i] = append(c.boxes, newBox(b, fmt.Sprintf("w%04d", i), works)), "active"
+func growth(b *testing.B, size, dispatchers int) {
+	c := &changingList{news: make(chan struct{}), changed: make([]int, size), phases: make([]string, size)}
+	for i := range size {
+		c.workers, c.phases[i] = append(c.workers, newWorker(b, fmt.Sprintf("w%04d", i), works)), "active"
 	}
 	find := httptest.NewServer(c)
 	defer find.Close()
@@ -128,7 +128,7 @@
 	wait.Wait()
 	cpu, peak := processCost(n.cmd.Process.Pid)
 	conns := 0
-	for _, w := range c.boxes {
+	for _, w := range c.workers {
 		made, _ := w.count()
 		conns += made
 	}
--- a/cmd/brassdale/http2_test.go
+++ b/cmd/brassdale/http2_test.go
@@ -43,7 +43,7 @@
 // The same jobs get the same answers at both ports.
 func TestHTTP2Serves(t *testing.T) {
 	t.Parallel()
-	n := start(t, http2Block, newBox(t, "a", works))
+	n := start(t, http2Block, newWorker(t, "a", works))
 	second := h2Client(t)
 	for i, c := range []struct {
 		change func(*http.Request)
@@ -97,7 +97,7 @@
 func TestHTTP2SharesIDs(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
 	n := start(t, http2Block, b)
 	first := n.begin(b, "k")
 	if status, _, _ := ask(h2Client(t), request(n.h2, "other", "Req-Id", "id-k")); status != 409 {
@@ -213,7 +213,7 @@
 func TestHTTP2Cancels(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) {
 		switch key := r.Header.Get("Idempotency-Key"); {
 		case strings.HasPrefix(key, "started"):
 			freezes(`"state":"started"`)(b, c, r)
@@ -277,7 +277,7 @@
 // connections do not notice.
 func TestHTTP2Rude(t *testing.T) {
 	t.Parallel()
-	n := start(t, http2Block, newBox(t, "a", works))
+	n := start(t, http2Block, newWorker(t, "a", works))
 	head := func(p *peer, stream uint32, more ...string) {
 		p.WriteHeaders(h2.HeadersFrameParam{StreamID: stream, BlockFragment: p.fields("k", more...), EndHeaders: true, EndStream: true})
 	}
@@ -418,7 +418,7 @@
 func TestHTTP2ShutWindow(t *testing.T) {
 	t.Parallel()
 	big := strings.Repeat("x", 60000)
-	n := start(t, http2Block, newBox(t, "a", says(`"state":"started"`, `"state":"done","result":"`+big+`"`)))
+	n := start(t, http2Block, newWorker(t, "a", says(`"state":"started"`, `"state":"done","result":"`+big+`"`)))
 	p := n.wire(h2.Setting{ID: h2.SettingInitialWindowSize, Val: 0})
 	p.job(1, "shut")
 	p.WriteHeaders(h2.HeadersFrameParam{StreamID: 3, BlockFragment: p.fields("none", ":path", "/no-such"), EndHeaders: true, EndStream: true})
@@ -439,7 +439,7 @@
 func TestHTTP2Leaves(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
 	n := start(t, http2Block, b)
 	p := n.wire()
 	p.job(1, "open")
@@ -467,7 +467,7 @@
 func TestHTTP2Replaced(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) {
 		if r.Header.Get("Idempotency-Key") == "held" {
 			<-release
 		}
@@ -513,8 +513,8 @@
 func TestHTTP2Drain(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	holds := func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) }
-	a, other := newBox(t, "a", holds), newBox(t, "b", holds)
+	holds := func(b *worker, c net.Conn, r *http.Request) { <-release; works(b, c, r) }
+	a, other := newWorker(t, "a", holds), newWorker(t, "b", holds)
 	n := start(t, http2Block, a, other)
 	p := n.wire()
 	for i := range uint32(40) {
@@ -555,7 +555,7 @@
 func TestHTTP2ClassDropped(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
 	n := start(t, http2Block, b)
 	p := n.wire()
 	p.job(1, "open")
--- a/cmd/brassdale/inbound_test.go
+++ b/cmd/brassdale/inbound_test.go
@@ -14,7 +14,7 @@
 func TestServesAndMapsBadInput(t *testing.T) {
 	t.Parallel()
 	var got http.Header
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) {
 		got = r.Header
 		got.Set("Target", r.RequestURI)
 		works(b, c, r)
@@ -77,7 +77,7 @@
 	t.Parallel()
 	chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 	for name, c := range map[string]struct {
-		script func(*box, net.Conn, *http.Request)
+		script func(*worker, net.Conn, *http.Request)
 		status int
 	}{
 		"failed":            {says(`"state":"failed"`), 502},
@@ -99,7 +99,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			n := start(t, "", newBox(t, "a", c.script))
+			n := start(t, "", newWorker(t, "a", c.script))
 			status, body, after := n.do(request(n.url, "k"))
 			if status != c.status || (status == 503) != (after != "") {
 				t.Errorf("answered %d %q, Retry-After %q, want %d", status, body, after, c.status)
@@ -111,7 +111,7 @@
 // What reached no endpoint never ran: it is refused, and its client told when to come back.
 func TestNobodyListens(t *testing.T) {
 	t.Parallel()
-	b := newBox(t, "a", works)
+	b := newWorker(t, "a", works)
 	b.ln.Close()
 	n := start(t, "", b)
 	if status, _, after := n.do(request(n.url, "k")); status != 503 || after != "2" {
@@ -122,7 +122,7 @@
 // An endpoint that takes a job and says nothing: the answer still comes inside deadline and slack.
 func TestSilentEndpoint(t *testing.T) {
 	t.Parallel()
-	n := start(t, "", newBox(t, "a", freezes()))
+	n := start(t, "", newWorker(t, "a", freezes()))
 	begin := time.Now()
 	status, _, _ := n.do(request(n.url, "k", "Req-Deadline-Ms", "500"))
 	if took := time.Since(begin); status != 504 || took < 450*time.Millisecond || took > 1500*time.Millisecond {
@@ -135,7 +135,7 @@
 func TestLateIsGivenUp(t *testing.T) {
 	t.Parallel()
 	gone := make(chan struct{})
-	n := startWith(t, "", lateIsWorthless, newBox(t, "a", func(_ *box, c net.Conn, _ *http.Request) {
+	n := startWith(t, "", lateIsWorthless, newWorker(t, "a", func(_ *worker, c net.Conn, _ *http.Request) {
 		io.Copy(io.Discard, c)
 		close(gone)
 	}))
@@ -155,7 +155,7 @@
 // The body is read whole before a job goes on, or the server would not notice that its client leaves.
 func TestClientLeaves(t *testing.T) {
 	t.Parallel()
-	b := newBox(t, "a", freezes(`"state":"started"`))
+	b := newWorker(t, "a", freezes(`"state":"started"`))
 	n := start(t, "", b)
 	c, err := net.Dial("tcp", strings.TrimPrefix(n.url, "http://"))
 	if err != nil {
@@ -176,7 +176,7 @@
 // Connections are used again once they have rested; one that its endpoint closed while it was idle carries nothing.
 func TestConnections(t *testing.T) {
 	t.Parallel()
-	kept := newBox(t, "a", works)
+	kept := newWorker(t, "a", works)
 	n := start(t, "", kept)
 	n.do(request(n.url, "first"))
 	for i := range 5 {
@@ -186,7 +186,7 @@
 	if conns, _ := kept.count(); conns > 2 { // one for jobs, perhaps one more for a probe at that moment
 		t.Errorf("%d connections for 6 jobs in turn", conns)
 	}
-	closing := newBox(t, "b", func(b *box, c net.Conn, r *http.Request) { works(b, c, r); c.Close(); b.closed <- "" })
+	closing := newWorker(t, "b", func(b *worker, c net.Conn, r *http.Request) { works(b, c, r); c.Close(); b.closed <- "" })
 	n = start(t, "", closing)
 	for i := range 5 {
 		if status, _, _ := n.do(request(n.url, fmt.Sprint(i))); status != 200 {
@@ -202,12 +202,12 @@
 // Jobs about one thing go to one endpoint: it has fetched what they need.
 func TestOneUserOneEndpoint(t *testing.T) {
 	t.Parallel()
-	boxes := []*box{newBox(t, "a", works), newBox(t, "b", works), newBox(t, "c", works), newBox(t, "d", works)}
-	n := start(t, "", boxes...)
+	workers := []*worker{newWorker(t, "a", works), newWorker(t, "b", works), newWorker(t, "c", works), newWorker(t, "d", works)}
+	n := start(t, "", workers...)
 	for i := range 3 {
 		n.do(request(n.url, fmt.Sprint(i), "Cookie", "theme=dark; user=7f3a9c21e0b4d655"))
 	}
-	for _, b := range boxes {
+	for _, b := range workers {
 		if _, jobs := b.count(); jobs != 0 && jobs != 3 {
 			t.Errorf("%d of 3 jobs of one user went to %s", jobs, b.id)
 		}
@@ -217,7 +217,7 @@
 // Nothing new goes to an endpoint that the watch told to be leaving; a failing discovery changes nothing.
 func TestDrainAndDiscovery(t *testing.T) {
 	t.Parallel()
-	a, b := newBox(t, "a", works), newBox(t, "b", works)
+	a, b := newWorker(t, "a", works), newWorker(t, "b", works)
 	n := start(t, "", a, b)
 	g := n.registry
 	asked := func(revision int) func() bool {
@@ -252,7 +252,7 @@
 func TestLeaving(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
 	n := start(t, "", b)
 	answered := n.begin(b, "k")
 	n.stop()
@@ -276,7 +276,7 @@
 // shortly before, clients are served on, also on new connections; then a job whose endpoint is silent gets its answer.
 func TestLeavingAnswersAll(t *testing.T) {
 	t.Parallel()
-	b := newBox(t, "a", sticks)
+	b := newWorker(t, "a", sticks)
 	n := start(t, "", b)
 	kept := &http.Client{Transport: &http.Transport{}}
 	ask := func(key string) int {
@@ -315,11 +315,11 @@
 // by a refusal that leaves the connection open.
 func TestLeavingKeepsConnectionsFree(t *testing.T) {
 	t.Parallel()
-	var boxes []*box // so many that all jobs are taken at once: one that the module refuses frees its connection
+	var workers []*worker // so many that all jobs are taken at once: one that the module refuses frees its connection
 	for i := range 12 {
-		boxes = append(boxes, newBox(t, fmt.Sprint("box-", i), sticks))
+		workers = append(workers, newWorker(t, fmt.Sprint("worker-", i), sticks))
 	}
-	n := startWith(t, "", lateIsWorthless, boxes...) // what waits here is refused soon
+	n := startWith(t, "", lateIsWorthless, workers...) // what waits here is refused soon
 	for i := range 30 {
 		if err := request(n.url, fmt.Sprint("stuck-", i)).Write(n.dial()); err != nil {
 			t.Fatal(err)
@@ -339,7 +339,7 @@
 		return resp
 	}
 	io.WriteString(other, "GET /health/live HTTP/1.1\r\nHost: h\r\n\r\n") // no job: it stays free
-	n.waitFor("all jobs at the endpoints", func() bool { return jobsAt(boxes...) >= 30 })
+	n.waitFor("all jobs at the endpoints", func() bool { return jobsAt(workers...) >= 30 })
 	n.stop()
 	i, resp := 0, (*http.Response)(nil)
 	n.waitFor("a refusal for the sake of the last free connections", func() bool {
--- a/cmd/brassdale/keys_test.go
+++ b/cmd/brassdale/keys_test.go
@@ -12,7 +12,7 @@
 )
 
 // runs counts the runs of a key at an endpoint.
-func (b *box) ran(key string) int {
+func (b *worker) ran(key string) int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.runs[key]
@@ -22,7 +22,7 @@
 func TestKeyAtBothPorts(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	holds := func(b *box, c net.Conn, r *http.Request) {
+	holds := func(b *worker, c net.Conn, r *http.Request) {
 		if strings.HasPrefix(r.Header.Get("Idempotency-Key"), "both") {
 			<-release
 		}
@@ -33,7 +33,7 @@
 		works(b, c, r)
 	}
 	// Two bays: an endpoint of the one does not know what the other runs.
-	a, other := newBox(t, "a", holds), newBox(t, "b", holds)
+	a, other := newWorker(t, "a", holds), newWorker(t, "b", holds)
 	other.cell = "2"
 	const window = time.Second
 	n := startWith(t, http2Block, func(config string) string {
@@ -100,7 +100,7 @@
 // A job that two wait for goes on when one of them leaves, and is cancelled with the last.
 func TestKeyIsGivenUpWithItsLastReader(t *testing.T) {
 	t.Parallel()
-	b := newBox(t, "a", freezes(`"state":"started"`))
+	b := newWorker(t, "a", freezes(`"state":"started"`))
 	n := start(t, http2Block, b)
 	p, q := n.wire(), n.wire()
 	p.job(1, "k")
@@ -128,7 +128,7 @@
 func TestKeyReplaced(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
 	n := start(t, http2Block, b)
 	answers := make(chan int, 2)
 	go func() {
@@ -157,11 +157,11 @@
 }
 
 // manyBoxes are enough that all jobs are taken at once.
-func manyBoxes(t *testing.T, many int, script func(*box, net.Conn, *http.Request)) (boxes []*box) {
+func manyBoxes(t *testing.T, many int, script func(*worker, net.Conn, *http.Request)) (workers []*worker) {
 	for i := range many {
-		boxes = append(boxes, newBox(t, fmt.Sprint("box-", i), script))
+		workers = append(workers, newWorker(t, fmt.Sprint("worker-", i), script))
 	}
-	return boxes
+	return workers
 }
 
 // With one account at five times its share, the others get theirs, counted over both ports together.
@@ -178,7 +178,7 @@
   account "second" { share = 0.25 }
   account "third" { share = 0.5 }
 }
-`, long, manyBoxes(t, 10, func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })...)
+`, long, manyBoxes(t, 10, func(b *worker, c net.Conn, r *http.Request) { <-release; works(b, c, r) })...)
 	second := h2Client(t)
 	open, refused := map[string]int{}, map[string]int{}
 	answers := make(chan string, 100)
@@ -242,11 +242,11 @@
 func TestStreamsAmongConnections(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	boxes := manyBoxes(t, 60, func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	workers := manyBoxes(t, 60, func(b *worker, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
 	n := startWith(t, "front \"http2\" {\n  listen = \"127.0.0.1:0\"\n  streams = 1000\n}\n", func(config string) string {
 		config = strings.Replace(config, `"deadline":5000000`, `"deadline":60000000`, 1) // none ends by itself
 		return strings.Replace(config, `"memory_mb":192`, `"memory_mb":40`, 1)           // a room of 284 streams
-	}, boxes...)
+	}, workers...)
 	p, q := n.wire(), n.wire()
 	for i := range uint32(300) {
 		p.job(2*i+1, fmt.Sprint("p-", i), "req-deadline-ms", "60000")
@@ -271,7 +271,7 @@
 		return strings.Replace(config, `"deadline":5000000`, `"deadline":60000000`, 1)
 	}
 	operator := http2Block + "accounts {\n  room = 10\n  account \"a\" { share = 0.5 }\n  account \"b\" { share = 0.5 }\n}\n"
-	n := startWith(t, operator, long, manyBoxes(t, 6, func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })...)
+	n := startWith(t, operator, long, manyBoxes(t, 6, func(b *worker, c net.Conn, r *http.Request) { <-release; works(b, c, r) })...)
 	answers := make(chan int, 20)
 	hand := func(to *node, account string, many int) {
 		t.Helper()
--- a/cmd/brassdale/load_test.go
+++ b/cmd/brassdale/load_test.go
@@ -12,7 +12,7 @@
 // what the program refuses is counted so.
 func TestLoadOverAllWires(t *testing.T) {
 	t.Parallel()
-	a := newBox(t, "a", works)
+	a := newWorker(t, "a", works)
 	n := start(t, http2Block+operator("lines")+"", a)
 	for wire, address := range map[load.Wire]string{load.HTTP1: n.url, load.HTTP2: n.h2, load.Events: n.progress} {
 		at, err := url.Parse(address)
--- a/cmd/brassdale/mixed_bench_test.go
+++ b/cmd/brassdale/mixed_bench_test.go
@@ -84,11 +84,11 @@
 // and 100 ms a job can do 600 jobs/s of the 770 that come, and what is too much is one account's.
 func BenchmarkMixed(b *testing.B) {
 	slots := sync.Map{}
-	boxes := benchBoxesThat(b, 12, func(x *box, c net.Conn, r *http.Request) {
+	workers := benchBoxesThat(b, 12, func(x *worker, c net.Conn, r *http.Request) {
 		free, _ := slots.LoadOrStore(x, make(chan struct{}, 5))
 		free.(chan struct{}) <- struct{}{}
 		defer func() { <-free.(chan struct{}) }()
-		if gone(c) { // a copy was called off while it waited: boxes drop those
+		if gone(c) { // a copy was called off while it waited: workers drop those
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -98,7 +98,7 @@
 	for _, c := range customers {
 		operator += fmt.Sprintf("  account %q { share = %v }\n", c.name, c.share)
 	}
-	n := benchNode(b, "", operator+"}\n", boxes)
+	n := benchNode(b, "", operator+"}\n", workers)
 	transport := &http.Transport{Protocols: &http.Protocols{}}
 	transport.Protocols.SetUnencryptedHTTP2(true)
 	clients := []*http.Client{{Transport: &http.Transport{MaxIdleConnsPerHost: 1000}}, {Transport: transport}}
--- a/cmd/brassdale/moved_discovery_test.go
+++ b/cmd/brassdale/moved_discovery_test.go
@@ -25,8 +25,8 @@
 }
 
 // recorded has a worker note each job before it works on it.
-func (a *arrivals) recorded(script func(*box, net.Conn, *http.Request)) func(*box, net.Conn, *http.Request) {
-	return func(b *box, c net.Conn, r *http.Request) {
+func (a *arrivals) recorded(script func(*worker, net.Conn, *http.Request)) func(*worker, net.Conn, *http.Request) {
+	return func(b *worker, c net.Conn, r *http.Request) {
 		a.mu.Lock()
 		a.last = time.Now()
 		a.mu.Unlock()
@@ -74,7 +74,7 @@
 func TestQueuedAnswerSurvivesAMove(t *testing.T) {
 	t.Parallel()
 	var at arrivals
-	a, b := newBox(t, "a", at.recorded(works)), newBox(t, "b", works)
+	a, b := newWorker(t, "a", at.recorded(works)), newWorker(t, "b", works)
 	n := start(t, "", a) // all jobs go to this one until the change is heard: it drains, the other joins
 	g := n.registry
 	n.waitFor("a watch", func() bool { g.mu.Lock(); defer g.mu.Unlock(); return len(g.waits) > 0 && g.waits[len(g.waits)-1] > 0 })
@@ -90,7 +90,7 @@
 	n.reload(movedTo(n.config, refuses.Listener.Addr().String()))
 	n.waitFor("the move", func() bool { return strings.Contains(n.log(), "msg=reloaded") })
 	time.Sleep(300 * time.Millisecond) // of waiting in discovery's queue
-	g.set(func() { a.phase = "leaving"; g.boxes = append(g.boxes, b) })
+	g.set(func() { a.phase = "leaving"; g.workers = append(g.workers, b) })
 	time.Sleep(time.Until(drained.Add(toldAtTheLatest + drainGraceOnSockets + 300*time.Millisecond)))
 	close(stop)
 	wait.Wait()
@@ -106,8 +106,8 @@
 	t.Parallel()
 	const dispatchers, moves = 6, 4
 	var at arrivals
-	a := newBox(t, "a", at.recorded(works))
-	b := newBox(t, "b", works)
+	a := newWorker(t, "a", at.recorded(works))
+	b := newWorker(t, "b", works)
 	before, after := member(a, "active"), member(a, "leaving")+","+member(b, "active")
 	discovery := newCrowdedDiscovery(before)
 
--- a/cmd/brassdale/ports_bench_test.go
+++ b/cmd/brassdale/ports_bench_test.go
@@ -50,7 +50,7 @@
 var benchKeys atomic.Int64
 
 // quick answers a job in one piece.
-func quick(_ *box, c net.Conn, r *http.Request) {
+func quick(_ *worker, c net.Conn, r *http.Request) {
 	body := line(r.Header.Get("Req-Id"), `"state":"done","result":"priced"`)
 	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 }
@@ -240,9 +240,9 @@
 // jobs that endpoints answer at once, on one core of the dispatcher's.
 func BenchmarkPorts(b *testing.B) {
 	debug.SetGCPercent(400) // of the load's own
-	boxes := benchBoxes(b)
+	workers := benchBoxes(b)
 	binary := os.Getenv("BRASSDALE_BINARY") // as it is built for service; else the tests' own
-	with, without := benchNode(b, binary, http2Block+"keys {\n  jobs = 200000\n}\n", boxes), benchNode(b, binary, "", boxes)
+	with, without := benchNode(b, binary, http2Block+"keys {\n  jobs = 200000\n}\n", workers), benchNode(b, binary, "", workers)
 	names := []string{"HTTP/1.1, no operator's file", "HTTP/1.1", "HTTP/2, 1 connection", "HTTP/2, 4 connections"}
 	loads := []func(time.Time) *round{
 		func(u time.Time) *round { return over1(b, without.inbound, u) },
@@ -251,7 +251,7 @@
 		func(u time.Time) *round { return over2(b, with.http2, 4, u) },
 	}
 	if base := os.Getenv("BRASSDALE_BASE"); base != "" {
-		old := benchNode(b, base, "", boxes)
+		old := benchNode(b, base, "", workers)
 		names = append(names, "HTTP/1.1, binary before")
 		loads = append(loads, func(u time.Time) *round { return over1(b, old.inbound, u) })
 	}
@@ -273,8 +273,8 @@
 // BenchmarkStreams tells what open streams cost: a thousand jobs that wait for their endpoints.
 func BenchmarkStreams(b *testing.B) {
 	release := make(chan struct{})
-	boxes := benchBoxesThat(b, 250, func(x *box, c net.Conn, r *http.Request) { <-release; quick(x, c, r) })
-	n := benchNode(b, "", "front \"http2\" {\n  listen = \"127.0.0.1:0\"\n  streams = 250\n}\n", boxes)
+	workers := benchBoxesThat(b, 250, func(x *worker, c net.Conn, r *http.Request) { <-release; quick(x, c, r) })
+	n := benchNode(b, "", "front \"http2\" {\n  listen = \"127.0.0.1:0\"\n  streams = 250\n}\n", workers)
 	before := n.resident()
 	until := time.Now().Add(2 * time.Second)
 	var wait sync.WaitGroup
@@ -304,17 +304,17 @@
 	return kb >> 10
 }
 
-func benchBoxes(b *testing.B) []*box { return benchBoxesThat(b, 12, quick) }
+func benchBoxes(b *testing.B) []*worker { return benchBoxesThat(b, 12, quick) }
 
-func benchBoxesThat(b *testing.B, many int, script func(*box, net.Conn, *http.Request)) (boxes []*box) {
+func benchBoxesThat(b *testing.B, many int, script func(*worker, net.Conn, *http.Request)) (workers []*worker) {
 	for i := range many {
-		boxes = append(boxes, newBox(b, fmt.Sprint("box-", i), script))
+		workers = append(workers, newWorker(b, fmt.Sprint("worker-", i), script))
 	}
-	return boxes
+	return workers
 }
 
-func benchNode(b *testing.B, binary, operator string, boxes []*box) *benchProgram {
-	n := &node{t: b, binary: binary, registry: &registry{revision: 1, boxes: boxes, changed: make(chan struct{})}, exited: make(chan struct{})}
+func benchNode(b *testing.B, binary, operator string, workers []*worker) *benchProgram {
+	n := &node{t: b, binary: binary, registry: &registry{revision: 1, workers: workers, changed: make(chan struct{})}, exited: make(chan struct{})}
 	n.startHere(operator, func(config string) string {
 		// Slots enough that nothing waits: the ports are measured, not the module's care for endpoints.
 		return strings.Replace(config, `"probing":true`, `"probing":false`, 1)
--- a/cmd/brassdale/progress_test.go
+++ b/cmd/brassdale/progress_test.go
@@ -63,7 +63,7 @@
 // a line in two pieces and data in two lines.
 func TestProgressStream(t *testing.T) {
 	t.Parallel()
-	events := func(_ *box, c net.Conn, r *http.Request) {
+	events := func(_ *worker, c net.Conn, r *http.Request) {
 		if r.Header.Get("Accept") != "text/event-stream" {
 			return
 		}
@@ -73,8 +73,8 @@
 		chunk(c, fmt.Sprintf("event: done\ndata: {\"id\":%q,\"result\":\"priced\"}\n\n", r.Header.Get("Req-Id")))
 		last(c)
 	}
-	for dialect, script := range map[string]func(*box, net.Conn, *http.Request){"lines": works, "events": events} {
-		b := newBox(t, "a", script)
+	for dialect, script := range map[string]func(*worker, net.Conn, *http.Request){"lines": works, "events": events} {
+		b := newWorker(t, "a", script)
 		n := start(t, operator(dialect), b)
 		s := n.open(request(n.progress, "k"))
 		if kind := s.resp.Header.Get("Content-Type"); s.resp.StatusCode != 200 || kind != "text/event-stream" {
@@ -110,7 +110,7 @@
 func TestProgressErrors(t *testing.T) {
 	t.Parallel()
 	for name, c := range map[string]struct {
-		script func(*box, net.Conn, *http.Request)
+		script func(*worker, net.Conn, *http.Request)
 		status int
 		events string
 	}{
@@ -123,7 +123,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			n := start(t, operator("events"), newBox(t, "a", c.script))
+			n := start(t, operator("events"), newWorker(t, "a", c.script))
 			s := n.open(request(n.progress, "k", "Req-Deadline-Ms", "900"))
 			if s.resp.StatusCode != c.status {
 				t.Errorf("status %d, want %d", s.resp.StatusCode, c.status)
@@ -137,13 +137,13 @@
 		})
 	}
 	// A job that was refused never ran: a new try of its key is a new run, a reconnect is told of the refusal.
-	b := newBox(t, "a", says(`"state":"returned"`))
+	b := newWorker(t, "a", says(`"state":"returned"`))
 	n := start(t, operator("lines"), b)
 	for range 2 {
 		n.do(request(n.progress, "k", "Req-Deadline-Ms", "300"))
 	}
 	if _, jobs := b.count(); jobs < 2 {
-		t.Errorf("%d tries came to the box, want one for each at least", jobs)
+		t.Errorf("%d tries came to the worker, want one for each at least", jobs)
 	}
 	if status, _, _ := n.do(request(n.progress, "k", "Last-Event-ID", "0")); status != 503 {
 		t.Errorf("reconnect to a refused job: %d", status)
@@ -154,12 +154,12 @@
 // client gives up, no key run twice, and a job whose stream dropped keeps its deadline.
 func TestFreezesAndCuts(t *testing.T) {
 	t.Parallel()
-	cut := func(_ *box, c net.Conn, r *http.Request) {
+	cut := func(_ *worker, c net.Conn, r *http.Request) {
 		head(c, "application/json")
 		chunk(c, line(r.Header.Get("Req-Id"), `"state":"started"`))
 		c.Close()
 	}
-	frozen, cutting, sound := newBox(t, "frozen", freezes(`"state":"started"`)), newBox(t, "cutting", cut), newBox(t, "sound", works)
+	frozen, cutting, sound := newWorker(t, "frozen", freezes(`"state":"started"`)), newWorker(t, "cutting", cut), newWorker(t, "sound", works)
 	frozen.cell, cutting.cell, sound.cell = "1", "2", "3" // no repeat may leave its group
 	n := start(t, operator("lines"), frozen, cutting, sound)
 	const items = 6
@@ -217,9 +217,9 @@
 	if ends["done"] == 0 || ends["failed"] == 0 {
 		t.Errorf("ends %v: want some of both", ends)
 	}
-	for _, b := range []*box{frozen, sound} { // the one that cuts may be sent a job again: its group drops it
+	for _, b := range []*worker{frozen, sound} { // the one that cuts may be sent a job again: its group drops it
 		for key, runs := range b.runs {
-			for _, other := range []*box{frozen, cutting, sound} {
+			for _, other := range []*worker{frozen, cutting, sound} {
 				if other != b && other.runs[key] > 0 {
 					t.Errorf("%s ran at %s and at %s", key, b.id, other.id)
 				}
@@ -234,7 +234,7 @@
 // A job whose stream dropped is neither cancelled then nor given more time by the client that comes back.
 func TestDroppedStreamKeepsItsDeadline(t *testing.T) {
 	t.Parallel()
-	b := newBox(t, "a", freezes(`"state":"started"`))
+	b := newWorker(t, "a", freezes(`"state":"started"`))
 	n := start(t, operator("lines"), b)
 	begin := time.Now()
 	s := n.open(request(n.progress, "k", "Req-Deadline-Ms", "1200"))
@@ -257,7 +257,7 @@
 func TestSlowReader(t *testing.T) {
 	t.Parallel()
 	big := says(`"state":"started"`, `"state":"done","result":"`+strings.Repeat("x", 60<<10)+`"`)
-	n := start(t, operator("lines"), newBox(t, "a", big))
+	n := start(t, operator("lines"), newWorker(t, "a", big))
 	for i := range 3 {
 		c, err := net.Dial("tcp", strings.TrimPrefix(n.progress, "http://"))
 		if err != nil {
@@ -285,7 +285,7 @@
 func TestProgressReplaced(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) {
 		head(c, "application/json")
 		id := r.Header.Get("Req-Id")
 		chunk(c, line(id, `"state":"started"`))
--- a/cmd/brassdale/pushed_test.go
+++ b/cmd/brassdale/pushed_test.go
@@ -12,9 +12,9 @@
 	return strings.Replace(config, `"discovery":"ask"`, `"discovery":"push"`, 1)
 }
 
-// leaves has the agent tell that a box drains, waits until the program has heard it, and others that clients may still reach
-// at its address, and then looks that the box gets no job while another does.
-func (n *node) leaves(g *registry, b, stays *box, others ...*node) {
+// leaves has the agent tell that a worker drains, waits until the program has heard it, and others that clients may still reach
+// at its address, and then looks that the worker gets no job while another does.
+func (n *node) leaves(g *registry, b, stays *worker, others ...*node) {
 	n.t.Helper()
 	g.set(func() { b.phase, stays.phase, g.hang = "leaving", "active", false })
 	for _, m := range append(others, n) {
@@ -49,13 +49,13 @@
 // Where lists are pushed nobody but the destination set's actor asks the agent. It was read once, at the start: all that
 // drained later got jobs for good. It is watched from the start, through silence, a move at SIGHUP and a replacement.
 func TestPushedList(t *testing.T) {
-	a, b := newBox(t, "a", works), newBox(t, "b", works)
+	a, b := newWorker(t, "a", works), newWorker(t, "b", works)
 	n := startWith(t, "", pushed, a, b)
 	n.leaves(n.registry, a, b)
 	n.hangs(n.registry)
 	n.leaves(n.registry, b, a) // it drained while the agent was silent
 
-	moved := &registry{revision: 100, boxes: []*box{a, b}, changed: make(chan struct{})}
+	moved := &registry{revision: 100, workers: []*worker{a, b}, changed: make(chan struct{})}
 	to := httptest.NewServer(moved)
 	t.Cleanup(to.CloseClientConnections)
 	_, rest, _ := strings.Cut(n.config, `"discovery":"`)
@@ -75,8 +75,8 @@
 // A start while the agent is silent goes by the list that the program was given, and hears what drained as soon as the
 // agent speaks.
 func TestStartWithSilentAgent(t *testing.T) {
-	a, b := newBox(t, "a", works), newBox(t, "b", works)
-	n := &node{t: t, registry: &registry{revision: 1, boxes: []*box{a, b}, changed: make(chan struct{}), hang: true}, exited: make(chan struct{})}
+	a, b := newWorker(t, "a", works), newWorker(t, "b", works)
+	n := &node{t: t, registry: &registry{revision: 1, workers: []*worker{a, b}, changed: make(chan struct{}), hang: true}, exited: make(chan struct{})}
 	n.startHere("", pushed)
 	if status, _, _ := n.do(request(n.url, "first")); status != 200 {
 		t.Errorf("status %d", status)
--- a/cmd/brassdale/reload_test.go
+++ b/cmd/brassdale/reload_test.go
@@ -17,8 +17,8 @@
 func TestReload(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	a := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
-	b := newBox(t, "b", works)
+	a := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	b := newWorker(t, "b", works)
 	b.cell = "2"
 	n := start(t, "", a)
 	n.waitFor("a watch", func() bool { n.registry.mu.Lock(); defer n.registry.mu.Unlock(); return len(n.registry.asked) > 0 })
@@ -30,7 +30,7 @@
 	})
 
 	a.phase = "leaving"
-	next := &registry{revision: 1, boxes: []*box{a, b}, changed: make(chan struct{})}
+	next := &registry{revision: 1, workers: []*worker{a, b}, changed: make(chan struct{})}
 	server := httptest.NewServer(next)
 	t.Cleanup(server.CloseClientConnections)
 	moved := strings.Replace(n.config, `"discovery":"`, `"discovery":"`+server.Listener.Addr().String()+`","was":"`, 1)
@@ -59,7 +59,7 @@
 // asked for, and nothing may go to an endpoint that leaves 500 ms after that. It once took 2.6 s and longer.
 func TestHungDiscovery(t *testing.T) {
 	t.Parallel()
-	a, b := newBox(t, "a", works), newBox(t, "b", works)
+	a, b := newWorker(t, "a", works), newWorker(t, "b", works)
 	n := start(t, "", a, b)
 	g := n.registry
 	asked := func() int { g.mu.Lock(); defer g.mu.Unlock(); return len(g.asked) }
@@ -89,7 +89,7 @@
 		runs[key]++
 		return runs[key]
 	}
-	once := func(b *box, c net.Conn, r *http.Request) {
+	once := func(b *worker, c net.Conn, r *http.Request) {
 		key := r.Header.Get("Idempotency-Key")
 		if strings.HasPrefix(key, "held") {
 			<-release
@@ -100,7 +100,7 @@
 		}
 		works(b, c, r)
 	}
-	a, b := newBox(t, "a", once), newBox(t, "b", once)
+	a, b := newWorker(t, "a", once), newWorker(t, "b", once)
 	n := start(t, "", a, b)
 	held := make(chan int, 1)
 	go func() {
@@ -153,7 +153,7 @@
 // Of a file that is broken in any way nothing is taken.
 func TestBrokenFiles(t *testing.T) {
 	t.Parallel()
-	n := start(t, "", newBox(t, "a", works))
+	n := start(t, "", newWorker(t, "a", works))
 	good := strings.Replace(n.config, `"name":"price-part"`, `"name":"other"`, 1)
 	swap := func(old, new string) string {
 		if !strings.Contains(good, old) {
--- a/cmd/brassdale/replace_test.go
+++ b/cmd/brassdale/replace_test.go
@@ -17,7 +17,7 @@
 func TestReplace(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) {
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) {
 		if strings.HasPrefix(r.Header.Get("Idempotency-Key"), "held") {
 			<-release
 		}
@@ -89,7 +89,7 @@
 func TestReplaceKeepsIDs(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
 	n := start(t, "", b)
 	old := n.dial() // accepted there before the successor serves
 	if err := request(n.url, "old").Write(old); err != nil {
@@ -118,7 +118,7 @@
 // serves on and can be replaced again.
 func TestReplaceFails(t *testing.T) {
 	t.Parallel()
-	n := start(t, "", newBox(t, "a", works))
+	n := start(t, "", newWorker(t, "a", works))
 	m := n.successor("")
 	n.passesOn(1)
 	m.cmd.Process.Kill()
@@ -176,7 +176,7 @@
 // Where no Unix socket can be had the program starts and serves, and says once what it goes without.
 func TestWithoutUnixSockets(t *testing.T) {
 	t.Parallel()
-	n := &node{t: t, registry: &registry{revision: 1, boxes: []*box{newBox(t, "a", works)}, changed: make(chan struct{})}, exited: make(chan struct{})}
+	n := &node{t: t, registry: &registry{revision: 1, workers: []*worker{newWorker(t, "a", works)}, changed: make(chan struct{})}, exited: make(chan struct{})}
 	n.tmp = filepath.Join(t.TempDir(), strings.Repeat("far-", 30)) // past the 107 bytes of such a socket's path
 	if err := os.Mkdir(n.tmp, 0o700); err != nil {
 		t.Fatal(err)
@@ -195,7 +195,7 @@
 // A front that the successor has not is closed with the predecessor: clients would wait at its listener for nobody.
 func TestReplaceWithoutFront(t *testing.T) {
 	t.Parallel()
-	n := start(t, operator("lines"), newBox(t, "a", works))
+	n := start(t, operator("lines"), newWorker(t, "a", works))
 	m := n.successor("")
 	n.passesOn(1)
 	n.stop()
--- a/cmd/brassdale/rude_test.go
+++ b/cmd/brassdale/rude_test.go
@@ -31,7 +31,7 @@
 // asked before on that connection is answered. net/http alone would go by one length and say nothing.
 func TestTwoLengths(t *testing.T) {
 	t.Parallel()
-	b := newBox(t, "a", works)
+	b := newWorker(t, "a", works)
 	n := start(t, "", b)
 	hidden := asHead("hidden", "Content-Length: 0\r\n")
 	good := asHead("ID", "Content-Length: 2\r\n") + "ok"
@@ -90,7 +90,7 @@
 // inside 3 s, the descriptors hold out, and a client that means it is served on.
 func TestSilentClients(t *testing.T) {
 	t.Parallel()
-	n := start(t, "", newBox(t, "a", works))
+	n := start(t, "", newWorker(t, "a", works))
 	var all sync.WaitGroup
 	for i := range 800 {
 		c := n.dial()
@@ -126,7 +126,7 @@
 func TestIDOfAnother(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	b := newBox(t, "a", func(b *box, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
+	b := newWorker(t, "a", func(b *worker, c net.Conn, r *http.Request) { <-release; works(b, c, r) })
 	n := start(t, "", b)
 	answered := n.begin(b, "k")
 	if status, _, _ := n.do(request(n.url, "other", "Req-Id", "id-k")); status != 409 {
@@ -145,7 +145,7 @@
 // refused with advice, and once they are gone all is served again.
 func TestRoomForBodies(t *testing.T) {
 	t.Parallel()
-	n := start(t, "", newBox(t, "a", works))
+	n := start(t, "", newWorker(t, "a", works))
 	for i := range 400 { // 25 MB of 192: they send all but the last byte
 		c := n.dial()
 		io.WriteString(c, asHead(fmt.Sprint("big-", i), "Content-Length: 65536\r\n")+strings.Repeat("x", 65535))
@@ -173,7 +173,7 @@
 func TestSlowAmongCrowds(t *testing.T) {
 	t.Parallel()
 	n := startWith(t, "", func(config string) string { return strings.Replace(config, `"sockets":1024`, `"sockets":128`, 1) },
-		newBox(t, "a", works))
+		newWorker(t, "a", works))
 	text := asHead("slow", "Content-Length: 4\r\n") + "slow"
 	slow, begin, sent, halves := n.dial(), time.Now(), 10, 0
 	io.WriteString(slow, text[:sent])
--- a/cmd/brassdale/saved_bench_test.go
+++ b/cmd/brassdale/saved_bench_test.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	modelJob   = 100 * time.Millisecond // at a warm box
+	modelJob   = 100 * time.Millisecond // at a warm worker
 	modelSlots = 5
 	modelCold  = 24 * time.Second
 	modelStart = 0.14
@@ -22,9 +22,9 @@
 	modelFall  = 1500 * time.Millisecond
 )
 
-// model is a box that is cold after its start: its jobs take longer, and it notes how much it is sent.
+// model is a worker that is cold after its start: its jobs take longer, and it notes how much it is sent.
 type model struct {
-	*box
+	*worker
 	started time.Time // zero for long ago
 
 	mu   sync.Mutex
@@ -44,7 +44,7 @@
 func newModel(b *testing.B, id string) *model {
 	m := &model{}
 	slots := make(chan struct{}, modelSlots)
-	m.box = newBox(b, id, func(x *box, c net.Conn, r *http.Request) {
+	m.worker = newWorker(b, id, func(x *worker, c net.Conn, r *http.Request) {
 		now := time.Now()
 		m.mu.Lock()
 		m.jobs++
@@ -66,33 +66,33 @@
 	return m
 }
 
-// works is the site of the measurement: 12 boxes on the saved list, of which 3 are missing, 2 silent, 1 drained and 1 has
+// works is the site of the measurement: 12 workers on the saved list, of which 3 are missing, 2 silent, 1 drained and 1 has
 // been started anew a moment ago.
 type site struct {
-	boxes  []*model
-	listed []*box // what discovery would say
-	saved  []*box
+	workers []*model
+	listed  []*worker // what discovery would say
+	saved   []*worker
 }
 
 func newSite(b *testing.B) *site {
 	s := &site{}
 	for i := range 12 {
-		id := fmt.Sprint("box-", i)
+		id := fmt.Sprint("worker-", i)
 		switch {
 		case i < 5:
 			m := newModel(b, id)
-			s.boxes, s.listed, s.saved = append(s.boxes, m), append(s.listed, m.box), append(s.saved, m.box)
+			s.workers, s.listed, s.saved = append(s.workers, m), append(s.listed, m.worker), append(s.saved, m.worker)
 		case i == 5: // reused
 			m := newModel(b, id)
 			m.started = time.Now()
 			m.since = m.started.UnixMilli()
-			s.boxes, s.listed = append(s.boxes, m), append(s.listed, m.box)
-			old := &box{id: id, cell: "1", phase: "active", ln: m.ln}
+			s.workers, s.listed = append(s.workers, m), append(s.listed, m.worker)
+			old := &worker{id: id, cell: "1", phase: "active", ln: m.ln}
 			s.saved = append(s.saved, old)
 		case i == 6: // drained since
 			m := newModel(b, id)
 			m.none = true
-			s.boxes, s.saved = append(s.boxes, m), append(s.saved, m.box)
+			s.workers, s.saved = append(s.workers, m), append(s.saved, m.worker)
 		case i < 9: // silent: its process takes connections and no more
 			ln := must(net.Listen("tcp", "127.0.0.1:0"))
 			b.Cleanup(func() { ln.Close() })
@@ -103,12 +103,12 @@
 					}
 				}
 			}()
-			x := &box{id: id, cell: "1", phase: "active", ln: ln}
+			x := &worker{id: id, cell: "1", phase: "active", ln: ln}
 			s.listed, s.saved = append(s.listed, x), append(s.saved, x)
 		default: // missing
 			ln := must(net.Listen("tcp", "127.0.0.1:0"))
 			ln.Close()
-			s.saved = append(s.saved, &box{id: id, cell: "1", phase: "active", ln: ln})
+			s.saved = append(s.saved, &worker{id: id, cell: "1", phase: "active", ln: ln})
 		}
 	}
 	return s
@@ -124,7 +124,7 @@
 	)
 	for _, way := range []string{"discovery never failed", "saved list", "saved list, all trusted", "no list"} {
 		s := newSite(b)
-		g := &registry{revision: 1, fail: way != "discovery never failed", boxes: s.listed, changed: make(chan struct{})}
+		g := &registry{revision: 1, fail: way != "discovery never failed", workers: s.listed, changed: make(chan struct{})}
 		discovery := httptest.NewServer(g)
 		n := &node{t: b, registry: g, exited: make(chan struct{})}
 		operator, config := "", func(c string) string {
@@ -136,7 +136,7 @@
 			keepFor(b, dir, 2*time.Hour, s.saved)
 			operator = savedBlock(dir)
 		case "saved list, all trusted":
-			known := (&registry{revision: 1, boxes: s.saved}).list()
+			known := (&registry{revision: 1, workers: s.saved}).list()
 			config = func(c string) string {
 				c = strings.Replace(noKnown(c), discoveryOf(c), discovery.Listener.Addr().String(), 1)
 				return strings.Replace(c, `"settings"`, `"known":`+known+`,"settings"`, 1)
@@ -179,7 +179,7 @@
 			return float64(g) / float64(a)
 		}
 		most, none := 0.0, 0
-		for _, m := range s.boxes {
+		for _, m := range s.workers {
 			if !m.started.IsZero() {
 				most = max(most, m.most)
 			}
@@ -187,27 +187,27 @@
 				none += m.jobs
 			}
 		}
-		b.Logf("%-24s first answer after %8v; served in time: first 10 s %.3f, 5 to 20 s %.3f, 20 to 30 s %.3f; cold box got %.2f times what it could (falls at %.0f); %d jobs to one that drained",
+		b.Logf("%-24s first answer after %8v; served in time: first 10 s %.3f, 5 to 20 s %.3f, 20 to 30 s %.3f; cold worker got %.2f times what it could (falls at %.0f); %d jobs to one that drained",
 			way, first.Round(time.Millisecond), part(0, 10), part(5, 20), part(20, 30), most, modelTip, none)
 		n.cmd.Process.Kill()
 		discovery.CloseClientConnections()
 	}
 }
 
-// BenchmarkPowerLoss: all boxes and two dispatchers start at once, with lists of a minute ago. The most that any box gets
+// BenchmarkPowerLoss: all workers and two dispatchers start at once, with lists of a minute ago. The most that any worker gets
 // from both together must stay below what it falls over at.
 func BenchmarkPowerLoss(b *testing.B) {
 	for _, way := range []string{"saved list", "saved list, all trusted"} {
-		var boxes []*model
-		var saved []*box
+		var workers []*model
+		var saved []*worker
 		for i := range 8 {
-			m := newModel(b, fmt.Sprint("box-", i))
+			m := newModel(b, fmt.Sprint("worker-", i))
 			m.started = time.Now()
-			boxes, saved = append(boxes, m), append(saved, m.box)
+			workers, saved = append(workers, m), append(saved, m.worker)
 		}
 		var nodes []*node
 		for i := range 2 {
-			n := &node{t: b, registry: &registry{revision: 1, boxes: saved, changed: make(chan struct{})}, exited: make(chan struct{})}
+			n := &node{t: b, registry: &registry{revision: 1, workers: saved, changed: make(chan struct{})}, exited: make(chan struct{})}
 			operator := ""
 			dir := b.TempDir()
 			if way == "saved list" {
@@ -239,21 +239,21 @@
 		}
 		wait.Wait()
 		most := 0.0
-		for _, m := range boxes {
+		for _, m := range workers {
 			most = max(most, m.most)
 		}
-		b.Logf("%-24s %4d of 1200 served; the box that got most got %.2f times what it could (falls at %.0f)", way, served, most, modelTip)
+		b.Logf("%-24s %4d of 1200 served; the worker that got most got %.2f times what it could (falls at %.0f)", way, served, most, modelTip)
 		for _, n := range nodes {
 			n.cmd.Process.Kill()
 		}
 	}
 }
 
-// keepFor keeps a list that tells how long jobs take at the model's boxes.
-func keepFor(b *testing.B, dir string, ago time.Duration, boxes []*box) {
+// keepFor keeps a list that tells how long jobs take at the model's workers.
+func keepFor(b *testing.B, dir string, ago time.Duration, workers []*worker) {
 	keep(b, dir, ago, func(s *savedlist.Saved) {
 		c := s.Classes["price-part"]
 		c.Scale, c.Usual = modelJob.Seconds(), -2.3
 		s.Classes["price-part"], s.Stay, s.Mean = c, modelJob.Seconds(), modelJob.Seconds()
-	}, boxes...)
+	}, workers...)
 }
--- a/cmd/brassdale/saved_test.go
+++ b/cmd/brassdale/saved_test.go
@@ -22,7 +22,7 @@
 func savedBlock(dir string) string { return fmt.Sprintf("saved_list {\n  directory = %q\n}\n", dir) }
 
 // keep puts a list into a folder as a dispatcher would have left it, so long ago.
-func keep(t testing.TB, dir string, ago time.Duration, change func(*savedlist.Saved), boxes ...*box) {
+func keep(t testing.TB, dir string, ago time.Duration, change func(*savedlist.Saved), workers ...*worker) {
 	t.Helper()
 	files, err := savedlist.Folder(dir, "n0")
 	if err != nil {
@@ -31,11 +31,11 @@
 	made := time.Now().Add(-ago)
 	s := &savedlist.Saved{MadeMS: made.UnixMilli(), Revision: 40, Allow: 0.5, Stay: 0.02, Mean: 0.02,
 		Classes: map[string]brain.ClassExperience{"price-part": {Scale: 0.02, Usual: -3.9, Jobs: 500}}} // jobs of 20 ms
-	for _, b := range boxes {
+	for _, b := range workers {
 		cell := 1
 		fmt.Sscan(b.cell, &cell)
 		s.Members = append(s.Members, savedlist.Member{HeardMS: made.UnixMilli(), Member: protocol.Member{ID: b.id, HostPort: b.ln.Addr().String(),
-			Locality: "llanelli", Flavor: "new-box", Cell: cell, Phase: b.phase, Size: 1}, Learned: &brain.WorkerExperience{Total: 5, JobsOf: 50}})
+			Locality: "llanelli", Flavor: "new-worker", Cell: cell, Phase: b.phase, Size: 1}, Learned: &brain.WorkerExperience{Total: 5, JobsOf: 50}})
 	}
 	if change != nil {
 		change(s)
@@ -46,8 +46,8 @@
 }
 
 // takes is an endpoint whose jobs take so long.
-func takes(d time.Duration) func(*box, net.Conn, *http.Request) {
-	return func(b *box, c net.Conn, r *http.Request) {
+func takes(d time.Duration) func(*worker, net.Conn, *http.Request) {
+	return func(b *worker, c net.Conn, r *http.Request) {
 		head(c, "application/json")
 		chunk(c, line(r.Header.Get("Req-Id"), `"state":"started"`))
 		time.Sleep(d)
@@ -117,11 +117,11 @@
 		"cut":       answers(200, `{"revision":50,"complete":true,"members":[{"id":"a","host_p`),
 		"empty":     answers(200, `{"revision":50,"complete":true,"members":[]}`),
 		"no list":   answers(200, `<html>`),
-		"elsewhere": answers(200, `{"revision":50,"complete":true,"members":[{"id":"x","host_port":"127.0.0.1:1","locality":"swansea","flavor":"new-box","cell":1,"phase":"active","size":1}]}`),
+		"elsewhere": answers(200, `{"revision":50,"complete":true,"members":[{"id":"x","host_port":"127.0.0.1:1","locality":"swansea","flavor":"new-worker","cell":1,"phase":"active","size":1}]}`),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			a, b := newBox(t, "a", takes(20*time.Millisecond)), newBox(t, "b", takes(20*time.Millisecond))
+			a, b := newWorker(t, "a", takes(20*time.Millisecond)), newWorker(t, "b", takes(20*time.Millisecond))
 			dir := t.TempDir()
 			keep(t, dir, time.Hour, nil, a, b)
 			n := alone(t, dir, discovery)
@@ -135,21 +135,21 @@
 	}
 }
 
-// A list of two days ago: one box drained, at one's address is another box now, at one's a web page, at one's no HTTP at
+// A list of two days ago: one worker drained, at one's address is another worker now, at one's a web page, at one's no HTTP at
 // all, one is off, one says nothing. No job reaches any of them, and all are served.
 func TestSavedOldNames(t *testing.T) {
 	t.Parallel()
 	script := takes(20 * time.Millisecond)
-	good, drained, off := newBox(t, "good", script), newBox(t, "drained", script), newBox(t, "off", script)
+	good, drained, off := newWorker(t, "good", script), newWorker(t, "drained", script), newWorker(t, "off", script)
 	drained.phase = "leaving"
-	// Where no other test listens: the port of a box that is off was given to a box of a test beside this one, which then
+	// Where no other test listens: the port of a worker that is off was given to a worker of a test beside this one, which then
 	// answered for it.
 	off.ln.Close()
 	off.ln = must(net.Listen("tcp", "127.0.0.9:0"))
 	off.ln.Close()
 	var mu sync.Mutex
 	jobs := 0
-	foreign := func(id string, answer func(net.Conn)) *box {
+	foreign := func(id string, answer func(net.Conn)) *worker {
 		ln := must(net.Listen("tcp", "127.0.0.1:0"))
 		t.Cleanup(func() { ln.Close() })
 		go func() {
@@ -170,7 +170,7 @@
 				}()
 			}
 		}()
-		return &box{id: id, cell: "1", phase: "active", ln: ln}
+		return &worker{id: id, cell: "1", phase: "active", ln: ln}
 	}
 	page := foreign("page", func(c net.Conn) {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 6\r\n\r\n<html>")
@@ -190,10 +190,10 @@
 	mu.Lock()
 	defer mu.Unlock()
 	if _, reached := drained.count(); jobs != 0 || reached != 0 {
-		t.Errorf("%d jobs reached what is no box now, %d one that drained", jobs, reached)
+		t.Errorf("%d jobs reached what is no worker now, %d one that drained", jobs, reached)
 	}
 	if got := n.figure("targets"); got != 1 {
-		t.Errorf("%d boxes told to the module", got)
+		t.Errorf("%d workers told to the module", got)
 	}
 }
 
@@ -202,7 +202,7 @@
 func TestSavedOutlivesAKill(t *testing.T) {
 	t.Parallel()
 	script := takes(20 * time.Millisecond)
-	a, b, c := newBox(t, "a", script), newBox(t, "b", script), newBox(t, "c", script)
+	a, b, c := newWorker(t, "a", script), newWorker(t, "b", script), newWorker(t, "c", script)
 	dir := t.TempDir()
 	n := start(t, savedBlock(dir), a, b, c)
 	n.waitFor("discovery's list", func() bool { return n.vars("list_source") == "discovery" })
@@ -266,7 +266,7 @@
 // The machine's clock is a day behind the file's, or a list is too old: the first serves, the second begins as without.
 func TestSavedClock(t *testing.T) {
 	t.Parallel()
-	a := newBox(t, "a", takes(20*time.Millisecond))
+	a := newWorker(t, "a", takes(20*time.Millisecond))
 	future, old := t.TempDir(), t.TempDir()
 	keep(t, future, -24*time.Hour, nil, a)
 	keep(t, old, 73*time.Hour, nil, a)
@@ -288,7 +288,7 @@
 // A folder of no use stops no job; one that others may write stops the start, with its place.
 func TestSavedFolder(t *testing.T) {
 	t.Parallel()
-	a := newBox(t, "a", works)
+	a := newWorker(t, "a", works)
 	useless := t.TempDir()
 	if err := os.WriteFile(filepath.Join(useless, "n0"), nil, 0o600); err != nil { // where its own folder would be
 		t.Fatal(err)
@@ -309,31 +309,31 @@
 	}
 }
 
-// warm sends so many jobs at a time that each box gets some, until all are proven.
-func (n *node) warm(boxes int) {
+// warm sends so many jobs at a time that each worker gets some, until all are proven.
+func (n *node) warm(workers int) {
 	n.t.Helper()
 	round := 0
 	n.waitFor("all to be proven", func() bool {
 		round++
 		var wait sync.WaitGroup
-		for i := range 8 * boxes {
+		for i := range 8 * workers {
 			wait.Go(func() { ask(http.DefaultClient, request(n.url, fmt.Sprint("warm-", round, "-", i))) })
 		}
 		wait.Wait()
-		return n.figure("boxes_proven") == boxes
+		return n.figure("boxes_proven") == workers
 	})
 }
 
-// returning starts on a saved list with discovery down, has all boxes proven, and gives what brings discovery back.
-func returning(t *testing.T, boxes ...*box) (n *node, back func(revision int, listed ...*box)) {
+// returning starts on a saved list with discovery down, has all workers proven, and gives what brings discovery back.
+func returning(t *testing.T, workers ...*worker) (n *node, back func(revision int, listed ...*worker)) {
 	dir := t.TempDir()
-	keep(t, dir, time.Hour, nil, boxes...)
+	keep(t, dir, time.Hour, nil, workers...)
 	g := &registry{revision: 1, fail: true, changed: make(chan struct{})}
 	n = alone(t, dir, g)
 	n.registry = g
-	n.warm(len(boxes))
-	return n, func(revision int, listed ...*box) {
-		g.set(func() { g.fail, g.boxes, g.revision = false, listed, revision-1 })
+	n.warm(len(workers))
+	return n, func(revision int, listed ...*worker) {
+		g.set(func() { g.fail, g.workers, g.revision = false, listed, revision-1 })
 	}
 }
 
@@ -341,7 +341,7 @@
 func TestSavedHandover(t *testing.T) {
 	t.Parallel()
 	script := takes(20 * time.Millisecond)
-	a, b := newBox(t, "a", script), newBox(t, "b", script)
+	a, b := newWorker(t, "a", script), newWorker(t, "b", script)
 	n, back := returning(t, a, b)
 	back(50, a, b)
 	n.waitFor("discovery's list", func() bool { return n.vars("list_source") == "discovery" })
@@ -352,12 +352,12 @@
 	n.served("k")
 }
 
-// A box that the returned list does not name gets nothing new, and its running job ends where it is; one that is named
+// A worker that the returned list does not name gets nothing new, and its running job ends where it is; one that is named
 // as leaving the same.
 func TestSavedHandoverWithout(t *testing.T) {
 	t.Parallel()
 	release := make(chan struct{})
-	script := func(b *box, c net.Conn, r *http.Request) {
+	script := func(b *worker, c net.Conn, r *http.Request) {
 		if r.Header.Get("Idempotency-Key") == "held" {
 			<-release
 			works(b, c, r)
@@ -365,16 +365,16 @@
 		}
 		takes(20*time.Millisecond)(b, c, r)
 	}
-	a, b, c, d := newBox(t, "a", script), newBox(t, "b", script), newBox(t, "c", script), newBox(t, "d", script)
+	a, b, c, d := newWorker(t, "a", script), newWorker(t, "b", script), newWorker(t, "c", script), newWorker(t, "d", script)
 	n, back := returning(t, a, b, c, d)
 	held := make(chan int, 1)
 	go func() {
 		status, _, _ := n.do(request(n.url, "held"))
 		held <- status
 	}()
-	var at *box
+	var at *worker
 	n.waitFor("the job", func() bool {
-		for _, x := range []*box{a, b, c, d} {
+		for _, x := range []*worker{a, b, c, d} {
 			if x.ran("held") == 1 {
 				at = x
 				return true
@@ -382,8 +382,8 @@
 		}
 		return false
 	})
-	var rest []*box
-	for _, x := range []*box{a, b, c, d} {
+	var rest []*worker
+	for _, x := range []*worker{a, b, c, d} {
 		if x != at {
 			rest = append(rest, x)
 		}
@@ -412,11 +412,11 @@
 }
 
 // Discovery comes back with nothing, then a third at a lower revision, then all: it flaps, and all jobs go on being served
-// by the boxes that answer.
+// by the workers that answer.
 func TestSavedHandoverFlaps(t *testing.T) {
 	t.Parallel()
 	script := takes(20 * time.Millisecond)
-	a, b, c, d := newBox(t, "a", script), newBox(t, "b", script), newBox(t, "c", script), newBox(t, "d", script)
+	a, b, c, d := newWorker(t, "a", script), newWorker(t, "b", script), newWorker(t, "c", script), newWorker(t, "d", script)
 	n, back := returning(t, a, b, c, d)
 	serve := func(what string) {
 		t.Helper()
@@ -446,7 +446,7 @@
 func TestSavedHandoverTwice(t *testing.T) {
 	t.Parallel()
 	script := takes(20 * time.Millisecond)
-	a, b, c := newBox(t, "a", script), newBox(t, "b", script), newBox(t, "c", script)
+	a, b, c := newWorker(t, "a", script), newWorker(t, "b", script), newWorker(t, "c", script)
 	n, back := returning(t, a, b, c)
 	back(50, a)
 	n.waitFor("the doubt", func() bool { return n.figure("list_doubted") == 1 })
@@ -454,11 +454,11 @@
 	n.served("k")
 }
 
-// A box that is named with a later start is new, and cold; one whose id and address are new too.
+// A worker that is named with a later start is new, and cold; one whose id and address are new too.
 func TestSavedReused(t *testing.T) {
 	t.Parallel()
 	script := takes(20 * time.Millisecond)
-	a, b := newBox(t, "a", script), newBox(t, "b", script)
+	a, b := newWorker(t, "a", script), newWorker(t, "b", script)
 	n, back := returning(t, a, b)
 	a.since, b.id = time.Now().UnixMilli(), "b2"
 	back(50, a, b)
@@ -471,7 +471,7 @@
 // tears the other's files.
 func TestSavedReplaced(t *testing.T) {
 	t.Parallel()
-	a := newBox(t, "a", takes(20*time.Millisecond))
+	a := newWorker(t, "a", takes(20*time.Millisecond))
 	dir := t.TempDir()
 	keep(t, dir, time.Hour, nil, a)
 	n := alone(t, dir, nil)
--- a/cmd/brassdale/sites_test.go
+++ b/cmd/brassdale/sites_test.go
@@ -122,7 +122,7 @@
 		t.Run(s.Name, func(t *testing.T) {
 			t.Parallel()
 			of := s.settings(t)
-			b, c := newBox(t, "a", works), newBox(t, "b", works)
+			b, c := newWorker(t, "a", works), newWorker(t, "b", works)
 			n := startWith(t, "", func(config string) string { return strings.Replace(config, settings, of, 1) }, b, c)
 			unsafe := 0
 			for i, class := range s.Class {
@@ -168,7 +168,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	names := []string{"price-part", "llanelli", "costing-boxes", "deeside-aero", "credit-lookup", "statement-build", "payment-post",
+	names := []string{"price-part", "llanelli", "costing-workers", "deeside-aero", "credit-lookup", "statement-build", "payment-post",
 		"lakes-billing", "amman", "bulk-order", "stock-check"}
 	for _, file := range files {
 		s := readSite(t, file)
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -29,7 +29,7 @@
 }
 
 const settings = `{"classes":[{"aim":200000,"credit":1,"deadline":5000000,"dedupScope":"cell","effect":"keyed","lateWorth":0.1,"name":"price-part","window":7500000}],
-"discovery":"ask","familyInfo":{"classKind":[-1],"classStretch":[2.5],"progress":2000000,"tellsStart":true},"flavors":["new-box"],
+"discovery":"ask","familyInfo":{"classKind":[-1],"classStretch":[2.5],"progress":2000000,"tellsStart":true},"flavors":["new-worker"],
 "limits":{"cancel":true,"connIdle":10000000,"connectTimeout":200000,"maxAttempts":4,"maxRetryAfter":2000000,"mayDuplicate":true,"probing":true,"retryAfter":true,"newKey":1},
 "loadReport":{"columns":["cpu_share","pending","x0","x1"],"via":"pull"},"replicasOfMe":1,
 "rules":{"answerSlack":8000,"askWithin":10000000,"cold":24000000,"drainGrace":500000,"fall":1500000,"startCapacity":0.14,"tipMultiple":3},"zones":["llanelli"]}`
@@ -37,11 +37,11 @@
 // line is a message of an endpoint about a job.
 func line(id, rest string) string { return fmt.Sprintf("{\"id\":%q,\"from\":\"s\",%s}\n", id, rest) }
 
-// box is an endpoint that does with each job what its script says.
-type box struct {
+// worker is an endpoint that does with each job what its script says.
+type worker struct {
 	id, cell, phase string
 	ln              net.Listener
-	script          func(b *box, c net.Conn, r *http.Request)
+	script          func(b *worker, c net.Conn, r *http.Request)
 	mu              sync.Mutex
 	conns, jobs     int
 	runs            map[string]int // by key
@@ -49,12 +49,12 @@
 	closed          chan string    // Req-Id of each job whose connection the dispatcher closed
 }
 
-func newBox(t testing.TB, id string, script func(*box, net.Conn, *http.Request)) *box {
+func newWorker(t testing.TB, id string, script func(*worker, net.Conn, *http.Request)) *worker {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &box{id: id, cell: "1", phase: "active", ln: ln, script: script, runs: map[string]int{}, closed: make(chan string, 64)}
+	b := &worker{id: id, cell: "1", phase: "active", ln: ln, script: script, runs: map[string]int{}, closed: make(chan string, 64)}
 	t.Cleanup(func() { ln.Close() })
 	go func() {
 		for {
@@ -71,7 +71,7 @@
 	return b
 }
 
-func (b *box) serve(c net.Conn) {
+func (b *worker) serve(c net.Conn) {
 	defer c.Close()
 	in := bufio.NewReader(c)
 	for {
@@ -96,22 +96,22 @@
 	}
 }
 
-func (b *box) count() (conns, jobs int) {
+func (b *worker) count() (conns, jobs int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.conns, b.jobs
 }
 
 // keys gives how often each job came, by its key.
-func (b *box) keys() map[string]int {
+func (b *worker) keys() map[string]int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return maps.Clone(b.runs)
 }
 
-// jobsAt is how many jobs came to some boxes together.
-func jobsAt(boxes ...*box) (sum int) {
-	for _, b := range boxes {
+// jobsAt is how many jobs came to some workers together.
+func jobsAt(workers ...*worker) (sum int) {
+	for _, b := range workers {
 		_, jobs := b.count()
 		sum += jobs
 	}
@@ -126,8 +126,8 @@
 func last(c net.Conn)               { io.WriteString(c, "0\r\n\r\n") }
 
 // says answers a job with these messages.
-func says(messages ...string) func(*box, net.Conn, *http.Request) {
-	return func(_ *box, c net.Conn, r *http.Request) {
+func says(messages ...string) func(*worker, net.Conn, *http.Request) {
+	return func(_ *worker, c net.Conn, r *http.Request) {
 		head(c, "application/json")
 		for _, m := range messages {
 			chunk(c, line(r.Header.Get("Req-Id"), m))
@@ -137,16 +137,16 @@
 }
 
 // raw answers a job with this text, whatever it is, and ends the connection.
-func raw(text string) func(*box, net.Conn, *http.Request) {
-	return func(_ *box, c net.Conn, _ *http.Request) {
+func raw(text string) func(*worker, net.Conn, *http.Request) {
+	return func(_ *worker, c net.Conn, _ *http.Request) {
 		io.WriteString(c, text)
 		c.Close()
 	}
 }
 
 // freezes says these messages and then nothing until the dispatcher gives up.
-func freezes(messages ...string) func(*box, net.Conn, *http.Request) {
-	return func(b *box, c net.Conn, r *http.Request) {
+func freezes(messages ...string) func(*worker, net.Conn, *http.Request) {
+	return func(b *worker, c net.Conn, r *http.Request) {
 		head(c, "application/json")
 		for _, m := range messages {
 			chunk(c, line(r.Header.Get("Req-Id"), m))
@@ -157,7 +157,7 @@
 }
 
 // sticks freezes in jobs whose key begins with "stuck", once they have started, and works on all others.
-func sticks(b *box, c net.Conn, r *http.Request) {
+func sticks(b *worker, c net.Conn, r *http.Request) {
 	if strings.HasPrefix(r.Header.Get("Idempotency-Key"), "stuck") {
 		freezes(`"state":"started"`)(b, c, r)
 	}
@@ -170,7 +170,7 @@
 type registry struct {
 	mu       sync.Mutex
 	revision int
-	boxes    []*box
+	workers  []*worker
 	fail     bool
 	hang     bool                     // calls are taken and never answered
 	broken   func(list string) string // what is sent in place of a list; nil for the list
@@ -191,8 +191,8 @@
 
 func (g *registry) list() string {
 	var lines []string
-	for _, b := range g.boxes {
-		lines = append(lines, fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"llanelli","flavor":"new-box","cell":%s,"phase":%q,"size":1.0,"up_since_ms":%d}`,
+	for _, b := range g.workers {
+		lines = append(lines, fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"llanelli","flavor":"new-worker","cell":%s,"phase":%q,"size":1.0,"up_since_ms":%d}`,
 			b.id, b.ln.Addr(), b.cell, b.phase, b.since))
 	}
 	return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[%s]}`, g.revision, strings.Join(lines, ","))
@@ -258,15 +258,15 @@
 	exited        chan struct{}
 }
 
-func start(t *testing.T, operator string, boxes ...*box) *node {
+func start(t *testing.T, operator string, workers ...*worker) *node {
 	t.Helper()
-	return startWith(t, operator, func(config string) string { return config }, boxes...)
+	return startWith(t, operator, func(config string) string { return config }, workers...)
 }
 
 // startWith starts the program with a file that is changed before.
-func startWith(t *testing.T, operator string, change func(string) string, boxes ...*box) *node {
+func startWith(t *testing.T, operator string, change func(string) string, workers ...*worker) *node {
 	t.Helper()
-	n := &node{t: t, registry: &registry{revision: 1, boxes: boxes, changed: make(chan struct{})}, exited: make(chan struct{})}
+	n := &node{t: t, registry: &registry{revision: 1, workers: workers, changed: make(chan struct{})}, exited: make(chan struct{})}
 	n.startHere(operator, change)
 	return n
 }
@@ -411,7 +411,7 @@
 }
 
 // begin sends a job and gives its status to come, once the job is at the endpoint; closed if there is none.
-func (n *node) begin(b *box, key string) <-chan int {
+func (n *node) begin(b *worker, key string) <-chan int {
 	n.t.Helper()
 	answered := make(chan int, 1)
 	go func() {
--- a/cmd/brassdale/tls_test.go
+++ b/cmd/brassdale/tls_test.go
@@ -97,7 +97,7 @@
 }
 `, at("server.pem"), at("server.key"), at("clients.pem"), accounts)
 	}
-	b := newBox(t, "a", works)
+	b := newWorker(t, "a", works)
 	n := start(t, block(`"gwent-pumps"`), b)
 	gwent := ca.client("gwent.example")
 	if status := n.over(gwent, "k", "gwent-pumps"); status != 200 {
