--- /dev/null
+++ b/internal/listen/listen_test.go
@@ -0,0 +1,52 @@
+package listen
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+)
+
+// Errors pass, a closing and a deadline of the owner's own do not.
+func TestNext(t *testing.T) {
+	for _, last := range []error{nil, net.ErrClosed, os.ErrDeadlineExceeded} {
+		results := []error{syscall.ENOBUFS, errors.New("unheard of"), syscall.EMFILE, last}
+		failures := 0
+		_, err := Next(func() (int, error) {
+			next := results[0]
+			results = results[1:]
+			return 0, next
+		}, func(error) { failures++ })
+		if !errors.Is(err, last) || failures != 3 {
+			t.Errorf("%v: ended with %v behind %d failures", last, err, failures)
+		}
+	}
+}
+
+// A row of errors is one line of the log.
+func TestFailuresAreLoggedOnceASecond(t *testing.T) {
+	var mu sync.Mutex
+	var text strings.Builder
+	f := Failures{Log: slog.New(slog.NewTextHandler(writer(func(p []byte) {
+		mu.Lock()
+		defer mu.Unlock()
+		text.Write(p)
+	}), nil))}
+	for range 100 {
+		f.Failed(syscall.ENOBUFS)
+	}
+	if lines := strings.Count(text.String(), "accept failed"); lines != 1 {
+		t.Errorf("%d lines", lines)
+	}
+}
+
+type writer func([]byte)
+
+func (w writer) Write(p []byte) (int, error) { w(p); return len(p), nil }
+
+var _ io.Writer = writer(nil)
