Moves in quick succession bring one call, and a move's call counts as one for the whole list

Cause: read again: behind a move a call has no index, and the schedule took it for one with an index, so a new watch was not put off while the service was busy; each of several moves made its own call at once, which the next move made useless. Change: the schedule is told whether a revision is known; a move within a second of another waits up to half a second.

--- a/internal/decisions/pacing/pacing.go
+++ b/internal/decisions/pacing/pacing.go
@@ -22,7 +22,7 @@
 //  6. No call with an index is made beside another that may still be served: a service may keep one such call for each
 //     dispatcher, and end the one before for it, which then loses its place. Beside it the whole list is asked for.
 //  7. A service that refuses calls or takes long over them is spared by those that have just heard from it: they begin a new
-//     watch a while later, and moves in quick succession bring one call.
+//     watch a while later. Moves in quick succession bring one call.
 //  8. Of many dispatchers that a crowded service refuses, those that have gone longest without an answer call most often: they
 //     get the places in its queue before those that heard a moment ago. One without an answer for longer than Told calls less
 //     often again: then the service is down.
@@ -63,9 +63,11 @@
 	busyFrom   = 3800 * time.Millisecond
 
 	// Who has just heard from a busy service leaves it to others for a while: a new watch begins up to busyRest later, and the
-	// call behind a move up to half of that, where the list is younger than freshFor.
+	// call behind a move up to half of that, where the list is younger than freshFor or another move was just before.
 	busyRest = time.Second
 	freshFor = 2 * time.Second
+	// quickMoves is how soon behind another a move is one of several in quick succession.
+	quickMoves = time.Second
 
 	each   = 4 * time.Millisecond   // of spread for each dispatcher beside this one
 	empty  = 20 * time.Millisecond  // after an answer that told nothing
@@ -109,7 +111,7 @@
 	switch {
 	case r.Pushed && k == Watch:
 		return r.agentSpan(), r.agentSpan()
-	case r.Pushed:
+	case r.Pushed: // one that does not wait
 		return 0, r.agentSpan()
 	case k == Watch:
 		return Wait, Answer
--- a/internal/decisions/pacing/schedule.go
+++ b/internal/decisions/pacing/schedule.go
@@ -7,6 +7,7 @@
 type Schedule struct {
 	due   time.Time // from then on a change may count as told that is not here
 	heard time.Time // when a list came last, from this service or one before a move
+	moved time.Time // when the last move was; zero for none
 
 	next time.Time // of the next call; zero while none is to be made
 	kind Kind      // of the next call
@@ -39,10 +40,11 @@
 // Pausing tells whether the next call goes on with a watch whose last one has answered.
 func (s *Schedule) Pausing() bool { return !s.next.IsZero() && s.kind == Watch }
 
-// Call notes that the next call is made now, under this number, and gives its kind.
-func (s *Schedule) Call(now time.Time, number int, r Rules, chance float64) Kind {
+// Call notes that the next call is made now, under this number, and gives its kind: the whole list, where no revision is known
+// to ask behind.
+func (s *Schedule) Call(now time.Time, number int, revisionKnown bool, r Rules, chance float64) Kind {
 	kind := s.kind
-	if kind == Ask && s.indexedOpen(now) && !r.Pushed {
+	if !revisionKnown || kind == Ask && s.indexedOpen(now) && !r.Pushed {
 		kind = Whole
 	}
 	s.newest, s.watching = number, kind == Watch
@@ -171,7 +173,8 @@
 	return scale(most, share*(leastOfShare+(1-leastOfShare)*clamp(chance)))
 }
 
-// Moved notes that another service is asked from now on. While services are busy, moves in quick succession bring one call.
+// Moved notes that another service is asked from now on. Moves in quick succession bring one call: what is asked of a service that
+// is left in a moment is lost on it.
 func (s *Schedule) Moved(now time.Time, chance float64) {
 	if due := now.Add(Moved); s.due.After(due) || !s.due.After(now) {
 		s.due = due
@@ -180,8 +183,9 @@
 	if s.next.IsZero() {
 		return
 	}
-	at := now
-	if s.busy(now) && now.Sub(s.heard) < freshFor {
+	at, again := now, !s.moved.IsZero() && now.Sub(s.moved) < quickMoves
+	s.moved = now
+	if again || s.busy(now) && now.Sub(s.heard) < freshFor {
 		at = now.Add(restOf(chance) / 2)
 		if s.kind != Watch && s.next.Before(at) {
 			at = s.next
--- a/internal/decisions/pacing/schedule_test.go
+++ b/internal/decisions/pacing/schedule_test.go
@@ -46,7 +46,8 @@
 	faults    []fault // of the calls that are made from now on
 	changedAt time.Time
 	toldAt    time.Time
-	most      int // calls open at a time
+	most      int  // calls open at a time
+	known     bool // a revision is
 
 	besideIndexed int // calls with an index that were made beside another one which may still have been served
 }
@@ -83,7 +84,7 @@
 // call makes the call that is due.
 func (s *simulation) call() {
 	s.made++
-	kind := s.schedule.Call(s.now, s.made, s.rules, s.chance())
+	kind := s.schedule.Call(s.now, s.made, s.known, s.rules, s.chance())
 	for _, o := range s.open {
 		if kind != Whole && o.kind == Ask && o.begun.Add(inTurn).After(s.now) && !s.rules.Pushed {
 			s.besideIndexed++
@@ -153,6 +154,7 @@
 			s.schedule.Failed(s.now, c.number, c.fault == answers503, s.rules, s.chance())
 			continue
 		}
+		s.known = true
 		told := !s.changedAt.IsZero()
 		if told && s.toldAt.IsZero() {
 			s.toldAt = s.now
@@ -166,7 +168,7 @@
 	start := time.Unix(1e9, 0)
 	rules := Rules{Pushed: pushed, Dispatchers: rapid.SampledFrom([]int{1, 5, 300, 900}).Draw(t, "dispatchers"),
 		Grace: time.Duration(rapid.Int64Range(int64(500*time.Millisecond), int64(3*time.Second)).Draw(t, "grace"))}
-	s := &simulation{schedule: NewSchedule(start), rules: rules, now: start}
+	s := &simulation{schedule: NewSchedule(start), rules: rules, now: start, known: rapid.Bool().Draw(t, "a revision is known")}
 	s.chance = func() float64 { return rapid.SampledFrom([]float64{0, 0.3, 0.5, 0.9, 1}).Draw(t, "chance") }
 	return s
 }
@@ -207,7 +209,7 @@
 		s := draw(t, false)
 		s.schedule.Begin(s.now)
 		s.run(s.now.Add(time.Duration(rapid.Int64Range(0, int64(20*time.Second)).Draw(t, "quiet"))))
-		s.open, s.faults = nil, drawFaults(t)
+		s.open, s.faults, s.known = nil, drawFaults(t), false
 		s.schedule.Moved(s.now, s.chance())
 		s.change()
 		s.run(s.now.Add(time.Minute))
@@ -258,10 +260,10 @@
 	behind := func(silent time.Duration) time.Duration {
 		s := NewSchedule(start)
 		s.Begin(start)
-		s.Call(start, 1, rules, 0.5)
+		s.Call(start, 1, true, rules, 0.5)
 		s.Answered(start, 1, 0, true, false, rules, 0.5)
 		now := start.Add(silent)
-		s.Call(now, 2, rules, 0.5)
+		s.Call(now, 2, true, rules, 0.5)
 		s.Failed(now, 2, true, rules, 0.5)
 		at, _ := s.Next()
 		return at.Sub(now)
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -80,7 +80,8 @@
 	if !ok || now.Before(at) {
 		return
 	}
-	kind := l.schedule.Call(now, l.made+1, l.rules(), rand.Float64())
+	revisionKnown := l.current.revision != Whole && !l.current.doubted
+	kind := l.schedule.Call(now, l.made+1, revisionKnown, l.rules(), rand.Float64())
 	l.begin(ctx, now, l.current, kind)
 }
 
@@ -92,7 +93,7 @@
 	l.made++
 	ctx, stop := context.WithCancel(ctx)
 	c := &listCall{number: l.made, service: to, kind: kind, revision: to.revision, begun: now, stop: stop}
-	if kind == pacing.Whole || to.doubted {
+	if kind == pacing.Whole {
 		c.revision = Whole
 	}
 	l.ledger.discoveryCalled(len(l.open) > 0)
