Logs tell refused calls from expired ones, an overdue list, and each worker's change of state

Change: failed calls are logged with number, time taken and how they ended, counted as discovery_refused and discovery_expired; 'the list is overdue'; 'worker's state'. Result: tests of routing and the process tests of discovery pass.

--- a/brain/api.go
+++ b/brain/api.go
@@ -96,6 +96,11 @@
 	Gone
 )
 
+// String names a state as the log does.
+func (s WorkerState) String() string {
+	return [...]string{Ready: "active", Draining: "draining", Gone: "gone"}[s]
+}
+
 // WorkerInfo is a line of the list.
 type WorkerInfo struct {
 	ID     WorkerID
--- a/internal/decisions/pacing/pacing.go
+++ b/internal/decisions/pacing/pacing.go
@@ -49,6 +49,9 @@
 	// inTurn is how long a call may take at a service that serves calls in turn: it fails one that has waited for 2 s.
 	inTurn = 2700 * time.Millisecond
 
+	// Queued is how long a call without a wait takes at least that had to wait for its turn at the service.
+	Queued = 500 * time.Millisecond
+
 	watchOverlap = 100 * time.Millisecond  // a watch that has not answered so long after its wait gets a call beside it, ...
 	watchSpread  = 350 * time.Millisecond  // ... spread by this at most: where discovery falls silent it does so for all
 	gap          = 1600 * time.Millisecond // a call that does not wait gets a further one beside it, ...
@@ -58,7 +61,7 @@
 	// A service that refused a call, or took longer than busyAnswer over one, has many callers for a while. A call that it has
 	// let in waits there for its turn: none is made beside it for as long as it may be served, unless less than busyFrom is
 	// left.
-	busyAnswer = 500 * time.Millisecond
+	busyAnswer = Queued
 	busyFor    = 10 * time.Second
 	busyFrom   = 3800 * time.Millisecond
 
--- a/internal/protocol/figures.go
+++ b/internal/protocol/figures.go
@@ -20,5 +20,6 @@
 	fmt.Fprintf(&b, "dispatches=%d\nconcurrent=%d\ntargets=%d\ntargets_disabled=%d\nreload_success=%d\nreload_failure=%d\n",
 		f.Dispatches, f.Concurrent, f.Targets, f.Avoided, f.ReloadsTaken, f.ReloadsRefused)
 	fmt.Fprintf(&b, "discovery_calls=%d\ndiscovery_overlaps=%d\ndiscovery_failures=%d\n", f.DiscoveryCalls, f.DiscoveryOverlaps, f.DiscoveryFailures)
+	fmt.Fprintf(&b, "discovery_refused=%d\ndiscovery_expired=%d\n", f.DiscoveryRefused, f.DiscoveryExpired)
 	return b.String()
 }
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -60,8 +60,7 @@
 	rules    func() pacing.Rules
 	answered time.Time     // when discovery last answered; before, when this process began
 	first    chan struct{} // closed when the first call has ended, however
-	fault    string        // of the last call; empty where it succeeded
-	faults   int           // calls that failed since one succeeded
+	failures callFailures  // since a call succeeded
 	reported time.Time     // when a row of failures was last logged
 }
 
@@ -191,7 +190,7 @@
 	case m.err != nil && c.service != s.calls.current: // it is asked no more
 	case m.err != nil:
 		if ctx.Err() == nil {
-			s.failed(m.err)
+			s.failed(c, m.err, now)
 		}
 		s.calls.schedule.Failed(now, c.number, errors.Is(m.err, ErrRefused), rules, rand.Float64())
 	case c.service != s.calls.current:
@@ -256,27 +255,34 @@
 	}
 }
 
-// mended notes that calls succeed again.
+// mended notes that calls succeed again. It is called behind the list has come into force.
 func (s *Destinations) mended() {
-	if s.faults > 0 {
-		s.log.Info("discovery answers again", "failed_calls", s.faults)
-		s.fault, s.faults = "", 0
+	if s.failures.calls > 0 {
+		s.log.Info("discovery answers again", "failed_calls", s.failures.calls, "refused", s.failures.refused, "expired", s.failures.expired)
 	}
+	s.failures = callFailures{}
 }
 
 // failed notes a failed call. The same fault again is no news: a list that is wrong is wrong at every call.
-func (s *Destinations) failed(err error) {
+func (s *Destinations) failed(c *listCall, err error, now time.Time) {
+	took := now.Sub(c.begun)
+	how := failureOf(err, took)
 	level := slog.LevelWarn
-	if s.fault == err.Error() {
+	if s.failures.last == err.Error() {
 		level = slog.LevelDebug
 	}
-	s.fault = err.Error()
-	s.faults++
-	s.core.ledger.discoveryFailed()
-	s.log.Log(context.Background(), level, "discovery failed, the old list holds", "revision", s.calls.current.revision, "list_age", s.age(), "err", err)
-	if now := time.Now(); s.faults > 1 && now.Sub(s.reported) >= reportEvery {
+	s.failures.note(err, how)
+	s.core.ledger.discoveryFailed(how)
+	s.log.Log(context.Background(), level, "discovery failed, the old list holds", "call", c.number, "how", how.String(), "took", took.Round(time.Millisecond),
+		"revision", s.calls.current.revision, "list_age", s.age(), "err", err)
+	if s.failures.calls > 1 && now.Sub(s.reported) >= reportEvery {
 		s.reported = now
-		s.log.Info("discovery keeps failing", "failed_calls", s.faults, "list_age", s.age(), "err", err)
+		s.log.Info("discovery keeps failing", "failed_calls", s.failures.calls, "refused", s.failures.refused, "expired", s.failures.expired,
+			"list_age", s.age(), "err", err)
+	}
+	if age := now.Sub(s.answered); age > pacing.Told && !s.failures.overdue {
+		s.failures.overdue = true
+		s.log.Warn("the list is overdue: workers that drain may still get requests", "list_age", s.age(), "failed_calls", s.failures.calls)
 	}
 }
 
@@ -358,6 +364,7 @@
 	if d.Address == "" {
 		d.Address = old.Address
 	}
+	s.logState(old, d)
 	d.Age = 0 // it grows
 	if d.State == brain.Gone {
 		delete(s.known, d.ID)
@@ -368,3 +375,18 @@
 	old.Weight, old.Told = d.Weight, d.Told
 	return old != d
 }
+
+// logState tells of a worker whose state has changed. That a worker is new is no change: a first list may have thousands.
+func (s *Destinations) logState(old, d Destination) {
+	if _, known := s.known[d.ID]; known && old.State != d.State {
+		s.log.Info("worker's state", "worker", d.ID, "from", old.State.String(), "to", d.State.String(), "told_ago", ago(d.Told))
+	}
+}
+
+// ago is how long ago a time was; 0 for none.
+func ago(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return time.Since(t).Round(time.Millisecond)
+}
--- a/internal/routing/ledger.go
+++ b/internal/routing/ledger.go
@@ -26,6 +26,8 @@
 	DiscoveryCalls               int       // calls made for the list
 	DiscoveryOverlaps            int       // of these, made while another was open
 	DiscoveryFailures            int       // those of them that brought no list
+	DiscoveryRefused             int       // of these, refused at once
+	DiscoveryExpired             int       // of these, refused behind a wait for their turn
 	ListHeard                    time.Time // when discovery last answered; zero while it has not
 }
 
@@ -106,7 +108,19 @@
 	})
 }
 
-func (l *Ledger) discoveryFailed()       { l.enter(func(f *Figures) { f.DiscoveryFailures++ }) }
+// discoveryFailed counts a call that brought no list.
+func (l *Ledger) discoveryFailed(how callFailure) {
+	l.enter(func(f *Figures) {
+		f.DiscoveryFailures++
+		switch how {
+		case refusedAtOnce:
+			f.DiscoveryRefused++
+		case expiredInQueue:
+			f.DiscoveryExpired++
+		}
+	})
+}
+
 func (l *Ledger) listHeard(at time.Time) { l.enter(func(f *Figures) { f.ListHeard = at }) }
 
 func (l *Ledger) taken() { l.enter(func(f *Figures) { f.Concurrent++ }) }
