Failing tests: an overloaded discovery serves expired calls only, and drains stay unheard

Cause (measured, docs/incidents): calls are repeated faster than discovery serves them; its queue outgrows the 2 s for which it lets a call wait, and it works on expired calls.

--- a/brain/membership.go
+++ b/brain/membership.go
@@ -54,11 +54,20 @@
 // is to tell counts as told 6 s after it could be had, whatever failed; pacing has the sum of these.
 func (d *Dispatcher) ask(most time.Duration) {
 	if d.set.Ask {
-		wait := askLeast + min(askSpread*time.Duration(d.set.Dispatchers), most-askLeast)
-		d.do(Wake{Token: askToken, After: time.Duration(float64(wait)*(0.2+0.8*d.rng.Float64())) + 1})
+		d.do(Wake{Token: askToken, After: askWait(d.set.Dispatchers, most, d.rng.Float64()) + 1})
 	}
 }
 
+// FirstAsk is how long behind its start one of so many dispatchers asks for the list, by chance from 0 to 1.
+func FirstAsk(dispatchers int, chance float64) time.Duration {
+	return askWait(dispatchers, askFirst, chance)
+}
+
+func askWait(dispatchers int, most time.Duration, chance float64) time.Duration {
+	wait := askLeast + min(askSpread*time.Duration(dispatchers), most-askLeast)
+	return time.Duration(float64(wait) * (0.2 + 0.8*chance))
+}
+
 // choose picks the workers that jobs are drawn to. Where jobs have keys it is all: what a key needs is at
 // its homes, the same for every dispatcher. Else, on a fleet large against the own job rate, it is few: of
 // too many a dispatcher hears so seldom that it knows none. All deal the workers of a zone out along the same
--- a/cmd/brassdale/crowded_test.go
+++ b/cmd/brassdale/crowded_test.go
@@ -20,6 +20,8 @@
 	perNews  time.Duration // to tell one watch of a change
 	mostWait time.Duration // a call that would wait longer is refused
 	refuse   time.Duration // how long a refusal takes
+	expires  time.Duration // a call that has waited so long is answered 503, and its work is done all the same; 0 for never
+	down     time.Time     // until then each call is answered 503 behind that wait
 
 	mu       sync.Mutex
 	free     time.Time // when all that was accepted is served
@@ -30,6 +32,7 @@
 	ended    map[string]chan struct{} // by dispatcher: closed when its calls with an index are ended
 	calls    int
 	refused  int
+	expired  int
 }
 
 func newCrowdedDiscovery(first string) *crowdedDiscovery {
@@ -82,6 +85,11 @@
 	wait, _ := strconv.Atoi(query.Get("wait"))
 	over := time.After(time.Duration(wait) * time.Millisecond)
 
+	if time.Now().Before(c.down) {
+		time.Sleep(c.expires)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	c.mu.Lock()
 	c.calls++
 	ended := c.ended[dispatcher]
@@ -102,6 +110,14 @@
 		if !watch {
 			ended = nil
 		}
+		if c.expires > 0 && time.Until(turn) > c.expires {
+			c.mu.Lock()
+			c.expired++
+			c.mu.Unlock()
+			time.Sleep(c.expires)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		select {
 		case <-ended:
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/cmd/brassdale/stand_test.go
+++ b/cmd/brassdale/stand_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -47,6 +48,7 @@
 	runs            map[string]int // by key
 	since           int64          // when it started, in Unix time; 0 for long ago
 	closed          chan string    // Req-Id of each job whose connection the dispatcher closed
+	unready         atomic.Bool    // it answers probes with 503, as a worker does that drains
 }
 
 func newWorker(t testing.TB, id string, script func(*worker, net.Conn, *http.Request)) *worker {
@@ -83,6 +85,10 @@
 		if err != nil {
 			return
 		}
+		if r.URL.Path == "/stats" && b.unready.Load() {
+			fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		if r.URL.Path == "/stats" {
 			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 26\r\n\r\nutil=0.1,queue=0,x0=5,x1=5")
 			continue
