Calls to discovery are spaced by what it can serve for all dispatchers

Cause: behind failed calls each dispatcher called again within 0.1 to 0.4 s, beside calls that still waited; discovery's queue outgrew the time for which it lets calls wait, and it worked on expired calls only. Change: the time until a change counts as told is divided evenly among four calls; behind an expired call, or where a change counts as told, all dispatchers together call no faster than a service serves that needs some seconds for all; first calls and calls behind silent watches are spread over up to 3 s and 1.2 s.

--- a/brain/membership.go
+++ b/brain/membership.go
@@ -64,8 +64,8 @@
 }
 
 func askWait(dispatchers int, most time.Duration, chance float64) time.Duration {
-	wait := askLeast + min(askSpread*time.Duration(dispatchers), most-askLeast)
-	return time.Duration(float64(wait) * (0.2 + 0.8*chance))
+	wait := askLeast + min(askSpread*time.Duration(max(dispatchers-askFew, 0)), most-askLeast)
+	return time.Duration(float64(wait) * (askSoonest + (1-askSoonest)*chance))
 }
 
 // choose picks the workers that jobs are drawn to. Where jobs have keys it is all: what a key needs is at
--- a/internal/decisions/pacing/crowd_test.go
+++ b/internal/decisions/pacing/crowd_test.go
@@ -149,7 +149,7 @@
 	c.open = slices.Delete(c.open, i, i+1)
 	d := o.caller
 	if o.fails {
-		d.schedule.Failed(c.now, o.number, true, c.rules, c.chance())
+		d.schedule.Failed(c.now, o.number, FailureOf(true, c.now.Sub(o.begun)), c.rules, c.chance())
 		return
 	}
 	d.watched = c.now
@@ -238,7 +238,7 @@
 // needs some seconds for all dispatchers.
 func TestHerdAtACrowdedService(t *testing.T) {
 	for _, dispatchers := range []int{6, 16, 40, 100, 300} {
-		for seed := range uint64(20) {
+		for seed := range uint64(40) {
 			h := herd{dispatchers: dispatchers, killed: dispatchers * 7 / 10, service: serviceOf(dispatchers), down: 8 * time.Second,
 				backBeforeKill: 1800 * time.Millisecond, restartAfter: time.Second, newsEvery: 600 * time.Millisecond}
 			c, heard := h.play(seed, 10*time.Second)
@@ -250,3 +250,44 @@
 		}
 	}
 }
+
+// silence has all watches fall silent at once, after which the list changes.
+func silence(seed uint64, dispatchers int, service crowdedService, until time.Duration) (*crowd, []time.Duration) {
+	start := time.Unix(1e9, 0)
+	c := &crowd{rules: Rules{Dispatchers: dispatchers}, random: rand.New(rand.NewPCG(seed, 1)), service: service, now: start}
+	for range dispatchers {
+		d := &crowdCaller{schedule: NewSchedule(start)}
+		d.schedule.Begin(start.Add(scale(10*time.Second, c.chance())))
+		c.callers = append(c.callers, d)
+	}
+	silent := start.Add(30 * time.Second)
+	c.run(silent)
+	for _, o := range c.open {
+		o.endsAt, o.fails = c.now.Add(time.Hour), true
+	}
+	c.service.free = c.now
+	c.publish()
+	c.interest = c.service.revision
+	c.run(silent.Add(until))
+	var heard []time.Duration
+	for _, d := range c.callers {
+		took := until
+		if !d.heard.IsZero() {
+			took = d.heard.Sub(silent)
+		}
+		heard = append(heard, took)
+	}
+	return c, heard
+}
+
+// All watches fall silent at once, and all dispatchers notice it at about the same time.
+func TestSilenceAtACrowdedService(t *testing.T) {
+	for _, dispatchers := range []int{6, 16, 40, 100, 300} {
+		for seed := range uint64(40) {
+			_, heard := silence(seed, dispatchers, serviceOf(dispatchers), 10*time.Second)
+			if worst := slices.Max(heard); worst > mostUnheard {
+				t.Errorf("seed %d: %d dispatchers, the last heard of the drain after %v", seed, dispatchers, worst)
+			}
+		}
+	}
+}
--- a/internal/decisions/pacing/pacing.go
+++ b/internal/decisions/pacing/pacing.go
@@ -9,11 +9,10 @@
 // Schedule promises, where calls other than the failing ones are answered:
 //
 //  1. Behind an answer, three calls that hang, break off, are refused, or answer 2 s late, in any order, hold a change back
-//     by no more than Told; behind a move of discovery by no more than Moved. The longest path where lists are asked for: a
-//     watch falls silent as it begins, the next call is made Wait + watchOverlap + watchSpread later (1.95 s), three further
-//     ones gap, lateGap and lateGap later (4.95 s), and the last has 1 s for its answer (of 5.95 s). Behind a move the fourth
-//     call is made busyRest/2 + gap + 2 lateGap later at the latest (3.5 s) and has 0.5 s. A new process calls within 3 s; its
-//     fourth call is made at 5.1 s at the latest.
+//     by no more than Told; behind a move of discovery by no more than Moved. Four calls are made in that time, and what is left
+//     of it is divided evenly among them, less lastAnswer for the last. The longest paths where lists are asked for: a watch
+//     falls silent as it begins, and the next call is made Wait + watchOverlap + watchSpread later (2.8 s); or a new process
+//     makes its first call 3 s behind its start. The fourth is made at 5.8 s at the latest.
 //  2. Where lists are pushed, the same within the grace for a drain less its margin: what the agent has counts as told at
 //     once. The longest path is (1 + 1/4 + 3/2) of a fifth of the grace: 0.275 s of 0.5 s.
 //  3. A watch goes on inside the gap within which it counts as one, whatever the number of dispatchers and the chance drawn.
@@ -24,8 +23,11 @@
 //  7. A service that refuses calls or takes long over them is spared by those that have just heard from it: they begin a new
 //     watch a while later. Moves in quick succession bring one call.
 //  8. Of many dispatchers that a crowded service refuses, those that have gone longest without an answer call most often: they
-//     get the places in its queue before those that heard a moment ago. One without an answer for longer than Told calls less
-//     often again: then the service is down.
+//     get the places in its queue before those that heard a moment ago.
+//  9. A service that serves calls in turn and needs up to 3.6 s to serve one of each dispatcher serves all of them in time
+//     when it comes back from an outage, and when most of them begin anew right behind that. Calls that it lets in may expire in
+//     its queue, which costs it the same work: so one behind such a call, or where a change counts as told already, comes
+//     overdueSpan behind the beginning of the last.
 package pacing
 
 import "time"
@@ -53,10 +55,12 @@
 	Queued = 500 * time.Millisecond
 
 	watchOverlap = 100 * time.Millisecond  // a watch that has not answered so long after its wait gets a call beside it, ...
-	watchSpread  = 350 * time.Millisecond  // ... spread by this at most: where discovery falls silent it does so for all
-	gap          = 1600 * time.Millisecond // a call that does not wait gets a further one beside it, ...
-	lateGap      = 700 * time.Millisecond  // ... sooner where less than lateFrom is left until a change counts as told
-	lateFrom     = 3200 * time.Millisecond
+	overlapEach  = 200 * time.Millisecond  // ... spread by so much for each dispatcher beside this one ...
+	watchSpread  = 1200 * time.Millisecond // ... and by this at most: where discovery falls silent it does so for all
+	gap          = 2100 * time.Millisecond // a call that does not wait gets a further one beside it at the latest, ...
+	leastGap     = 300 * time.Millisecond  // ... and no sooner than this
+	tries        = 4                       // calls that are made until a change counts as told
+	lastAnswer   = 200 * time.Millisecond  // that the last of them has for its answer
 
 	// A service that refused a call, or took longer than busyAnswer over one, has many callers for a while. A call that it has
 	// let in waits there for its turn: none is made beside it for as long as it may be served, unless less than busyFrom is
@@ -76,15 +80,14 @@
 	empty  = 20 * time.Millisecond  // after an answer that told nothing
 	prompt = 100 * time.Millisecond // and that came at once, as an agent's may
 
-	// Behind a call that failed the next is made after a share of this, by how long there has been no answer.
+	// Behind a call that failed the next is made after an even part of the time left, or this, if it is less.
 	backoffLeast = 100 * time.Millisecond
-	backoffEach  = 50 * time.Millisecond // for each dispatcher
-	backoffMost  = 900 * time.Millisecond
+	backoffEach  = 300 * time.Millisecond // for each dispatcher beside this one
+	backoffMost  = 2 * time.Second
+	leastOfShare = 0.4 // of that is no chance
 
-	heardShare   = 1.2  // of the backoff, right behind an answer, ...
-	urgentShare  = 0.15 // ... when a change is about to count as told, ...
-	downShare    = 0.6  // ... and when it would count as told already
-	leastOfShare = 0.4  // of that is no chance
+	overdueEach = 800 * time.Millisecond // between the beginnings of calls where a change counts as told, for each dispatcher, ...
+	overdueMost = 5 * time.Second        // ... and at most
 
 	agentLeast = 50 * time.Millisecond // a call to an agent may take so long, whatever the grace
 	agentTries = 4                     // calls without an answer, behind which an agent is called every prompt only
@@ -102,6 +105,31 @@
 // String names a kind as the log does.
 func (k Kind) String() string { return [...]string{Watch: "watch", Ask: "ask", Whole: "whole"}[k] }
 
+// Failure is how a call ended that brought no list.
+type Failure uint8
+
+const (
+	Broken  Failure = iota // no connection, it broke off, or nothing came
+	Refused                // the service had no room for it
+	Expired                // the service let it wait for its turn, and gave it up before
+)
+
+// String names a failure as the log does.
+func (f Failure) String() string {
+	return [...]string{Broken: "broken", Refused: "refused", Expired: "expired"}[f]
+}
+
+// FailureOf tells how a call ended that took so long, by whether the service said that it serves no more calls for now.
+func FailureOf(refused bool, took time.Duration) Failure {
+	switch {
+	case !refused:
+		return Broken
+	case took >= Queued:
+		return Expired
+	}
+	return Refused
+}
+
 // Rules are the settings that calls go by.
 type Rules struct {
 	Pushed      bool          // lists are pushed to an agent, which is called
--- a/internal/decisions/pacing/schedule.go
+++ b/internal/decisions/pacing/schedule.go
@@ -14,7 +14,8 @@
 
 	newest     int // number of the newest call; 0 once it has ended
 	watching   bool
-	unanswered int // calls that were begun since the last answer
+	unanswered int       // calls that were begun since the last answer
+	begun      time.Time // when the newest one was
 
 	indexed      int       // number of the newest call with an index; 0 once it has ended
 	indexedUntil time.Time // until when it may still be served
@@ -49,6 +50,7 @@
 	}
 	s.newest, s.watching = number, kind == Watch
 	s.unanswered++
+	s.begun = now
 	if kind != Whole {
 		s.indexed, s.indexedUntil = number, now.Add(r.served(kind))
 	}
@@ -79,17 +81,20 @@
 	case r.Pushed:
 		return r.agentSpan() / 2
 	case kind == Watch:
-		spread := min(time.Duration(max(r.Dispatchers-1, 0))*each, watchSpread)
+		spread := min(time.Duration(max(r.Dispatchers-1, 0))*overlapEach, watchSpread)
 		return Wait + watchOverlap + scale(spread, clamp(chance))
 	}
 	left := s.due.Sub(now)
-	switch {
-	case s.busy(now) && (left <= 0 || left > busyFrom):
+	if left <= lastAnswer || s.busy(now) && left > busyFrom {
 		return inTurn
-	case left > 0 && left < lateFrom:
-		return lateGap
 	}
-	return gap
+	return min(s.evenly(left), gap)
+}
+
+// evenly divides the time that is left until a change may count as told among the calls that are still to be made in it. To make
+// them as early as possible would fill the service's queue with calls that wait for the same answer.
+func (s *Schedule) evenly(left time.Duration) time.Duration {
+	return max((left-lastAnswer)/time.Duration(max(tries-s.unanswered, 1)), leastGap)
 }
 
 // Answered notes that a call brought the list, how long it took, and whether it told anything or came before its wait was
@@ -141,36 +146,48 @@
 	}
 }
 
-// Failed notes that a call ended without the list, and whether the service refused it. The next call is made sooner where no
-// newer one is open.
-func (s *Schedule) Failed(now time.Time, number int, refused bool, r Rules, chance float64) {
-	if refused {
+// Failed notes that a call ended without the list, and how. The next call is made sooner where no newer one is open, and later
+// where the service has too many callers: what it lets in then it serves too late.
+func (s *Schedule) Failed(now time.Time, number int, how Failure, r Rules, chance float64) {
+	if how != Broken {
 		s.busyUntil = now.Add(busyFor)
 	}
 	last := number == s.newest || s.newest == 0 && number == s.indexed
 	s.ended(number)
-	if !last {
+	if !last && how != Expired {
 		return
 	}
-	if at := now.Add(s.backoff(now, r, chance)); at.Before(s.next) {
+	if at := now.Add(s.backoff(now, how, r, chance)); at.Before(s.next) || how != Broken {
 		s.AskAt(at)
 	}
 }
 
 // backoff is how long behind a failed call the next is made.
-func (s *Schedule) backoff(now time.Time, r Rules, chance float64) time.Duration {
+func (s *Schedule) backoff(now time.Time, how Failure, r Rules, chance float64) time.Duration {
 	if r.Pushed {
 		if s.unanswered > agentTries {
 			return prompt
 		}
 		return r.agentSpan() / 4
 	}
-	most := min(backoffLeast+backoffEach*time.Duration(max(r.Dispatchers, 1)), backoffMost)
-	share := downShare
-	if left := s.heard.Add(Told).Sub(now); left > 0 {
-		share = urgentShare + (heardShare-urgentShare)*min(float64(left)/float64(Told), 1)
+	left := s.due.Sub(now)
+	if left <= lastAnswer || how == Expired {
+		next := s.begun.Add(overdueSpan(how, r.Dispatchers, chance))
+		return max(next.Sub(now), backoffLeast)
+	}
+	most := min(backoffLeast+backoffEach*time.Duration(max(r.Dispatchers-1, 0)), backoffMost)
+	return scale(min(s.evenly(left), most), leastOfShare+(1-leastOfShare)*clamp(chance))
+}
+
+// overdueSpan is how long behind the beginning of a failed call the next is begun where a change counts as told already, or the
+// service is known to serve too late. All dispatchers together then call no faster than it serves them that needs some seconds for
+// all. A call that was refused at once has cost it nothing.
+func overdueSpan(how Failure, dispatchers int, chance float64) time.Duration {
+	span := min(overdueEach*time.Duration(dispatchers), overdueMost)
+	if how == Refused {
+		span /= 2
 	}
-	return scale(most, share*(leastOfShare+(1-leastOfShare)*clamp(chance)))
+	return scale(span, (1+clamp(chance))/2)
 }
 
 // Moved notes that another service is asked from now on. Moves in quick succession bring one call: what is asked of a service that
--- a/internal/decisions/pacing/schedule_test.go
+++ b/internal/decisions/pacing/schedule_test.go
@@ -151,7 +151,11 @@
 		c := s.open[ending]
 		s.open = append(s.open[:ending], s.open[ending+1:]...)
 		if c.fails {
-			s.schedule.Failed(s.now, c.number, c.fault == answers503, s.rules, s.chance())
+			how := Broken
+			if c.fault == answers503 {
+				how = Refused
+			}
+			s.schedule.Failed(s.now, c.number, how, s.rules, s.chance())
 			continue
 		}
 		s.known = true
@@ -264,7 +268,7 @@
 		s.Answered(start, 1, 0, true, false, rules, 0.5)
 		now := start.Add(silent)
 		s.Call(now, 2, true, rules, 0.5)
-		s.Failed(now, 2, true, rules, 0.5)
+		s.Failed(now, 2, Refused, rules, 0.5)
 		at, _ := s.Next()
 		return at.Sub(now)
 	}
--- a/internal/routing/calls.go
+++ b/internal/routing/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"math/rand/v2"
 	"slices"
@@ -166,3 +167,8 @@
 func (c *listCall) outdated(u Update) bool {
 	return u.Revision < c.service.revision && c.begun.Before(c.service.heard)
 }
+
+// failure tells how a call failed, as far as that tells of the service's load.
+func (c *listCall) failure(err error, now time.Time) pacing.Failure {
+	return pacing.FailureOf(errors.Is(err, ErrRefused), now.Sub(c.begun))
+}
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -192,7 +192,7 @@
 		if ctx.Err() == nil {
 			s.failed(c, m.err, now)
 		}
-		s.calls.schedule.Failed(now, c.number, errors.Is(m.err, ErrRefused), rules, rand.Float64())
+		s.calls.schedule.Failed(now, c.number, c.failure(m.err, now), rules, rand.Float64())
 	case c.service != s.calls.current:
 		s.takeFormer(ctx, c, m.update)
 	case c.outdated(m.update):
@@ -265,8 +265,7 @@
 
 // failed notes a failed call. The same fault again is no news: a list that is wrong is wrong at every call.
 func (s *Destinations) failed(c *listCall, err error, now time.Time) {
-	took := now.Sub(c.begun)
-	how := failureOf(err, took)
+	took, how := now.Sub(c.begun), c.failure(err, now)
 	level := slog.LevelWarn
 	if s.failures.last == err.Error() {
 		level = slog.LevelDebug
--- a/internal/routing/ledger.go
+++ b/internal/routing/ledger.go
@@ -4,6 +4,8 @@
 	"maps"
 	"sync"
 	"time"
+
+	"brassdale/internal/decisions/pacing"
 )
 
 // Ledger is the account of what became of the requests: each is entered once, where its one final answer is
@@ -109,13 +111,13 @@
 }
 
 // discoveryFailed counts a call that brought no list.
-func (l *Ledger) discoveryFailed(how callFailure) {
+func (l *Ledger) discoveryFailed(how pacing.Failure) {
 	l.enter(func(f *Figures) {
 		f.DiscoveryFailures++
 		switch how {
-		case refusedAtOnce:
+		case pacing.Refused:
 			f.DiscoveryRefused++
-		case expiredInQueue:
+		case pacing.Expired:
 			f.DiscoveryExpired++
 		}
 	})
