Where the list is overdue, a worker is checked before it gets a request

Cause: a dispatcher that discovery refuses for over 6 s goes on by its old list; what drained since counts as told all the same. Only where lists are asked for and probes allowed.

--- a/brain/api.go
+++ b/brain/api.go
@@ -63,6 +63,7 @@
 	MaxRetryAfter                time.Duration
 
 	AskWithin     time.Duration // where Ask: without a call for so long it counts as told of all since
+	ListValid     time.Duration // how long a worker may be sent requests behind the last word that it takes them, where probes may be made; 0 for ever
 	AnswerSlack   time.Duration // how late after its deadline a final answer still counts
 	Cold          time.Duration // a started worker is warm after this long at most
 	StartCapacity float64       // and starts at this share of its capacity
@@ -117,6 +118,7 @@
 type Listed struct {
 	Kind    ListKind
 	Workers []WorkerInfo
+	AsOf    Clock // all that discovery had then is told by now; 0 where that is as it was
 }
 
 // Arrived is a client's request. The dispatcher owes it one final answer before Expires.
--- a/brain/attempts.go
+++ b/brain/attempts.go
@@ -32,7 +32,7 @@
 	if w.pushes++; w.pushes >= pushesToHalve {
 		w.increment, w.pushes = max(w.increment/2, leastIncrement), 0
 	}
-	by := d.repeatBy(r)
+	by := earlier(d.repeatBy(r), d.sendBy(w))
 	a := attempt{w: w, sent: d.now, out: true, maybe: true, idle: idle, trial: w.own == r.slots && d.unheard(w)}
 	if a.trial {
 		d.trials++
--- a/brain/health.go
+++ b/brain/health.go
@@ -82,7 +82,7 @@
 	if w == nil {
 		return
 	}
-	w.probing = false
+	d.checked(w, e.Outcome)
 	if e.Outcome == Served {
 		d.heard(w)
 		if e.Report != nil && *e.Report != w.last { // else not refreshed since: it is as old as it was
--- a/brain/membership.go
+++ b/brain/membership.go
@@ -11,6 +11,9 @@
 )
 
 func (d *Dispatcher) onListed(e Listed) {
+	if e.AsOf != 0 {
+		d.listAsOf = e.AsOf
+	}
 	if e.Kind == ListFull || e.Kind == ListSaved {
 		for _, w := range d.workers {
 			w.listed = false
--- a/brain/pick.go
+++ b/brain/pick.go
@@ -26,10 +26,21 @@
 	return !d.set.ReportsPulled && d.now-w.reported > silentLeast
 }
 
-// pick gives the worker of the lowest load value among those that may take the request, or nil.
+// pick gives the worker of the lowest load value among those that may take the request, or nil. One that may have begun to drain
+// unheard is checked first, and another one is taken meanwhile.
 func (d *Dispatcher) pick(r *request, allow float64) *worker {
+	best := d.best(r, allow, d.checkable)
+	if best == nil || d.fresh(best) {
+		return best
+	}
+	d.check(best)
+	return d.best(r, allow, d.fresh)
+}
+
+// best gives the worker of the lowest load value among the eligible ones that may take the request, or nil.
+func (d *Dispatcher) best(r *request, allow float64, eligible func(*worker) bool) *worker {
 	fit := func(w *worker) bool { return d.sound(w, r.class) && !r.tried(w) }
-	can := func(w *worker) bool { return d.may(r, w) && fit(w) }
+	can := func(w *worker) bool { return eligible(w) && d.may(r, w) && fit(w) }
 	from, forced := d.nearOf(r.key), false
 	if !slices.ContainsFunc(from, can) {
 		from, forced = d.workers, !slices.ContainsFunc(d.workers, can)
@@ -44,7 +55,7 @@
 	for i := range from {
 		n := (d.cursor + i) % len(from)
 		w := from[n]
-		if !d.may(r, w) || !forced && !fit(w) || !d.hasRoom(w, r.slots, allow) || !d.affords(w, r) {
+		if !eligible(w) || !d.may(r, w) || !forced && !fit(w) || !d.hasRoom(w, r.slots, allow) || !d.affords(w, r) {
 			continue
 		}
 		v := d.value(w)
--- a/brain/review.go
+++ b/brain/review.go
@@ -47,8 +47,8 @@
 		}
 		if d.set.ReportsPulled && d.set.MayProbe && w.listed && !w.out && !w.probing && d.now >= w.nextProbe {
 			// Spread, so that not all workers are known equally late, nor all dispatchers at once.
-			w.probing, w.nextProbe = true, d.now+time.Duration((0.75+d.rng.Float64()/2)*pause)
-			d.do(Probe{Worker: w.ID})
+			w.nextProbe = d.now + time.Duration((0.75+d.rng.Float64()/2)*pause)
+			d.probe(w)
 		}
 	}
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -69,6 +69,9 @@
 	used       Clock   // last push or answer
 	nextProbe  Clock
 	probing    bool
+	probedAt   Clock   // when the last probe was begun
+	passedAt   Clock   // when the last was that it answered as one that takes requests
+	checkFrom  Clock   // behind a probe that failed: no check before
 	sent       []spend // work pushed while cold
 }
 
@@ -135,6 +138,7 @@
 	jam           float64 // part of the recent jobs that waited for their start
 	tickAt        Clock   // when the next look is due
 
+	listAsOf            Clock                 // the list tells all that discovery had then
 	first, last, chosen Clock                 // first event, last arrival, last choice of near
 	processes           int                   // that act as this dispatcher
 	ends                Clock                 // when this process ends; 0 while nobody says so
--- a/internal/decisions/pacing/schedule.go
+++ b/internal/decisions/pacing/schedule.go
@@ -85,7 +85,7 @@
 		return Wait + watchOverlap + scale(spread, clamp(chance))
 	}
 	left := s.due.Sub(now)
-	if left <= lastAnswer || s.busy(now) && left > busyFrom {
+	if left <= lastAnswer || s.Busy(now) && left > busyFrom {
 		return inTurn
 	}
 	return min(s.evenly(left), gap)
@@ -112,7 +112,7 @@
 	case watchOpen:
 	case s.indexedOpen(now) && !r.Pushed:
 		s.AskAt(s.indexedUntil)
-	case whole && s.busy(now) && !r.Pushed:
+	case whole && s.Busy(now) && !r.Pushed:
 		s.next, s.kind = now.Add(restOf(chance)), Watch
 	default:
 		s.next, s.kind = now.Add(r.rewatch(fresh, early, chance)), Watch
@@ -122,8 +122,8 @@
 // HeardElsewhere notes that a service before a move told its list.
 func (s *Schedule) HeardElsewhere(now time.Time) { s.heard = now }
 
-// busy tells whether the service has many callers.
-func (s *Schedule) busy(now time.Time) bool { return now.Before(s.busyUntil) }
+// Busy tells whether the service has many callers.
+func (s *Schedule) Busy(now time.Time) bool { return now.Before(s.busyUntil) }
 
 // restOf is how long a call waits that a busy service had better not be asked for now.
 func restOf(chance float64) time.Duration { return scale(busyRest, (1+clamp(chance))/2) }
@@ -202,7 +202,7 @@
 	}
 	at, again := now, !s.moved.IsZero() && now.Sub(s.moved) < quickMoves
 	s.moved = now
-	if again || s.busy(now) && now.Sub(s.heard) < freshFor {
+	if again || s.Busy(now) && now.Sub(s.heard) < freshFor {
 		at = now.Add(restOf(chance) / 2)
 		if s.kind != Watch && s.next.Before(at) {
 			at = s.next
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"brassdale/brain"
+	"brassdale/internal/decisions/pacing"
 )
 
 // Micros is a time or a span on the wire.
@@ -152,6 +153,9 @@
 		CrossZonePrice: p.Prices.CrossZone,
 		WorthByWork:    p.CountedBy == "work",
 	}
+	if s.Ask {
+		s.ListValid = pacing.Told + p.Rules.DrainGrace.Span()
+	}
 	for i, c := range p.Classes {
 		class := brain.Class{
 			Aim: c.Aim.Span(), Stretch: c.AimStretch, Deadline: c.Deadline.Span(),
--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -59,11 +59,16 @@
 
 	rules    func() pacing.Rules
 	answered time.Time     // when discovery last answered; before, when this process began
+	asOf     time.Time     // all that discovery had then is known
 	first    chan struct{} // closed when the first call has ended, however
 	failures callFailures  // since a call succeeded
 	reported time.Time     // when a row of failures was last logged
 }
 
+// beforeStart is how long before the start of a process a change may have been made that counts as told in its time: the process
+// before it has just ended, or it was killed.
+const beforeStart = 2 * time.Second
+
 // reportEvery is how often a row of failed calls to discovery is logged at the most.
 const reportEvery = time.Second
 
@@ -80,6 +85,7 @@
 		rules: func() pacing.Rules { return pacing.Rules{Dispatchers: 1} }, answered: now, first: make(chan struct{})}
 	s.calls = &listCalls{schedule: pacing.NewSchedule(now), rules: func() pacing.Rules { return s.rules() },
 		current: &service{discovery: d}, ended: func(m callEnded) { s.mailbox.Post(m) }, ledger: &c.ledger, log: log}
+	s.asOf = now.Add(-beforeStart)
 	s.apply(saved, brain.ListSaved)
 	s.calls.current.revision = saved.Revision
 	return s
@@ -152,7 +158,9 @@
 		// The new one is asked for its whole set: nobody says that both count revisions alike, and a change that the old
 		// one had under way must not be lost. Until the answer the list as known holds, and what the old one still brings.
 		s.log.Info("discovery moved", "open_calls", len(s.calls.open), "list_age", s.age())
-		s.calls.move(ctx, m.to, time.Now())
+		now := time.Now()
+		s.calls.move(ctx, m.to, now)
+		s.movedAt(now)
 	case ask:
 		m.answer <- s.whole() // has room
 	case sign:
@@ -228,6 +236,9 @@
 	if u.Complete {
 		kind = brain.ListFull
 	}
+	if fresh || c.kind != pacing.Watch || !s.calls.schedule.Busy(now) { // a busy service ends a watch whose news has not had its turn
+		s.asOf = latest(s.asOf, c.begun)
+	}
 	s.apply(u, kind)
 	service.revision = u.Revision
 	s.answered = now
@@ -240,6 +251,21 @@
 	s.calls.schedule.Answered(now, c.number, now.Sub(c.begun), fresh, u.Early, s.rules(), rand.Float64())
 }
 
+// movedAt has what the list is known of end sooner: behind a move of discovery a change counts as told pacing.Moved later.
+func (s *Destinations) movedAt(now time.Time) {
+	if asOf := now.Add(pacing.Moved - pacing.Told); asOf.Before(s.asOf) {
+		s.asOf = asOf
+	}
+	s.core.Listed(brain.Listed{Kind: brain.ListChange, AsOf: s.core.clock.At(s.asOf)})
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // takeFormer takes in what a service brings that was asked before a move, while the new one has not answered. It tells of
 // workers that changed; which ones there are is the new one's word. A watch there goes on meanwhile.
 func (s *Destinations) takeFormer(ctx context.Context, c *listCall, u Update) {
@@ -315,6 +341,7 @@
 		}
 	}
 	s.core.ledger.listed(len(s.known))
+	listed.AsOf = s.core.clock.At(s.asOf)
 	s.core.Listed(listed)
 	if len(u.Destinations) > 0 {
 		s.log.Log(context.Background(), level, "destination set", "revision", u.Revision, "complete", u.Complete, "lines", len(u.Destinations), "known", len(s.known))
