Failing test: a renewal behind the word of leaving has a process present again

Cause: TestMembers failed once beside the whole package: dispatcher 7 had said that it leaves (left open=0), the leader never knew it as left. Renewed takes any instance in, also one that Left named; a renewal was on its way. Change: the crossing forced.

--- a/internal/decisions/agreement/agreement_test.go
+++ b/internal/decisions/agreement/agreement_test.go
@@ -321,3 +321,23 @@
 		}
 	})
 }
+
+// A dispatcher that was told to end said that it leaves, and a renewal of its lease that was still on its way came behind that: the
+// leader took it for present until the lease ran out, and had never heard that it left. A process that has left does not renew.
+func TestRenewalBehindLeaving(t *testing.T) {
+	c := NewCouncil(time.Second, 0)
+	m := Member{Name: "n7", Instance: "process"}
+	if err := c.Renewed(m, 1); err != nil {
+		t.Fatal(err)
+	}
+	c.Left(m.Name, m.Instance, 2)
+	if err := c.Renewed(m, 3); err == nil {
+		t.Error("a process that has left renews its lease")
+	}
+	if all := c.Absent(4); len(c.Present(4)) != 0 || len(all) != 1 || !all[0].Left {
+		t.Errorf("present %v, absent %v", c.Present(4), all)
+	}
+	if err := c.Renewed(Member{Name: "n7", Instance: "its successor"}, 5); err != nil {
+		t.Errorf("its successor: %v", err)
+	}
+}
