A process that has said that it leaves does not renew its lease

Cause: Council.Renewed took in a renewal that came behind the word of leaving of the same process. Change: it is refused (ErrLeft).

--- a/internal/decisions/agreement/lease.go
+++ b/internal/decisions/agreement/lease.go
@@ -139,6 +139,7 @@
 // The reasons for which nobody gets a lease.
 var (
 	ErrNameInUse = errors.New("another process of that name holds a lease")
+	ErrLeft      = errors.New("this process has said that it leaves")
 	ErrOlder     = errors.New("the fleet has a newer council")
 )
 
@@ -153,6 +154,9 @@
 // Renewed notes that a dispatcher asked for a lease. It is called before the lease is given. Of two processes of one name
 // the second waits until the lease of the first has run out: what it knows is not what the first acts on.
 func (c *Council) Renewed(m Member, now Clock) error {
+	if gone, ok := c.absent[m.Name]; ok && gone.Left && gone.Instance == m.Instance {
+		return ErrLeft // a renewal that was on its way
+	}
 	had, known := c.members[m.Name]
 	if known && had.Instance != m.Instance {
 		if now < had.at+c.lease {
