A request that is half here when the process ends is refused with a whole answer

Cause: what was half read at the end of a process was closed with no answer, and its client wrote on. Change: Gate.RefuseUnfinished, right before the end; a connection that was answered so takes no job.

--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -351,6 +351,9 @@
 		}
 		time.Sleep(heldLook)
 	}
+	for _, f := range single {
+		f.gate.RefuseUnfinished()
+	}
 	wait.Wait()
 	for _, f := range d.fronts {
 		if n := f.gate.Owed(); n > 0 {
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -324,6 +324,9 @@
 	g := c.gate
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.multiplexed && c.phase == closing { // its client has been answered already
+		return false
+	}
 	if g.multiplexed {
 		if !streams.Fair(g.streams, g.jobs, c.jobs, surelyStreams) {
 			return false
--- a/internal/transport/gate.go
+++ b/internal/transport/gate.go
@@ -279,6 +279,39 @@
 	}
 }
 
+// refusal is the whole answer to a request that will not be read to its end.
+const refusal = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
+// refuseWithin is how long the answer may take that a refusal writes: it fits into any client's window.
+const refuseWithin = 10 * time.Millisecond
+
+// RefuseUnfinished answers the requests that are half here, and takes no further byte of them. The process is about to end: a
+// client that went on writing would find its connection closed with no answer. Where connections are multiplexed it does nothing.
+func (g *Gate) RefuseUnfinished() {
+	for _, c := range g.unfinished() {
+		_ = c.SetWriteDeadline(time.Now().Add(refuseWithin)) // fails only on a closed connection, as does what follows
+		_, _ = c.Write([]byte(refusal))
+		_ = c.CloseWrite()
+	}
+}
+
+// unfinished takes the connections that have brought a part of a request, and lets no more of it in.
+func (g *Gate) unfinished() (all []*Conn) {
+	if g.multiplexed {
+		return nil
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		if c.phase == reading && c.arrived.Load() == nil && !c.wrote.Load() {
+			c.phase, c.told = closing, true
+			all = append(all, c)
+			g.log.Debug("client's connection ended", "why", "leaving, half a request", "client", c.RemoteAddr())
+		}
+	}
+	return all
+}
+
 // Dismissed tells whether connections end behind their answers.
 func (g *Gate) Dismissed() bool {
 	g.mu.Lock()
