The grace of a drain allows for a list that lay unread

Cause: the margin before the end of a drain's grace covered one hold-up of 0.15 s behind the look at the clock, not another before the list was read. Change: drainMargin 350 ms for drains; a worker out by hand keeps 200 ms.

--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -298,9 +298,9 @@
 	switch {
 	case x.call.ID.Attempt > 0 && e.fleet.Repeats != nil && !e.fleet.Repeats():
 		return "repeats are not allowed now"
-	case e.past(e.dest.Told, now):
+	case e.past(e.dest.Told, drainMargin, now):
 		return "the worker drains or is gone"
-	case e.past(e.barred, now):
+	case e.past(e.barred, writeMargin, now):
 		return "the worker is out by hand"
 	case now.After(e.latest(x)):
 		return "the window for a repeat is nearly over"
@@ -309,13 +309,13 @@
 }
 
 // past tells whether the grace that began then is over, or may be before a write.
-func (e *endpoint) past(told, now time.Time) bool {
-	return !told.IsZero() && now.After(e.graceEnd(told))
+func (e *endpoint) past(told time.Time, margin time.Duration, now time.Time) bool {
+	return !told.IsZero() && now.After(e.graceEnd(told, margin))
 }
 
-// graceEnd gives until when a call may be begun to an endpoint that was told then to drain.
-func (e *endpoint) graceEnd(told time.Time) time.Time {
-	return told.Add(e.fleet.params.Now().Rules.DrainGrace.Span() - writeMargin)
+// graceEnd gives until when a call may be begun to an endpoint that was told then to drain, or is out by hand since then.
+func (e *endpoint) graceEnd(told time.Time, margin time.Duration) time.Time {
+	return told.Add(e.fleet.params.Now().Rules.DrainGrace.Span() - margin)
 }
 
 // latest gives until when an exchange may be begun.
@@ -332,10 +332,11 @@
 	if by := x.call.By; !by.IsZero() {
 		earlier(by.Add(-writeMargin))
 	}
-	for _, told := range [...]time.Time{e.dest.Told, e.barred} {
-		if !told.IsZero() {
-			earlier(e.graceEnd(told))
-		}
+	if told := e.dest.Told; !told.IsZero() {
+		earlier(e.graceEnd(told, drainMargin))
+	}
+	if !e.barred.IsZero() {
+		earlier(e.graceEnd(e.barred, writeMargin))
 	}
 	return latest
 }
--- a/internal/transport/margins.go
+++ b/internal/transport/margins.go
@@ -16,6 +16,10 @@
 	// writeMargin is how long before such a moment the last look at the clock must be: mostHoldUp + ownDelay, 200 ms.
 	writeMargin = mostHoldUp + ownDelay
 
+	// drainMargin is kept before the end of a drain's grace, which counts from when discovery wrote the list: it may have lain
+	// unread for mostHoldUp, and the process may be held up once more behind the look at the clock. 350 ms.
+	drainMargin = mostHoldUp + writeMargin
+
 	// deadlineMargin is taken off what a client has left before it is passed on: the request may have waited unread for as
 	// long, while its client's time ran. The slack of 150 ms covers mostHoldUp. Of a short time it is deadlinePart only.
 	deadlineMargin = ownDelay
