--- a/internal/routing/destinations.go
+++ b/internal/routing/destinations.go
@@ -295,9 +295,7 @@
 	if u.Complete {
 		kind = brain.ListFull
 	}
-	if fresh || c.kind != pacing.Watch || !s.calls.schedule.Busy(now) { // a busy service ends a watch whose news has not had its turn
-		s.asOf = latest(s.asOf, c.begun)
-	}
+	s.asOf = latest(s.asOf, s.shownAsOf(c, u, fresh, now))
 	s.apply(c, u, kind, membership.Current)
 	service.revision = u.Revision
 	s.answered = now
@@ -310,6 +308,23 @@
 	s.calls.schedule.Answered(now, c.number, now.Sub(c.begun), fresh, u.Early, s.rules(), rand.Float64())
 }
 
+// mostLag is how far a replica of discovery may be behind. Nothing of an answer tells.
+const mostLag = 2500 * time.Millisecond
+
+// shownAsOf gives as of when an answer tells all that discovery had: for a watch when it came, else when its call was made. A busy
+// service may end a watch whose news has not had its turn: then it tells nothing of that.
+func (s *Destinations) shownAsOf(c *listCall, u Update, fresh bool, now time.Time) time.Time {
+	switch {
+	case c.kind != pacing.Watch:
+		return c.begun.Add(-mostLag)
+	case !fresh && s.calls.schedule.Busy(now):
+		return time.Time{}
+	case u.At.IsZero():
+		return now.Add(-mostLag)
+	}
+	return u.At.Add(-mostLag)
+}
+
 // movedAt has what the list is known of end sooner: behind a move of discovery a change counts as told pacing.Moved later.
 func (s *Destinations) movedAt(now time.Time) {
 	if asOf := now.Add(pacing.Moved - pacing.Told); asOf.Before(s.asOf) {
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 )
@@ -25,6 +24,9 @@
 	mu       sync.Mutex
 	revision int
 	members  []*member
+	history  []snapshot
+	views    map[int]*view // by dispatcher: of the address that it asks now
+	capacity *capacity     // nil for no bound
 	changed  chan struct{}
 	down     bool
 	faults   map[int][]CallFault // by dispatcher: of the next calls
@@ -34,8 +36,27 @@
 
 const lateBy = 1950 * time.Millisecond
 
-func newDiscovery(r *Record, stamps time.Duration) *discovery {
-	return &discovery{record: r, stamps: stamps, changed: make(chan struct{}), silenced: make(chan struct{}), faults: map[int][]CallFault{}}
+func newDiscovery(r *Record, p Plan) *discovery {
+	d := &discovery{record: r, stamps: p.Stamps, changed: make(chan struct{}), silenced: make(chan struct{}), faults: map[int][]CallFault{}, views: map[int]*view{}}
+	if p.Crowded {
+		d.capacity = &capacity{perCall: crowdedPass / time.Duration(p.Dispatchers), expires: crowdedExpires, limit: crowdedLimit}
+	}
+	d.keep()
+	return d
+}
+
+// What a crowded discovery needs to serve one call of each dispatcher, how long it lets a call wait, and how much work may wait.
+const (
+	crowdedPass    = 2500 * time.Millisecond
+	crowdedExpires = 2 * time.Second
+	crowdedLimit   = 3800 * time.Millisecond
+)
+
+// view gives how a dispatcher sees the list at the address that it asks now.
+func (d *discovery) view(dispatcher int) *view {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.views[dispatcher]
 }
 
 // address opens one more address for a dispatcher.
@@ -44,8 +65,10 @@
 	if err != nil {
 		return "", err
 	}
-	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serve(dispatcher, w, r) })}
+	v := &view{}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serve(dispatcher, v, w, r) })}
 	d.mu.Lock()
+	d.views[dispatcher] = v
 	d.servers = append(d.servers, s)
 	d.mu.Unlock()
 	go func() { _ = s.Serve(l) }()
@@ -82,26 +105,18 @@
 		m.since = time.Now().Add(d.stamps).UnixMilli()
 	}
 	d.revision++
+	w.unready.Store(phase != active)
+	d.keep()
 	d.record.change(Change{Revision: d.revision, At: time.Now(), Worker: w.number, Phase: phase, Cold: cold})
 	close(d.changed)
 	d.changed = make(chan struct{})
 }
 
-// list words the whole list for a dispatcher; d.mu is held.
-func (d *discovery) list(dispatcher int) string {
-	var lines []string
-	for _, m := range d.members {
-		lines = append(lines, fmt.Sprintf(`{"id":"w%d","host_port":%q,"locality":"here","flavor":"new","cell":%d,"phase":%q,"size":1.0,"up_since_ms":%d}`,
-			m.worker.number, m.worker.address(dispatcher), m.worker.cell(), m.phase, m.since))
-	}
-	return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[%s]}`, d.revision, strings.Join(lines, ","))
-}
-
 // known gives the list as a dispatcher is started with it.
 func (d *discovery) known(dispatcher int) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.list(dispatcher)
+	return d.asOf(time.Now()).word(dispatcher)
 }
 
 // stepClock sets the clock forward or back that stamps starts.
@@ -139,7 +154,7 @@
 	}
 }
 
-func (d *discovery) serve(dispatcher int, w http.ResponseWriter, r *http.Request) {
+func (d *discovery) serve(dispatcher int, v *view, w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	index, err := strconv.Atoi(query.Get("index"))
 	if err != nil {
@@ -164,27 +179,53 @@
 		<-r.Context().Done()
 		return
 	}
-	if !d.await(r, index, time.Duration(wait)*time.Millisecond, silenced) {
+	if d.capacity != nil && !d.continues(dispatcher, wait) {
+		pause, served := d.capacity.turn(time.Now())
+		time.Sleep(pause)
+		if !served {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+	}
+	lag, delay := v.call(time.Now())
+	if !d.await(r, index, time.Duration(wait)*time.Millisecond, lag, silenced) {
 		return
 	}
 	if fault == Late {
-		time.Sleep(lateBy)
+		delay = lateBy
 	}
-	d.tell(dispatcher, w, r, index, fault == BreaksOff)
+	d.tell(dispatcher, w, r, index, lag, delay, fault == BreaksOff)
+}
+
+// watchGap is how soon behind its last answer a watch goes on, and needs no turn.
+const watchGap = 200 * time.Millisecond
+
+// continues tells whether a call goes on with a watch.
+func (d *discovery) continues(dispatcher int, wait int) bool {
+	last := d.record.lastAnswer(dispatcher)
+	return wait > 0 && time.Since(last) < watchGap
 }
 
+// lagLook is how often a replica that lags looks whether it has news by now.
+const lagLook = 20 * time.Millisecond
+
 // await waits for news, and tells whether the call is to be answered.
-func (d *discovery) await(r *http.Request, index int, wait time.Duration, silenced <-chan struct{}) bool {
+func (d *discovery) await(r *http.Request, index int, wait, lag time.Duration, silenced <-chan struct{}) bool {
 	over := time.After(wait)
 	for {
 		d.mu.Lock()
-		newer, changed := d.revision > index || d.down, d.changed
+		newer, changed := d.asOf(time.Now().Add(-lag)).revision != index || d.down, d.changed
 		d.mu.Unlock()
 		if newer {
 			return true
 		}
+		var later <-chan time.Time
+		if lag > 0 {
+			later = time.After(lagLook)
+		}
 		select {
 		case <-changed:
+		case <-later:
 		case <-over:
 			return true
 		case <-silenced:
@@ -196,16 +237,18 @@
 	}
 }
 
-// tell writes the list, or half of it.
-func (d *discovery) tell(dispatcher int, w http.ResponseWriter, r *http.Request, index int, half bool) {
+// tell writes the list, or half of it. It was composed before the delay.
+func (d *discovery) tell(dispatcher int, w http.ResponseWriter, r *http.Request, index int, lag, delay time.Duration, half bool) {
 	d.mu.Lock()
-	down, revision, text := d.down, d.revision, d.list(dispatcher)
+	down, shown := d.down, d.asOf(time.Now().Add(-lag))
 	d.mu.Unlock()
+	time.Sleep(delay)
 	if down {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if index >= revision {
+	revision, text := shown.revision, shown.word(dispatcher)
+	if index == revision {
 		text = fmt.Sprintf(`{"revision":%d,"complete":false,"members":[]}`, revision)
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -31,11 +31,15 @@
 	Crowd         Kind = "crowd"          // connections that say nothing or stop half way
 	ClientsLeave  Kind = "clients-leave"  // clients close their connections soon behind their requests
 	ClockStep     Kind = "clock-step"     // the clock that stamps starts is set forward or back
+	Lag           Kind = "lag"            // a replica of discovery shows the list late, at each call or at every other
+	LaggingMove   Kind = "lagging-move"   // a worker drains, and a new configuration moves discovery to a replica that lags
+	SlowAnswers   Kind = "slow-answers"   // answers of discovery are held back, each for another time: they overtake each other
+	Moves         Kind = "moves"          // several new configurations in a row, with a drain between them
 )
 
 // Kinds lists all kinds.
 var Kinds = []Kind{Drain, Join, Restart, WorkerHangs, WorkerResets, WorkerLate, FaultyCalls, SilentWatches, DiscoveryDown, Move, Reload,
-	Holdups, Term, Kill, Crowd, ClientsLeave, ClockStep}
+	Holdups, Term, Kill, Crowd, ClientsLeave, ClockStep, Lag, LaggingMove, SlowAnswers, Moves}
 
 // CallFault is what discovery does with a call.
 type CallFault string
@@ -58,7 +62,9 @@
 	Kind   Kind
 	Target int           // a worker or a dispatcher, by its number
 	Calls  []CallFault   // of FaultyCalls
-	Step   time.Duration // of ClockStep
+	Step   time.Duration // of ClockStep; of Lag and LaggingMove how late the list is, of SlowAnswers how late at the most
+	Flaps  bool          // of Lag: at every other call only
+	Worker int           // that drains, of LaggingMove and Moves
 }
 
 // String words an event for a timeline.
@@ -86,6 +92,7 @@
 	Window      time.Duration // for a repeat of a keyed request
 	Duplicates  bool          // a request may have two attempts out
 	Pushed      bool          // lists are pushed to an agent, and what it has counts as told at once
+	Crowded     bool          // discovery serves calls in turn, and needs some seconds for one of each dispatcher
 	Stamps      time.Duration // how far the clock that stamps starts is ahead
 	Failures    string        // rules for system calls that fail; empty for none
 	Events      []Event
@@ -94,6 +101,7 @@
 const (
 	quietAtFirst = 3 * time.Second // until the first event: watches are open by then
 	quietAtLast  = 8 * time.Second // behind the last one: what was told late shows
+	mostLagMS    = 2500            // milliseconds that a replica of discovery is behind at the most
 	newestJoin   = 90              // numbers of workers that join begin behind this
 )
 
@@ -111,6 +119,7 @@
 		p.Failures = f.Failures[rng.IntN(len(f.Failures))]
 	}
 	p.Pushed = rng.IntN(4) == 0
+	p.Crowded = !p.Pushed && rng.IntN(4) == 0
 	joined := newestJoin
 	for at := quietAtFirst; at < p.Span-quietAtLast; at += time.Duration((0.3 + rng.Float64()) * float64(f.every())) {
 		e := Event{At: at, Kind: f.kinds()[rng.IntN(len(f.kinds()))], For: time.Duration((0.5 + 2*rng.Float64()) * float64(time.Second))}
@@ -128,6 +137,21 @@
 			p.Events = append(p.Events, Event{At: at + time.Duration(rng.IntN(1500))*time.Millisecond, Kind: Drain, Target: rng.IntN(p.Workers)})
 		case ClockStep:
 			e.Step = []time.Duration{time.Hour, -time.Hour, 5 * time.Second, -5 * time.Second}[rng.IntN(4)]
+		case Lag:
+			e.Target, e.Step, e.Flaps = rng.IntN(p.Dispatchers), time.Duration(1+rng.IntN(mostLagMS))*time.Millisecond, rng.IntN(2) == 0
+			if p.Pushed { // an agent is not late
+				e.Kind = Reload
+			}
+		case LaggingMove, Moves:
+			e.Target, e.Worker, e.Step = rng.IntN(p.Dispatchers), rng.IntN(p.Workers), time.Duration(1+rng.IntN(mostLagMS))*time.Millisecond
+			if p.Pushed {
+				e.Kind = Reload
+			}
+		case SlowAnswers:
+			e.Target, e.Step = rng.IntN(p.Dispatchers), time.Duration(200+rng.IntN(1300))*time.Millisecond
+			if p.Pushed {
+				e.Kind = Reload
+			}
 		default:
 			if p.Pushed && e.Kind == Move { // what a new agent has counts later
 				e.Kind = Reload
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -222,6 +222,19 @@
 	return d.start()
 }
 
+// moveTo tells it of a new configuration that moves discovery to a replica which lags for a while.
+func (d *dispatcher) moveTo(lag time.Duration, until time.Time) error {
+	address, err := d.find.address(d.number)
+	if err != nil {
+		return err
+	}
+	d.find.view(d.number).trouble(lag, 0, false, until)
+	d.mu.Lock()
+	d.address = address
+	d.mu.Unlock()
+	return d.reload(false)
+}
+
 // reload tells it of a new configuration; moved has it find discovery at another address.
 func (d *dispatcher) reload(moved bool) error {
 	if moved {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -88,5 +88,18 @@
 func (r *Record) request(q *Request) { r.add(func() { r.Requests = append(r.Requests, q) }) }
 func (r *Record) attempt(a *Attempt) { r.add(func() { r.Attempts = append(r.Attempts, a) }) }
 func (r *Record) answer(a Answer)    { r.add(func() { r.Answers = append(r.Answers, a) }) }
-func (r *Record) change(c Change)    { r.add(func() { r.Changes = append(r.Changes, c) }) }
-func (r *Record) life(l *Life)       { r.add(func() { r.Lives = append(r.Lives, l) }) }
+
+// lastAnswer gives when discovery last told a dispatcher its list.
+func (r *Record) lastAnswer(dispatcher int) (at time.Time) {
+	r.add(func() {
+		for i := len(r.Answers) - 1; i >= 0 && at.IsZero(); i-- {
+			if r.Answers[i].Dispatcher == dispatcher {
+				at = r.Answers[i].At
+			}
+		}
+	})
+	return at
+}
+
+func (r *Record) change(c Change) { r.add(func() { r.Changes = append(r.Changes, c) }) }
+func (r *Record) life(l *Life)    { r.add(func() { r.Lives = append(r.Lives, l) }) }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -46,7 +46,7 @@
 		return nil, err
 	}
 	record := &Record{}
-	r := &run{plan: p, record: record, find: newDiscovery(record, p.Stamps), workers: map[int]*worker{}}
+	r := &run{plan: p, record: record, find: newDiscovery(record, p), workers: map[int]*worker{}}
 	defer r.find.close()
 	for i := range p.Workers {
 		if err := r.join(i, false); err != nil {
@@ -178,6 +178,16 @@
 		r.clients[e.Target].leaveUntil(until)
 	case ClockStep:
 		r.find.stepClock(e.Step)
+	case Lag:
+		r.find.view(e.Target).trouble(e.Step, 0, e.Flaps, until)
+	case SlowAnswers:
+		r.find.view(e.Target).trouble(0, e.Step, false, until)
+	case LaggingMove:
+		r.drain(e.Worker)
+		time.Sleep(e.For / 4)
+		return r.fleet[e.Target].moveTo(e.Step, time.Now().Add(e.For))
+	case Moves:
+		return r.moves(e)
 	}
 	return nil
 }
@@ -197,6 +207,23 @@
 	}
 }
 
+// mostMoves is how many new configurations come in a row.
+const mostMoves = 4
+
+// moves brings several new configurations, each of which moves discovery, and has a worker drain in the middle.
+func (r *run) moves(e Event) error {
+	for i := range mostMoves {
+		if i == mostMoves/2 {
+			r.drain(e.Worker)
+		}
+		if err := r.fleet[e.Target].reload(true); err != nil {
+			return err
+		}
+		time.Sleep(e.For / mostMoves)
+	}
+	return nil
+}
+
 // outage has discovery refuse all calls for a while.
 func (r *run) outage(until time.Time) error {
 	from := time.Now()
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,8 @@
 	record *Record
 	slots  chan struct{}
 
+	unready atomic.Bool // discovery does not list it as active: it answers probes with 503
+
 	mu        sync.Mutex
 	ports     []string // by dispatcher
 	listeners []net.Listener
@@ -159,6 +162,10 @@
 		}
 		last := time.Now().Add(-pause)
 		next = await(in)
+		if r.URL.Path == "/stats" && w.unready.Load() {
+			fmt.Fprint(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+			continue
+		}
 		if r.URL.Path == "/stats" {
 			free := cap(w.slots) - len(w.slots)
 			text := fmt.Sprintf("util=%.2f,queue=0,x0=%d,x1=5", float64(len(w.slots))/float64(cap(w.slots)), free)
