--- /dev/null
+++ b/internal/routing/answers.go
@@ -0,0 +1,152 @@
+package routing
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/decisions/membership"
+	"brassdale/internal/decisions/pacing"
+)
+
+// lagReportEvery is how often an answer with a lower revision is logged so that it stands out.
+const lagReportEvery = 10 * time.Second
+
+// take takes in what a call brought.
+func (s *Destinations) take(ctx context.Context, c *listCall, m callEnded) {
+	now, rules := time.Now(), s.rules()
+	if m.err == nil && s.start.foreign(m.update) {
+		m.err = errForeign
+	}
+	current := c.service == s.calls.current
+	switch {
+	case m.err != nil && !current: // it is asked no more
+	case m.err != nil:
+		if ctx.Err() == nil {
+			s.failed(c, m.err, now)
+		}
+		s.calls.schedule.Failed(now, c.number, c.failure(m.err, now), rules, rand.Float64())
+	case current || !s.calls.current.answered:
+		s.takeAnswer(ctx, c, m.update, now)
+	}
+}
+
+// takeAnswer takes in what a service told, as far as it counts.
+func (s *Destinations) takeAnswer(ctx context.Context, c *listCall, u Update, now time.Time) {
+	order := s.members.Order(c.answer(u, now))
+	switch {
+	case order == membership.Overtaken:
+		s.log.Info("discovery's answer was overtaken", "call", c.number, "revision", u.Revision, "known", c.service.revision)
+		s.stale(now, c, c.service.recheck)
+	case order == membership.Lagging:
+		s.log.Log(context.Background(), s.lagLevel(now), "discovery's revision went back, asking for the whole list", "call", c.number,
+			"revision", u.Revision, "known", c.service.revision)
+		u.Complete = false
+		s.apply(c, u, brain.ListChange, order)
+		s.stale(now, c, true)
+	case c.service != s.calls.current:
+		s.takeFormer(ctx, c, u, now)
+	default:
+		s.takeList(now, c, u)
+		s.mended() // behind the list's own line: who reads that discovery answers again finds its list in force
+	}
+}
+
+// stale notes an answer that told nothing new, and whether the whole list is to be asked for.
+func (s *Destinations) stale(now time.Time, c *listCall, recheck bool) {
+	if c.service == s.calls.current {
+		c.service.recheck = recheck
+		s.calls.schedule.Stale(now, c.number, s.rules(), rand.Float64())
+	}
+}
+
+// lagLevel is the level at which an answer with a lower revision is logged: of a row of them one in a while stands out.
+func (s *Destinations) lagLevel(now time.Time) slog.Level {
+	if now.Sub(s.lagged) < lagReportEvery {
+		return slog.LevelDebug
+	}
+	s.lagged = now
+	return slog.LevelWarn
+}
+
+// takeList takes in the list, or a change of it, of the service in force.
+func (s *Destinations) takeList(now time.Time, c *listCall, u Update) {
+	service := c.service
+	fresh := u.Revision != service.revision || len(u.Destinations) > 0
+	if !service.answered {
+		service.answered = true
+		s.calls.dropFormer()
+	}
+	service.heard = now
+	if again, doubted := s.judge(&u); doubted {
+		u.Complete = false
+		s.apply(c, u, brain.ListChange, membership.Current)
+		service.revision = Whole
+		s.calls.schedule.AskAt(again)
+		return
+	}
+	if u.Complete {
+		service.recheck = false
+	}
+	kind := brain.ListChange
+	if u.Complete {
+		kind = brain.ListFull
+	}
+	s.asOf = latest(s.asOf, s.shownAsOf(c, u, fresh, now))
+	s.apply(c, u, kind, membership.Current)
+	service.revision = u.Revision
+	s.answered = now
+	s.core.ledger.listHeard(now)
+	s.handOver()
+	if s.keeper != nil {
+		s.keeper.Listed(u)
+	}
+	s.source.Store(&Source{Name: "discovery", Told: now})
+	s.calls.schedule.Answered(now, c.number, now.Sub(c.begun), fresh, u.Early, s.rules(), rand.Float64())
+}
+
+// mostLag is how far a replica of discovery may be behind. Nothing of an answer tells.
+const mostLag = 2500 * time.Millisecond
+
+// shownAsOf gives as of when an answer tells all that discovery had: for a watch when it came, else when its call was made. A busy
+// service may end a watch whose news has not had its turn: then it tells nothing of that.
+func (s *Destinations) shownAsOf(c *listCall, u Update, fresh bool, now time.Time) time.Time {
+	switch {
+	case c.kind != pacing.Watch:
+		return c.begun.Add(-mostLag)
+	case !fresh && s.calls.schedule.Busy(now):
+		return time.Time{}
+	case u.At.IsZero():
+		return now.Add(-mostLag)
+	}
+	return u.At.Add(-mostLag)
+}
+
+// movedAt has what the list is known of end sooner: behind a move of discovery a change counts as told pacing.Moved later.
+func (s *Destinations) movedAt(now time.Time) {
+	if asOf := now.Add(pacing.Moved - pacing.Told); asOf.Before(s.asOf) {
+		s.asOf = asOf
+	}
+	s.core.Listed(brain.Listed{Kind: brain.ListChange, AsOf: s.core.clock.At(s.asOf)})
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// takeFormer takes in what a service brings that was asked before a move, while the new one has not answered. It tells of
+// workers that changed; which ones there are is the new one's word. A watch there goes on meanwhile.
+func (s *Destinations) takeFormer(ctx context.Context, c *listCall, u Update, now time.Time) {
+	u.Complete = false
+	s.apply(c, u, brain.ListChange, membership.Current)
+	c.service.revision, c.service.heard = u.Revision, now
+	s.calls.schedule.HeardElsewhere(now)
+	if c.kind == pacing.Watch {
+		s.calls.begin(ctx, now, c.service, pacing.Watch)
+	}
+}
--- /dev/null
+++ b/internal/routing/list.go
@@ -0,0 +1,157 @@
+package routing
+
+import (
+	"context"
+	"log/slog"
+	"math"
+	"time"
+
+	"brassdale/brain"
+	"brassdale/internal/decisions/membership"
+	"brassdale/internal/decisions/starts"
+)
+
+// begin takes in the list as it was known before.
+func (s *Destinations) begin(saved Update, now time.Time) {
+	members := make([]membership.Member, len(saved.Destinations))
+	for i := range saved.Destinations {
+		d := &saved.Destinations[i]
+		if d.State != brain.Ready && d.Told.IsZero() { // a predecessor may have been told before
+			d.Told = s.toldFrom(now)
+		}
+		members[i] = d.member()
+	}
+	s.members.Begin(s.calls.current.discovery.Service(), saved.Revision, members)
+	s.tell(saved, saved.Destinations, nil, brain.ListSaved)
+}
+
+// toldFrom gives from when a drain counts that came now. What an agent had counts as told: it may have had it since it last
+// answered.
+func (s *Destinations) toldFrom(now time.Time) time.Time {
+	if s.rules().Pushed {
+		return s.answered
+	}
+	return now
+}
+
+// apply puts in force what counts of an answer.
+func (s *Destinations) apply(c *listCall, u Update, kind brain.ListKind, order membership.Order) {
+	now := u.At
+	if now.IsZero() {
+		now = time.Now()
+	}
+	answer := c.answer(u, now)
+	for i := range answer.Members {
+		if m := &answer.Members[i]; m.Told.IsZero() {
+			m.Told = s.toldFrom(now)
+		}
+	}
+	verdict := s.members.Take(answer, order)
+	if c.service == s.calls.current {
+		s.recheckAt = verdict.AskAgain
+	}
+	var listed, ended []Destination
+	for _, a := range verdict.Accepted {
+		if a.Index == membership.Absent {
+			d := s.known[a.ID]
+			d.ID, d.State, d.Told = a.ID, a.State, a.Told
+			ended = append(ended, d)
+			continue
+		}
+		d := u.Destinations[a.Index]
+		d.State, d.Since, d.Told = a.State, a.Start, a.Told
+		listed = append(listed, d)
+	}
+	s.tell(u, listed, ended, kind)
+}
+
+// tell passes on what has changed: to the endpoints first, then to the module. The ended ones are those that a whole list does not
+// name: the module knows by that.
+func (s *Destinations) tell(u Update, listed, ended []Destination, kind brain.ListKind) {
+	level := slog.LevelDebug
+	if u.Complete {
+		level = slog.LevelInfo
+	}
+	for _, d := range listed {
+		if s.update(d) {
+			level = slog.LevelInfo
+		}
+	}
+	news := brain.Listed{Kind: kind, Workers: s.dated(listed), AsOf: s.core.clock.At(s.asOf)}
+	s.told = s.told || kind != brain.ListSaved
+	for _, d := range ended {
+		s.update(d)
+	}
+	s.core.ledger.listed(len(s.known))
+	s.core.Listed(news)
+	if len(u.Destinations) > 0 {
+		s.log.Log(context.Background(), level, "destination set", "revision", u.Revision, "complete", u.Complete, "lines", len(u.Destinations),
+			"accepted", len(listed), "known", len(s.known))
+	}
+}
+
+// forever is longer than any process runs.
+const forever = time.Duration(math.MaxInt64)
+
+// dated gives the lines of a list with the starts of their workers on the core's clock.
+func (s *Destinations) dated(lines []Destination) []brain.WorkerInfo {
+	now := time.Now()
+	moment := starts.Moment{Now: s.core.clock.At(now), Wall: time.Duration(now.UnixNano()), Unheard: now.Sub(s.answered)}
+	if !s.told {
+		moment.Unheard = forever
+	}
+	stamped := make([]starts.Line, len(lines))
+	for i, d := range lines {
+		stamped[i] = starts.Line{ID: d.ID, Stamp: d.Since}
+		if d.Age > 0 {
+			s.starts.Set(d.ID, d.Since, moment.Now-d.Age)
+		}
+	}
+	infos := make([]brain.WorkerInfo, len(lines))
+	for i, at := range s.starts.Enter(moment, stamped) {
+		infos[i] = lines[i].WorkerInfo
+		infos[i].Since = at
+	}
+	return infos
+}
+
+// Started gives when a worker started, on the core's clock. It may be called before Run only.
+func (s *Destinations) Started(id brain.WorkerID) brain.Clock { return s.starts.At(id) }
+
+// update takes a line in and tells whether it is news: weights that fall with the load are not.
+func (s *Destinations) update(d Destination) bool {
+	old := s.known[d.ID]
+	if d.Address == "" {
+		d.Address = old.Address
+	}
+	s.logState(old, d)
+	d.Age = 0 // it grows
+	if d.State == brain.Gone {
+		delete(s.known, d.ID)
+	} else {
+		s.known[d.ID] = d
+	}
+	s.endpoints.Update(d)
+	old.Weight, old.Told = d.Weight, d.Told
+	return old != d
+}
+
+// member gives what a line says of a worker's state.
+func (d *Destination) member() membership.Member {
+	return membership.Member{ID: d.ID, State: d.State, Start: d.Since, Told: d.Told}
+}
+
+// logState tells of a worker whose state has changed. That a worker is new is no change: a first list may have thousands.
+func (s *Destinations) logState(old, d Destination) {
+	if _, known := s.known[d.ID]; known && old.State != d.State {
+		s.log.Info("worker's state", "worker", d.ID, "from", old.State.String(), "to", d.State.String(), "told_ago", ago(d.Told))
+	}
+}
+
+// ago is how long ago a time was; 0 for none.
+func ago(t time.Time) time.Duration {
+	if t.IsZero() {
+		return 0
+	}
+	return time.Since(t).Round(time.Millisecond)
+}
