--- a/internal/routing/calls_test.go
+++ b/internal/routing/calls_test.go
@@ -173,3 +173,36 @@
 		t.Errorf("believed after %v and %d calls", took, calls)
 	}
 }
+
+// A worker drained at the service before a move, and is active again at the new one, which says so once and then only that nothing
+// has changed. That is not believed at first, as the list may be older; behind membership.Settle the whole list is asked for again.
+func TestReturnBehindAMove(t *testing.T) {
+	t.Parallel()
+	first, second := newScripted(), newScripted()
+	s, _ := listing(t, first)
+	(<-first.calls).answer <- Update{Revision: 5, Complete: true, Destinations: []Destination{worker("a", brain.Draining), worker("b", brain.Ready)}}
+	eventually(t, "the drain", func() bool { st, known := state(t, s, "a"); return known && st == brain.Draining })
+	known := time.Now()
+	s.Move(second)
+	list := Update{Revision: 70, Complete: true, Destinations: []Destination{worker("a", brain.Ready), worker("b", brain.Ready)}}
+	(<-second.calls).answer <- list
+	for {
+		call := <-second.calls
+		if call.revision == Whole {
+			call.answer <- list
+			break
+		}
+		if time.Since(known) > membership.Settle+time.Second {
+			t.Fatal("the whole list is not asked for again")
+		}
+		time.Sleep(100 * time.Millisecond)
+		call.answer <- Update{Revision: 70}
+	}
+	if st, _ := state(t, s, "a"); time.Since(known) < membership.Settle && st != brain.Draining {
+		t.Errorf("believed %v behind the drain", time.Since(known))
+	}
+	eventually(t, "the return", func() bool { st, _ := state(t, s, "a"); return st == brain.Ready })
+	if took := time.Since(known); took < membership.Settle || took > membership.Settle+2*time.Second {
+		t.Errorf("believed after %v", took)
+	}
+}
