What was not believed is asked for again, whatever comes in between

Cause: an answer without lines reset the time at which the whole list is asked for again. Change: only a whole list, or another line that is not believed, sets it.

--- a/internal/routing/list.go
+++ b/internal/routing/list.go
@@ -47,7 +47,7 @@
 		}
 	}
 	verdict := s.members.Take(answer, order)
-	if c.service == s.calls.current {
+	if c.service == s.calls.current && (u.Complete || !verdict.AskAgain.IsZero()) { // a change says nothing of what was not believed
 		s.recheckAt = verdict.AskAgain
 	}
 	var listed, ended []Destination
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -17,13 +17,12 @@
 
 // view is how one address of discovery shows the list: late, and answers after a while.
 type view struct {
-	mu       sync.Mutex
-	lag      time.Duration // the list is as it was so long ago
-	flaps    bool          // at every other call only
-	delay    time.Duration // an answer is held back for up to this
-	until    time.Time     // of all that
-	calls    int
-	capacity *capacity // nil for no bound
+	mu    sync.Mutex
+	lag   time.Duration // the list is as it was so long ago
+	flaps bool          // at every other call only
+	delay time.Duration // an answer is held back for up to this
+	until time.Time     // of all that
+	calls int
 }
 
 // trouble has the address show the list late, or answer late, for a while.
