--- a/cmd/brassdale/growth_bench_test.go
+++ b/cmd/brassdale/growth_bench_test.go
@@ -152,10 +152,5 @@
 		system, _ := strconv.Atoi(fields[12])
 		cpu = time.Duration(user+system) * time.Second / ticksPerSecond
 	}
-	if text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)); err == nil {
-		_, rest, _ := strings.Cut(string(text), "VmHWM:")
-		kb, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
-		peak = kb << 10
-	}
-	return cpu, peak
+	return cpu, processMemory(pid, "VmHWM")
 }
--- a/cmd/brassdale/ports_bench_test.go
+++ b/cmd/brassdale/ports_bench_test.go
@@ -298,10 +298,18 @@
 }
 
 func (p *benchProgram) resident() int {
-	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
-	_, rest, _ := strings.Cut(string(text), "VmRSS:")
-	kb, _ := strconv.Atoi(strings.Fields(rest)[0])
-	return kb >> 10
+	return int(processMemory(p.cmd.Process.Pid, "VmRSS") >> 20)
+}
+
+// processMemory gives a figure of a process's memory in bytes, by its name in /proc; 0 where there is none.
+func processMemory(pid int, figure string) int64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	_, rest, found := strings.Cut(string(text), figure+":")
+	if err != nil || !found {
+		return 0
+	}
+	kb, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
+	return kb << 10
 }
 
 func benchBoxes(b *testing.B) []*worker { return benchBoxesThat(b, 12, quick) }
--- a/internal/decisions/pacing/crowd_test.go
+++ b/internal/decisions/pacing/crowd_test.go
@@ -196,15 +196,19 @@
 	c.publish()
 	c.interest = c.service.revision
 	c.run(kill.Add(until))
-	var heard []time.Duration
+	return c, c.heardBehind(kill, until)
+}
+
+// heardBehind gives how long behind a change each dispatcher heard of it; the end of the play for one that did not.
+func (c *crowd) heardBehind(changed time.Time, until time.Duration) (heard []time.Duration) {
 	for _, d := range c.callers {
 		took := until
 		if !d.heard.IsZero() {
-			took = d.heard.Sub(kill)
+			took = d.heard.Sub(changed)
 		}
 		heard = append(heard, took)
 	}
-	return c, heard
+	return heard
 }
 
 // kill ends a dispatcher, and has another begin in its place.
@@ -269,15 +273,7 @@
 	c.publish()
 	c.interest = c.service.revision
 	c.run(silent.Add(until))
-	var heard []time.Duration
-	for _, d := range c.callers {
-		took := until
-		if !d.heard.IsZero() {
-			took = d.heard.Sub(silent)
-		}
-		heard = append(heard, took)
-	}
-	return c, heard
+	return c, c.heardBehind(silent, until)
 }
 
 // All watches fall silent at once, and all dispatchers notice it at about the same time.
--- a/internal/soak/timeline.go
+++ b/internal/soak/timeline.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -81,7 +80,7 @@
 		}
 		for in := bufio.NewScanner(f); in.Scan(); {
 			if strings.Contains(in.Text(), "id="+id+" ") {
-				lines = append(lines, cmp.Or(strings.TrimSpace(in.Text())))
+				lines = append(lines, strings.TrimSpace(in.Text()))
 			}
 		}
 		f.Close()
--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -271,6 +271,7 @@
 // may have waited for the connection, so all that forbids it is looked at again.
 func (e *endpoint) carry(x *exchange, w *wire) bool {
 	now := time.Now()
+	x.latest = e.latest(x)
 	if why := e.forbidden(x, now); why != "" {
 		e.heldBack(x, why)
 		e.end(x, routing.End{Outcome: brain.NeverSent})
@@ -282,7 +283,7 @@
 			e.fleet.log.Info("attempt to a worker that drains", "id", x.name(), "attempt", x.call.ID.Attempt, "worker", e.id, "told", now.Sub(e.dest.Told))
 		}
 	}
-	x.wire, w.used, x.latest = w, true, e.latest(x)
+	x.wire, w.used = w, true
 	go e.exchange(x)
 	return true
 }
@@ -302,7 +303,7 @@
 		return "the worker drains or is gone"
 	case e.past(e.barred, writeMargin, now):
 		return "the worker is out by hand"
-	case now.After(e.latest(x)):
+	case now.After(x.latest):
 		return "the window for a repeat is nearly over"
 	}
 	return ""
--- a/internal/transport/waited_test.go
+++ b/internal/transport/waited_test.go
@@ -9,28 +9,44 @@
 	"time"
 )
 
-// A request that lay unread for a while, as its process had no time for it, has used its client's time: when its last byte came
-// is asked of the system, not of the clock at the reading.
-func TestRequestThatLayUnread(t *testing.T) {
-	const unread = 300 * time.Millisecond
+// servedLater sends a request on a connection that nobody accepts for a while, and has it served then. It gives what the handler
+// finds.
+func servedLater[T any](t *testing.T, text string, leave func(*net.TCPConn), unread time.Duration, find func(*http.Request) T) T {
+	t.Helper()
+	quiet := slog.New(slog.NewTextHandler(io.Discard, nil))
 	l, err := Listen("127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	gate := NewGate(l, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	gate := NewGate(l, quiet)
 	gate.Allow(10, 1<<20)
 	client, err := net.Dial("tcp", l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer client.Close()
-	io.WriteString(client, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
-	time.Sleep(unread) // nobody accepts
-	waited := make(chan time.Duration, 1)
-	server := Server(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { waited <- waitedUnread(r, time.Now()) }), slog.New(slog.NewTextHandler(io.Discard, nil)))
+	io.WriteString(client, text)
+	leave(client.(*net.TCPConn))
+	time.Sleep(unread)
+	found := make(chan T, 1)
+	server := Server(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		select {
+		case found <- find(r):
+		default:
+		}
+	}), quiet)
 	go server.Serve(gate)
 	defer server.Close()
-	if got := <-waited; got < unread-50*time.Millisecond || got > unread+200*time.Millisecond {
+	return <-found
+}
+
+// A request that lay unread for a while, as its process had no time for it, has used its client's time: when its last byte came
+// is asked of the system, not of the clock at the reading.
+func TestRequestThatLayUnread(t *testing.T) {
+	const unread = 300 * time.Millisecond
+	got := servedLater(t, "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", func(*net.TCPConn) {}, unread,
+		func(r *http.Request) time.Duration { return waitedUnread(r, time.Now()) })
+	if got < unread-50*time.Millisecond || got > unread+200*time.Millisecond {
 		t.Errorf("it waited for %v, seen as %v", unread, got)
 	}
 }
@@ -43,31 +59,10 @@
 		"half-close": func(c *net.TCPConn) { c.CloseWrite() },
 		"stays":      func(*net.TCPConn) {},
 	} {
-		l, err := Listen("127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		gate := NewGate(l, slog.New(slog.NewTextHandler(io.Discard, nil)))
-		gate.Allow(10, 1<<20)
-		client, err := net.Dial("tcp", l.Addr().String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		io.WriteString(client, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx")
-		leave(client.(*net.TCPConn))
-		time.Sleep(50 * time.Millisecond) // nobody accepts
-		seen := make(chan bool, 1)
-		server := Server(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
-			select {
-			case seen <- gone(r)():
-			default:
-			}
-		}), slog.New(slog.NewTextHandler(io.Discard, nil)))
-		go server.Serve(gate)
-		if got := <-seen; got != (name != "stays") {
+		got := servedLater(t, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx", leave, 50*time.Millisecond,
+			func(r *http.Request) bool { return gone(r)() })
+		if got != (name != "stays") {
 			t.Errorf("%s: seen as gone %v", name, got)
 		}
-		server.Close()
-		client.Close()
 	}
 }
