--- a/brain/freshness.go
+++ b/brain/freshness.go
@@ -4,8 +4,13 @@
 
 import "time"
 
-// checkAgain is how long behind a health check that it failed a worker is checked again.
-const checkAgain = 500 * time.Millisecond
+const (
+	// checkAgain is how long behind a health check that it failed a worker is checked again.
+	checkAgain = 500 * time.Millisecond
+
+	// checkWait is how long a request waits for the outcome of a health check before it goes to another worker.
+	checkWait = 50 * time.Millisecond
+)
 
 // sendBy is until when a request to the worker may leave: what has drained since its state was last known counts as told from
 // then on. That is as of the list, or as of the last health check that it passed. 0 where the settings bound nothing.
--- a/brain/pick.go
+++ b/brain/pick.go
@@ -27,13 +27,16 @@
 }
 
 // pick gives the worker of the lowest load value among those that may take the request, or nil. One that may have begun to drain
-// unheard is checked first, and another one is taken meanwhile.
+// unheard is checked first; where it does not answer soon, another one is taken.
 func (d *Dispatcher) pick(r *request, allow float64) *worker {
 	best := d.best(r, allow, d.checkable)
 	if best == nil || d.fresh(best) {
 		return best
 	}
 	d.check(best)
+	if d.now < best.probedAt+checkWait { // a worker that is further down costs more than its answer takes
+		return nil
+	}
 	return d.best(r, allow, d.fresh)
 }
 
