endpointstate: a drain is withdrawn by a list later than each that showed it

What callers saw: a reload moves discovery to a replica that lags; a worker that drains for the second time gets requests again until the replica has caught up, though other workers are ready. On the built program, three workers, a replica 3.5 s behind: the last job 3.50 s (polled) and 3.49 s (pushed) after the known drain.

Cause: the table kept one list by which a state is known, the last that showed it. The first list of the new service, which shows an earlier drain, replaced that of the old one; the second, which shows the return from it, then counted as later. The log of the program shows it: worker a draining at revision 4, active at 103 of the new service, draining at 104.

Change: the table keeps the last list of each service that showed the state, as long as it may be later than the others, and withdraws a restriction only by a list that must be later than each. A worker that the new service lists as draining and then as ready is an unconfirmed return: the scheduler takes it only where no ready worker may run the request. Without that, answered 503 where the only worker had returned. Same cause elsewhere: a drain that the new service first shows as an end, an earlier start, a later drain seen while an earlier one was known; each has a test.

TestUnconfirmedReturn_onlyWithoutOtherWorkers and TestReturn_behindMove are new.

--- a/cmd/brassdale/lagging_discovery_test.go
+++ b/cmd/brassdale/lagging_discovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -48,15 +49,25 @@
 // startReplica starts a replica and returns its address. lag is called at each call to the replica.
 func (d *replicatedDiscovery) startReplica(t *testing.T, lag func() time.Duration) string {
 	t.Helper()
+	return d.startRenumberedReplica(t, 0, lag)
+}
+
+// startRenumberedReplica starts a replica whose revisions are higher by an offset than those of the lists, and returns its address.
+func (d *replicatedDiscovery) startRenumberedReplica(t *testing.T, offset int, lag func() time.Duration) string {
+	t.Helper()
+	list := func(behind time.Duration) (revision int, members string) {
+		revision, members = d.listAt(behind)
+		return revision + offset, members
+	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		d.calls.Add(1)
 		behind := lag()
 		call := readPoll(r)
 		over := time.Now().Add(call.wait)
-		revision, members := d.listAt(behind)
+		revision, members := list(behind)
 		for call.hasList && revision == call.index && time.Now().Before(over) && r.Context().Err() == nil {
 			time.Sleep(5 * time.Millisecond)
-			revision, members = d.listAt(behind)
+			revision, members = list(behind)
 		}
 		if call.hasList && revision == call.index {
 			io.WriteString(w, listAnswer(revision, false, ""))
@@ -105,6 +116,70 @@
 	}
 }
 
+// TestDrain_moveToReplicaWithEarlierReturn guards against a known drain that is withdrawn behind a move of discovery, as the new service
+// shows an earlier drain of the worker and the return from that.
+func TestDrain_moveToReplicaWithEarlierReturn(t *testing.T) {
+	t.Parallel()
+	const lag = 3500 * time.Millisecond
+	for name, change := range map[string]func(string) string{"polled": func(config string) string { return config }, "pushed": withPushedLists} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var atDrained arrivals
+			drained, others := startWorker(t, "a", atDrained.recording(completeJob)), startNamedWorkers(t, completeJob, "b", "c")
+			list := func(phase string) string {
+				return memberJSON(drained, phase) + "," + memberJSON(others[0], "active") + "," + memberJSON(others[1], "active")
+			}
+			var discovery replicatedDiscovery
+			discovery.publish(list("active"))
+			dispatcher := startWithConfig(t, change(dispatcherConfig(0, 1, 0, discovery.startReplica(t, constantLag(0)), list("active"))))
+			load := newSteadyLoad()
+			load.start(dispatcher, "job", 5*time.Millisecond)
+			time.Sleep(time.Second)
+			discovery.publish(list("leaving"))
+			time.Sleep(600 * time.Millisecond)
+			discovery.publish(list("active"))
+			time.Sleep(1400 * time.Millisecond)
+			drainedAt := discovery.publish(list("leaving"))
+			time.Sleep(1700 * time.Millisecond)
+			dispatcher.reload(withDiscoveryAddress(dispatcher.config, discovery.startRenumberedReplica(t, 100, constantLag(lag))))
+			dispatcher.waitForLog("msg=\"endpoint list updated\" revision=102 ")
+			dispatcher.waitForLog("msg=\"endpoint list updated\" revision=104 ")
+			load.end()
+			atDrained.checkNoneAfter(t, drainedAt, time.Second+drainGraceAndSlack)
+		})
+	}
+}
+
+// TestReturn_behindMove checks that a worker whose drain was known before a move of discovery, and which then returns, gets jobs within
+// notificationLimit and the time of a call, without any later change of the list, while another worker is ready.
+func TestReturn_behindMove(t *testing.T) {
+	t.Parallel()
+	const timeOfCall = time.Second
+	slowly := func(worker *testWorker, conn net.Conn, r *http.Request) { // so that one worker alone is not enough
+		time.Sleep(50 * time.Millisecond)
+		completeJob(worker, conn, r)
+	}
+	var atReturned arrivals
+	returned, other := startWorker(t, "a", atReturned.recording(slowly)), startWorker(t, "b", slowly)
+	list := func(phase string) string { return memberJSON(returned, phase) + "," + memberJSON(other, "active") }
+	var discovery replicatedDiscovery
+	discovery.publish(list("active"))
+	dispatcher := startWithConfig(t, dispatcherConfig(0, 1, 0, discovery.startReplica(t, constantLag(0)), list("active")))
+	load := newSteadyLoad()
+	load.start(dispatcher, "job", 5*time.Millisecond)
+	defer load.end()
+	time.Sleep(time.Second)
+	discovery.publish(list("leaving"))
+	dispatcher.waitForLog("msg=\"endpoint list updated\" revision=2 ")
+	dispatcher.reload(withDiscoveryAddress(dispatcher.config, discovery.startRenumberedReplica(t, 100, constantLag(0))))
+	dispatcher.waitForLog("msg=\"endpoint list updated\" revision=102 ")
+	returnedAt := discovery.publish(list("active"))
+	time.Sleep(notificationLimit + timeOfCall - 100*time.Millisecond)
+	if last := atReturned.lastSince(returnedAt); last < notificationLimit+timeOfCall-200*time.Millisecond {
+		t.Errorf("the returned worker received its last job %v after its return", last)
+	}
+}
+
 // TestDiscovery_callRateAtLaggingReplicas checks that a dispatcher makes at most 30 calls in 12 s where answers come from a lagging
 // replica. An answer with a lower revision has the complete list requested again, which must not happen so often that discovery
 // cannot serve many dispatchers.
--- a/internal/decisions/endpointstate/endpointstate.go
+++ b/internal/decisions/endpointstate/endpointstate.go
@@ -8,11 +8,13 @@
 //
 // Table guarantees to its caller:
 //
-//  1. A worker known as draining or gone becomes ready again only by a response of the same service with a higher revision, by a
-//     later start of the worker if it was draining, or by a response to a call made MaxStaleness or more after the restriction was
-//     learned. A genuine return is accepted within MaxStaleness and one call: for a response that is not accepted,
-//     Changes.PollAgainAt says when to poll again.
-//  2. A response whose revision is lower than one before of its service (Lagging) can only restrict a worker that is ready, and
+//  1. A worker known as draining or gone becomes ready again only by a response that was certainly composed after each list that
+//     showed it so, of whichever service: it has a higher revision of the same service, or its call was made MaxStaleness or more
+//     after that list was received, or it shows a later start than that list did of the draining worker. A genuine return is accepted
+//     within MaxStaleness and one call after the last list of another service: for a response that is not accepted,
+//     Changes.PollAgainAt says when to poll again. Until then Changes.UnconfirmedReturns has the worker if the service of the
+//     response has listed it as draining and then as ready.
+//  2. A response whose revision is lower than one before of its service (Lagging) can only restrict a worker, and
 //     asks for the full list. A service that returns only lower revisions for MaxStaleness starts a new sequence of revisions, and
 //     is Current from then on.
 //  3. A response of a lower revision to a call that was made before the last current response was received (Overtaken) changes
--- a/internal/decisions/endpointstate/endpointstate_test.go
+++ b/internal/decisions/endpointstate/endpointstate_test.go
@@ -29,6 +29,7 @@
 	table             table
 	acceptedState     scheduler.WorkerState // by the table's changes
 	newestRestriction int                   // the newest change whose restriction was accepted; -1 for none
+	countConfirmed    bool                  // a drain that a list shows counts as accepted also while the worker is not ready
 }
 
 var epoch = time.Unix(1e9, 0)
@@ -91,6 +92,9 @@
 			return fmt.Errorf("a list of change %d, composed at %v, withdraws the restriction of change %d", shown, planned.composed, m.newestRestriction)
 		}
 	}
+	if m.countConfirmed && m.truth[shown].endpoint.State == scheduler.Draining {
+		m.newestRestriction = max(m.newestRestriction, shown)
+	}
 	return nil
 }
 
@@ -203,10 +207,16 @@
 
 // TestTable_randomHistories checks the properties for long random histories: responses of lagging replicas of two services that are
 // delayed, repeated and overtaken.
-func TestTable_randomHistories(t *testing.T) {
+func TestTable_randomHistories(t *testing.T) { checkRandomHistories(t, false) }
+
+// TestTable_randomHistories_confirmedDrains guards against the withdrawal of a drain that a list showed while the worker was not ready
+// already, by a list that may be older.
+func TestTable_randomHistories_confirmedDrains(t *testing.T) { checkRandomHistories(t, true) }
+
+func checkRandomHistories(t *testing.T, countConfirmed bool) {
 	property.Check(t, func(t *rapid.T) {
 		truth := drawTruth(t)
-		model := &discoveryModel{table: &Table{}, acceptedState: scheduler.Gone, newestRestriction: -1, truth: truth}
+		model := &discoveryModel{table: &Table{}, acceptedState: scheduler.Gone, newestRestriction: -1, truth: truth, countConfirmed: countConfirmed}
 		received := time.Duration(0)
 		for range rapid.IntRange(0, 30).Draw(t, "responses") {
 			received += time.Duration(rapid.Int64Range(1, int64(2*time.Second)).Draw(t, "gap"))
@@ -357,6 +367,45 @@
 	}
 }
 
+// TestTable_withdrawalAfterEndByOtherService guards against the withdrawal of a drain by the second stale list of another service, the
+// first of which does not name the worker.
+func TestTable_withdrawalAfterEndByOtherService(t *testing.T) {
+	var known Table
+	respond := func(service string, revision int64, calledAt time.Duration, endpoints ...Endpoint) Changes {
+		response := ListResponse{Service: service, Revision: revision, Complete: true, CalledAt: epoch.Add(calledAt),
+			ReceivedAt: epoch.Add(calledAt + 100*time.Millisecond), Endpoints: endpoints}
+		return known.Apply(response, known.Classify(response))
+	}
+	respond("before", 4, 0, Endpoint{ID: "w", State: scheduler.Draining})
+	respond("after", 101, time.Second) // of an earlier end
+	if changes := respond("after", 102, 2*time.Second, Endpoint{ID: "w"}); len(changes.Accepted) != 0 || changes.PollAgainAt != epoch.Add(100*time.Millisecond+MaxStaleness) {
+		t.Errorf("a return too soon: %+v", changes)
+	}
+	if changes := respond("after", 103, 3*time.Second, Endpoint{ID: "w", Start: 7}); len(changes.Accepted) != 1 {
+		t.Errorf("a later start than the one that drains: %+v", changes)
+	}
+}
+
+// TestTable_earlierStartAfterOtherService guards against an earlier start of a worker that is taken from the second stale list of another
+// service: a worker that has just started would count as warm.
+func TestTable_earlierStartAfterOtherService(t *testing.T) {
+	var known Table
+	respond := func(service string, revision int64, start scheduler.Instant, calledAt time.Duration) scheduler.Instant {
+		response := ListResponse{Service: service, Revision: revision, Complete: true, CalledAt: epoch.Add(calledAt),
+			ReceivedAt: epoch.Add(calledAt + 100*time.Millisecond), Endpoints: []Endpoint{{ID: "w", Start: start}}}
+		return known.Apply(response, known.Classify(response)).Accepted[0].Start
+	}
+	respond("before", 4, 7, 0)
+	for _, revision := range []int64{101, 102} {
+		if start := respond("after", revision, 1, time.Second); start != 7 {
+			t.Errorf("revision %d: start %v, 7 ns is known", revision, start)
+		}
+	}
+	if start := respond("after", 103, 1, 200*time.Millisecond+MaxStaleness+time.Second); start != 1 {
+		t.Errorf("MaxStaleness after the start before: start %v", start)
+	}
+}
+
 // TestRestoredDrain_notWithdrawnByOtherService checks promise 1 after a restart: a drain that a predecessor process handed over is not
 // withdrawn by the first list of another service, whose call was made less than MaxStaleness after the drain was notified.
 func TestRestoredDrain_notWithdrawnByOtherService(t *testing.T) {
--- a/internal/decisions/endpointstate/table.go
+++ b/internal/decisions/endpointstate/table.go
@@ -14,10 +14,8 @@
 	state      scheduler.WorkerState
 	start      scheduler.Instant // by discovery's clock; 0 for long ago
 	notifiedAt time.Time         // since when the worker is known not to be ready; zero while it is ready
-	learnedAt  time.Time         // when its state or start became known to this process; zero for long ago
-	service    string            // the service, its sequence of revisions and the revision that last confirmed the state
-	sequence   int
-	revision   int64
+	latest     observation       // the last list that showed the state
+	others     []observation     // the last lists of other services that showed it, as far as they may be later than latest
 }
 
 // Table is what is known of all workers. The zero value is an empty table. It is not safe for concurrent use.
@@ -32,7 +30,7 @@
 	t.serviceProgress(service).revision = revision
 	for _, endpoint := range endpoints {
 		entry := t.newRecord(endpoint, service, revision)
-		entry.learnedAt = entry.notifiedAt
+		entry.latest.receivedAt = entry.notifiedAt
 		t.set(endpoint.ID, entry)
 	}
 }
@@ -45,7 +43,8 @@
 
 // newRecord returns the record of a worker that was learned long ago, at a revision of a service.
 func (t *Table) newRecord(endpoint Endpoint, service string, revision int64) record {
-	entry := record{state: endpoint.State, start: endpoint.Start, service: service, sequence: t.serviceProgress(service).sequence, revision: revision}
+	entry := record{state: endpoint.State, start: endpoint.Start}
+	entry.latest = t.observe(ListResponse{Service: service, Revision: revision}, endpoint)
 	if endpoint.State != scheduler.Ready {
 		entry.notifiedAt = endpoint.NotifiedAt
 	}
@@ -78,36 +77,27 @@
 // applyEndpoint records what a response says of one worker, as far as it is accepted.
 func (t *Table) applyEndpoint(response ListResponse, order ResponseOrder, index int, endpoint Endpoint, changes *Changes) {
 	before, known := t.records[endpoint.ID] // an unknown worker counts as ready before: it has the zero record
-	// A lagging response only restricts a worker that is ready.
-	if order == Lagging && (!known || endpoint.State == scheduler.Ready || before.state != scheduler.Ready) {
+	if order == Lagging && endpoint.State == scheduler.Ready {
+		return // a lagging response only restricts a worker
+	}
+	seen := t.observe(response, endpoint)
+	newer := !known || order == Current && before.composedAfter(seen, response.CalledAt)
+	switch {
+	case newer || before.state == scheduler.Ready:
+	case endpoint.State == scheduler.Ready:
+		changes.rejectReturn(response, index, endpoint.ID, &before, seen)
 		return
-	}
-	newer := !known || order == Current && t.composedAfter(response, before)
-	if endpoint.State == scheduler.Ready && before.state != scheduler.Ready && !newer && !startedAfter(endpoint, before) {
-		changes.pollAgainBy(before.learnedAt.Add(MaxStaleness))
+	case order == Lagging || before.state == scheduler.Gone && endpoint.State == scheduler.Draining:
+		before.confirm(seen, response.CalledAt) // the state may have changed since the response was composed
+		t.set(endpoint.ID, before)
 		return
 	}
-	if before.state == scheduler.Gone && endpoint.State == scheduler.Draining && !newer {
-		return // the worker has left since the response was composed
-	}
 	if endpoint.Start < before.start && !newer {
 		endpoint.Start = before.start
 	}
 	t.accept(response, index, endpoint, before, changes)
 }
 
-// composedAfter reports whether a response was certainly composed after a record was learned.
-func (t *Table) composedAfter(response ListResponse, known record) bool {
-	sameSequence := known.service == response.Service && known.sequence == t.serviceProgress(response.Service).sequence && known.revision != UnknownRevision
-	return sameSequence && response.Revision > known.revision || !response.CalledAt.Before(known.learnedAt.Add(MaxStaleness))
-}
-
-// startedAfter reports whether an endpoint is certainly a later start than the draining one that is known. Of a worker that is gone,
-// the last start is not known: it may have started once more and left before a list named that start.
-func startedAfter(endpoint Endpoint, known record) bool {
-	return known.state == scheduler.Draining && endpoint.Start > known.start
-}
-
 // applyUnlisted records the workers that a complete response does not name as gone, and forgets those that have been gone for
 // longer than goneRetention.
 func (t *Table) applyUnlisted(response ListResponse, listed map[scheduler.WorkerID]bool, changes *Changes) {
@@ -116,7 +106,7 @@
 		case listed[id]:
 		case known.state != scheduler.Gone:
 			t.accept(response, NotListed, Endpoint{ID: id, State: scheduler.Gone, Start: known.start}, known, changes)
-		case response.ReceivedAt.Sub(known.learnedAt) > goneRetention:
+		case response.ReceivedAt.Sub(known.latest.receivedAt) > goneRetention:
 			delete(t.records, id)
 		}
 	}
@@ -124,10 +114,12 @@
 
 // accept records a worker's state by a response, and adds it to the changes.
 func (t *Table) accept(response ListResponse, index int, endpoint Endpoint, before record, changes *Changes) {
-	after := record{state: endpoint.State, start: endpoint.Start, learnedAt: before.learnedAt, service: response.Service,
-		sequence: t.serviceProgress(response.Service).sequence, revision: response.Revision}
-	if after.state != before.state || after.start != before.start {
-		after.learnedAt = response.ReceivedAt
+	after, seen := before, t.observe(response, endpoint)
+	after.state, after.start, after.notifiedAt = endpoint.State, endpoint.Start, time.Time{}
+	if (before.state == scheduler.Ready) == (after.state == scheduler.Ready) && t.isKnown(endpoint.ID) {
+		after.confirm(seen, response.CalledAt)
+	} else {
+		after.latest, after.others = seen, nil
 	}
 	if after.state != scheduler.Ready {
 		after.notifiedAt = before.notifiedAt
@@ -140,6 +132,12 @@
 		Accepted{Index: index, ID: endpoint.ID, State: after.state, Start: after.start, NotifiedAt: after.notifiedAt})
 }
 
+// isKnown reports whether there is a record of a worker.
+func (t *Table) isKnown(id scheduler.WorkerID) bool {
+	_, known := t.records[id]
+	return known
+}
+
 // set replaces the record of a worker.
 func (t *Table) set(id scheduler.WorkerID, entry record) {
 	if t.records == nil {
--- a/internal/routing/listchanges.go
+++ b/internal/routing/listchanges.go
@@ -54,6 +54,7 @@
 		l.recheckAt = changes.PollAgainAt
 	}
 	listed, gone := l.acceptedEndpoints(update, changes.Accepted)
+	listed = append(listed, l.unconfirmedReturns(update, changes.UnconfirmedReturns)...)
 	l.publishChanges(*update, listed, gone, update.listKind())
 }
 
@@ -73,6 +74,15 @@
 	return listed, gone
 }
 
+// unconfirmedReturns returns the endpoints of an update that stay draining, though the update lists them as ready.
+func (l *EndpointList) unconfirmedReturns(update *ListUpdate, returns []endpointstate.Accepted) []Endpoint {
+	listed, _ := l.acceptedEndpoints(update, returns)
+	for i := range listed {
+		listed[i].ReturnUnconfirmed = true
+	}
+	return listed
+}
+
 // publishChanges passes on what has changed: to the endpoint pool first, then to the scheduler, so that the scheduler never sends to
 // an endpoint that the pool does not know. listed are the endpoints that the update names, gone those that a full list does not
 // name; the scheduler, which gets the full list too, finds them by itself.
@@ -160,8 +170,12 @@
 	return endpointstate.Endpoint{ID: e.ID, State: e.State, Start: e.StartedAt, NotifiedAt: e.NotifiedAt}
 }
 
-// logStateChange logs that the state of a known endpoint has changed. New endpoints are not logged: a first list may have thousands.
+// logStateChange logs that the state of a known endpoint has changed, or that its return is unconfirmed now. New endpoints are not logged:
+// a first list may have thousands.
 func (l *EndpointList) logStateChange(before, after Endpoint) {
+	if after.ReturnUnconfirmed && !before.ReturnUnconfirmed {
+		l.log.Info("worker return unconfirmed", "worker", after.ID, "since_notified", sinceNotified(after.NotifiedAt))
+	}
 	if _, known := l.known[after.ID]; known && before.State != after.State {
 		l.log.Info("worker state changed", "worker", after.ID, "from", before.State.String(), "to", after.State.String(),
 			"since_notified", sinceNotified(after.NotifiedAt))
--- a/internal/transport/sendchecks.go
+++ b/internal/transport/sendchecks.go
@@ -32,7 +32,7 @@
 	switch {
 	case exchange.attempt.ID.Number > 0 && e.pool.RetriesAllowed != nil && !e.pool.RetriesAllowed():
 		return notSentRetriesNotAllowed
-	case e.gracePeriodOver(e.listed.NotifiedAt, drainGraceMargin, now):
+	case e.gracePeriodOver(e.drainingSince(), drainGraceMargin, now):
 		return notSentDrainGraceOver
 	case e.gracePeriodOver(e.detachedSince, writeMargin, now):
 		return notSentDetachedGraceOver
@@ -57,8 +57,8 @@
 	if sendBy := exchange.attempt.SendBy; !sendBy.IsZero() {
 		limit(sendBy.Add(-writeMargin))
 	}
-	if notifiedAt := e.listed.NotifiedAt; !notifiedAt.IsZero() {
-		limit(e.graceEnd(notifiedAt, drainGraceMargin))
+	if since := e.drainingSince(); !since.IsZero() {
+		limit(e.graceEnd(since, drainGraceMargin))
 	}
 	if !e.detachedSince.IsZero() {
 		limit(e.graceEnd(e.detachedSince, writeMargin))
@@ -66,6 +66,15 @@
 	return latest
 }
 
+// drainingSince returns when this dispatcher was notified that the worker is draining or gone; zero while it is neither, or its return is
+// unconfirmed: the scheduler then uses it only where there is no other.
+func (e *endpoint) drainingSince() time.Time {
+	if e.listed.ReturnUnconfirmed {
+		return time.Time{}
+	}
+	return e.listed.NotifiedAt
+}
+
 // gracePeriodOver reports whether the grace period that began at since is over, or may be by the time of a write. A zero since
 // is no grace period.
 func (e *endpoint) gracePeriodOver(since time.Time, margin time.Duration, now time.Time) bool {
--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -35,7 +35,7 @@
 	}
 	if event.ListKind == ListFull || event.ListKind == ListCached {
 		for _, worker := range s.workers {
-			worker.ready = false
+			worker.ready, worker.ReturnUnconfirmed = false, false
 		}
 	}
 	for _, info := range event.Workers {
--- a/scheduler/endpoints_test.go
+++ b/scheduler/endpoints_test.go
@@ -127,3 +127,45 @@
 		}
 	}
 }
+
+// TestUnconfirmedReturn_onlyWithoutOtherWorkers guards against requests to a draining worker that a list which may be older shows as ready: it
+// gets none while another worker that may run them is ready, and is used where they would be rejected otherwise.
+func TestUnconfirmedReturn_onlyWithoutOtherWorkers(t *testing.T) {
+	settings := baseSettings()
+	settings.Classes[0].MachineKind = 1
+	driver := newDriver(t, settings)
+	infos := workers(3)
+	for i := range infos {
+		infos[i].MachineKind = 1
+	}
+	infos[2].MachineKind = 2 // may not run the requests
+	unconfirmed, other := &infos[0], &infos[1]
+	unconfirmed.State, unconfirmed.ReturnUnconfirmed = Draining, true
+	driver.listWorkers(infos...)
+	for _, to := range driver.submitJobs(1, 12) {
+		if to != other.ID {
+			t.Fatalf("a request was sent to %s while %s is ready", to, other.ID)
+		}
+	}
+	other.State = Draining
+	driver.listWorkers(infos...)
+	if to := driver.submitJobs(100, 3); len(to) != 3 || to[0] != unconfirmed.ID {
+		t.Errorf("with no worker ready, requests were sent to %v", to)
+	}
+	next := RequestID(1000)
+	for what, change := range map[string]func(){
+		"draining again":  func() { unconfirmed.ReturnUnconfirmed = false; driver.listWorkers(infos...) },
+		"not listed":      func() { driver.listWorkers(infos[1:]...) },
+		"detached":        func() { driver.handle(WorkerDetached{Worker: unconfirmed.ID}) },
+		"of another kind": func() { unconfirmed.MachineKind = 2; driver.listWorkers(infos...) },
+	} {
+		unconfirmed.ReturnUnconfirmed, unconfirmed.MachineKind = true, 1
+		driver.handle(WorkerReattached{Worker: unconfirmed.ID})
+		driver.listWorkers(infos...)
+		change()
+		next++
+		if to := driver.submitJobs(next, 1); len(to) != 0 {
+			t.Errorf("%s: a request was sent to %v", what, to)
+		}
+	}
+}
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -50,6 +50,10 @@
 	Weight         float64 // relative size
 	StartedAt      Instant // when it last started; 0 for long ago
 	StartConfirmed bool    // StartedAt holds even where it is earlier than the one known before
+
+	// ReturnUnconfirmed is set for a worker that is Draining by what is known and ready by a list that may be older. It gets requests
+	// only where no other worker may run them.
+	ReturnUnconfirmed bool
 }
 
 // EndpointsUpdated brings an update of the endpoint list.
--- a/scheduler/retries.go
+++ b/scheduler/retries.go
@@ -6,19 +6,18 @@
 
 // Retries and final answers: what permits a further attempt, and what the client gets if there is none.
 
-// permitted reports whether the rules let request go to worker at all, whatever the load: the worker is listed as ready and not
-// detached, its zone and machine kind are allowed, the request has attempts left, and earlier attempts that may have executed do
-// not forbid it. Of these
+// permitted reports whether the rules let request go to worker at all, whatever the load: the worker is listed as ready, or its
+// return is unconfirmed and no other is, and it is not detached; its zone and machine kind are allowed, the request has attempts left, and
+// earlier attempts that may have executed do not forbid it. Of these
 //
 //   - a non-idempotent request permits no further attempt,
 //   - an attempt still in flight permits one only where hedging is allowed,
 //   - a request with an idempotency key permits one only inside the deduplication scope (zone or cell) and window.
 func (s *Scheduler) permitted(request *request, worker *worker) bool {
-	class := &request.settings.Classes[request.class]
-	if !worker.ready || worker.detached || request.excludesZone(worker.Zone) {
+	if !worker.ready && !worker.ReturnUnconfirmed || worker.detached || !worker.runs(request) {
 		return false
 	}
-	if class.MachineKind >= 0 && class.MachineKind != worker.MachineKind {
+	if worker.ReturnUnconfirmed && s.anyAvailable(request) {
 		return false
 	}
 	for i := range request.attempts {
@@ -30,6 +29,11 @@
 	return len(request.attempts) < request.settings.MaxAttempts
 }
 
+// anyAvailable reports whether any worker that may run the request is listed as ready and not detached.
+func (s *Scheduler) anyAvailable(request *request) bool {
+	return slices.ContainsFunc(s.workers, func(w *worker) bool { return w.available() && w.runs(request) })
+}
+
 // permittedAfter reports whether an earlier attempt that may have executed permits a further one at worker.
 func (s *Scheduler) permittedAfter(request *request, earlier *attempt, worker *worker) bool {
 	class := &request.settings.Classes[request.class]
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -28,7 +28,8 @@
 //     is sent again only inside its deduplication scope and window. No request has more than MaxAttempts
 //     attempts.
 //   - Reject is given only if repeating the request is harmless.
-//   - No request is sent to a worker that is not listed as ready, or that the operator has detached.
+//   - No request is sent to a worker that the operator has detached, or that is not listed as ready. Where
+//     none that may run it is, it is sent to one whose return is unconfirmed.
 //   - A warming worker gets no more than this dispatcher's share of its slow-start budget, or one request.
 //   - The same settings, seed and events give the same actions.
 //
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -62,6 +62,12 @@
 // available reports whether the worker is listed as ready and not detached.
 func (w *worker) available() bool { return w.ready && !w.detached }
 
+// runs reports whether the worker is of the machine kind of a request's class and in a zone that the request allows.
+func (w *worker) runs(request *request) bool {
+	kind := request.settings.Classes[request.class].MachineKind
+	return (kind < 0 || kind == w.MachineKind) && !request.excludesZone(w.Zone)
+}
+
 // weight returns the worker's registered weight, at least 0.001.
 func (w *worker) weight() float64 { return max(figureOrMissing(w.Weight), 1e-3) }
 
