handover: a successor knows which drains another discovery service has shown

What callers saw: right behind a move of discovery to a replica that lags, a second process takes over, and a worker that drains gets requests from it: the last job 2.58 s after the known drain in TestHandover_drainKnownFromOtherService.

Cause: the successor entered all states of its predecessor's list as shown by the service that the predecessor called last. The next revision of that service then withdrew a drain that only the service before the move had shown.

The fields are optional: a predecessor of an earlier build is read as before.

--- a/cmd/brassdale/lagging_discovery_test.go
+++ b/cmd/brassdale/lagging_discovery_test.go
@@ -150,6 +150,38 @@
 	}
 }
 
+// TestHandover_drainKnownFromOtherService guards against a drain that is withdrawn in a successor process: its predecessor knew it from the
+// service before a move, and the service that both call shows an earlier drain and the return from that.
+func TestHandover_drainKnownFromOtherService(t *testing.T) {
+	t.Parallel()
+	const lag = 3500 * time.Millisecond
+	var atDrained arrivals
+	drained, other := startWorker(t, "a", atDrained.recording(completeJob)), startWorker(t, "b", completeJob)
+	list := func(phase string) string { return memberJSON(drained, phase) + "," + memberJSON(other, "active") }
+	var discovery replicatedDiscovery
+	discovery.publish(list("active"))
+	dispatcher := startWithConfig(t, dispatcherConfig(0, 1, 0, discovery.startReplica(t, constantLag(0)), list("active")))
+	discovery.publish(list("leaving"))
+	time.Sleep(time.Second)
+	discovery.publish(list("active"))
+	time.Sleep(1400 * time.Millisecond)
+	drainedAt := discovery.publish(list("leaving"))
+	dispatcher.waitForLog("msg=\"endpoint list updated\" revision=4 ")
+	dispatcher.config = withDiscoveryAddress(dispatcher.config, discovery.startRenumberedReplica(t, 100, constantLag(lag)))
+	time.Sleep(1200 * time.Millisecond)
+	dispatcher.reload(dispatcher.config)
+	dispatcher.waitForLog("msg=\"endpoint list updated\" revision=102 ")
+
+	successor := dispatcher.startSuccessor("")
+	dispatcher.waitForHandovers(1)
+	load := newSteadyLoad()
+	load.start(successor, "job", 5*time.Millisecond)
+	successor.waitForLog("msg=\"endpoint list updated\" revision=103 ")
+	successor.waitForLog("msg=\"endpoint list updated\" revision=104 ")
+	load.end()
+	atDrained.checkNoneAfter(t, drainedAt, time.Second+drainGraceAndSlack)
+}
+
 // TestReturn_behindMove checks that a worker whose drain was known before a move of discovery, and which then returns, gets jobs within
 // notificationLimit and the time of a call, without any later change of the list, while another worker is ready.
 func TestReturn_behindMove(t *testing.T) {
--- a/internal/decisions/endpointstate/listresponse.go
+++ b/internal/decisions/endpointstate/listresponse.go
@@ -22,4 +22,8 @@
 	State      scheduler.WorkerState
 	Start      scheduler.Instant // of the worker, by discovery's clock; 0 for long ago
 	NotifiedAt time.Time         // from when on the worker, if it is not ready, counts as known not to be; zero for when the response was received
+
+	// OtherServiceAt is for Restore: when the state was last received from a service whose revisions cannot be compared with those of the
+	// restored list; zero for never.
+	OtherServiceAt time.Time
 }
--- a/internal/decisions/endpointstate/table.go
+++ b/internal/decisions/endpointstate/table.go
@@ -25,16 +25,37 @@
 }
 
 // Restore enters the list that was known before this process began, at a revision of a service. It is called before the first
-// Classify. A worker that is not ready counts as learned at its NotifiedAt, which the caller sets; a ready one was learned long ago.
+// Classify. A worker that is not ready counts as learned at its NotifiedAt, which the caller sets; a ready one was learned long ago. Where
+// OtherServiceAt is set, another service has shown the state too.
 func (t *Table) Restore(service string, revision int64, endpoints []Endpoint) {
 	t.serviceProgress(service).revision = revision
 	for _, endpoint := range endpoints {
 		entry := t.newRecord(endpoint, service, revision)
 		entry.latest.receivedAt = entry.notifiedAt
+		if !endpoint.OtherServiceAt.IsZero() {
+			entry.others = []observation{{revision: UnknownRevision, receivedAt: endpoint.OtherServiceAt,
+				draining: entry.latest.draining, start: endpoint.Start}}
+		}
 		t.set(endpoint.ID, entry)
 	}
 }
 
+// OtherServiceAt returns when the state of a worker was last received in a list whose revision cannot be compared with those of a service;
+// zero if all can.
+func (t *Table) OtherServiceAt(id scheduler.WorkerID, service string) (at time.Time) {
+	known, ok := t.records[id]
+	if !ok {
+		return at
+	}
+	sequence := t.serviceProgress(service).sequence
+	for _, seen := range append([]observation{known.latest}, known.others...) {
+		if !seen.comparable(service, sequence) && seen.receivedAt.After(at) {
+			at = seen.receivedAt
+		}
+	}
+	return at
+}
+
 // Record enters the state of one worker that is known otherwise than by a response, in place of what was known of it. It counts as
 // learned long ago.
 func (t *Table) Record(endpoint Endpoint, service string, revision int64) {
--- a/internal/protocol/handover.go
+++ b/internal/protocol/handover.go
@@ -76,6 +76,13 @@
 	// NotifiedAgo is the time since the notification, from when this was sent: the wall clock may be adjusted meanwhile.
 	NotifiedAgo time.Duration `json:"told_ago_ns,omitempty"`
 
+	// OtherServiceAgo is the time since its state was last received from a discovery service whose revisions cannot be compared with
+	// Handover.Revision; 0 for never.
+	OtherServiceAgo time.Duration `json:"other_service_ago_ns,omitempty"`
+
+	// ReturnUnconfirmed is set for a draining worker that a list which may be older shows as ready.
+	ReturnUnconfirmed bool `json:"return_unconfirmed,omitempty"`
+
 	// StartedAgo is the time since it started, as far as the predecessor knew; 0 for long ago.
 	StartedAgo time.Duration `json:"started_ago_ns,omitempty"`
 }
@@ -100,7 +107,11 @@
 func KnownMembers(endpoints []routing.Endpoint, settings *Settings) (known []KnownMember) {
 	now := time.Now()
 	for i, member := range Members(endpoints, settings) {
-		entry := KnownMember{Member: member, NotifiedAt: endpoints[i].NotifiedAt, StartedAgo: endpoints[i].Age}
+		entry := KnownMember{Member: member, NotifiedAt: endpoints[i].NotifiedAt, StartedAgo: endpoints[i].Age,
+			ReturnUnconfirmed: endpoints[i].ReturnUnconfirmed}
+		if otherServiceAt := endpoints[i].OtherServiceAt; !otherServiceAt.IsZero() {
+			entry.OtherServiceAgo = max(now.Sub(otherServiceAt), time.Nanosecond)
+		}
 		if !entry.NotifiedAt.IsZero() {
 			entry.NotifiedAgo = max(now.Sub(entry.NotifiedAt), time.Nanosecond)
 		}
@@ -152,8 +163,11 @@
 	}
 	now := time.Now()
 	for i := range update.Endpoints {
-		update.Endpoints[i].NotifiedAt = h.Members[i].notifiedAt(now)
-		update.Endpoints[i].Age = h.Members[i].StartedAgo
+		endpoint, known := &update.Endpoints[i], &h.Members[i]
+		endpoint.NotifiedAt, endpoint.Age, endpoint.ReturnUnconfirmed = known.notifiedAt(now), known.StartedAgo, known.ReturnUnconfirmed
+		if known.OtherServiceAgo > 0 {
+			endpoint.OtherServiceAt = now.Add(-known.OtherServiceAgo)
+		}
 	}
 	return update, nil
 }
--- a/internal/protocol/stored_test.go
+++ b/internal/protocol/stored_test.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -27,6 +28,22 @@
 		},
 		Classes: map[string]scheduler.ClassStatistics{"class-1": {WorkScale: 41.5, MeanLogRuntime: 42.5, Jobs: 43}},
 	},
+	"handover-after-move": Handover{
+		Fronts: []string{"front-3"}, Discovery: "127.0.0.1:8501", Revision: 12,
+		Members: []KnownMember{{
+			Member: Member{ID: "worker-b", HostPort: "127.0.0.1:3002", Locality: "zone-2", Flavor: "flavor-2",
+				Cell: 3, Phase: "leaving", Size: 2.5, UpSinceMS: 902},
+			NotifiedAt: time.Date(2026, 1, 2, 3, 4, 5, 7, time.UTC), NotifiedAgo: 14, OtherServiceAgo: 15, ReturnUnconfirmed: true, StartedAgo: 16,
+		}},
+		Detached: []string{"worker-y"}, Relay: "127.0.0.1:8601", ListUnconfirmed: true,
+		LearnedState: scheduler.LearnedState{
+			Overcommit: 27.5, MeanStay: 28.5, MeanWork: 29.5,
+			Classes: []scheduler.ClassStatistics{{WorkScale: 30.5, MeanLogRuntime: 37.5, Jobs: 38}},
+			Workers: map[scheduler.WorkerID]scheduler.WorkerStatistics{
+				"worker-b": {StartedAt: 44, Slots: 45.5, Increment: 46.5, Slowness: 47.5, SlownessJobs: 48.5, LastSignal: 49}},
+		},
+		Classes: map[string]scheduler.ClassStatistics{"class-2": {WorkScale: 55.5, MeanLogRuntime: 56.5, Jobs: 57}},
+	},
 	"held": HandoverUsage{Inbound: []int{51, 52}, Outbound: 53, OpenJobs: 54},
 	"remembered": RememberedJob{
 		Key: "key-1", ID: "id-1", Digest: []byte{61, 62}, Events: []Event{{ID: "id-2", Name: "name-1", Data: "data-1", Retry: 63}},
@@ -44,15 +61,29 @@
 }
 
 // TestStoredMessages checks that the messages that the program of commit c2c1317 wrote are read, field by field, and that the same messages
-// are written as the same bytes.
+// are written as the same bytes. handover-after-move is of the program that first handed over OtherServiceAgo and ReturnUnconfirmed, and has
+// all fields of a handover; handover has all but these.
 func TestStoredMessages(t *testing.T) {
 	for name, want := range storedMessages {
 		t.Run(name, func(t *testing.T) {
+			complete := want
+			if name == "handover" {
+				complete = withLaterFields(storedMessages["handover"].(Handover))
+			}
 			if _, partial := want.(HandoverMessage); !partial {
-				testsupport.CheckAllSet(t, name, want)
+				testsupport.CheckAllSet(t, name, complete)
 			}
 			testsupport.CheckStored(t, "testdata/stored/"+name+".json", want)
 		})
 	}
 	testsupport.CheckFieldsSet(t, "note", storedMessages["note"])
 }
+
+// withLaterFields returns a handover with those fields set that came after commit c2c1317.
+func withLaterFields(handover Handover) Handover {
+	handover.Members = slices.Clone(handover.Members)
+	for i := range handover.Members {
+		handover.Members[i].OtherServiceAgo, handover.Members[i].ReturnUnconfirmed = 1, true
+	}
+	return handover
+}
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -12,6 +12,10 @@
 	Address    string
 	NotifiedAt time.Time // when this dispatcher was notified that it is draining or gone; zero while it is neither
 
+	// OtherServiceAt is when its state was last received from a service whose revisions cannot be compared with those of the list that a
+	// predecessor process hands over; zero for never, and elsewhere.
+	OtherServiceAt time.Time
+
 	// Age is the time since its start, where a predecessor process hands it over; 0 elsewhere.
 	Age time.Duration
 }
--- a/internal/routing/endpointlist.go
+++ b/internal/routing/endpointlist.go
@@ -199,11 +199,13 @@
 	l.core.UpdateEndpoints(scheduler.EndpointsUpdated{ListKind: scheduler.ListDelta, AsOf: l.core.clock.At(l.includesUntil)})
 }
 
-// snapshot returns the list as it is known, with the ages of endpoints whose start time is known.
+// snapshot returns the list as it is known, with the ages of endpoints whose start time is known, and when another
+// service than the current one last showed their states.
 func (l *EndpointList) snapshot() ListUpdate {
 	list := ListUpdate{Revision: l.calls.current.revision, Complete: true}
-	now := l.core.clock.Now()
+	now, service := l.core.clock.Now(), l.calls.current.discovery.Service()
 	for _, endpoint := range l.known {
+		endpoint.OtherServiceAt = l.stateTable.OtherServiceAt(endpoint.ID, service)
 		if startedAt := l.incarnations.StartedAt(endpoint.ID); startedAt > 0 {
 			endpoint.Age = now - startedAt
 		}
--- a/internal/routing/listchanges.go
+++ b/internal/routing/listchanges.go
@@ -154,7 +154,7 @@
 		endpoint.Address = before.Address
 	}
 	l.logStateChange(before, endpoint)
-	endpoint.Age = 0 // of the moment of the handover only
+	endpoint.Age, endpoint.OtherServiceAt = 0, time.Time{} // of the moment of the handover only
 	if endpoint.State == scheduler.Gone {
 		delete(l.known, endpoint.ID)
 	} else {
@@ -167,7 +167,7 @@
 
 // listedState returns what a list says of the state of an endpoint.
 func (e *Endpoint) listedState() endpointstate.Endpoint {
-	return endpointstate.Endpoint{ID: e.ID, State: e.State, Start: e.StartedAt, NotifiedAt: e.NotifiedAt}
+	return endpointstate.Endpoint{ID: e.ID, State: e.State, Start: e.StartedAt, NotifiedAt: e.NotifiedAt, OtherServiceAt: e.OtherServiceAt}
 }
 
 // logStateChange logs that the state of a known endpoint has changed, or that its return is unconfirmed now. New endpoints are not logged:
