transport: capacity that a notified worker does not take is passed on

What callers saw: at the connection limit a request may wait to its deadline although this process may open a connection.

Cause: the pool notifies waiting workers of a free place and reserves nothing. The notified actor started its longest waiting exchange and kept silent where that took no place (expired, client gone, idle connection found), so that nobody else learned of it until another connection was closed.

Change: startLongestWaiting is always followed by passOnCapacity, which notifies others of what is still free.

--- a/internal/transport/attemptqueue.go
+++ b/internal/transport/attemptqueue.go
@@ -58,16 +58,15 @@
 	time.AfterFunc(time.Until(exchange.deadline), func() { e.mailbox.Post(capacityWaitTimedOut{}) })
 }
 
-// startLongestWaiting starts the exchange that has waited longest for capacity. If none waits, another endpoint gets the capacity.
-// If that exchange needs no new connection, the capacity is not passed on before another connection is closed.
+// startLongestWaiting starts the exchange that has waited longest for capacity, and passes on what it does not take: there may be no such
+// exchange any more, or it may end at once or find an idle connection.
 func (e *endpoint) startLongestWaiting() {
-	if len(e.waitingForCapacity) == 0 {
-		e.pool.passOnCapacity()
-		return
+	if len(e.waitingForCapacity) > 0 {
+		exchange := e.waitingForCapacity[0]
+		e.waitingForCapacity = e.waitingForCapacity[1:]
+		e.startExchange(exchange)
 	}
-	exchange := e.waitingForCapacity[0]
-	e.waitingForCapacity = e.waitingForCapacity[1:]
-	e.startExchange(exchange)
+	e.pool.passOnCapacity()
 }
 
 // finishPastDeadline ends the exchanges that wait for capacity and whose deadline has passed.
--- a/internal/transport/endpointpool.go
+++ b/internal/transport/endpointpool.go
@@ -182,7 +182,8 @@
 	p.notifyWaitingLocked()
 }
 
-// passOnCapacity gives the next waiting endpoint the capacity that another one was notified of and does not need any more.
+// passOnCapacity notifies the next waiting endpoints of what is free after another one was notified of it and has taken what it needs. Each
+// capacityFreed is followed by it: otherwise the others would wait until a connection is closed, and there may be none.
 func (p *EndpointPool) passOnCapacity() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
