scheduler: a rejection or failure names its reason, which is logged at debug level

Cause: `request answered` said that a request had failed with an attempt open, and not why; a request that is given up as too late looked like one whose deadline is near.

Change: scheduler.Reject and scheduler.Fail have a typed Reason; the core logs it. No decision changes.

Tests of scheduler, internal and the simulator adapter pass.

--- a/internal/routing/actions.go
+++ b/internal/routing/actions.go
@@ -16,9 +16,9 @@
 		case scheduler.Cancel:
 			c.cancelAttempt(AttemptID{action.ID, action.Attempt})
 		case scheduler.Reject:
-			c.closeRequest(action.ID, Answer{Verdict: Rejected, RetryAfter: action.RetryAfter})
+			c.closeRequest(action.ID, Answer{Verdict: Rejected, RetryAfter: action.RetryAfter, reason: action.Reason.String()})
 		case scheduler.Fail:
-			c.closeRequest(action.ID, Answer{Verdict: Failed})
+			c.closeRequest(action.ID, Answer{Verdict: Failed, reason: action.Reason.String()})
 		case scheduler.CloseIdleConnections:
 			c.endpoints.CloseIdle(action.Worker, action.MinIdle)
 		case scheduler.Probe:
--- a/internal/routing/answer.go
+++ b/internal/routing/answer.go
@@ -19,6 +19,12 @@
 	return [...]string{Served: "served", Rejected: "rejected", Failed: "failed"}[v]
 }
 
+// The reasons of answers that the scheduler does not give, as logged.
+const (
+	reasonOverdue  = "overdue"
+	reasonZonePlan = "zone plan"
+)
+
 // Answer is the one final answer to a request. The names in its tags cross to another process of this dispatcher.
 type Answer struct {
 	Verdict    Verdict       `json:"Verdict"`
@@ -28,4 +34,6 @@
 	// DeadlinePassed is set where the deadline had passed or was nearer than the answer slack, or an attempt had timed out. Served
 	// answers never have it.
 	DeadlinePassed bool `json:"Expired"`
+
+	reason string // for the log: why it is rejected or failed; empty where it is served
 }
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -142,7 +142,7 @@
 		return
 	}
 	c.log.Error("request overdue, failed", "request", id, "id", request.LogName)
-	c.answerRequest(request, Answer{Verdict: Failed})
+	c.answerRequest(request, Answer{Verdict: Failed, reason: reasonOverdue})
 	c.handleEvent(scheduler.ClientLeft{ID: id}) // the request needs no answer any more
 	c.removeIfClosed(id, request)
 }
@@ -167,7 +167,7 @@
 	request.Client.Answered(answer)
 }
 
-// logAnswer logs at debug level how a request was answered, and the state of each of its attempts at that time.
+// logAnswer logs at debug level how and why a request was answered, and the state of each of its attempts at that time.
 func (c *Core) logAnswer(request *openRequest, answer Answer) {
 	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
 		return
@@ -176,7 +176,7 @@
 	for i := range request.attempts {
 		attempts = append(attempts, fmt.Sprintf("%s %s", request.attempts[i].endpoint, request.attempts[i].stateName()))
 	}
-	c.log.Debug("request answered", "id", request.LogName, "verdict", answer.Verdict.String(),
+	c.log.Debug("request answered", "id", request.LogName, "verdict", answer.Verdict.String(), "reason", answer.reason,
 		"deadline_passed", answer.DeadlinePassed, "attempts", attempts)
 }
 
--- a/internal/routing/zonerouting.go
+++ b/internal/routing/zonerouting.go
@@ -50,7 +50,7 @@
 	request.arrivedAt = c.now
 	zones, retryAfter, ok := c.zoneRouter.Route(c.now, request.ClassName, request.IdempotencyKey)
 	if !ok {
-		c.closeRequest(id, Answer{Verdict: Rejected, RetryAfter: retryAfter})
+		c.closeRequest(id, Answer{Verdict: Rejected, RetryAfter: retryAfter, reason: reasonZonePlan})
 	}
 	return zones, ok
 }
--- a/scheduler/actions.go
+++ b/scheduler/actions.go
@@ -24,10 +24,33 @@
 type Reject struct {
 	ID         RequestID
 	RetryAfter time.Duration // advice when; 0 for none
+	Reason     Reason
 }
 
 // Fail is a final answer that promises nothing: the request may have executed.
-type Fail struct{ ID RequestID }
+type Fail struct {
+	ID     RequestID
+	Reason Reason
+}
+
+// Reason is why a request is rejected or failed.
+type Reason uint8
+
+// The reasons.
+const (
+	ReasonUnknown  Reason = iota
+	DeadlineNear          // the deadline is too near for an attempt, or for waiting on
+	DeadlinePassed        // the deadline has passed, with an attempt in flight
+	TooLate               // a late answer has no value, and the request could not start in time
+	NoRetryLeft           // an attempt has ended, and no further one is permitted
+	RequestInvalid        // a worker found the request itself invalid
+)
+
+var reasonNames = [...]string{ReasonUnknown: "unknown", DeadlineNear: "deadline near", DeadlinePassed: "deadline passed",
+	TooLate: "too late to start", NoRetryLeft: "no retry permitted", RequestInvalid: "invalid request"}
+
+// String returns a reason's name in log lines.
+func (r Reason) String() string { return reasonNames[r] }
 
 // CloseIdleConnections closes the connections to a worker that have been idle for at least MinIdle, or, where that is unknown,
 // all idle ones.
--- a/scheduler/deadlines.go
+++ b/scheduler/deadlines.go
@@ -63,7 +63,7 @@
 func (s *Scheduler) giveUp(request *request, worker *worker) {
 	s.updateCongestion(worker, true)
 	s.overcommit = max(s.overcommit-s.overcommitStep(), minOvercommit)
-	s.rejectOrFail(request)
+	s.rejectOrFail(request, TooLate)
 }
 
 // onShutdownStarted bounds the deadlines of all requests by the time at which this process ends, and sets a timer for it: the
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -30,7 +30,7 @@
 	s.requests[event.ID] = arrived
 	s.requestsByArrival = append(s.requestsByArrival, arrived)
 	if event.Deadline-s.now <= s.queueReviewInterval() {
-		s.rejectOrFail(arrived)
+		s.rejectOrFail(arrived, DeadlineNear)
 		return
 	}
 	s.queued = append(s.queued, arrived)
--- a/scheduler/retries.go
+++ b/scheduler/retries.go
@@ -81,10 +81,12 @@
 	case request.settled:
 		s.deleteUnlessInFlight(request)
 	case event.Outcome == InvalidRequest:
-		s.failRequest(request)
+		s.failRequest(request, RequestInvalid)
 	case request.anyAttempt(isInFlight):
-	case request.deadline-s.now <= s.queueReviewInterval() || !s.retryPossible(request):
-		s.rejectOrFail(request)
+	case request.deadline-s.now <= s.queueReviewInterval():
+		s.rejectOrFail(request, DeadlineNear)
+	case !s.retryPossible(request):
+		s.rejectOrFail(request, NoRetryLeft)
 	default:
 		s.queued = append(s.queued, request)
 	}
@@ -92,21 +94,21 @@
 
 // rejectOrFail gives the final answer of a request that is not served: Reject if the client may send it again without harm,
 // which holds if it is idempotent, if all workers drop repeats of its key, or if no attempt may have executed; otherwise Fail.
-func (s *Scheduler) rejectOrFail(request *request) {
+func (s *Scheduler) rejectOrFail(request *request, reason Reason) {
 	class := &request.settings.Classes[request.class]
 	repeatable := class.Idempotency == Idempotent ||
 		class.Idempotency == IdempotentWithKey && class.DeduplicationScope == ScopeAll
 	if !repeatable && request.anyAttempt(mayHaveExecuted) {
-		s.failRequest(request)
+		s.failRequest(request, reason)
 		return
 	}
-	s.emit(Reject{ID: request.id, RetryAfter: request.settings.MaxRetryAfter})
+	s.emit(Reject{ID: request.id, RetryAfter: request.settings.MaxRetryAfter, Reason: reason})
 	s.settleRequest(request)
 }
 
 // failRequest gives the final answer Fail, which does not permit the client to repeat the request.
-func (s *Scheduler) failRequest(request *request) {
-	s.emit(Fail{ID: request.id})
+func (s *Scheduler) failRequest(request *request, reason Reason) {
+	s.emit(Fail{ID: request.id, Reason: reason})
 	s.settleRequest(request)
 }
 
--- a/scheduler/review.go
+++ b/scheduler/review.go
@@ -142,12 +142,13 @@
 	}
 	settings, late := request.settings, s.tooLate(request)
 	switch {
+	case latest == nil && request.deadline-s.now <= 2*s.queueReviewInterval():
+		s.rejectOrFail(request, DeadlineNear)
+	case latest == nil && late:
+		s.rejectOrFail(request, TooLate)
 	case latest == nil:
-		if late || request.deadline-s.now <= 2*s.queueReviewInterval() {
-			s.rejectOrFail(request)
-		}
 	case s.now >= request.deadline+settings.AnswerSlack/2:
-		s.failRequest(request)
+		s.failRequest(request, DeadlinePassed)
 	case late && !started && s.settings.ReportsStart && s.cancellations.undroppedShare() < maxUndroppedShare:
 		s.giveUp(request, latest.worker)
 	case settings.Classes[request.class].Idempotency == NonIdempotent, latest.cancelled, started && atHealthyWorker,
