scheduler: the end of the process is not taken for a client's deadline

What callers saw: in the first second behind SIGTERM, requests of classes whose late answers have no value are answered 502 some milliseconds after they came, though the workers are well. Their clients may not repeat.

Cause: when a client sent its request is estimated from the time left to the deadline. At a shutdown the deadline was cut to the end of the process before that, so that a new request with 5 s counted as 1.55 s old and was given up by the next review unless its start had been reported by then. Evidence: reason="too late to start", attempts="[a open]"; failures end 0.92 s behind SIGTERM, where less than half of the longest deadline is left and the estimate changes.

Change: the estimate goes by the deadline that the client gave; the request's own deadline is bounded after that.

--- a/cmd/brassdale/shutdown_test.go
+++ b/cmd/brassdale/shutdown_test.go
@@ -243,3 +243,29 @@
 		t.Errorf("%d jobs at the worker", jobs)
 	}
 }
+
+// TestShutdown_requestIsAsYoungAsItArrived guards against requests behind SIGTERM that are given up as too late right after they arrived: the time
+// that the shutdown leaves them is shorter than their deadline, and must not be taken for time that has passed at the client.
+func TestShutdown_requestIsAsYoungAsItArrived(t *testing.T) {
+	t.Parallel()
+	startsLate := func(worker *testWorker, conn net.Conn, r *http.Request) {
+		time.Sleep(60 * time.Millisecond)
+		completeJob(worker, conn, r)
+	}
+	worker := startWorker(t, "a", startsLate)
+	dispatcher := startDispatcherWith(t, "", withSetting(`"lateWorth":0.1`, `"lateWorth":0`), worker)
+	client := newHTTP1Client()
+	sendOn := func(key string) int {
+		status, _, _ := trySend(client, newRequest(dispatcher.http1URL, key))
+		return status
+	}
+	if status := sendOn("before"); status != http.StatusOK {
+		t.Fatalf("before SIGTERM: status %d", status)
+	}
+	dispatcher.terminate()
+	for begun, i := time.Now(), 0; time.Since(begun) < time.Second; i++ {
+		if status := sendOn(fmt.Sprint("behind-", i)); status != http.StatusOK {
+			t.Fatalf("%v behind SIGTERM: status %d", time.Since(begun), status)
+		}
+	}
+}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -21,15 +21,15 @@
 	if figureOrMissing(event.Slots) <= 0 {
 		event.Slots = 1
 	}
-	if s.shutdownDeadline > 0 {
-		event.Deadline = min(event.Deadline, s.shutdownDeadline)
-	}
 	s.recordArrival()
 	s.recordKey(event.AffinityKey)
 	arrived := s.newRequest(event)
+	if s.shutdownDeadline > 0 { // not before: the time that this process leaves says nothing of how long the client has waited
+		arrived.deadline = min(arrived.deadline, s.shutdownDeadline)
+	}
 	s.requests[event.ID] = arrived
 	s.requestsByArrival = append(s.requestsByArrival, arrived)
-	if event.Deadline-s.now <= s.queueReviewInterval() {
+	if arrived.deadline-s.now <= s.queueReviewInterval() {
 		s.rejectOrFail(arrived, DeadlineNear)
 		return
 	}
