soak: shutdowns.hcl, with connections that are used until the kill and series of signals

Cause: the soak ended processes by one SIGTERM while its clients came at their usual rate, always gave late answers a value, and moved discovery with the revisions of the address before.

Change: eleven kinds of events for files that name them: clients that use the open connections until the process is gone, with SIGKILL as early as the platform may; SIGHUP, SIGHUP, SIGTERM within 50 ms; SIGTERM twice, at the start of a process, at a handover; a bad configuration and a good one; crowds beside a drain or an outage; moves to a replica that lags behind a drain, restart or end, with revisions of its own. A file may name late weights. The delays of replicas and workers come from the seed.

--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 fmt:
 	gofmt -w scheduler cmd internal
 
-# Fifty seeds of real dispatchers under drawn faults, every rule audited: about seven minutes.
+# Fifty seeds of each scenario of real dispatchers under drawn faults, every rule audited: about fourteen minutes.
 soak: build
 	bin/brassdale-lab soak scenarios/soak/*.hcl --seeds 1-50 --together 3
 
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"hash/crc32"
 	"slices"
 	"testing"
 	"time"
@@ -136,3 +138,47 @@
 		t.Errorf("50 seeds draw %d of %d kinds", len(kinds), len(EventKinds))
 	}
 }
+
+// TestDraw_unchangedForEarlierSeeds guards against a change of what the seeds of faults.hcl draw: a seed that has found something must play the
+// same again. The sums are of the plans at commit 7c1c766.
+func TestDraw_unchangedForEarlierSeeds(t *testing.T) {
+	f, err := Load("../../scenarios/soak/faults.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for seed, want := range map[uint64]uint32{1: 0xd79f28f9, 2: 0x2efb290d, 201: 0x9db7e955, 91004: 0x6358b73a} {
+		plan := f.Draw(seed)
+		text := fmt.Sprint(plan.Dispatchers, plan.Workers, plan.Idempotency, plan.Deadline, plan.DeduplicationWindow, plan.MayHedge, plan.ListsPushed,
+			plan.DiscoveryCrowded, plan.DiscoveryClockOffset, plan.SystemCallFaults)
+		for _, e := range plan.Events {
+			text += fmt.Sprint(e, e.At, e.Step, e.Flaps, e.Worker)
+		}
+		if sum := crc32.ChecksumIEEE([]byte(text)); sum != want {
+			t.Errorf("seed %d draws a plan with the sum %#x, want %#x", seed, sum, want)
+		}
+	}
+}
+
+// TestDraw_shutdownKinds checks that the scenario of shutdowns draws each kind that only files which name it draw, and both late weights.
+func TestDraw_shutdownKinds(t *testing.T) {
+	f, err := Load("../../scenarios/soak/shutdowns.hcl")
+	if err != nil {
+		t.Fatal(err)
+	}
+	kinds, weights := map[EventKind]bool{}, map[float64]bool{}
+	for seed := range uint64(50) {
+		plan := f.Draw(seed)
+		weights[plan.LateWeight] = true
+		for _, event := range plan.Events {
+			kinds[event.Kind] = true
+		}
+	}
+	for _, kind := range ShutdownEventKinds {
+		if !kinds[kind] {
+			t.Errorf("50 seeds draw no %s", kind)
+		}
+	}
+	if !weights[0] || !weights[defaultLateWeight] {
+		t.Errorf("50 seeds draw the late weights %v", weights)
+	}
+}
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,6 +20,7 @@
 // discovery is the stand-in for the discovery service. Each dispatcher reaches it at addresses of its own.
 type discovery struct {
 	record      *Record
+	seed        uint64
 	clockOffset time.Duration // how far its clock is ahead
 
 	mu           sync.Mutex
@@ -39,7 +41,7 @@
 
 // newDiscovery makes a service with an empty list.
 func newDiscovery(record *Record, plan Plan) *discovery {
-	service := &discovery{record: record, clockOffset: plan.DiscoveryClockOffset, changed: make(chan struct{}), silenced: make(chan struct{}), faults: map[int][]CallFault{}, replicaViews: map[int]*replicaView{}}
+	service := &discovery{record: record, seed: plan.Seed, clockOffset: plan.DiscoveryClockOffset, changed: make(chan struct{}), silenced: make(chan struct{}), faults: map[int][]CallFault{}, replicaViews: map[int]*replicaView{}}
 	if plan.DiscoveryCrowded {
 		service.queue = &serviceQueue{timePerCall: crowdedRoundTime / time.Duration(plan.Dispatchers), maxWait: crowdedMaxWait, maxBacklog: crowdedMaxBacklog}
 	}
@@ -61,13 +63,13 @@
 	return d.replicaViews[dispatcher]
 }
 
-// newAddress opens another address for a dispatcher and returns it.
-func (d *discovery) newAddress(dispatcher int) (string, error) {
+// newAddress opens another address for a dispatcher and returns it. Its revisions are higher than those of the list by firstRevision.
+func (d *discovery) newAddress(dispatcher, firstRevision int) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return "", err
 	}
-	view := &replicaView{}
+	view := &replicaView{firstRevision: firstRevision, random: rand.New(rand.NewPCG(d.seed, uint64(dispatcher)))}
 	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { d.serve(dispatcher, view, w, r) })}
 	d.mu.Lock()
 	d.replicaViews[dispatcher] = view
@@ -119,7 +121,7 @@
 func (d *discovery) initialList(dispatcher int) string {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.asOf(time.Now()).encode(dispatcher)
+	return d.asOf(time.Now()).encode(dispatcher, 0)
 }
 
 // stepClock sets the clock forward, or back if by is negative.
@@ -192,13 +194,16 @@
 		}
 	}
 	lag, delay := view.nextCall(time.Now())
+	if index >= 0 {
+		index -= view.firstRevision
+	}
 	if !d.awaitChange(r, index, time.Duration(wait)*time.Millisecond, lag, silenced) {
 		return
 	}
 	if fault == CallLate {
 		delay = lateAnswerDelay
 	}
-	d.writeList(dispatcher, w, r, index, lag, delay, fault == CallBreaksOff)
+	d.writeList(dispatcher, view, w, r, index, lag, delay, fault == CallBreaksOff)
 }
 
 // watchGap is how soon after its last answer a call must come to continue a watch, which does not queue.
@@ -242,7 +247,7 @@
 }
 
 // writeList writes the list, or half of it, as it was before the delay.
-func (d *discovery) writeList(dispatcher int, w http.ResponseWriter, r *http.Request, index int, lag, delay time.Duration, half bool) {
+func (d *discovery) writeList(dispatcher int, view *replicaView, w http.ResponseWriter, r *http.Request, index int, lag, delay time.Duration, half bool) {
 	d.mu.Lock()
 	down, shown := d.down, d.asOf(time.Now().Add(-lag))
 	d.mu.Unlock()
@@ -251,9 +256,9 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	revision, text := shown.revision, shown.encode(dispatcher)
+	revision, text := shown.revision, shown.encode(dispatcher, view.firstRevision)
 	if index == revision {
-		text = fmt.Sprintf(`{"revision":%d,"complete":false,"members":[]}`, revision)
+		text = fmt.Sprintf(`{"revision":%d,"complete":false,"members":[]}`, revision+view.firstRevision)
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if half {
--- a/internal/soak/file.go
+++ b/internal/soak/file.go
@@ -13,14 +13,15 @@
 
 // File is a scenario as its HCL file has it. Ranges are [minimum, maximum].
 type File struct {
-	Title       string   `hcl:"title"`
-	Dispatchers []int    `hcl:"dispatchers"`
-	Workers     []int    `hcl:"workers"`
-	Span        string   `hcl:"span"`
-	Every       string   `hcl:"every"` // mean time between events
-	Rate        float64  `hcl:"rate"`  // requests a second at each dispatcher
-	Events      []string `hcl:"events,optional"`
-	Failures    []string `hcl:"failures,optional"` // rules for internal/inject; a third of the runs uses one of them
+	Title       string    `hcl:"title"`
+	Dispatchers []int     `hcl:"dispatchers"`
+	Workers     []int     `hcl:"workers"`
+	Span        string    `hcl:"span"`
+	Every       string    `hcl:"every"` // mean time between events
+	Rate        float64   `hcl:"rate"`  // requests a second at each dispatcher
+	Events      []string  `hcl:"events,optional"`
+	LateWeights []float64 `hcl:"late_weights,optional"` // of the class; each run uses one of them
+	Failures    []string  `hcl:"failures,optional"`     // rules for internal/inject; a third of the runs uses one of them
 }
 
 // Load reads and checks a scenario file. An error is a hcldiag.FileError: every mistake with file, line and column.
@@ -55,7 +56,7 @@
 		addMistake("rate", "It is over 0 and 1000 at the most.")
 	}
 	for _, event := range f.Events {
-		if !slices.Contains(EventKinds, EventKind(event)) {
+		if kind := EventKind(event); !slices.Contains(EventKinds, kind) && !slices.Contains(ShutdownEventKinds, kind) {
 			addMistake("events", "There are no events %q.", event)
 		}
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -18,7 +18,8 @@
 type EventKind string
 
 // The kinds of events. To add one:
-//   - Append it to EventKinds. A file without events draws from all of these, so that each of its seeds then has other events.
+//   - Append it to ShutdownEventKinds, or to EventKinds: a file without events draws from all of the latter, so that each of its seeds then
+//     has other events.
 //   - drawEvent: what is drawn for it. Without a case it gets a dispatcher as its target.
 //   - needsPolledLists: whether it makes sense only where lists are polled.
 //   - playEvent, and playWorkerEvent, playDiscoveryEvent or playDispatcherEvent in run.go: what happens. Without a case nothing does, and
@@ -48,10 +49,29 @@
 	DiscoveryMoveSeries  EventKind = "moves"          // several new configurations in a row, and a worker starts draining between them
 )
 
-// EventKinds lists all kinds.
+// EventKinds lists the kinds that a file without events draws from.
 var EventKinds = []EventKind{Drain, Join, Restart, WorkerHangs, WorkerResets, WorkerReadsLate, FaultyCalls, SilentWatches, DiscoveryDown, DiscoveryMove, Reload,
 	ProcessPauses, Terminate, Kill, IdleClients, ClientsLeave, ClockStep, ReplicaLag, MoveToLaggingReplica, DelayedAnswers, DiscoveryMoveSeries}
 
+// Kinds for files that name them. In those that end a process clients use its open connections until it is gone.
+const (
+	UseUntilKill       EventKind = "use-until-kill"   // SIGTERM, and SIGKILL as early as is allowed
+	ReloadsThenTerm    EventKind = "hup-hup-term"     // SIGHUP, SIGHUP and SIGTERM within 50 ms
+	TermTwice          EventKind = "term-term"        // SIGTERM, and once more
+	BadReload          EventKind = "bad-hup"          // SIGHUP with a configuration that is none, then with a good one
+	TermAtStart        EventKind = "term-at-start"    // SIGTERM in the first 100 ms of a process
+	TermAtHandover     EventKind = "term-at-handover" // SIGTERM while a successor takes over
+	CrowdAtDrain       EventKind = "crowd-drain"      // many connections that send nothing, and a worker starts draining
+	CrowdAtOutage      EventKind = "crowd-down"       // the same, and discovery rejects all calls
+	MoveAfterReturn    EventKind = "returned-move"    // a worker drains, returns and drains; a move to a replica that is still before that
+	MoveAfterRestart   EventKind = "restarted-move"   // a worker restarts; a move to a replica that is still before that
+	MoveAfterSecondEnd EventKind = "ended-move"       // a worker ends, starts and ends; a move to a replica that is still before that
+)
+
+// ShutdownEventKinds lists the kinds that only files which name them draw.
+var ShutdownEventKinds = []EventKind{UseUntilKill, ReloadsThenTerm, TermTwice, BadReload, TermAtStart, TermAtHandover, CrowdAtDrain, CrowdAtOutage,
+	MoveAfterReturn, MoveAfterRestart, MoveAfterSecondEnd}
+
 // CallFault is what discovery does with a call in place of answering it.
 type CallFault string
 
@@ -73,9 +93,9 @@
 	Kind     EventKind
 	Target   int           // the worker or dispatcher concerned, by its number
 	Calls    []CallFault   // for FaultyCalls: the next three
-	Step     time.Duration // for ClockStep; how old the list is for ReplicaLag and MoveToLaggingReplica; the longest delay for DelayedAnswers
+	Step     time.Duration // for ClockStep; how old the list is for ReplicaLag and the moves; the longest delay for DelayedAnswers; the pause between signals
 	Flaps    bool          // for ReplicaLag: only every other call shows the old list
-	Worker   int           // that starts draining, for MoveToLaggingReplica and DiscoveryMoveSeries
+	Worker   int           // that changes, for the moves and CrowdAtDrain
 }
 
 // String returns the event as a timeline shows it.
@@ -105,6 +125,7 @@
 	ListsPushed          bool          // lists are pushed to an agent; a dispatcher counts as notified of what the agent has
 	DiscoveryCrowded     bool          // discovery serves calls one after the other, and needs some seconds for one call of each dispatcher
 	DiscoveryClockOffset time.Duration // how far discovery's clock, which stamps starts, is ahead
+	LateWeight           float64       // of the class: what a late answer is worth
 	SystemCallFaults     string        // rules for internal/inject; empty for none
 	Events               []Event
 }
@@ -129,6 +150,7 @@
 	if len(f.Failures) > 0 && rng.IntN(3) == 0 {
 		plan.SystemCallFaults = f.Failures[rng.IntN(len(f.Failures))]
 	}
+	plan.LateWeight = f.drawLateWeight(seed)
 	plan.ListsPushed = rng.IntN(4) == 0
 	plan.DiscoveryCrowded = !plan.ListsPushed && rng.IntN(4) == 0
 	nextWorker := firstJoinedWorker
@@ -144,6 +166,17 @@
 	return plan
 }
 
+// defaultLateWeight is the late weight of files that name none.
+const defaultLateWeight = 0.1
+
+// drawLateWeight draws one of the file's late weights, apart from all other draws.
+func (f *File) drawLateWeight(seed uint64) float64 {
+	if len(f.LateWeights) == 0 {
+		return defaultLateWeight
+	}
+	return f.LateWeights[rand.New(rand.NewPCG(seed, 37)).IntN(len(f.LateWeights))]
+}
+
 // drawEvent draws what an event of a kind needs, and adds the event to the plan.
 func (p *Plan) drawEvent(rng *rand.Rand, event Event) {
 	kind := event.Kind
@@ -171,6 +204,13 @@
 		event.Target = rng.IntN(p.Dispatchers)
 		event.Worker = rng.IntN(p.Workers)
 		event.Step = time.Duration(1+rng.IntN(maxReplicaLagMS)) * time.Millisecond
+	case MoveAfterReturn, MoveAfterRestart, MoveAfterSecondEnd, CrowdAtDrain:
+		event.Target = rng.IntN(p.Dispatchers)
+		event.Worker = rng.IntN(p.Workers)
+		event.Step = minHistoryLag + time.Duration(rng.Int64N(int64(maxHistoryLag-minHistoryLag)))
+	case ReloadsThenTerm, TermTwice, BadReload, TermAtStart, TermAtHandover:
+		event.Target = rng.IntN(p.Dispatchers)
+		event.Step = time.Duration(rng.Int64N(int64(maxSignalPause)))
 	case DelayedAnswers:
 		event.Target = rng.IntN(p.Dispatchers)
 		event.Step = time.Duration(200+rng.IntN(1300)) * time.Millisecond
@@ -184,7 +224,7 @@
 // platform counts its list later, which the audit does not know.
 func needsPolledLists(kind EventKind) bool {
 	switch kind {
-	case ReplicaLag, MoveToLaggingReplica, DiscoveryMoveSeries, DelayedAnswers, DiscoveryMove:
+	case ReplicaLag, MoveToLaggingReplica, DiscoveryMoveSeries, DelayedAnswers, DiscoveryMove, MoveAfterReturn, MoveAfterRestart, MoveAfterSecondEnd:
 		return true
 	}
 	return false
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -23,6 +23,10 @@
 	delay time.Duration // answers are delayed by up to this
 	until time.Time     // when the fault ends
 	calls int
+
+	// Set before the address is used.
+	firstRevision int // its revisions are higher than the list's by this
+	random        *rand.Rand
 }
 
 // injectFault makes the address show an old list, or delay its answers, until a time.
@@ -41,7 +45,7 @@
 		return 0, 0
 	}
 	if v.delay > 0 {
-		delay = time.Duration(rand.Int64N(int64(v.delay)))
+		delay = time.Duration(v.random.Int64N(int64(v.delay)))
 	}
 	if v.flaps && v.calls%2 == 0 {
 		return 0, delay
@@ -70,13 +74,16 @@
 }
 
 // encode returns the list as JSON, with the addresses at which a dispatcher reaches the workers.
-func (s snapshot) encode(dispatcher int) string {
+func (s snapshot) encode(dispatcher, firstRevision int) string {
 	var lines []string
 	for _, member := range s.members {
+		if member.phase == phaseLeft {
+			continue
+		}
 		lines = append(lines, fmt.Sprintf(`{"id":"w%d","host_port":%q,"locality":"here","flavor":"new","cell":%d,"phase":%q,"size":1.0,"up_since_ms":%d}`,
 			member.worker.number, member.worker.address(dispatcher), member.worker.cell(), member.phase, member.since))
 	}
-	return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[%s]}`, s.revision, strings.Join(lines, ","))
+	return fmt.Sprintf(`{"revision":%d,"complete":true,"members":[%s]}`, s.revision+firstRevision, strings.Join(lines, ","))
 }
 
 // serviceQueue is the queue of a service that serves one call at a time. A call that would wait for longer than maxWait
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -126,7 +126,7 @@
 
 // startWorker starts a worker and lists it as active; justStarted stamps its start, so that it warms up.
 func (r *run) startWorker(number int, justStarted bool) error {
-	started, err := newWorker(number, r.plan.Dispatchers, r.record)
+	started, err := newWorker(number, r.plan, r.record)
 	if err != nil {
 		return err
 	}
@@ -170,6 +170,10 @@
 		r.clients[event.Target].openIdleConnections(idleClientCount, until)
 	case ClientsLeave:
 		r.clients[event.Target].setLeaveEarly(until)
+	case CrowdAtDrain, CrowdAtOutage, MoveAfterReturn, MoveAfterRestart, MoveAfterSecondEnd:
+		return r.playHistoryEvent(event, until)
+	case UseUntilKill, ReloadsThenTerm, TermTwice, BadReload, TermAtStart, TermAtHandover:
+		return r.playSignalEvent(event)
 	default:
 		return r.playDispatcherEvent(event, until)
 	}
@@ -184,19 +188,29 @@
 	case Join:
 		return r.startWorker(event.Target, true)
 	case Restart:
-		started := r.worker(event.Target)
-		started.stop()
-		time.Sleep(workerRestartTime)
-		if err := started.start(); err != nil {
-			return err
-		}
-		r.discovery.setPhase(started, phaseActive, true)
+		return r.restartWorker(event.Target)
 	case WorkerHangs, WorkerResets, WorkerReadsLate:
 		r.worker(event.Target).injectFault(event.Kind, until)
 	}
 	return nil
 }
 
+// restartWorker ends a worker and starts it again. It does nothing while another restart of the worker is in progress.
+func (r *run) restartWorker(number int) error {
+	restarted := r.worker(number)
+	if !restarted.restarting.TryLock() {
+		return nil
+	}
+	defer restarted.restarting.Unlock()
+	restarted.stop()
+	time.Sleep(workerRestartTime)
+	if err := restarted.start(); err != nil {
+		return err
+	}
+	r.discovery.setPhase(restarted, phaseActive, true)
+	return nil
+}
+
 // playDiscoveryEvent plays an event of discovery.
 func (r *run) playDiscoveryEvent(event Event, until time.Time) {
 	switch event.Kind {
@@ -239,8 +253,8 @@
 	return nil
 }
 
-// drainWorker makes a worker drain, unless too few would stay ready.
-func (r *run) drainWorker(number int) {
+// drainWorker makes a worker drain, unless too few would stay ready, and reports whether it did.
+func (r *run) drainWorker(number int) bool {
 	r.discovery.mu.Lock()
 	ready := 0
 	for _, member := range r.discovery.members {
@@ -249,9 +263,11 @@
 		}
 	}
 	r.discovery.mu.Unlock()
-	if ready > max(r.plan.Workers/minReadyDivisor, 1) {
-		r.discovery.setPhase(r.worker(number), phaseLeaving, false)
+	if ready <= max(r.plan.Workers/minReadyDivisor, 1) {
+		return false
 	}
+	r.discovery.setPhase(r.worker(number), phaseLeaving, false)
+	return true
 }
 
 // movesInSeries is how many new configurations DiscoveryMoveSeries brings.
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -17,6 +17,7 @@
 	className         = "quote"
 	phaseActive       = "active"
 	phaseLeaving      = "leaving"
+	phaseLeft         = "left" // not listed
 )
 
 // settings returns the settings of a dispatcher as the platform's JSON.
@@ -26,12 +27,12 @@
 	if p.ListsPushed {
 		mode = "push"
 	}
-	return fmt.Sprintf(`{"classes":[{"aim":200000,"credit":1,"deadline":%d,"dedupScope":"cell","effect":%q,"lateWorth":0.1,"name":%q,"window":%d}],
+	return fmt.Sprintf(`{"classes":[{"aim":200000,"credit":1,"deadline":%d,"dedupScope":"cell","effect":%q,"lateWorth":%g,"name":%q,"window":%d}],
 "discovery":%q,"familyInfo":{"classKind":[-1],"classStretch":[2.5],"progress":1000000,"tellsStart":true},"flavors":["new"],
 "limits":{"cancel":true,"connIdle":5000000,"connectTimeout":200000,"maxAttempts":4,"maxRetryAfter":2000000,"mayDuplicate":%t,"probing":true,"retryAfter":true},
 "loadReport":{"columns":["cpu_share","pending","x0","x1"],"via":"pull"},"ordinal":%d,"replicasOfMe":%d,
 "rules":{"answerSlack":8000,"askWithin":10000000,"cold":%d,"drainGrace":%d,"fall":%d,"startCapacity":%g,"tipMultiple":%g},"zones":["here"]}`,
-		micros(p.Deadline), p.Idempotency, className, micros(p.DeduplicationWindow), mode, p.MayHedge, dispatcher, p.Dispatchers,
+		micros(p.Deadline), p.Idempotency, p.LateWeight, className, micros(p.DeduplicationWindow), mode, p.MayHedge, dispatcher, p.Dispatchers,
 		micros(slowStartDuration), micros(drainGrace), micros(overloadWindow), slowStartCapacity, overloadMultiple)
 }
 
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -19,9 +19,12 @@
 	record *Record
 	slots  chan struct{}
 
+	restarting sync.Mutex // locked while it is ended and started again
+
 	unready atomic.Bool // discovery does not list it as active: probes are answered 503
 
 	mu             sync.Mutex
+	random         *rand.Rand
 	addresses      []string // by dispatcher
 	listeners      []net.Listener
 	connections    map[net.Conn]bool
@@ -30,9 +33,10 @@
 	readsLateUntil time.Time // until then it reads late from new connections
 }
 
-// newWorker starts a worker that the given number of dispatchers can reach.
-func newWorker(number, dispatchers int, record *Record) (*worker, error) {
-	started := &worker{number: number, record: record, slots: make(chan struct{}, workerSlots), addresses: make([]string, dispatchers), connections: map[net.Conn]bool{}}
+// newWorker starts a worker that the dispatchers of a plan can reach.
+func newWorker(number int, plan Plan, record *Record) (*worker, error) {
+	dispatchers := plan.Dispatchers
+	started := &worker{number: number, record: record, random: rand.New(rand.NewPCG(plan.Seed, uint64(number))), slots: make(chan struct{}, workerSlots), addresses: make([]string, dispatchers), connections: map[net.Conn]bool{}}
 	for i := range started.addresses {
 		started.addresses[i] = "127.0.0.1:0"
 	}
@@ -52,6 +56,16 @@
 	return w.addresses[dispatcher]
 }
 
+// draw returns a random number in [0, 1).
+func (w *worker) draw() float64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.Float64()
+}
+
+// maxLateRead is how late a worker with that fault reads from a new connection at most.
+const maxLateRead = time.Second
+
 // start listens at the worker's addresses, which stay the same over restarts.
 func (w *worker) start() error {
 	for i := range w.addresses {
@@ -123,7 +137,7 @@
 		go func() {
 			pause := time.Duration(0)
 			if w.hasFault(&w.readsLateUntil) {
-				pause = time.Duration(rand.IntN(1000)) * time.Millisecond
+				pause = time.Duration(w.draw() * float64(maxLateRead))
 			}
 			w.serve(conn, dispatcher, pause)
 			_ = conn.Close() // serve has read all it wants
@@ -216,7 +230,7 @@
 	}
 	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
 	sendLine(`"state":"started"`)
-	jobDuration := time.Duration((0.5 + rand.Float64()) * float64(jobTime))
+	jobDuration := time.Duration((0.5 + w.draw()) * float64(jobTime))
 	for {
 		select {
 		case <-next: // cancelled
