--- a/cmd/brassdale-lab/soak.go
+++ b/cmd/brassdale-lab/soak.go
@@ -104,8 +104,10 @@
 			}
 		})
 	}
-	for _, p := range plans {
-		next <- p
+	for _, plan := range plans {
+		if s.command.Context().Err() == nil {
+			next <- plan
+		}
 	}
 	close(next)
 	wait.Wait()
@@ -116,6 +118,8 @@
 func (s *soakSession) playOne(plan soak.Plan) {
 	dir, err := os.MkdirTemp("", "soak-")
 	if err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
 		s.errors = append(s.errors, err)
 		return
 	}
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"hash/crc32"
+	"math/rand/v2"
+	"path/filepath"
 	"slices"
 	"testing"
 	"time"
@@ -182,3 +185,29 @@
 		t.Errorf("50 seeds draw the late weights %v", weights)
 	}
 }
+
+// TestPlay_programMissing guards against a run that goes on and panics though its dispatchers could not be started.
+func TestPlay_programMissing(t *testing.T) {
+	plan := Plan{Dispatchers: 2, Workers: 1, Span: time.Minute, Rate: 1, Deadline: time.Second, Idempotency: Idempotent}
+	begun := time.Now()
+	if _, err := Play(t.Context(), plan, Programs{Dispatcher: filepath.Join(t.TempDir(), "missing")}, t.TempDir()); err == nil {
+		t.Error("no error")
+	}
+	if took := time.Since(begun); took > plan.Span/2 {
+		t.Errorf("it ended after %v of a span of %v", took, plan.Span)
+	}
+}
+
+// TestPlay_cancelled guards against a run that goes on to the end of its span though it was cancelled.
+func TestPlay_cancelled(t *testing.T) {
+	plan := Plan{Span: time.Minute, Rate: 1, Workers: 1}
+	ctx, cancel := context.WithCancel(t.Context())
+	current := &run{plan: plan, record: &Record{StartedAt: time.Now()}}
+	process := &dispatcherProcess{record: current.record}
+	current.clients = []*clientGroup{{dispatcher: process, record: current.record, plan: plan, rng: rand.New(rand.NewPCG(1, 1))}}
+	time.AfterFunc(100*time.Millisecond, cancel)
+	begun := time.Now()
+	if current.playEvents(ctx); time.Since(begun) > plan.Span/2 {
+		t.Errorf("it ended after %v of a span of %v", time.Since(begun), plan.Span)
+	}
+}
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -57,9 +58,9 @@
 	reused     bool
 }
 
-// run sends requests until the end, and waits for their answers.
-func (c *clientGroup) run(end time.Time) {
-	for time.Now().Before(end) {
+// run sends requests until the end, or until the context ends, and waits for their answers.
+func (c *clientGroup) run(ctx context.Context, end time.Time) {
+	for time.Now().Before(end) && ctx.Err() == nil {
 		time.Sleep(time.Duration(c.rng.ExpFloat64() * float64(time.Second) / c.plan.Rate))
 		processRun, up := c.dispatcher.current()
 		if !up {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -56,6 +56,7 @@
 	}
 	defer current.stopWorkers()
 	defer current.closeLogs()
+	defer current.killAll()
 	var starting sync.WaitGroup
 	for i := range plan.Dispatchers {
 		process, err := newDispatcherProcess(i, plan, programs, dir, record, current.discovery)
@@ -67,6 +68,9 @@
 		starting.Go(func() { current.addError(process.start()) })
 	}
 	starting.Wait()
+	if err := errors.Join(current.errors...); err != nil {
+		return nil, err
+	}
 	record.locked(func() { record.StartedAt = time.Now() })
 	current.playEvents(ctx)
 	if err := errors.Join(append(current.errors, ctx.Err())...); err != nil {
@@ -76,12 +80,12 @@
 }
 
 // playEvents runs the clients and the events to the end of the plan, and then kills the dispatchers. If the context ends, events that have
-// not begun are dropped; the others and the clients go on to their ends.
+// not begun are dropped, and the clients send no more; the others go on to their ends.
 func (r *run) playEvents(ctx context.Context) {
 	end := r.record.StartedAt.Add(r.plan.Span)
 	var sending, happening sync.WaitGroup
 	for _, group := range r.clients {
-		sending.Go(func() { group.run(end) })
+		sending.Go(func() { group.run(ctx, end) })
 	}
 	for _, event := range r.plan.Events {
 		happening.Go(func() {
@@ -95,8 +99,15 @@
 	}
 	happening.Wait()
 	sending.Wait()
+	r.killAll()
+}
+
+// killAll kills the dispatchers that were started.
+func (r *run) killAll() {
 	for _, process := range r.dispatchers {
-		process.kill()
+		if run, _ := process.current(); run != nil {
+			process.kill()
+		}
 	}
 }
 
