soak: a rule for requests that are given up though their workers are well

Cause: the soak could not show that requests fail behind SIGTERM (the estimate at a shutdown): a 502 broke none of its rules.

Change: rule `failed`: no 502 or 504 before the latency objective unless a worker broke the connection, which the workers record now, or the process is in the last 0.7 s before its kill. Not judged under injected system-call faults.

Result: five records more in TestAuditFindsEachBreak, two of which break just this rule.

--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"fmt"
 	"math"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -28,10 +29,11 @@
 	RuleDeadline  = "deadline"  // a worker's timeout is no longer than the client's remaining time
 	RuleReady     = "ready"     // a process is ready in time
 	RuleCrash     = "crash"     // a process does not end by itself
+	RuleFailed    = "failed"    // a request that its workers did not fail is not failed before it is late
 )
 
 // RuleNames lists the rules in the order of tables.
-var RuleNames = []string{RuleLost, RuleDuplicate, RuleRejected, RuleDrain, RuleSlowStart, RuleDeadline, RuleReady, RuleCrash}
+var RuleNames = []string{RuleLost, RuleDuplicate, RuleRejected, RuleDrain, RuleSlowStart, RuleDeadline, RuleReady, RuleCrash, RuleFailed}
 
 const (
 	answerSlack           = 500 * time.Millisecond // an answer that is late by less is not lost
@@ -67,6 +69,7 @@
 		auditor.checkRejections(request)
 		auditor.checkClientLeft(request)
 		auditor.checkDeadlines(request)
+		auditor.checkFailures(request)
 	}
 	auditor.checkDrains()
 	auditor.checkSlowStart()
@@ -185,6 +188,27 @@
 	}
 }
 
+// checkFailures checks that a request is not answered as failed before it is late, unless a connection to a worker broke, or its process ended
+// soon after. Injected faults may break connections unseen by the workers.
+func (a *auditor) checkFailures(request *Request) {
+	if request.Status != http.StatusBadGateway && request.Status != http.StatusGatewayTimeout || !request.LeftAt.IsZero() || a.plan.SystemCallFaults != "" {
+		return
+	}
+	took := request.AnsweredAt.Sub(request.WrittenAt)
+	if took >= latencyObjective || a.endsSoonAfter(request) {
+		return
+	}
+	if !slices.ContainsFunc(a.attempts[request.ID], func(attempt *Attempt) bool { return attempt.Broken }) {
+		a.addBreach(RuleFailed, request.ID, -1, request.AnsweredAt, "failed with %d after %v, no worker failed it", request.Status, took)
+	}
+}
+
+// endsSoonAfter reports whether the process that a request was sent to may have been about to end: a shutdown answers all requests before that.
+func (a *auditor) endsSoonAfter(request *Request) bool {
+	run := a.processRunOf(request)
+	return run == nil || !run.SIGTERMAt.IsZero() && request.WrittenAt.After(run.SIGTERMAt.Add(a.plan.killDelay()-shutdownRequestWindow))
+}
+
 // notifiedAt returns from when on the platform counts a process as notified of a change.
 func (a *auditor) notifiedAt(change EndpointChange, run *ProcessRun) time.Time {
 	reachable := change.At
--- a/internal/soak/audit_test.go
+++ b/internal/soak/audit_test.go
@@ -57,13 +57,18 @@
 			outage(r, 9, 15)
 			attemptAt(r, 21)
 		}},
-		"pushed, after the grace": {RuleDrain, func(p *Plan, r *Record) { p.ListsPushed = true; attemptAt(r, 10.56) }},
-		"pushed, in the grace":    {"", func(p *Plan, r *Record) { p.ListsPushed = true; attemptAt(r, 10.54) }},
-		"overload while warming":  {RuleSlowStart, func(_ *Plan, r *Record) { crowdAt(r, 100) }},
-		"few while warming":       {"", func(_ *Plan, r *Record) { crowdAt(r, 40) }},
-		"ended by itself":         {RuleCrash, func(_ *Plan, r *Record) { r.ProcessRuns[0].Crashed = "exit status 2" }},
-		"never ready":             {RuleReady, func(_ *Plan, r *Record) { r.ProcessRuns[0].ReadyAt = time.Time{} }},
-		"ready late":              {RuleReady, func(_ *Plan, r *Record) { r.ProcessRuns[0].ReadyAt = r.ProcessRuns[0].StartedAt.Add(second(10.1)) }},
+		"pushed, after the grace":  {RuleDrain, func(p *Plan, r *Record) { p.ListsPushed = true; attemptAt(r, 10.56) }},
+		"pushed, in the grace":     {"", func(p *Plan, r *Record) { p.ListsPushed = true; attemptAt(r, 10.54) }},
+		"overload while warming":   {RuleSlowStart, func(_ *Plan, r *Record) { crowdAt(r, 100) }},
+		"few while warming":        {"", func(_ *Plan, r *Record) { crowdAt(r, 40) }},
+		"ended by itself":          {RuleCrash, func(_ *Plan, r *Record) { r.ProcessRuns[0].Crashed = "exit status 2" }},
+		"failed at once":           {RuleFailed, func(_ *Plan, r *Record) { failAfter(r, 0.1) }},
+		"failed late":              {"", func(_ *Plan, r *Record) { failAfter(r, 0.3) }},
+		"failed, connection broke": {"", func(_ *Plan, r *Record) { failAfter(r, 0.1); r.Attempts[0].Broken = true }},
+		"failed behind SIGTERM":    {RuleFailed, func(_ *Plan, r *Record) { failAfter(r, 0.1); terminateBefore(r, 0.5) }},
+		"failed at the end":        {"", func(_ *Plan, r *Record) { failAfter(r, 0.1); terminateBefore(r, 1.1) }},
+		"never ready":              {RuleReady, func(_ *Plan, r *Record) { r.ProcessRuns[0].ReadyAt = time.Time{} }},
+		"ready late":               {RuleReady, func(_ *Plan, r *Record) { r.ProcessRuns[0].ReadyAt = r.ProcessRuns[0].StartedAt.Add(second(10.1)) }},
 	}
 	for name, c := range spoil {
 		p, r := clean()
@@ -79,6 +84,17 @@
 	}
 }
 
+// failAfter has the request fail so many seconds after it was written.
+func failAfter(r *Record, seconds float64) {
+	r.Requests[0].Status, r.Requests[0].Result = 502, ""
+	r.Requests[0].AnsweredAt = r.Requests[0].WrittenAt.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// terminateBefore has the process get SIGTERM so many seconds before the request was written.
+func terminateBefore(r *Record, seconds float64) {
+	r.ProcessRuns[0].SIGTERMAt = r.Requests[0].WrittenAt.Add(-time.Duration(seconds * float64(time.Second)))
+}
+
 // again adds a further attempt of the request, so many seconds behind the first, at a cell.
 func again(r *Record, later float64, cell int) {
 	first := *r.Attempts[0]
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -278,14 +278,14 @@
 	d.record.locked(func() { terminatedAt = run.SIGTERMAt })
 	select {
 	case <-exited:
-	case <-time.After(time.Until(terminatedAt.Add(d.killDelay()))):
+	case <-time.After(time.Until(terminatedAt.Add(d.plan.killDelay()))):
 		d.kill()
 	}
 }
 
 // killDelay returns how long after SIGTERM the platform kills a process at the earliest.
-func (d *dispatcherProcess) killDelay() time.Duration {
-	return min(d.plan.Deadline, maxCountedDeadline) + killSlack
+func (p Plan) killDelay() time.Duration {
+	return min(p.Deadline, maxCountedDeadline) + killSlack
 }
 
 // moveToReplica reloads a configuration that names a replica of discovery which lags until a time.
--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -14,6 +14,7 @@
 	overloadMultiple  = 3.0
 	workerSlots       = 5                     // jobs that a worker runs at a time
 	jobTime           = 60 * time.Millisecond // mean time that a worker needs for a job
+	latencyObjective  = 200 * time.Millisecond
 	className         = "quote"
 	phaseActive       = "active"
 	phaseLeaving      = "leaving"
@@ -27,12 +28,12 @@
 	if p.ListsPushed {
 		mode = "push"
 	}
-	return fmt.Sprintf(`{"classes":[{"aim":200000,"credit":1,"deadline":%d,"dedupScope":"cell","effect":%q,"lateWorth":%g,"name":%q,"window":%d}],
+	return fmt.Sprintf(`{"classes":[{"aim":%d,"credit":1,"deadline":%d,"dedupScope":"cell","effect":%q,"lateWorth":%g,"name":%q,"window":%d}],
 "discovery":%q,"familyInfo":{"classKind":[-1],"classStretch":[2.5],"progress":1000000,"tellsStart":true},"flavors":["new"],
 "limits":{"cancel":true,"connIdle":5000000,"connectTimeout":200000,"maxAttempts":4,"maxRetryAfter":2000000,"mayDuplicate":%t,"probing":true,"retryAfter":true},
 "loadReport":{"columns":["cpu_share","pending","x0","x1"],"via":"pull"},"ordinal":%d,"replicasOfMe":%d,
 "rules":{"answerSlack":8000,"askWithin":10000000,"cold":%d,"drainGrace":%d,"fall":%d,"startCapacity":%g,"tipMultiple":%g},"zones":["here"]}`,
-		micros(p.Deadline), p.Idempotency, p.LateWeight, className, micros(p.DeduplicationWindow), mode, p.MayHedge, dispatcher, p.Dispatchers,
+		micros(latencyObjective), micros(p.Deadline), p.Idempotency, p.LateWeight, className, micros(p.DeduplicationWindow), mode, p.MayHedge, dispatcher, p.Dispatchers,
 		micros(slowStartDuration), micros(drainGrace), micros(overloadWindow), slowStartCapacity, overloadMultiple)
 }
 
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -212,16 +213,24 @@
 			}
 		})
 	}
+	breakOff := func() { w.record.locked(func() { attempt.Broken = true }) }
+	cancel := func(next firstByte) bool {
+		if errors.Is(next.err, net.ErrClosed) { // by stop, not by the dispatcher
+			breakOff()
+		}
+		end("")
+		return false
+	}
 	if w.hasFault(&w.resetsUntil) {
 		resetConn(conn)
+		breakOff()
 		end("")
 		return false
 	}
 	select {
 	case w.slots <- struct{}{}:
-	case <-next: // cancelled while it waited for a slot
-		end("")
-		return false
+	case first := <-next: // cancelled while it waited for a slot
+		return cancel(first)
 	}
 	defer func() { <-w.slots }()
 	sendLine := func(text string) {
@@ -233,9 +242,8 @@
 	jobDuration := time.Duration((0.5 + w.draw()) * float64(jobTime))
 	for {
 		select {
-		case <-next: // cancelled
-			end("")
-			return false
+		case first := <-next: // cancelled
+			return cancel(first)
 		case <-time.After(jobDuration):
 		}
 		if !w.hasFault(&w.hangsUntil) {
@@ -246,6 +254,7 @@
 	end(result) // first, so that no client records it before
 	sendLine(fmt.Sprintf(`"state":"done","result":%q`, result))
 	if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
+		breakOff()
 		return false
 	}
 	return true // the next byte belongs to the next request
