scheduler: an attempt that waits here for a connection is not the worker's silence

What callers saw: at the connection limit a worker that was asked nothing is ejected for silence, and requests are hedged around it.

Cause: silence and delayed starts count from the scheduler's Send, and the transport did not say that it holds the attempt back.

Change: the transport says when an attempt begins to wait for capacity and when it waits no more; such time counts neither as silence nor as a delayed start. The stubs of Sink in two test files have the method more; their checks are as they were.

Test: TestConnectionLimit_waitingIsNotWorkersSilence failed before (worker=unasked reason=no_response after 3.3 s) and passes three times in a row. Tests of scheduler, routing and transport pass.

--- /dev/null
+++ b/cmd/brassdale/connectionlimit_test.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// TestConnectionLimit_waitingIsNotWorkersSilence guards against the ejection of a worker whose attempts wait here for a connection, as this
+// process has as many open as it may: the worker has been asked nothing.
+func TestConnectionLimit_waitingIsNotWorkersSilence(t *testing.T) {
+	t.Parallel()
+	const (
+		workerConns = 12                     // of a process with 64 descriptors
+		jobTime     = 5 * time.Second        // longer than a worker may be silent by the settings: 3.3 s
+		progress    = 500 * time.Millisecond // of a job that runs
+	)
+	runsLong := func(_ *testWorker, conn net.Conn, r *http.Request) {
+		id := r.Header.Get("Req-Id")
+		writeHead(conn, "application/json")
+		writeChunk(conn, jobMessage(id, `"state":"started"`))
+		for range jobTime / progress {
+			time.Sleep(progress)
+			writeChunk(conn, jobMessage(id, `"state":"running","share":0.5`))
+		}
+		writeChunk(conn, jobMessage(id, `"state":"done","result":"x"`))
+		writeLastChunk(conn)
+	}
+	busy, unasked := startWorker(t, "busy", runsLong), startWorker(t, "unasked", completeJob)
+	dispatcher := startDispatcherWith(t, http2Frontend, func(config string) string {
+		return withLongDeadline(withSetting(`"sockets":1024`, `"sockets":64`)(config))
+	}, busy)
+	client := newHTTP2Client(t)
+	var running sync.WaitGroup
+	send := func(key string) {
+		running.Go(func() {
+			if status, _, _ := trySend(client, newRequest(dispatcher.http2URL, key, "Req-Deadline-Ms", "30000")); status != http.StatusOK {
+				t.Errorf("request %s: status %d", key, status)
+			}
+		})
+	}
+	send("first") // so that the client has its one connection
+	dispatcher.waitForRun(busy, "first")
+	for i := range workerConns {
+		send(fmt.Sprint("long-", i))
+	}
+	dispatcher.waitForLog("connection limit reached, attempts wait")
+	dispatcher.discovery.update(func() { dispatcher.discovery.workers = append(dispatcher.discovery.workers, unasked) })
+	dispatcher.waitForLog("endpoints=2")
+	for i := range 4 {
+		send(fmt.Sprint("waiting-", i))
+	}
+	running.Wait()
+	for line := range strings.Lines(dispatcher.log()) {
+		if strings.Contains(line, "worker ejected") {
+			t.Errorf("a worker was ejected while no worker was silent: %s", line)
+		}
+	}
+}
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -119,6 +119,9 @@
 // ClientLeft notifies the core that the client of a request has left: it gets no answer.
 func (c *Core) ClientLeft(id scheduler.RequestID) { c.mailbox.Post(clientLeft{id}) }
 
+// AttemptWaits notifies the core that an attempt waits for a connection, as this process may open no more, or waits no more.
+func (c *Core) AttemptWaits(id AttemptID, waits bool) { c.mailbox.Post(attemptWaits{id, waits}) }
+
 // AttemptSent counts an attempt whose last byte was written.
 func (c *Core) AttemptSent() { c.counters.CountAttemptSent() }
 
--- a/internal/routing/messages.go
+++ b/internal/routing/messages.go
@@ -13,7 +13,11 @@
 		id      scheduler.RequestID
 		request Request
 	}
-	clientLeft        struct{ id scheduler.RequestID }
+	clientLeft   struct{ id scheduler.RequestID }
+	attemptWaits struct {
+		id    AttemptID
+		waits bool
+	}
 	attemptStarted    struct{ id AttemptID }
 	attemptProgressed struct {
 		id    AttemptID
@@ -44,6 +48,8 @@
 		c.acceptRequest(msg.id, msg.request)
 	case clientLeft:
 		c.abandonRequest(msg.id)
+	case attemptWaits:
+		c.noteAttemptWaits(msg.id, msg.waits)
 	case attemptStarted:
 		c.startAttempt(msg.id)
 	case attemptProgressed:
--- a/internal/routing/requests.go
+++ b/internal/routing/requests.go
@@ -81,6 +81,13 @@
 	return request, &request.attempts[id.Number]
 }
 
+// noteAttemptWaits notes that an attempt waits for a connection here, or waits no more.
+func (c *Core) noteAttemptWaits(id AttemptID, waits bool) {
+	if _, waiting := c.findAttempt(id); waiting != nil {
+		c.handleEvent(scheduler.AttemptWaits{ID: id.Request, Attempt: id.Number, Worker: waiting.endpoint, Waits: waits})
+	}
+}
+
 // startAttempt notes that the job of an attempt has started at its endpoint.
 func (c *Core) startAttempt(id AttemptID) {
 	request, started := c.findAttempt(id)
--- a/internal/transport/attemptqueue.go
+++ b/internal/transport/attemptqueue.go
@@ -45,6 +45,7 @@
 		e.waitForCapacity(exchange)
 		return
 	}
+	e.noteWait(exchange, false)
 	e.waitingForDial = append(e.waitingForDial, exchange)
 	e.dial(exchange)
 }
@@ -55,9 +56,21 @@
 		e.pool.log.Warn("connection limit reached, attempts wait", "worker", e.id, "limit", e.pool.connectionLimit())
 	}
 	e.waitingForCapacity = append(e.waitingForCapacity, exchange)
+	e.noteWait(exchange, true)
 	time.AfterFunc(time.Until(exchange.deadline), func() { e.mailbox.Post(capacityWaitTimedOut{}) })
 }
 
+// noteWait notes whether an exchange waits for capacity, and reports a change of that for an attempt.
+func (e *endpoint) noteWait(exchange *workerExchange, waits bool) {
+	if exchange.waits == waits {
+		return
+	}
+	exchange.waits = waits
+	if !exchange.isProbe {
+		e.pool.sink.AttemptWaits(exchange.attempt.ID, waits)
+	}
+}
+
 // startLongestWaiting starts the exchange that has waited longest for capacity, and passes on what it does not take: there may be no such
 // exchange any more, or it may end at once or find an idle connection.
 func (e *endpoint) startLongestWaiting() {
@@ -170,6 +183,7 @@
 		e.finishUnassigned(exchange, scheduler.NeverSent)
 		return false
 	}
+	e.noteWait(exchange, false)
 	e.logAssigned(exchange, now)
 	exchange.conn, conn.wasUsed = conn, true
 	go e.runExchange(exchange)
--- a/internal/transport/capacitymodel_test.go
+++ b/internal/transport/capacitymodel_test.go
@@ -27,6 +27,7 @@
 }
 
 func (*endCountingSink) AttemptStarted(routing.AttemptID)             {}
+func (*endCountingSink) AttemptWaits(routing.AttemptID, bool)         {}
 func (*endCountingSink) AttemptSent()                                 {}
 func (*endCountingSink) AttemptProgressed(routing.AttemptID, float64) {}
 
--- a/internal/transport/endpoint_test.go
+++ b/internal/transport/endpoint_test.go
@@ -18,6 +18,7 @@
 type outcomeSink chan scheduler.Outcome
 
 func (outcomeSink) AttemptStarted(routing.AttemptID)                               {}
+func (outcomeSink) AttemptWaits(routing.AttemptID, bool)                           {}
 func (outcomeSink) AttemptSent()                                                   {}
 func (outcomeSink) AttemptProgressed(routing.AttemptID, float64)                   {}
 func (s outcomeSink) AttemptFinished(_ routing.AttemptID, e routing.AttemptResult) { s <- e.Outcome }
--- a/internal/transport/endpointpool.go
+++ b/internal/transport/endpointpool.go
@@ -14,6 +14,9 @@
 // Sink receives what workers report. Its methods may be called from any goroutine and must not block. Each routing.Attempt gets
 // exactly one AttemptFinished, each probe one ProbeCompleted.
 type Sink interface {
+	// AttemptWaits says that an attempt waits for a connection, as the pool allows no more, or that it waits no more. Its AttemptFinished ends a
+	// wait too.
+	AttemptWaits(attempt routing.AttemptID, waits bool)
 	// AttemptSent says that the last byte of an attempt's request was written.
 	AttemptSent()
 	// AttemptStarted says that the worker has started an attempt.
--- a/internal/transport/workerexchange.go
+++ b/internal/transport/workerexchange.go
@@ -32,6 +32,7 @@
 	isProbe   bool
 	deadline  time.Time
 	cancelled atomic.Bool
+	waits     bool          // for capacity; owned by the actor
 	conn      *workerConn   // nil until one is assigned
 	writeBy   time.Time     // the request must not be written later; set before conn
 	connIdle  time.Duration // how long the connection had been idle
--- a/scheduler/attempts.go
+++ b/scheduler/attempts.go
@@ -18,6 +18,8 @@
 type attempt struct {
 	worker          *worker
 	sentAt          Instant
+	waits           bool          // for a connection, as this process has as many open as it may
+	waitedUntil     Instant       // when it last ceased to wait; 0 for never
 	startedAt       Instant       // 0 until the worker reports the start
 	inFlight        bool          // sent, no outcome yet
 	mayHaveExecuted bool          // false once an outcome excludes it
@@ -79,6 +81,16 @@
 	s.emit(Send{ID: request.id, Worker: worker.ID, SendBy: sendBy})
 }
 
+// onAttemptWaits notes that an attempt waits for a connection here, or waits no more: the worker owes nothing for that time.
+func (s *Scheduler) onAttemptWaits(event AttemptWaits) {
+	if _, attempt := s.attemptInFlight(event.ID, event.Attempt); attempt != nil {
+		attempt.waits, attempt.waitedUntil = event.Waits, s.now
+	}
+}
+
+// askedAt returns when the attempt was given to its worker, for one that does not wait.
+func (a *attempt) askedAt() Instant { return max(a.sentAt, a.waitedUntil) }
+
 // onAttemptStarted learns from the start of an attempt and cancels the request's other attempts that have not started.
 func (s *Scheduler) onAttemptStarted(event AttemptStarted) {
 	request, started := s.attemptInFlight(event.ID, event.Attempt)
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -122,6 +122,15 @@
 	Report  *Report // nil for none
 }
 
+// AttemptWaits says that an attempt waits for a connection, as this process has as many open as it may, or that it waits no more. Until then
+// the worker has been asked nothing. An attempt of which nothing is said does not wait.
+type AttemptWaits struct {
+	ID      RequestID
+	Attempt int
+	Worker  WorkerID
+	Waits   bool
+}
+
 // AttemptStarted says that an attempt's job runs. Streamed is set when the answer has begun to reach the client: the client
 // depends on this attempt from then on.
 type AttemptStarted struct {
@@ -170,6 +179,7 @@
 func (RequestArrived) event()       {}
 func (AttemptFinished) event()      {}
 func (ProbeCompleted) event()       {}
+func (AttemptWaits) event()         {}
 func (AttemptStarted) event()       {}
 func (AttemptProgressed) event()    {}
 func (ClientLeft) event()           {}
--- a/scheduler/hedging.go
+++ b/scheduler/hedging.go
@@ -25,10 +25,10 @@
 )
 
 // startOverdue reports whether an attempt in flight should have started by now: whether, at a worker that reports starts, more
-// than the grace period and the round trips of a new connection have passed since its send.
+// than the grace period and the round trips of a new connection have passed since the worker was asked.
 func (s *Scheduler) startOverdue(attempt *attempt, grace time.Duration) bool {
-	return attempt.inFlight && attempt.startedAt == 0 && s.settings.ReportsStart &&
-		s.now-attempt.sentAt > grace+connectionRoundTrips*s.roundTripTimes[attempt.worker.Zone]
+	return attempt.inFlight && !attempt.waits && attempt.startedAt == 0 && s.settings.ReportsStart &&
+		s.now-attempt.askedAt() > grace+connectionRoundTrips*s.roundTripTimes[attempt.worker.Zone]
 }
 
 // hedge sends a further attempt of request if the latest one in flight has no start for too long (needsHedge) or its worker is
--- a/scheduler/outlier.go
+++ b/scheduler/outlier.go
@@ -131,11 +131,11 @@
 //
 // Where reports show too little load the second rule may count a waiting attempt as lost.
 func (s *Scheduler) detectSilence(request *request, attempt *attempt) {
-	if !attempt.inFlight || !s.settings.ReportsStart || attempt.lost {
+	if !attempt.inFlight || attempt.waits || !s.settings.ReportsStart || attempt.lost {
 		return
 	}
 	worker := attempt.worker
-	if s.notResponding(worker) {
+	if s.notResponding(attempt) {
 		if s.healthy(worker, request.class) && worker.ready {
 			s.eject(worker, &worker.ejectionState, 0, "no_response")
 		}
@@ -152,15 +152,17 @@
 	}
 }
 
-// notResponding reports whether a worker has given no signal for longer than its progress reports may take.
-func (s *Scheduler) notResponding(worker *worker) bool {
+// notResponding reports whether the worker of an attempt has given no signal since that stopped waiting here, for longer than its progress
+// reports may take.
+func (s *Scheduler) notResponding(attempt *attempt) bool {
+	worker, silentSince := attempt.worker, max(attempt.worker.lastSignal, attempt.waitedUntil)
 	missed := time.Duration(missedProgressPeriods*float64(s.settings.ProgressInterval)) + progressSlack
-	return s.now-worker.lastSignal > max(missed, minSilence) && (s.settings.ProgressInterval > 0 || worker.runningSlots == 0)
+	return s.now-silentSince > max(missed, minSilence) && (s.settings.ProgressInterval > 0 || worker.runningSlots == 0)
 }
 
 // reportShowsLost reports whether an attempt has not started in time, although a later report of its worker shows a free slot.
 func (s *Scheduler) reportShowsLost(attempt *attempt) bool {
-	reportedSince := attempt.worker.reportedAt > attempt.sentAt+minSilence
+	reportedSince := attempt.worker.reportedAt > attempt.askedAt()+minSilence
 	return reportedSince && s.startOverdue(attempt, minSilence+reportLookback) &&
 		attempt.worker.reportedLoad < 1-s.slotShare(attempt.worker, freeShareOfLostAttempt)
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -172,6 +172,8 @@
 		s.onAttemptFinished(event)
 	case ProbeCompleted:
 		s.onProbeCompleted(event)
+	case AttemptWaits:
+		s.onAttemptWaits(event)
 	case AttemptStarted:
 		s.onAttemptStarted(event)
 	case AttemptProgressed:
