fleet: the members are set under the lock under which Status reads them

What callers may see: a crash or garbage from the status of a dispatcher that begins to listen at that moment.

Cause: Agent.listen set members without Agent.mu, and Status, which may be called before Run listens, reads it under that.

Change: listen sets it under the lock.

Test: TestStatus_whileRunBegins, under the race detector: DATA RACE between agent.go:210 and status.go:54 before, passes 5 of 5 now. All tests of internal/fleet pass, also with -race.

--- a/internal/fleet/agent.go
+++ b/internal/fleet/agent.go
@@ -30,7 +30,7 @@
 //
 // Run owns the agent's goroutines. The fields above mu do not change once Run listens, except where a comment names an owner;
 // mu guards those below it. mu is never held during I/O, but for log lines. listener and members are set by listen; until Run
-// listens, only its goroutine may read them. AllowUse, Effective, ProposeFile and Status may be
+// listens, only its goroutine may read them, but for members under mu. AllowUse, Effective, ProposeFile and Status may be
 // called from any goroutine once New has returned; only ProposeFile does I/O.
 //
 // Lock order: mu comes before the locks of budgets, members, the voter's log and what the callbacks lock; none of them is held when
@@ -207,10 +207,15 @@
 	if options.WholeFleet {
 		options.Seeds = a.settings.Voters
 	}
-	if a.members, err = gossip.New(options); err != nil {
+	members, err := gossip.New(options)
+	if err != nil {
 		_ = a.listener.Close() // the error of gossip.New is the one to report
+		return err
 	}
-	return err
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.members = members
+	return nil
 }
 
 // self is what this dispatcher says of itself in gossip.
--- a/internal/fleet/agent_test.go
+++ b/internal/fleet/agent_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"brassdale/internal/decisions/configversions"
 	"brassdale/internal/decisions/voters"
@@ -128,3 +129,19 @@
 		t.Errorf("with a stored record: %+v", effective)
 	}
 }
+
+// TestStatus_whileRunBegins guards against a data race between Status and the begin of Run; it fails under the race detector alone.
+func TestStatus_whileRunBegins(t *testing.T) {
+	agent, err := New(options(t.TempDir()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	go func() { agent.Run(ctx); close(ended) }()
+	for len(agent.Status().Members) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	stop()
+	<-ended
+}
