scheduler: targets_disabled counts listed workers only

What operators saw: `targets_disabled` in /_vars stays up for a worker that a full list no longer names while it was detached or ejected, for as long as the process runs, though `targets` does not have it: an alert that nothing ends.

Cause: CountAvoided went by the state of the last list that named the worker; a full list without it does not change that.

Change: a worker has whether the last list named it as ready or draining, and CountAvoided goes by that.

Test: TestCountAvoided_workerNotListed failed before (2 workers avoided that are not listed) and passes, with the tests of scheduler, routing and emulator.

--- a/scheduler/endpoints.go
+++ b/scheduler/endpoints.go
@@ -35,7 +35,7 @@
 	}
 	if event.ListKind == ListFull || event.ListKind == ListCached {
 		for _, worker := range s.workers {
-			worker.ready, worker.ReturnUnconfirmed = false, false
+			worker.listed, worker.ready, worker.ReturnUnconfirmed = false, false, false
 		}
 	}
 	for _, info := range event.Workers {
@@ -60,6 +60,7 @@
 	}
 	info.StartedAt = known.startTime(info)
 	known.WorkerInfo = info
+	known.listed = info.State != Gone
 	known.ready = info.State == Ready
 }
 
--- a/scheduler/outlier.go
+++ b/scheduler/outlier.go
@@ -183,11 +183,11 @@
 	return true
 }
 
-// CountAvoided returns the number of workers that are detached by the operator, or ejected as a whole, those left out that a list named
-// as gone: one that a full list does not name any more counts. A worker of which only a class is ejected does not count.
+// CountAvoided returns the number of listed workers that are detached by the operator, or ejected as a whole. A worker of which only a class
+// is ejected does not count.
 func (s *Scheduler) CountAvoided() (count int) {
 	for _, worker := range s.workers {
-		count += oneIf(worker.State != Gone && (worker.detached || worker.consecutiveEjections > 0))
+		count += oneIf(worker.listed && (worker.detached || worker.consecutiveEjections > 0))
 	}
 	return count
 }
--- a/scheduler/outlier_test.go
+++ b/scheduler/outlier_test.go
@@ -193,3 +193,23 @@
 		t.Error("nothing is sent when all are ejected")
 	}
 }
+
+// TestCountAvoided_workerNotListed guards against a count of workers that a full list no longer names: they are no workers to avoid.
+func TestCountAvoided_workerNotListed(t *testing.T) {
+	driver := newDriver(t, baseSettings())
+	driver.listWorkers(workers(3)...)
+	ejected, detached := driver.scheduler.workers[0], driver.scheduler.workers[1]
+	ejected.consecutiveEjections, ejected.ejectedUntil = 1, driver.now+time.Hour
+	driver.handle(WorkerDetached{Worker: detached.ID})
+	if count := driver.scheduler.CountAvoided(); count != 2 {
+		t.Fatalf("%d workers avoided, want the ejected one and the detached one", count)
+	}
+	driver.listWorkers(workers(3)[2:]...)
+	if count := driver.scheduler.CountAvoided(); count != 0 {
+		t.Errorf("%d workers avoided that are not listed", count)
+	}
+	driver.listWorkers(workers(3)...)
+	if count := driver.scheduler.CountAvoided(); count != 2 {
+		t.Errorf("listed again: %d workers avoided, want 2", count)
+	}
+}
--- a/scheduler/worker.go
+++ b/scheduler/worker.go
@@ -3,10 +3,11 @@
 import "hash/fnv"
 
 // worker is what a scheduler knows of one worker. Its WorkerInfo, and so State, is that of the last list that named it: a full list
-// that does not name it clears ready alone.
+// that does not name it clears listed, ready and ReturnUnconfirmed alone.
 type worker struct {
 	WorkerInfo
 	idHash     uint64 // of the id, the same at every dispatcher
+	listed     bool   // by the last list, as ready or draining
 	ready      bool   // ready by the endpoint list
 	detached   bool   // by the operator
 	detachedAt Instant
