gossip: a leave notice is remembered for longer than a loss of the member can take

What operators saw: a dispatcher that shut down gracefully is listed as gone, as if it had crashed.

Cause, by a trace of TestRun_wholeFleet, which failed once beside a soak and 1 in 2 times beside six busy loops: the notice of m7 reached m3, was forgotten after 10 s, and memberlist found m7 gone 14.3 s after the notice, as its own message was lost.

Change: a notice is remembered for a minute.

Test: TestLeaveNotice_explainsLateDetection failed before (listed as gone) and passes.

--- a/internal/fleet/gossip/gossip.go
+++ b/internal/fleet/gossip/gossip.go
@@ -25,7 +25,7 @@
 	leaveTimeout           = 500 * time.Millisecond // for the others to be notified that this dispatcher leaves
 	updateTimeout          = 500 * time.Millisecond // for one of them to be notified of a change of Self
 	absentRetention        = time.Hour              // for which members that are gone are shown
-	leaveNoticeRetention   = 10 * time.Second       // for which a notice that a member leaves explains why it is gone
+	leaveNoticeRetention   = time.Minute            // for which a notice that a member leaves explains why it is gone; memberlist may need half of it to find that
 	leaveNoticeRetransmits = 8                      // times the logarithm of the members: memberlist's own 4 loses some
 )
 
--- a/internal/fleet/gossip/gossip_test.go
+++ b/internal/fleet/gossip/gossip_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/hashicorp/memberlist"
 )
 
 // testMember is a member of the gossip in this process, with its HTTP server.
@@ -237,3 +239,20 @@
 	senders.Wait()
 	member.awaitStates(t, "after the packets", map[State]int{Alive: 1})
 }
+
+// TestLeaveNotice_explainsLateDetection guards against a member that is listed as gone though it gave notice, as memberlist took longer to find
+// that it is gone than the notice was remembered. memberlist's own notice was lost then, and its probes take half a minute.
+func TestLeaveNotice_explainsLateDetection(t *testing.T) {
+	const detection = 30 * time.Second
+	membership := &Membership{options: Options{Log: slog.New(slog.NewTextHandler(io.Discard, nil))}, members: map[string]Member{}, leaving: map[string]time.Time{}}
+	observed := (*delegate)(membership)
+	node := &memberlist.Node{Name: "m7"}
+	observed.note(node, Alive)
+	observed.addNotice(node.Name)
+	membership.leaving[node.Name] = time.Now().Add(-detection)
+	membership.forget()
+	observed.note(node, Gone)
+	if state := membership.Members()[0].State; state != Left {
+		t.Errorf("found gone %v after its notice, the member is listed as %v", detection, state)
+	}
+}
