--- a/internal/soak/settings.go
+++ b/internal/soak/settings.go
@@ -14,6 +14,7 @@
 	overloadMultiple  = 3.0
 	workerSlots       = 5                     // jobs that a worker runs at a time
 	jobTime           = 60 * time.Millisecond // mean time that a worker needs for a job
+	shortestJob       = jobTime / 2
 	latencyObjective  = 200 * time.Millisecond
 	className         = "quote"
 	phaseActive       = "active"
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -239,7 +239,7 @@
 	}
 	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
 	sendLine(`"state":"started"`)
-	jobDuration := time.Duration((0.5 + w.draw()) * float64(jobTime))
+	jobDuration := shortestJob + time.Duration(w.draw()*float64(jobTime))
 	for {
 		select {
 		case first := <-next: // cancelled
