routing: a full list of the discovery before a move ends workers that it does not name

Cause: acceptPrevious took a full list of a previous service for a change, so that absent workers stayed. The trace: revision 12 without w2 was written to n0 at 10.558 s and logged with complete=false known=7; the first attempt at w2 came at 11.113 s.

Change: it is applied as a full list, unless this process started from a cached list that discovery has not confirmed.

Test: TestEndpointList_discoveryChanged_previousServiceNamesNoWorker failed before and passes; tests of routing pass.

--- a/internal/routing/listcalls_test.go
+++ b/internal/routing/listcalls_test.go
@@ -221,3 +221,18 @@
 		t.Errorf("accepted %v to %v after the drain was known", least, most)
 	}
 }
+
+// TestEndpointList_discoveryChanged_previousServiceNamesNoWorker guards against attempts at a worker that a full list of the previous discovery
+// service no longer names, as the new service does not respond: this dispatcher was notified that the worker is gone.
+func TestEndpointList_discoveryChanged_previousServiceNamesNoWorker(t *testing.T) {
+	first, second := newScriptedDiscovery(), newScriptedDiscovery()
+	list := startEndpointList(t, first)
+	(<-first.calls).response <- ListUpdate{Revision: 1, Complete: true, Endpoints: []Endpoint{testEndpoint("a", scheduler.Ready), testEndpoint("b", scheduler.Ready)}}
+	watch := <-first.calls
+	list.MoveDiscovery(second)
+	full := <-second.calls
+	watch.response <- ListUpdate{Revision: 2, Complete: true, Endpoints: []Endpoint{testEndpoint("b", scheduler.Ready)}}
+	eventually(t, "the end that the previous service reported", func() bool { _, known := stateOfA(t, list); return !known })
+	full.response <- ListUpdate{Revision: 70, Complete: true, Endpoints: []Endpoint{testEndpoint("b", scheduler.Ready), testEndpoint("c", scheduler.Ready)}}
+	eventually(t, "the new list", func() bool { known, err := list.Snapshot(t.Context()); return err == nil && len(known.Endpoints) == 2 })
+}
--- a/internal/routing/listresponses.go
+++ b/internal/routing/listresponses.go
@@ -144,11 +144,12 @@
 	l.calls.schedule.CallAnswered(now, call.number, now.Sub(call.startedAt), changed, update.BeforeWaitEnded, l.pollRules(), rand.Float64())
 }
 
-// acceptPrevious accepts the response of a previous service, while the current one has not responded. It counts for endpoints that
-// changed; which endpoints there are is for the current one to say. A watch at the previous service continues.
+// acceptPrevious accepts the response of a previous service, while the current one has not responded: this dispatcher counts as notified of it.
+// Of a cached list it counts for endpoints that changed only; which endpoints there are is for the current service to say. A watch at the
+// previous service continues.
 func (l *EndpointList) acceptPrevious(ctx context.Context, response *listResponse) {
 	call, now := response.call, response.endedAt
-	response.update.Complete = false
+	response.update.Complete = response.update.Complete && l.cachedStart == nil
 	l.apply(response, endpointstate.Current)
 	call.service.revision = response.update.Revision
 	l.calls.schedule.PreviousServiceAnswered(now)
