handover: idle clients of the predecessor make way for clients of the successor

What callers saw: with a crowd of idle clients at the predecessor, every request on a new connection is closed unread by the successor until the crowd leaves or the predecessor ends.

Cause: each process has what the other does not use. The predecessor's idle clients used it all, and the successor cannot close them, as a process alone would. Log: reason="reserve for rejections used up" for each new client.

--- a/cmd/brassdale/handover_test.go
+++ b/cmd/brassdale/handover_test.go
@@ -211,3 +211,34 @@
 		t.Errorf("the other frontend: status %d", status)
 	}
 }
+
+// TestHandover_crowdAtPredecessor guards against a successor that closes new connections unread, as idle clients of its predecessor have all that
+// both processes may have together.
+func TestHandover_crowdAtPredecessor(t *testing.T) {
+	t.Parallel()
+	const (
+		crowd    = 120 // of the 50 connections that 128 descriptors allow
+		requests = 40
+	)
+	dispatcher := startDispatcherWith(t, "", withSetting(`"sockets":1024`, `"sockets":128`), startWorker(t, "a", completeJob))
+	for range crowd {
+		dispatcher.dial()
+	}
+	dispatcher.waitForLog("client connections evicted")
+	time.Sleep(100 * time.Millisecond) // until they no longer count as clients that have just connected
+	successor := dispatcher.startSuccessor("")
+	dispatcher.waitForHandovers(1)
+	dispatcher.terminate()
+	served := 0
+	for i := range requests {
+		r := newRequest(successor.http1URL, fmt.Sprint("k-", i))
+		r.Close = true
+		if status, _, _ := trySend(newHTTP1Client(), r); status == http.StatusOK {
+			served++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	if served != requests {
+		t.Errorf("%d of %d requests on new connections were served", served, requests)
+	}
+}
--- a/internal/program/resourcelimits.go
+++ b/internal/program/resourcelimits.go
@@ -62,6 +62,11 @@
 	return limits
 }
 
+// inboundBesidePeer returns how many connections of each frontend two processes may have together: the second needs descriptors of its own.
+func (l *resourceLimits) inboundBesidePeer(frontends int) int {
+	return max(l.inbound-reservedDescriptors/frontends, 0)
+}
+
 // applyResourceLimits applies the limits, less what a peer process uses. It may be called from any goroutine.
 func (d *dispatcher) applyResourceLimits() {
 	d.mu.Lock()
@@ -78,7 +83,7 @@
 	for i, f := range d.frontends {
 		inbound := limits.inbound
 		if usage != nil && i < len(usage.Inbound) {
-			inbound = max(inbound-usage.Inbound[i]-reservedDescriptors/len(d.frontends), 0)
+			inbound = max(limits.inboundBesidePeer(len(d.frontends))-usage.Inbound[i], 0)
 		}
 		f.listener.SetLimits(inbound, limits.bodies)
 		f.listener.SetStreamLimit(limits.streams)
--- a/internal/program/successor.go
+++ b/internal/program/successor.go
@@ -124,13 +124,16 @@
 	go d.reportUsage(peer)
 }
 
-// reportUsage reports to the successor what this process uses of the limits of both, whenever that has changed. It returns when the
-// successor ends.
+// reportUsage reports to the successor what this process uses of the limits of both, whenever that has changed. Clients that have sent nothing
+// make way for those of the successor, which would have no capacity beside a crowd. It returns when the successor ends.
 func (d *dispatcher) reportUsage(peer *transport.PeerProcess) {
 	ticker := time.NewTicker(usageReportInterval)
 	defer ticker.Stop()
 	reported := protocol.HandoverUsage{}
 	for {
+		for _, f := range d.frontends {
+			f.listener.EvictSilent(d.limits.inboundBesidePeer(len(d.frontends)) / 2)
+		}
 		usage := d.usage()
 		d.endpoints.SetWorkerConnLimit(usage.Outbound)
 		if !sameUsage(usage, reported) {
--- a/internal/transport/eviction.go
+++ b/internal/transport/eviction.go
@@ -111,6 +111,20 @@
 	}
 }
 
+// EvictSilent closes connections that have sent nothing, while more than a number are open. Those that carried a request stay.
+func (l *Listener) EvictSilent(keep int) {
+	now := time.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.conns) > keep {
+		victim := l.leastUseful(now)
+		if victim == nil || victim.evictionRank(now) < evictSilent {
+			return
+		}
+		l.evictLocked(victim, now)
+	}
+}
+
 // removeConnLocked removes a connection from the table, if it is there, and counts it for ClosedWithoutResponse. mu is held.
 func (l *Listener) removeConnLocked(conn *Conn) {
 	if _, present := l.conns[conn]; present && !conn.responseStarted.Load() && !conn.clientGone.Load() {
