scheduler: a start from the endpoint cache is not a handover for the slow-start budget

What callers saw: possibly jobs of a warming worker that falls over. A process that starts from the endpoint cache sends its share to a worker that warms up at once, though the process that wrote the cache may have been killed a moment ago and have spent the share in the same overload window.

Cause: learned state with classes makes a process a successor, which has no window to wait for. That of the cache has classes too.

Change: LearnedStateReceived says whether the state is the cache's; only a predecessor's makes a successor.

Test: TestSlowStartBudget_startFromCache failed before (sent to w at once) and passes, with the tests of scheduler, routing and the process tests of the endpoint cache. An overload of a real worker by this was not forced.

--- a/internal/routing/cachedstart.go
+++ b/internal/routing/cachedstart.go
@@ -33,7 +33,7 @@
 	// What was learned of classes holds whichever workers there are.
 	learned := start.LearnedState
 	learned.Workers = nil
-	l.core.AdoptLearnedState(learned)
+	l.core.adoptCachedState(learned)
 	l.core.SetObserver(&cachedStartObserver{l.mailbox, start})
 	l.publishSource()
 }
@@ -70,7 +70,7 @@
 		l.core.counters.setListedEndpoints(len(l.known))
 		l.core.UpdateEndpoints(update)
 		if len(learned.Workers) > 0 {
-			l.core.AdoptLearnedState(learned)
+			l.core.adoptCachedState(learned)
 		}
 	}
 	l.publishSource()
@@ -148,7 +148,7 @@
 		}
 	}
 	if len(learned.Workers) > 0 {
-		l.core.AdoptLearnedState(learned)
+		l.core.adoptCachedState(learned)
 	}
 	l.core.SetObserver(nil)
 	l.log.Info("discovery list in force", "known", len(l.known), "same_incarnation", len(learned.Workers))
--- a/internal/routing/core.go
+++ b/internal/routing/core.go
@@ -182,11 +182,16 @@
 	}
 }
 
-// AdoptLearnedState passes the scheduler what another process has learned.
+// AdoptLearnedState passes the scheduler what the predecessor process has learned, which handed over.
 func (c *Core) AdoptLearnedState(learned scheduler.LearnedState) {
 	c.mailbox.Post(scheduler.LearnedStateReceived{LearnedState: learned})
 }
 
+// adoptCachedState passes the scheduler what the endpoint cache has of what an earlier process has learned.
+func (c *Core) adoptCachedState(learned scheduler.LearnedState) {
+	c.mailbox.Post(scheduler.LearnedStateReceived{LearnedState: learned, FromCache: true})
+}
+
 // ApplySettings puts new settings in force for requests that are submitted from now on.
 func (c *Core) ApplySettings(settings scheduler.Settings) {
 	c.mailbox.Post(scheduler.SettingsChanged{Settings: settings})
--- a/scheduler/events.go
+++ b/scheduler/events.go
@@ -169,8 +169,11 @@
 
 // LearnedStateReceived brings what an earlier process has learned: that of the predecessor that this one takes over from, after the
 // first endpoint list and before any request; or that in the endpoint cache, the classes at the start and the workers later, without
-// classes, once discovery has confirmed them. An event with classes makes this process a successor (Scheduler.tookOver).
-type LearnedStateReceived struct{ LearnedState LearnedState }
+// classes, once discovery has confirmed them. An event with classes that is not FromCache makes this process a successor (Scheduler.tookOver).
+type LearnedStateReceived struct {
+	LearnedState LearnedState
+	FromCache    bool // the process that learned it may have been killed a moment ago
+}
 
 // TimerFired answers a SetTimer.
 type TimerFired struct{ Token uint64 }
--- a/scheduler/learnedstate.go
+++ b/scheduler/learnedstate.go
@@ -52,7 +52,7 @@
 func (s *Scheduler) onLearnedStateReceived(event LearnedStateReceived) {
 	learned := event.LearnedState
 	if len(learned.Classes) > 0 {
-		s.tookOver = true
+		s.tookOver = s.tookOver || !event.FromCache
 		s.overcommit, s.meanStay, s.meanWork = learned.Overcommit, learned.MeanStay, learned.MeanWork
 	}
 	for number, class := range learned.Classes {
--- a/scheduler/slowstart_test.go
+++ b/scheduler/slowstart_test.go
@@ -280,3 +280,17 @@
 		t.Error("no capacity for a first request within the budget")
 	}
 }
+
+// TestSlowStartBudget_startFromCache guards against the overload of a warming worker by a process that starts from the endpoint cache: the
+// process that wrote it may have been killed a moment ago, and have spent its share of the worker's budget.
+func TestSlowStartBudget_startFromCache(t *testing.T) {
+	driver := newDriver(t, baseSettings())
+	learned := driver.scheduler.LearnedState()
+	driver.handle(LearnedStateReceived{LearnedState: learned, FromCache: true})
+	driver.listWorkers(WorkerInfo{ID: "w", StartedAt: driver.now - ms})
+	driver.scheduler.recordSlots(driver.scheduler.workers[0], 4)
+	driver.now += 10 * ms
+	if to := driver.submit(1, 0); to != "" {
+		t.Errorf("sent to %q within the overload window", to)
+	}
+}
