soak: a dispatcher's port is held for the whole run

No fault of the product.

Change: a socket that is bound with SO_REUSEPORT and does not listen holds the port until the run ends.

--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -24,6 +23,7 @@
 type dispatcherProcess struct {
 	number    int
 	listen    string
+	port      *reservedPort // of listen
 	plan      Plan
 	programs  Programs
 	directory string
@@ -49,14 +49,11 @@
 
 // newDispatcherProcess prepares a dispatcher, which start then starts.
 func newDispatcherProcess(number int, plan Plan, programs Programs, dir string, record *Record, service *discovery) (*dispatcherProcess, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0") // a free port; another process could take it before start
+	port, err := reservePort()
 	if err != nil {
 		return nil, err
 	}
-	if err := listener.Close(); err != nil {
-		return nil, err
-	}
-	process := &dispatcherProcess{number: number, listen: listener.Addr().String(), plan: plan, programs: programs, directory: dir, record: record, discovery: service}
+	process := &dispatcherProcess{number: number, listen: port.address, port: port, plan: plan, programs: programs, directory: dir, record: record, discovery: service}
 	if process.address, err = service.newAddress(number, 0); err != nil {
 		return nil, err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -111,10 +111,11 @@
 	}
 }
 
-// closeLogs closes the dispatchers' logs.
+// closeLogs closes the dispatchers' logs, and gives up their ports.
 func (r *run) closeLogs() {
 	for _, process := range r.dispatchers {
 		_ = process.logs.Close() // a line that is lost shows in the audit's timelines only
+		process.port.release()
 	}
 }
 
