--- a/Makefile
+++ b/Makefile
@@ -19,8 +19,9 @@
 properties:
 	go test -count=1 $$(go list -f '{{range .TestImports}}{{if eq . "brassdale/internal/testsupport/property"}}{{$$.ImportPath}} {{end}}{{end}}' ./...) -rapid.seed=$(SEED) -rapid.checks=10000
 
+# A process under the race detector sleeps for a second when it ends, which its tests would take for its own time.
 race:
-	go test -count=1 -race ./cmd/... ./internal/...
+	GORACE=atexit_sleep_ms=0 go test -count=1 -p 1 -race ./scheduler/... ./cmd/... ./internal/...
 
 lint:
 	test -z "$$(gofmt -l scheduler cmd internal)"
