soak: no new connections to a process half a second behind SIGTERM

Change: clients open none from 0.5 s on. Connections that are open are used on as before, until the kill.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -103,7 +103,11 @@
 	return &Request{ID: id, Dispatcher: c.dispatcher.number, ProcessRun: processRun, Deadline: c.plan.Deadline}, []byte(text)
 }
 
-// connection returns an idle connection, or a new one if there is none or fresh is set; nil if none comes up.
+// newConnectionTime is for how long after SIGTERM clients open new connections to a process. By the protocol page the load balancer brings them
+// for 0.2 to 0.4 s; those that are open are used on.
+const newConnectionTime = 500 * time.Millisecond
+
+// connection returns an idle connection, or a new one if there is none or fresh is set; nil if none comes up, or the load balancer brings no more.
 func (c *clientGroup) connection(processRun int, fresh bool) *clientConn {
 	c.mu.Lock()
 	if idle := len(c.idle); idle > 0 && !fresh {
@@ -113,6 +117,9 @@
 		return conn
 	}
 	c.mu.Unlock()
+	if c.dispatcher.endsFor() > newConnectionTime {
+		return nil
+	}
 	conn, err := net.DialTimeout("tcp", c.dispatcher.listen, time.Second)
 	if err != nil {
 		return nil
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -203,6 +203,17 @@
 	return d.processRun, d.processRun != nil && !d.processRun.ReadyAt.IsZero() && d.processRun.EndedAt.IsZero()
 }
 
+// endsFor returns how long ago the process that was started last got SIGTERM; 0 if it did not.
+func (d *dispatcherProcess) endsFor() (elapsed time.Duration) {
+	run, _ := d.current()
+	d.record.locked(func() {
+		if run != nil && !run.SIGTERMAt.IsZero() {
+			elapsed = time.Since(run.SIGTERMAt)
+		}
+	})
+	return elapsed
+}
+
 // signal sends a signal, unless the process has exited.
 func (d *dispatcherProcess) signal(signal syscall.Signal) {
 	d.mu.Lock()
