--- a/internal/decisions/endpointstate/endpointstate_test.go
+++ b/internal/decisions/endpointstate/endpointstate_test.go
@@ -434,3 +434,20 @@
 		t.Errorf("a return at a higher revision: %+v", changes)
 	}
 }
+
+// TestTable_unknownWorkerInListOfOtherService guards against a worker that had left before this process knew it, and that a stale list of
+// another service shows as ready: the full list of the service before, without it, is as good a notice of its end as one that ended it.
+func TestTable_unknownWorkerInListOfOtherService(t *testing.T) {
+	var known Table
+	respond := func(service string, revision int64, calledAt time.Duration, endpoints ...Endpoint) Changes {
+		response := ListResponse{Service: service, Revision: revision, Complete: true, CalledAt: epoch.Add(calledAt),
+			ReceivedAt: epoch.Add(calledAt + 100*time.Millisecond), Endpoints: endpoints}
+		return known.Apply(response, known.Classify(response))
+	}
+	respond("before", 11, 0, Endpoint{ID: "other"}) // "w" had left at revision 10
+	for _, accepted := range respond("after", 109, time.Second, Endpoint{ID: "other"}, Endpoint{ID: "w"}).Accepted {
+		if accepted.ID == "w" && accepted.State == scheduler.Ready {
+			t.Errorf("accepted as ready: %+v", accepted)
+		}
+	}
+}
