--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -231,12 +231,10 @@
 }
 
 // readAndRelease reads an answer, and makes the connection idle if it may carry another request.
-func (c *clientGroup) readAndRelease(conn *clientConn, request *Request) bool {
-	ok := c.read(conn, request)
-	if ok {
+func (c *clientGroup) readAndRelease(conn *clientConn, request *Request) {
+	if c.read(conn, request) {
 		c.releaseConnection(conn)
 	}
-	return ok
 }
 
 // read reads and records an answer, and reports whether the connection may carry another request.
