transport: idle connections are shared among listed workers

What callers saw: the more workers have come and gone, the fewer idle connections a process keeps to each, down to one.

Cause: maxIdleConns counted all actors, and those of workers that are gone stay.

Change: it counts the listed workers.

Test: TestEndpointPool_idleConnsWithoutGoneWorkers failed before (1 each, want 5; 1 each, want 3) and passes, with all of transport.

--- a/internal/transport/endpoint_test.go
+++ b/internal/transport/endpoint_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -204,3 +205,36 @@
 		t.Errorf("the other endpoint waits, one connection of one is free, and it received %v", got)
 	}
 }
+
+// TestEndpointPool_idleConnsWithoutGoneWorkers guards against fewer idle connections for each worker that was ever listed: they are shared among
+// the listed ones.
+func TestEndpointPool_idleConnsWithoutGoneWorkers(t *testing.T) {
+	actor, _, _, _ := newIdleEndpoint(t, time.Time{})
+	pool := actor.pool
+	stopped := make(chan struct{})
+	defer close(stopped)
+	pool.stopped = stopped
+	pool.SetWorkerConnLimit(20)
+	update := func(number int, state scheduler.WorkerState) {
+		pool.Update(routing.Endpoint{WorkerInfo: scheduler.WorkerInfo{ID: scheduler.WorkerID(fmt.Sprint(number)), State: state}})
+	}
+	for number := range 10 {
+		update(number, scheduler.Ready)
+		update(number, scheduler.Ready)
+	}
+	if idle := pool.maxIdleConns(); idle != 1 {
+		t.Errorf("10 workers, 20 connections: %d idle ones each, want 1", idle)
+	}
+	for number := range 8 {
+		update(number, scheduler.Gone)
+		update(number, scheduler.Gone)
+	}
+	update(9, scheduler.Draining)
+	if idle := pool.maxIdleConns(); idle != 5 {
+		t.Errorf("2 workers listed, 8 gone: %d idle ones each, want 5", idle)
+	}
+	update(0, scheduler.Ready)
+	if idle := pool.maxIdleConns(); idle != 3 {
+		t.Errorf("one is back: %d idle ones each, want 3", idle)
+	}
+}
--- a/internal/transport/endpointpool.go
+++ b/internal/transport/endpointpool.go
@@ -52,6 +52,7 @@
 	maxConns         int
 	openConns        int
 	endpoints        map[scheduler.WorkerID]*endpoint
+	listed           map[scheduler.WorkerID]struct{} // of endpoints, those that are not gone
 	detachedSince    map[scheduler.WorkerID]time.Time // of workers that the operator detached, listed or not
 	waitingEndpoints []*endpoint                      // that could not open a connection, once for each that they wanted, in order
 }
@@ -65,6 +66,7 @@
 		log:           log,
 		stopped:       ctx.Done(),
 		endpoints:     map[scheduler.WorkerID]*endpoint{},
+		listed:        map[scheduler.WorkerID]struct{}{},
 		detachedSince: map[scheduler.WorkerID]time.Time{},
 	}
 }
@@ -87,6 +89,9 @@
 // Update passes on what the endpoint list says of an endpoint, and starts the actor of a new one.
 func (p *EndpointPool) Update(listed routing.Endpoint) {
 	p.mu.Lock()
+	if p.listed[listed.ID] = struct{}{}; listed.State == scheduler.Gone {
+		delete(p.listed, listed.ID)
+	}
 	e := p.endpoints[listed.ID]
 	if e == nil && listed.State != scheduler.Gone {
 		e = newEndpoint(p, listed)
@@ -203,14 +208,14 @@
 }
 
 // maxIdleConns returns how many idle connections an endpoint may have: 0 while others wait for capacity, and otherwise an equal
-// share of half the limit, at least 1.
+// share of half the limit among the listed ones, at least 1.
 func (p *EndpointPool) maxIdleConns() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.waitingEndpoints) > 0 {
 		return 0
 	}
-	return max(p.maxConns/(2*max(len(p.endpoints), 1)), 1)
+	return max(p.maxConns/(2*max(len(p.listed), 1)), 1)
 }
 
 // idleTimeoutPercent is the share of the workers' idle timeout (limits.connIdle) after which a connection is closed here, so that
