soak: a worker's ports are held for the whole run

Change: workers reserve their ports as dispatchers do, and listen with SO_REUSEPORT (transport.Listen).

--- a/internal/soak/port.go
+++ b/internal/soak/port.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"net"
 
 	"golang.org/x/sys/unix"
+
+	"brassdale/internal/transport"
 )
 
-// reservedPort is a port of the loopback interface that no other socket gets by chance while no dispatcher listens at it. A dispatcher, which
-// listens with SO_REUSEPORT, can.
+// reservedPort is a port of the loopback interface that no other socket gets by chance while nobody listens at it. Its owner, who listens with
+// SO_REUSEPORT, as dispatchers do, can.
 type reservedPort struct {
 	address    string
 	descriptor int // of a socket that is bound and does not listen
@@ -47,6 +50,9 @@
 	return nil
 }
 
+// listen listens at the port.
+func (p *reservedPort) listen() (net.Listener, error) { return transport.Listen(p.address) }
+
 // release gives the port up.
 func (p *reservedPort) release() {
 	_ = unix.Close(p.descriptor) // it has carried nothing
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -149,12 +149,15 @@
 	return nil
 }
 
-// stopWorkers ends all workers.
+// stopWorkers ends all workers, and gives up their ports.
 func (r *run) stopWorkers() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, started := range r.workers {
 		started.stop()
+		for _, port := range started.ports {
+			port.release()
+		}
 	}
 }
 
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -20,13 +20,14 @@
 	record *Record
 	slots  chan struct{}
 
+	ports []*reservedPort // by dispatcher: where it listens
+
 	restarting sync.Mutex // locked while it is ended and started again
 
 	unready atomic.Bool // discovery does not list it as active: probes are answered 503
 
 	mu             sync.Mutex
 	random         *rand.Rand
-	addresses      []string // by dispatcher
 	listeners      []net.Listener
 	connections    map[net.Conn]bool
 	hangsUntil     time.Time // until then it sends nothing more of its jobs
@@ -36,10 +37,14 @@
 
 // newWorker starts a worker that the dispatchers of a plan can reach.
 func newWorker(number int, plan Plan, record *Record) (*worker, error) {
-	dispatchers := plan.Dispatchers
-	started := &worker{number: number, record: record, random: rand.New(rand.NewPCG(plan.Seed, uint64(number))), slots: make(chan struct{}, workerSlots), addresses: make([]string, dispatchers), connections: map[net.Conn]bool{}}
-	for i := range started.addresses {
-		started.addresses[i] = "127.0.0.1:0"
+	started := &worker{number: number, record: record, random: rand.New(rand.NewPCG(plan.Seed, uint64(number))),
+		slots: make(chan struct{}, workerSlots), connections: map[net.Conn]bool{}}
+	for range plan.Dispatchers {
+		port, err := reservePort()
+		if err != nil {
+			return nil, err
+		}
+		started.ports = append(started.ports, port)
 	}
 	return started, started.start()
 }
@@ -51,11 +56,7 @@
 func (w *worker) cell() int { return w.number % cellCount }
 
 // address returns where a dispatcher reaches the worker.
-func (w *worker) address(dispatcher int) string {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.addresses[dispatcher]
-}
+func (w *worker) address(dispatcher int) string { return w.ports[dispatcher].address }
 
 // draw returns a random number in [0, 1).
 func (w *worker) draw() float64 {
@@ -69,13 +70,12 @@
 
 // start listens at the worker's addresses, which stay the same over restarts.
 func (w *worker) start() error {
-	for i := range w.addresses {
-		listener, err := net.Listen("tcp", w.address(i))
+	for i, port := range w.ports {
+		listener, err := port.listen()
 		if err != nil {
 			return err
 		}
 		w.mu.Lock()
-		w.addresses[i] = listener.Addr().String()
 		w.listeners = append(w.listeners, listener)
 		w.mu.Unlock()
 		go w.accept(listener, i)
