soak: rule failed does not count requests at workers that hang

Its trace: w0 hung (7.28 to 9.60 s) and the request (9.29 s) waited for one of its slots, held by jobs that hung. The target is that requests do not fail although the workers are well; w0 was not. With congestion the product gives up before the latency objective, by design (maxStartWait).

Change: an attempt that is cancelled at a worker which hangs counts as failed by the worker.

--- a/internal/soak/audit.go
+++ b/internal/soak/audit.go
@@ -188,7 +188,7 @@
 	}
 }
 
-// checkFailures checks that a request is not answered as failed while the shortest job would still be in time, unless a connection to a worker broke, or its process ended
+// checkFailures checks that a request is not answered as failed while the shortest job would still be in time, unless a worker broke a connection or hung, or its process ended
 // soon after. Injected faults may break connections unseen by the workers.
 func (a *auditor) checkFailures(request *Request) {
 	if request.Status != http.StatusBadGateway && request.Status != http.StatusGatewayTimeout || !request.LeftAt.IsZero() || a.plan.SystemCallFaults != "" {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -32,7 +32,7 @@
 	Timeout         time.Duration // that the dispatcher gave the worker
 	MayHaveExecuted bool          // false only if the worker surely did not run it
 	Result          string
-	Broken          bool      // the worker broke the connection, or the dispatcher cannot know that it runs
+	Broken          bool      // the worker broke the connection, or it hung
 	EndedAt         time.Time // when the worker finished the job, or saw it cancelled
 }
 
--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -215,7 +215,7 @@
 	}
 	breakOff := func() { w.record.locked(func() { attempt.Broken = true }) }
 	cancel := func(next firstByte) bool {
-		if errors.Is(next.err, net.ErrClosed) { // by stop, not by the dispatcher
+		if errors.Is(next.err, net.ErrClosed) || w.hasFault(&w.hangsUntil) { // by stop, not by the dispatcher; or the dispatcher waited in vain
 			breakOff()
 		}
 		end("")
