--- a/internal/soak/worker.go
+++ b/internal/soak/worker.go
@@ -203,6 +203,12 @@
 	}
 }
 
+// sendMessage sends a message of a job's response, with further JSON members.
+func (w *worker) sendMessage(conn net.Conn, attempt *Attempt, members string) {
+	line := fmt.Sprintf("{\"id\":%q,\"from\":\"w%d\",%s}\n", attempt.ID, w.number, members)
+	fmt.Fprintf(conn, "%x\r\n%s\r\n", len(line), line)
+}
+
 // runJob runs a job, and reports whether its connection may carry another. It is unknown when a job that was read late was cancelled:
 // it counts as cancelled at once.
 func (w *worker) runJob(conn net.Conn, attempt *Attempt, next <-chan firstByte, late bool) bool {
@@ -233,12 +239,8 @@
 		return cancel(first)
 	}
 	defer func() { <-w.slots }()
-	sendLine := func(text string) {
-		line := fmt.Sprintf("{\"id\":%q,\"from\":\"w%d\",%s}\n", attempt.ID, w.number, text)
-		fmt.Fprintf(conn, "%x\r\n%s\r\n", len(line), line)
-	}
 	fmt.Fprint(conn, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n")
-	sendLine(`"state":"started"`)
+	w.sendMessage(conn, attempt, `"state":"started"`)
 	jobDuration := shortestJob + time.Duration(w.draw()*float64(jobTime))
 	for {
 		select {
@@ -252,7 +254,7 @@
 	}
 	result := fmt.Sprintf("%s by w%d", attempt.ID, w.number)
 	end(result) // first, so that no client records it before
-	sendLine(fmt.Sprintf(`"state":"done","result":%q`, result))
+	w.sendMessage(conn, attempt, fmt.Sprintf(`"state":"done","result":%q`, result))
 	if _, err := io.WriteString(conn, "0\r\n\r\n"); err != nil {
 		breakOff()
 		return false
