--- a/internal/transport/endpointpool.go
+++ b/internal/transport/endpointpool.go
@@ -52,7 +52,7 @@
 	maxConns         int
 	openConns        int
 	endpoints        map[scheduler.WorkerID]*endpoint
-	listed           map[scheduler.WorkerID]struct{} // of endpoints, those that are not gone
+	listed           map[scheduler.WorkerID]struct{}  // of endpoints, those that are not gone
 	detachedSince    map[scheduler.WorkerID]time.Time // of workers that the operator detached, listed or not
 	waitingEndpoints []*endpoint                      // that could not open a connection, once for each that they wanted, in order
 }
