--- a/internal/soak/port.go
+++ b/internal/soak/port.go
@@ -1,57 +1,65 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
 	"net"
+	"os"
 
 	"golang.org/x/sys/unix"
-
-	"brassdale/internal/transport"
 )
 
 // reservedPort is a port of the loopback interface that no other socket gets by chance while nobody listens at it. Its owner, who listens with
 // SO_REUSEPORT, as dispatchers do, can.
 type reservedPort struct {
 	address    string
+	number     int
 	descriptor int // of a socket that is bound and does not listen
 }
 
 // reservePort reserves a free port until release.
 func reservePort() (*reservedPort, error) {
-	descriptor, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	descriptor, err := bindSocket(0)
 	if err != nil {
 		return nil, err
 	}
-	port := &reservedPort{descriptor: descriptor}
-	if err := port.bind(); err != nil {
-		port.release()
-		return nil, err
+	name, err := unix.Getsockname(descriptor)
+	bound, ok := name.(*unix.SockaddrInet4)
+	if err != nil || !ok {
+		return nil, errors.Join(err, unix.Close(descriptor))
 	}
-	return port, nil
+	return &reservedPort{address: fmt.Sprintf("127.0.0.1:%d", bound.Port), number: bound.Port, descriptor: descriptor}, nil
 }
 
-// bind binds the socket to a free port.
-func (p *reservedPort) bind() error {
-	if err := unix.SetsockoptInt(p.descriptor, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
-		return err
+// bindSocket returns the descriptor of a socket that shares a port of the loopback interface; 0 for a free port.
+func bindSocket(port int) (descriptor int, err error) {
+	descriptor, err = unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return 0, err
 	}
-	if err := unix.Bind(p.descriptor, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		return err
+	err = unix.SetsockoptInt(descriptor, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	if err == nil {
+		err = unix.Bind(descriptor, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}, Port: port})
 	}
-	name, err := unix.Getsockname(p.descriptor)
 	if err != nil {
-		return err
-	}
-	bound, ok := name.(*unix.SockaddrInet4)
-	if !ok {
-		return fmt.Errorf("bound to %T", name)
+		return 0, errors.Join(err, unix.Close(descriptor))
 	}
-	p.address = fmt.Sprintf("127.0.0.1:%d", bound.Port)
-	return nil
+	return descriptor, nil
 }
 
 // listen listens at the port.
-func (p *reservedPort) listen() (net.Listener, error) { return transport.Listen(p.address) }
+func (p *reservedPort) listen() (net.Listener, error) {
+	descriptor, err := bindSocket(p.number)
+	if err != nil {
+		return nil, err
+	}
+	file := os.NewFile(uintptr(descriptor), p.address)
+	defer func() { _ = file.Close() }() // the listener has a descriptor of its own
+	if err := unix.Listen(descriptor, unix.SOMAXCONN); err != nil {
+		return nil, err
+	}
+	return net.FileListener(file)
+}
 
 // release gives the port up.
 func (p *reservedPort) release() {
