Review: a process that is replaced ends while keyed jobs run without a stream

Cause: the shutdown waits for clients' connections only; a keyed job of the progress frontend goes on without one.

--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/standins"
 mkdir -p ../bin
-GOFLAGS= GOWORK=off GOTOOLCHAIN=local go build -o ../bin/ ./case1 ./case2
+GOFLAGS= GOWORK=off GOTOOLCHAIN=local go build -o ../bin/ ./case1 ./case2 ./case3
