--- a/review/standins/case1/main.go
+++ b/review/standins/case1/main.go
@@ -38,7 +38,7 @@
 
 // play lets the clients send jobs, and checks that each job that was written has an answer, or that its connection was closed.
 func play(p *standin.Platform) ([]string, error) {
-	deployment, err := standin.NewDeployment(p.Record, true, func(string) time.Duration { return runtime })
+	deployment, err := standin.NewDeployment(p.Record, true, standin.UsualWindow, func(string) time.Duration { return runtime })
 	if err != nil {
 		return nil, err
 	}
@@ -46,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	config := standin.Config(deployment.Listen, deployment.Registry.Address(), deployment.Admin, deployment.Registry.List(), standin.Settings(true))
+	config := standin.Config(deployment.Listen, deployment.Registry.Address(), deployment.Admin, deployment.Registry.List(), standin.Settings(true, standin.UsualWindow))
 	config = strings.Replace(config, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets), 1)
 	process, err := p.Start("dispatcher", config, operator, p.Dir)
 	if err != nil {
--- a/review/standins/case3/main.go
+++ b/review/standins/case3/main.go
@@ -20,6 +20,7 @@
 	replaceAt   = 500 * time.Millisecond  // the new process is started
 	reconnectAt = 3300 * time.Millisecond
 	deadline    = 5 * time.Second // after the first send
+	window      = 3 * time.Second // of a key
 
 	otherClients = 4 // each sends a short job over HTTP/1.1 every otherPause
 	otherPause   = 100 * time.Millisecond
@@ -30,7 +31,7 @@
 
 // play starts a dispatcher, sends the jobs, breaks their streams, replaces the process, and lets the clients reconnect.
 func play(p *standin.Platform) ([]string, error) {
-	deployment, err := standin.NewDeployment(p.Record, false, func(key string) time.Duration {
+	deployment, err := standin.NewDeployment(p.Record, false, window, func(key string) time.Duration {
 		if strings.HasPrefix(key, "0") {
 			return otherRuntime
 		}
@@ -44,7 +45,7 @@
 		return nil, err
 	}
 	start := func(name, admin string) (*standin.Process, error) {
-		config := standin.Config(deployment.Listen, deployment.Registry.Address(), admin, deployment.Registry.List(), standin.Settings(false))
+		config := standin.Config(deployment.Listen, deployment.Registry.Address(), admin, deployment.Registry.List(), standin.Settings(false, window))
 		process, err := p.Start(name, config, operator, p.Dir)
 		if err != nil {
 			return nil, err
--- a/review/standins/standin/deployment.go
+++ b/review/standins/standin/deployment.go
@@ -18,9 +18,9 @@
 // workersInBay is the number of workers in each of the two bays.
 const workersInBay = 6
 
-// NewDeployment starts the workers and discovery.
-func NewDeployment(record *Record, tellsStart bool, runtime func(key string) time.Duration) (*Deployment, error) {
-	deployment := &Deployment{Bays: NewBays(record)}
+// NewDeployment starts the workers and discovery. window is how long a bay drops a repeat of a key.
+func NewDeployment(record *Record, tellsStart bool, window time.Duration, runtime func(key string) time.Duration) (*Deployment, error) {
+	deployment := &Deployment{Bays: NewBays(record, window)}
 	var workers []*Worker
 	for i := range 2 * workersInBay {
 		worker, err := StartWorker(fmt.Sprintf("s-%08x", 0x5be2a07c+i*0x1f3d5b7), i%2+1, tellsStart, deployment.Bays, runtime)
@@ -41,15 +41,13 @@
 	return deployment, nil
 }
 
-// CheckKeys returns a breach for each key that ran more often than its bay's window allows: a second run, in whatever bay, that began
-// within keyWindow of the first. (The workers drop a repeat in the same bay, so such a run is in another bay.)
+// CheckKeys returns a breach for each key that ran again. A bay drops a repeat within the window, so a second run is either in another
+// bay, or begins after the window.
 func (d *Deployment) CheckKeys() (breaches []string) {
 	for key, runs := range d.Bays.Runs() {
 		for _, again := range runs[1:] {
-			if first := runs[0]; again.Began.Sub(first.Began) < keyWindow {
-				breaches = append(breaches, fmt.Sprintf("duplicate: key %s ran at %s in bay %d, and %.2f s later at %s in bay %d",
-					key, first.Worker, first.Bay, again.Began.Sub(first.Began).Seconds(), again.Worker, again.Bay))
-			}
+			breaches = append(breaches, fmt.Sprintf("duplicate: key %s ran at %s in bay %d, and %.2f s later at %s in bay %d (window %.1f s)",
+				key, runs[0].Worker, runs[0].Bay, again.Began.Sub(runs[0].Began).Seconds(), again.Worker, again.Bay, d.Bays.window.Seconds()))
 		}
 	}
 	return breaches
--- a/review/standins/standin/worker.go
+++ b/review/standins/standin/worker.go
@@ -10,9 +10,6 @@
 	"time"
 )
 
-// keyWindow is how long the workers of a bay drop a repeat of a key.
-const keyWindow = 7500 * time.Millisecond
-
 // Run is one run of a job at a worker.
 type Run struct {
 	Key, ID, Worker string
@@ -26,16 +23,19 @@
 	done  chan struct{}
 }
 
-// Bays are the workers' memory of keys: a repeat of a key within keyWindow does not run again in the same bay.
+// Bays are the workers' memory of keys: a repeat of a key within the window does not run again in the same bay.
 type Bays struct {
 	record *Record
+	window time.Duration
 	mu     sync.Mutex
 	known  map[string]*bayJob // by bay and key
 	runs   []*Run
 }
 
 // NewBays returns bays that have seen no key.
-func NewBays(record *Record) *Bays { return &Bays{record: record, known: map[string]*bayJob{}} }
+func NewBays(record *Record, window time.Duration) *Bays {
+	return &Bays{record: record, window: window, known: map[string]*bayJob{}}
+}
 
 // Runs returns all runs so far, by key.
 func (b *Bays) Runs() map[string][]Run {
@@ -65,7 +65,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	name := fmt.Sprint(worker.Bay, " ", key)
-	if known := b.known[name]; known != nil && time.Since(known.began) < keyWindow {
+	if known := b.known[name]; known != nil && time.Since(known.began) < b.window {
 		b.record.Log("repeat dropped by bay %d: key=%s id=%s worker=%s", worker.Bay, key, id, worker.ID)
 		return nil, known
 	}
