--- a/review/standins/case1/main.go
+++ b/review/standins/case1/main.go
@@ -1,4 +1,4 @@
-// Command case1: more clients than the HTTP/2 port has connections, each job on a connection of its own.
+// Command case1: the process of a dispatcher is replaced while clients use its HTTP/2 port.
 package main
 
 import (
@@ -19,24 +19,26 @@
 
 const (
 	sockets        = 256 // descriptors of the dispatcher
-	crowd          = 70  // clients: under a third of the descriptors
-	usualClients   = 30
-	span           = 12 * time.Second // in which clients send new jobs
-	runtime        = 100 * time.Millisecond
-	deadline       = 5 * time.Second
+	clients        = 50  // each with one connection: fewer than the port takes, and under a third of the descriptors
+	pause          = 20 * time.Millisecond
+	runtime        = 30 * time.Millisecond
+	deadline       = 2 * time.Second        // of the class, and of each job
 	answerSlack    = 500 * time.Millisecond // an answer that is later than the deadline by more is lost
-	callerPatience = time.Second            // how long a caller of the admin API waits
-	killAfter      = 3700 * time.Millisecond
+	upgrades       = 3
+	betweenEnds    = 1500 * time.Millisecond // from the end of a process to the next upgrade
+	killAfter      = 3700 * time.Millisecond // from SIGTERM to SIGKILL
+	callerPatience = time.Second             // how long a caller of the admin API waits
 )
 
 func main() { standin.Main(play) }
 
-// tally counts what became of the requests.
+// tally counts what became of the jobs.
 type tally struct {
 	served, refused, failed, closed, lost atomic.Int64
 }
 
-// play lets the clients send jobs, and checks that each job that was written has an answer, or that its connection was closed.
+// play lets the clients send jobs, replaces the process, and checks that each job that was written has an answer, or that its connection
+// was closed.
 func play(p *standin.Platform) ([]string, error) {
 	deployment, err := standin.NewDeployment(p.Record, true, standin.UsualWindow, func(string) time.Duration { return runtime })
 	if err != nil {
@@ -46,44 +48,101 @@
 	if err != nil {
 		return nil, err
 	}
-	config := standin.Config(deployment.Listen, deployment.Registry.Address(), deployment.Admin, deployment.Registry.List(), standin.Settings(true, standin.UsualWindow))
-	config = strings.Replace(config, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets), 1)
-	process, err := p.Start("dispatcher", config, operator, p.Dir)
-	if err != nil {
-		return nil, err
+	start := func(name, admin string) (*standin.Process, error) {
+		settings := strings.Replace(standin.Settings(true, standin.UsualWindow), `"deadline":5000000`, fmt.Sprintf(`"deadline":%d`, deadline.Microseconds()), 1)
+		config := standin.Config(deployment.Listen, deployment.Registry.Address(), admin, deployment.Registry.List(), settings)
+		config = strings.Replace(config, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, sockets), 1)
+		process, err := p.Start(name, config, operator, p.Dir)
+		if err != nil {
+			return nil, err
+		}
+		return process, p.AwaitYes(process, "http://"+admin+"/_ready", 6*time.Second)
 	}
-	if err := p.AwaitYes(process, "http://"+deployment.Listen+"/health/ready", 10*time.Second); err != nil {
+	serving, err := start("process-0", deployment.Admin)
+	if err != nil {
 		return nil, err
 	}
-	count := usualClients
-	if p.Trouble {
-		count = crowd
-	}
 	var result tally
-	var clients sync.WaitGroup
-	until := time.Now().Add(span)
-	for i := range count {
-		clients.Go(func() { playClient(p, deployment, &result, i, until) })
+	var running sync.WaitGroup
+	stop := make(chan struct{})
+	for i := range clients {
+		running.Go(func() { playClient(p, deployment, &result, i, stop) })
 	}
-	clients.Wait()
-	p.Record.Say("%d clients: served %d, refused %d, failed %d, connection closed %d, neither answer nor close %d", count,
+	err = replaceProcesses(p, start, serving, deployment.Admin)
+	close(stop)
+	running.Wait()
+	if err != nil {
+		return nil, err
+	}
+	p.Record.Say("%d clients: served %d, refused %d, failed %d, connection closed %d, neither answer nor close %d", clients,
 		result.served.Load(), result.refused.Load(), result.failed.Load(), result.closed.Load(), result.lost.Load())
-	var breaches []string
 	if lost := result.lost.Load(); lost > 0 {
-		breaches = append(breaches, fmt.Sprintf("lost: %d jobs, written whole to an open connection, have no answer %v after their deadline", lost, answerSlack))
+		return []string{fmt.Sprintf("lost: %d jobs, written whole to an open connection, had no answer %v after their deadline", lost, answerSlack)}, nil
 	}
-	look(p, deployment, process)
-	return breaches, nil
+	return nil, nil
 }
 
-// playClient sends one job after the other. Each has a connection of its own, which rests for a while after the answer.
-func playClient(p *standin.Platform, deployment *standin.Deployment, result *tally, client int, until time.Time) {
-	for job := 0; time.Now().Before(until); job++ {
-		transport := &http.Transport{Protocols: &http.Protocols{}}
-		transport.Protocols.SetUnencryptedHTTP2(true)
+// replaceProcesses replaces the process that serves, several times. Without the trouble it waits for about as long.
+func replaceProcesses(p *standin.Platform, start func(name, admin string) (*standin.Process, error), serving *standin.Process, admin string) error {
+	for number := range upgrades {
+		time.Sleep(betweenEnds)
+		if !p.Trouble {
+			time.Sleep(killAfter)
+			continue
+		}
+		addresses, err := standin.FreeAddresses(1)
+		if err != nil {
+			return err
+		}
+		next, err := start(fmt.Sprintf("process-%d", number+1), addresses[0])
+		if err != nil {
+			return err
+		}
+		p.Signal(serving, syscall.SIGTERM)
+		killAt := time.Now().Add(killAfter)
+		time.Sleep(time.Second)
+		look(p, serving, admin)
+		select {
+		case <-serving.Exited:
+		case <-time.After(time.Until(killAt)):
+			p.Record.Say("platform: %s still runs %v after SIGTERM", serving.Name, killAfter)
+			p.Signal(serving, syscall.SIGKILL)
+			<-serving.Exited
+		}
+		serving, admin = next, addresses[0]
+	}
+	return nil
+}
+
+// look records whether a process that has not ended still answers operators.
+func look(p *standin.Platform, process *standin.Process, admin string) {
+	select {
+	case <-process.Exited:
+		return
+	default:
+	}
+	client := &http.Client{Timeout: callerPatience, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + admin + "/_vars")
+	if err != nil {
+		p.Record.Log("operator: GET /_vars of %s: no answer: %v", process.Name, err)
+		return
+	}
+	response.Body.Close()
+	p.Record.Log("operator: GET /_vars of %s: %d", process.Name, response.StatusCode)
+}
+
+// playClient sends one job after the other, on one connection for as long as it stays open.
+func playClient(p *standin.Platform, deployment *standin.Deployment, result *tally, client int, stop <-chan struct{}) {
+	transport := &http.Transport{Protocols: &http.Protocols{}}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	defer transport.CloseIdleConnections()
+	for job := 0; ; job++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(pause):
+		}
 		send(p, transport, deployment.HTTP2, result, fmt.Sprintf("%016x%016x", client+1, job))
-		time.Sleep(time.Duration(200+(client*131+job*377)%400) * time.Millisecond)
-		transport.CloseIdleConnections()
 	}
 }
 
@@ -124,21 +183,3 @@
 		result.closed.Add(1)
 	}
 }
-
-// look records whether the process still answers operators, and whether it ends after SIGTERM. It breaks no rule of this case by itself.
-func look(p *standin.Platform, deployment *standin.Deployment, process *standin.Process) {
-	client := &http.Client{Timeout: callerPatience, Transport: &http.Transport{DisableKeepAlives: true}}
-	if response, err := client.Get("http://" + deployment.Admin + "/_vars"); err != nil {
-		p.Record.Say("operator: GET /_vars: no answer within %v", callerPatience)
-	} else {
-		response.Body.Close()
-		p.Record.Say("operator: GET /_vars: %d", response.StatusCode)
-	}
-	p.Signal(process, syscall.SIGTERM)
-	select {
-	case <-process.Exited:
-		p.Record.Say("platform: the process ended after SIGTERM")
-	case <-time.After(killAfter):
-		p.Record.Say("platform: the process still runs %v after SIGTERM", killAfter)
-	}
-}
