Build the fault-injecting tracer on arm64 as well as on amd64

Cause: internal/inject/trace.go named registers of x86-64, so the tree did not build on arm64. Change: the registers of a stopped call stand in one file for each kind of machine. The tests were not run on x86-64.

--- a/internal/inject/inject.go
+++ b/internal/inject/inject.go
@@ -1,6 +1,6 @@
 // Package inject runs a program and makes some of its system calls fail, in ways that Linux documents. It traces the program with
 // ptrace. The program's launcher installs a seccomp filter, so that the program stops only at the chosen calls. The package needs Linux
-// on amd64, but no privileges, and it traces only processes that it starts itself.
+// on amd64 or arm64, but no privileges, and it traces only processes that it starts itself.
 package inject
 
 import (
--- a/internal/inject/trace.go
+++ b/internal/inject/trace.go
@@ -85,24 +85,24 @@
 
 // interceptCall makes the system call at which a thread has stopped fail, or leaves it unchanged.
 func (t *Tracer) interceptCall(pid int, rng *rand.Rand) {
-	var regs syscall.PtraceRegs
-	if syscall.PtraceGetRegs(pid, &regs) != nil || t.Paused != nil && t.Paused() {
+	call := stoppedCall{pid: pid}
+	if call.read() != nil || t.Paused != nil && t.Paused() {
 		return
 	}
 	for _, rule := range t.Rules {
-		if uint64(callNumbers[rule.Call]) != regs.Orig_rax || rng.IntN(rule.OneIn) > 0 {
+		if uint64(callNumbers[rule.Call]) != call.number() || rng.IntN(rule.OneIn) > 0 {
 			continue
 		}
+		var err error
 		if rule.Short {
-			if regs.Rdx <= maxUnshortenedBytes {
+			if call.thirdArgument() <= maxUnshortenedBytes {
 				return
 			}
-			regs.Rdx /= 2
+			err = call.setThirdArgument(call.thirdArgument() / 2)
 		} else {
-			regs.Orig_rax = ^uint64(0) // an invalid number: the kernel skips the call and returns the value of rax
-			regs.Rax = uint64(-int64(rule.Errno))
+			err = call.skip(uint64(-int64(rule.Errno)))
 		}
-		if syscall.PtraceSetRegs(pid, &regs) == nil {
+		if err == nil {
 			t.counts[rule.Call]++
 			if t.Failed != nil {
 				t.Failed(rule.Call, t.counts[rule.Call])
