--- a/review/standins-2/case7.go
+++ b/review/standins-2/case7.go
@@ -1,69 +1,53 @@
 package main
 
 import (
-	"context"
+	"bytes"
 	"fmt"
-	"strings"
-	"sync"
-	"syscall"
 	"time"
 )
 
 func init() { cases["7"] = case7 }
 
 func case7(b *bench) []string {
-	log := &runLog{}
-	boxes := startBoxes(b, log, 18, func(key string) time.Duration {
-		if strings.HasPrefix(key, "long") {
-			return 3 * time.Second
-		}
-		return 20 * time.Millisecond
-	})
-	priced := strings.Repeat(`{"step":"mill","minutes":12.5,"cost":"31.40"},`, 30<<10/47) // 30 KB; a body may have 64
-	for _, x := range boxes {
-		x.result = func(string) string { return priced }
-	}
+	boxes := startBoxes(b, &runLog{}, 12, always(3500*time.Millisecond))
 	d := newDiscovery(b, 41, members(boxes))
-	listen, listen2, progress, admin := address(), address(), address(), address()
-	// The table of keys has room for what this dispatcher answers within the window of a key: 85 jobs a second, half of the 170.
-	operator := front("http2", listen2, "") + front("progress", progress, "") + "keys {\n  jobs    = 8192\n  keep_mb = 48\n}\n"
-	spec := dispatcherSpec{name: "n0", listen: listen, admin: admin, tmp: b.dir, operator: operator,
-		config: platformFile(listen, admin, d.address, d.whole())}
-	old := b.start(spec)
-	load := b.steadyLoad("job", listen, 12*time.Millisecond)
-	time.Sleep(8 * time.Second)
-	var keys []string
-	var waiting sync.WaitGroup
-	c1 := client()
-	for i := range 40 {
-		key := fmt.Sprintf("long%d", i)
-		keys = append(keys, key)
-		waiting.Add(1)
-		go func() {
-			defer waiting.Done()
-			b.do(c1, request(context.Background(), listen, key+"-http1", key, 5*time.Second))
-		}()
-		time.Sleep(10 * time.Millisecond)
-	}
-	time.Sleep(200 * time.Millisecond)
-	if b.trouble {
-		spec.name, spec.admin = "n0-new", address()
-		spec.config = platformFile(listen, spec.admin, d.address, d.whole())
-		b.start(spec)
-		old.signal(syscall.SIGTERM)
-		b.note("the new process says yes; the old one gets SIGTERM")
+	listen, listen2, admin := address(), address(), address()
+	b.start(dispatcherSpec{name: "n0", listen: listen, admin: admin, tmp: b.dir,
+		config: platformFile(listen, admin, d.address, d.whole()), operator: front("http2", listen2, "")})
+	c := b.connect2(listen2)
+	body := bytes.Repeat([]byte("x"), 1000)
+	written := map[uint32]time.Time{}
+	for i := range 6 {
+		stream, id := uint32(2*i+1), fmt.Sprintf("k%d", i)
+		c.write(frame(frameHeaders, flagEndHeaders, stream, headers(listen2, id, id, 5*time.Second, len(body))))
+		data := frame(frameData, flagEndStream, stream, body)
+		if i == 5 && b.trouble {
+			data = data[:len(data)/2]
+			b.note("the client writes a half of the request on stream %d, and stays", stream)
+		} else {
+			b.note("the client writes the whole request %s on stream %d", id, stream)
+			written[stream] = time.Now()
+		}
+		c.write(data)
+		time.Sleep(100 * time.Millisecond)
 	}
-	for _, key := range keys {
-		waiting.Add(1)
-		go func() {
-			defer waiting.Done()
-			b.do(client2(), request(context.Background(), listen2, key+"-http2", key, 5*time.Second))
-		}()
-		time.Sleep(5 * time.Millisecond)
+	time.Sleep(6 * time.Second)
+	var breaks []string
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for stream := uint32(1); stream <= 11; stream += 2 {
+		sentAt, taken := written[stream]
+		if !taken {
+			continue
+		}
+		answeredAt, answered := c.answered[stream]
+		switch {
+		case !answered:
+			breaks = append(breaks, fmt.Sprintf("the request on stream %d was taken and has no answer; the connection was ended by the dispatcher after %d ms",
+				stream, c.closedAt.Sub(sentAt).Milliseconds()))
+		case answeredAt.Sub(sentAt) > 5500*time.Millisecond:
+			breaks = append(breaks, fmt.Sprintf("the request on stream %d was answered after %d ms", stream, answeredAt.Sub(sentAt).Milliseconds()))
+		}
 	}
-	time.Sleep(500 * time.Millisecond)
-	b.note("answers of the steady load by status: %v", load.end())
-	waiting.Wait()
-	time.Sleep(time.Second)
-	return repeatedRuns(b, log, keys)
+	return breaks
 }
--- a/review/standins-2/case8.go
+++ b/review/standins-2/case8.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"context"
+	"fmt"
 	"sync"
 	"time"
 )
@@ -8,41 +10,40 @@
 func init() { cases["8"] = case8 }
 
 func case8(b *bench) []string {
-	boxes := startBoxes(b, &runLog{}, 12, always(100*time.Millisecond))
+	log := &runLog{}
+	boxes := startBoxes(b, log, 12, always(1500*time.Millisecond))
 	d := newDiscovery(b, 41, members(boxes))
-	draining := boxes[3]
-	var mu sync.Mutex
-	var writtenAt time.Time
-	d.onTold = func(at time.Time, _ bool, entries []member) {
-		mu.Lock()
-		defer mu.Unlock()
-		for _, m := range entries {
-			if m.ID == draining.id && m.Phase == "leaving" && writtenAt.IsZero() {
-				writtenAt = at
+	listen, listen2, admin := address(), address(), address()
+	b.start(dispatcherSpec{name: "n0", listen: listen, admin: admin, tmp: b.dir,
+		config: platformFile(listen, admin, d.address, d.whole()), operator: front("http2", listen2, "")})
+	var keys []string
+	var waiting sync.WaitGroup
+	first, second := client2(), client()
+	for i := range 20 {
+		key := fmt.Sprintf("k%d", i)
+		keys = append(keys, key)
+		waiting.Add(1)
+		go func() {
+			defer waiting.Done()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			done := make(chan answer, 1)
+			go func() { done <- b.do(first, request(ctx, listen2, key+"-http2", key, 5*time.Second)) }()
+			time.Sleep(400 * time.Millisecond)
+			if b.trouble {
+				b.note("client cancels the stream of %s-http2", key)
+				cancel()
+				<-done
+				time.Sleep(100 * time.Millisecond)
 			}
-		}
-	}
-	listen, admin := address(), address()
-	b.start(dispatcherSpec{name: "n0", listen: listen, admin: admin, tmp: b.dir, config: platformFile(listen, admin, d.address, d.whole())})
-	load := b.steadyLoad("job", listen, 12*time.Millisecond)
-	time.Sleep(3 * time.Second)
-	if b.trouble {
-		b.note("discovery is crowded: calls wait for 1 s and fail")
-		d.set(func() { d.crowded = time.Second })
-		time.Sleep(1200 * time.Millisecond)
-	}
-	d.update(draining.member("leaving"))
-	draining.drains.Store(true)
-	drainAt := time.Now()
-	b.noteAt(drainAt, "box %s begins to drain", draining.id)
-	time.Sleep(12 * time.Second)
-	b.note("answers by status: %v", load.end())
-	toldAt := drainAt.Add(6 * time.Second)
-	mu.Lock()
-	if !writtenAt.IsZero() && writtenAt.Before(toldAt) {
-		toldAt = writtenAt
+			b.do(second, request(context.Background(), listen, key+"-http1", key, 5*time.Second))
+			if !b.trouble {
+				<-done
+			}
+		}()
+		time.Sleep(150 * time.Millisecond)
 	}
-	mu.Unlock()
-	b.noteAt(toldAt, "the drain counts as told")
-	return lateArrivals(draining, toldAt)
+	waiting.Wait()
+	time.Sleep(2 * time.Second)
+	return repeatedRuns(b, log, keys)
 }
